--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,304 @@
+/** @file http_client.cpp HTTP client over Boost.Beast. */
+#include "http/http_client_func.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+/** One TCP connection with the parser of its present response. */
+struct HttpConnection {
+    beast::tcp_stream stream; ///< Socket with a timeout.
+    beast::flat_buffer buffer; ///< Bytes read ahead.
+    std::optional<http::response_parser<http::buffer_body>> parser; ///< Parser of the present response.
+    TimePoint openedAt; ///< Time at which the connection was opened.
+};
+
+void HttpConnectionDeleter::operator()(HttpConnection *connection) const
+{
+    delete connection;
+}
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readPieceBytes = 16384;
+
+bool isTimeout(const beast::error_code &error)
+{
+    return error == beast::error::timeout;
+}
+
+Error transportError(const beast::error_code &error, ErrorCode timeoutCode, ErrorCode otherCode, RunState run, const Endpoint &endpoint)
+{
+    const std::string place = endpoint.address + ":" + std::to_string(endpoint.port);
+    if (error == asio::error::operation_aborted) {
+        return makeError(ErrorCode::Cancelled, place, run);
+    }
+    return makeError(isTimeout(error) ? timeoutCode : otherCode, place + ": " + error.message(), run);
+}
+
+/** @return Whether the peer has neither closed @p connection nor sent unexpected bytes on it. */
+bool isReusable(HttpConnection &connection)
+{
+    char byte = 0;
+    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+HttpConnectionPtr takeIdle(HttpClient &client, const Endpoint &endpoint)
+{
+    const auto found = client.idle.find(endpoint);
+    if (found == client.idle.end()) {
+        return nullptr;
+    }
+    while (!found->second.empty()) {
+        HttpConnectionPtr connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (isReusable(*connection)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void returnIdle(HttpExchange &exchange)
+{
+    const auto client = exchange.client.lock();
+    const bool keep = exchange.connection->parser->keep_alive() && exchange.connection->buffer.size() == 0;
+    exchange.connection->parser.reset();
+    exchange.connection->stream.expires_never();
+    if (client && keep) {
+        auto &kept = client->idle[exchange.endpoint];
+        if (kept.size() < client->maxIdlePerEndpoint) {
+            kept.push_back(std::move(exchange.connection));
+            return;
+        }
+    }
+    exchange.connection.reset();
+}
+
+asio::awaitable<Result<HttpConnectionPtr>> connect(const HttpClient &client, Endpoint endpoint, std::chrono::milliseconds timeout)
+{
+    beast::error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        co_return makeError(ErrorCode::ConnectFailed, endpoint.address + " is not an IP number");
+    }
+    HttpConnectionPtr connection(new HttpConnection{beast::tcp_stream(client.executor), {}, {}, BootClock::now()});
+    connection->stream.expires_after(timeout);
+    const auto [connectError] = co_await connection->stream.async_connect(tcp::endpoint(address, endpoint.port), awaitTuple);
+    if (connectError) {
+        co_return transportError(connectError, ErrorCode::ConnectTimeout, ErrorCode::ConnectFailed, RunState::No, endpoint);
+    }
+    connection->stream.socket().set_option(tcp::no_delay(true), error);
+    co_return connection;
+}
+
+http::request<http::string_body> makeMessage(const Endpoint &endpoint, HttpRequest request)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    for (const HttpHeader &header : request.headers) {
+        message.set(header.name, header.value);
+    }
+    message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
+    message.keep_alive(true);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+asio::awaitable<Result<Done>> readHead(HttpConnection &connection, const Endpoint &endpoint, std::chrono::milliseconds timeout)
+{
+    connection.parser.emplace();
+    connection.parser->body_limit(boost::none);
+    connection.stream.expires_after(timeout);
+    const auto [error, bytes] = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+    if (error) {
+        const bool malformed = error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
+                               && error != http::error::partial_message;
+        const ErrorCode code = malformed ? ErrorCode::ProtocolError : ErrorCode::StreamBroken;
+        co_return transportError(error, ErrorCode::FirstByteTimeout, code, RunState::Maybe, endpoint);
+    }
+    co_return Done{};
+}
+
+HttpExchange makeExchange(const std::shared_ptr<HttpClient> &client, Endpoint endpoint, HttpConnectionPtr connection)
+{
+    HttpExchange exchange;
+    exchange.status = static_cast<int>(connection->parser->get().result_int());
+    for (const auto &field : connection->parser->get()) {
+        exchange.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    exchange.endpoint = std::move(endpoint);
+    exchange.client = client;
+    exchange.connection = std::move(connection);
+    return exchange;
+}
+
+asio::awaitable<Result<HttpResponse>> readWhole(HttpExchange exchange, std::chrono::milliseconds idleTimeout, std::size_t maxBody)
+{
+    HttpResponse response;
+    response.status = exchange.status;
+    response.headers = std::move(exchange.headers);
+    for (;;) {
+        auto piece = co_await httpRead(exchange, idleTimeout);
+        if (!isOk(piece)) {
+            co_return errorOf(piece);
+        }
+        if (!valueOf(piece)) {
+            co_return response;
+        }
+        response.body += *valueOf(piece);
+        if (response.body.size() > maxBody) {
+            co_return makeError(ErrorCode::ProtocolError, "response body over the limit", RunState::Maybe);
+        }
+    }
+}
+
+} // namespace
+
+std::shared_ptr<HttpClient> HttpClient::create(asio::any_io_executor executor)
+{
+    auto client = std::make_shared<HttpClient>();
+    client->executor = std::move(executor);
+    return client;
+}
+
+asio::awaitable<Result<HttpExchange>> httpOpen(
+    std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, ConnectionUse use)
+{
+    HttpConnectionPtr connection = use == ConnectionUse::Pooled ? takeIdle(*client, endpoint) : nullptr;
+    if (!connection) {
+        auto opened = co_await connect(*client, endpoint, timeouts.connect);
+        if (!isOk(opened)) {
+            co_return errorOf(opened);
+        }
+        connection = std::move(valueOf(opened));
+    }
+    auto message = makeMessage(endpoint, std::move(request));
+    connection->stream.expires_after(timeouts.send);
+    const auto [error, sent] = co_await http::async_write(connection->stream, message, awaitTuple);
+    if (error) {
+        const RunState run = sent == 0 ? RunState::No : RunState::Maybe;
+        const ErrorCode code = sent == 0 ? ErrorCode::ConnectFailed : ErrorCode::SendFailed;
+        co_return transportError(error, code, code, run, endpoint);
+    }
+    const auto head = co_await readHead(*connection, endpoint, timeouts.firstByte);
+    if (!isOk(head)) {
+        co_return errorOf(head);
+    }
+    co_return makeExchange(client, std::move(endpoint), std::move(connection));
+}
+
+asio::awaitable<Result<std::optional<std::string>>> httpRead(HttpExchange &exchange, std::chrono::milliseconds idleTimeout)
+{
+    if (!exchange.connection) {
+        co_return std::optional<std::string>();
+    }
+    HttpConnection &connection = *exchange.connection;
+    auto &parser = *connection.parser;
+    std::string piece(readPieceBytes, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        connection.stream.expires_after(idleTimeout);
+        const auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitTuple);
+        if (error && error != http::error::need_buffer) {
+            const Error failure = transportError(error, ErrorCode::IdleTimeout, ErrorCode::StreamBroken, RunState::Maybe, exchange.endpoint);
+            exchange.connection.reset();
+            co_return failure;
+        }
+        const std::size_t filled = piece.size() - parser.get().body().size;
+        if (filled > 0) {
+            piece.resize(filled);
+            co_return std::optional<std::string>(std::move(piece));
+        }
+    }
+    returnIdle(exchange);
+    co_return std::optional<std::string>();
+}
+
+void httpAbort(HttpExchange &exchange)
+{
+    if (exchange.connection) {
+        exchange.connection->stream.close();
+    }
+}
+
+asio::awaitable<Result<HttpResponse>> httpCall(
+    std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, ConnectionUse use, std::size_t maxBody)
+{
+    auto opened = co_await httpOpen(std::move(client), std::move(endpoint), std::move(request), timeouts, use);
+    if (!isOk(opened)) {
+        co_return errorOf(opened);
+    }
+    co_return co_await readWhole(std::move(valueOf(opened)), timeouts.idle, maxBody);
+}
+
+asio::awaitable<Result<HttpResponse>> httpCallGated(
+    std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, std::function<Result<Done>()> gate)
+{
+    auto opened = co_await connect(*client, endpoint, timeouts.connect);
+    if (!isOk(opened)) {
+        co_return errorOf(opened);
+    }
+    HttpConnectionPtr connection = std::move(valueOf(opened));
+    auto message = makeMessage(endpoint, std::move(request));
+    message.set(http::field::expect, "100-continue");
+    http::request_serializer<http::string_body> serializer(message);
+    connection->stream.expires_after(timeouts.send);
+    const auto [headError, headBytes] = co_await http::async_write_header(connection->stream, serializer, awaitTuple);
+    if (headError) {
+        co_return transportError(headError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::No, endpoint);
+    }
+    const auto proceed = co_await readHead(*connection, endpoint, timeouts.firstByte);
+    if (!isOk(proceed)) {
+        Error error = errorOf(proceed);
+        error.run = RunState::No;
+        co_return error;
+    }
+    if (connection->parser->get().result() != http::status::continue_) {
+        co_return co_await readWhole(makeExchange(client, std::move(endpoint), std::move(connection)), timeouts.idle, readPieceBytes);
+    }
+    const Result<Done> allowed = gate();
+    if (!isOk(allowed)) {
+        co_return errorOf(allowed);
+    }
+    connection->stream.expires_after(timeouts.send);
+    const auto [bodyError, bodyBytes] = co_await http::async_write(connection->stream, serializer, awaitTuple);
+    if (bodyError) {
+        co_return transportError(bodyError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::Maybe, endpoint);
+    }
+    const auto head = co_await readHead(*connection, endpoint, timeouts.firstByte);
+    if (!isOk(head)) {
+        co_return errorOf(head);
+    }
+    co_return co_await readWhole(makeExchange(client, std::move(endpoint), std::move(connection)), timeouts.idle, std::size_t{1} << 20U);
+}
+
+void httpCloseIdle(HttpClient &client, const Endpoint &endpoint, TimePoint openedBefore)
+{
+    const auto found = client.idle.find(endpoint);
+    if (found == client.idle.end()) {
+        return;
+    }
+    std::erase_if(found->second, [openedBefore](const HttpConnectionPtr &connection) {
+        return connection->openedAt < openedBefore;
+    });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/http/http_type.h
@@ -0,0 +1,71 @@
+/** @file http_type.h Plain HTTP messages, endpoints and limits. */
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace skylark {
+
+/** An address and port to connect to or to listen on. */
+struct Endpoint {
+    std::string address; ///< IP number.
+    std::uint16_t port{0}; ///< TCP or UDP port.
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+/** One header field. */
+struct HttpHeader {
+    std::string name; ///< Field name; compared without case.
+    std::string value; ///< Field value.
+};
+
+/** Header fields in order. */
+using HttpHeaders = std::vector<HttpHeader>;
+
+/** One request with its whole body. */
+struct HttpRequest {
+    std::string method{"GET"}; ///< Method in capitals.
+    std::string target; ///< Path and query.
+    HttpHeaders headers; ///< Header fields, without Host and Content-Length.
+    std::string body; ///< Whole body.
+};
+
+/** One response with its whole body. */
+struct HttpResponse {
+    int status{200}; ///< Status code.
+    HttpHeaders headers; ///< Header fields, without Content-Length.
+    std::string body; ///< Whole body.
+};
+
+/** Time limits of one exchange as a client. */
+struct HttpTimeouts {
+    std::chrono::milliseconds connect{500}; ///< Opening the connection.
+    std::chrono::milliseconds send{2000}; ///< Sending the request.
+    std::chrono::milliseconds firstByte{5000}; ///< From the request's last byte to the response head.
+    std::chrono::milliseconds idle{2000}; ///< Between two pieces of the body.
+};
+
+/** Which connection a request may use. */
+enum class ConnectionUse : std::uint8_t {
+    Pooled, ///< A connection kept from a complete exchange, or a new one.
+    Fresh, ///< Always a new connection; for calls that must not be repeated.
+};
+
+/** @return The value of the first header @p name, or an empty view. */
+[[nodiscard]] std::string_view headerValue(const HttpHeaders &headers, std::string_view name);
+
+/** @return The path of @p target without its query. */
+[[nodiscard]] std::string_view targetPath(std::string_view target);
+
+/** @return The decoded value of query parameter @p name in @p target, or an empty string. */
+[[nodiscard]] std::string queryParameter(std::string_view target, std::string_view name);
+
+/** @return @p text percent-encoded for use in a path segment or query value. */
+[[nodiscard]] std::string percentEncode(std::string_view text);
+
+} // namespace skylark
--- /dev/null
+++ b/src/metrics/metrics_func.h
@@ -0,0 +1,39 @@
+/** @file metrics_func.h Counters, gauges and quantiles with text exposition. */
+#pragma once
+
+#include <chrono>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace skylark {
+
+/** Registry; its functions may be called from any thread. */
+struct MetricsRegistry {
+    struct Impl;
+    std::shared_ptr<Impl> impl; ///< Hidden state.
+
+    static std::shared_ptr<MetricsRegistry> create();
+};
+
+/** Labels of one series. */
+using MetricLabels = std::initializer_list<std::pair<std::string_view, std::string_view>>;
+
+/** Adds to a counter; names end in "_total". */
+void addCounter(MetricsRegistry &registry, std::string_view name, MetricLabels labels = {}, double delta = 1.0);
+
+/** Sets a gauge. */
+void setGauge(MetricsRegistry &registry, std::string_view name, MetricLabels labels, double value);
+
+/** Records a duration; exposed in seconds as quantiles 0.5, 0.95, 0.99 with sum and count. */
+void observe(MetricsRegistry &registry, std::string_view name, MetricLabels labels, std::chrono::nanoseconds value);
+
+/** @return The value of a counter or gauge; 0 when it does not exist. */
+[[nodiscard]] double metricValue(const MetricsRegistry &registry, std::string_view name, MetricLabels labels = {});
+
+/** @return All series in the text exposition format, version 0.0.4. */
+[[nodiscard]] std::string renderMetrics(const MetricsRegistry &registry);
+
+} // namespace skylark
--- /dev/null
+++ b/tests/test_http.cpp
@@ -0,0 +1,190 @@
+/** @file test_http.cpp HTTP client and server against each other over loopback. */
+#include "http/http_client_func.h"
+#include "http/http_server_func.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/** A server and a client on one event loop. */
+struct HttpFixture {
+    asio::io_context loop{1}; ///< Event loop of both.
+    std::shared_ptr<HttpClient> client{HttpClient::create(loop.get_executor())}; ///< Client.
+    std::unique_ptr<HttpServer> server; ///< Server.
+    Endpoint endpoint{"127.0.0.1", 0}; ///< Server's address.
+    HttpTimeouts timeouts{200ms, 200ms, 300ms, 200ms}; ///< Short limits.
+    int callersGone{0}; ///< Callers that closed early.
+    int requests{0}; ///< Requests that reached the handler.
+
+    void listen()
+    {
+        HttpServerOptions options;
+        options.listen = this->endpoint;
+        options.maxBody = 1000;
+        options.bodyTimeout = 150ms;
+        auto created = HttpServer::create(this->loop.get_executor(), options, [this](HttpRequest request, HttpResponder &responder) {
+            return this->handle(std::move(request), responder);
+        });
+        REQUIRE(isOk(created));
+        this->server = std::move(valueOf(created));
+        this->endpoint.port = listenPort(*this->server);
+    }
+
+    asio::awaitable<void> handle(HttpRequest request, HttpResponder &responder)
+    {
+        ++this->requests;
+        const std::string path(targetPath(request.target));
+        if (path == "/echo") {
+            HttpResponse response;
+            response.headers.push_back({"x-request-id", std::string(headerValue(request.headers, "X-Request-Id"))});
+            response.body = request.body;
+            co_await sendResponse(responder, std::move(response));
+        } else if (path == "/stream") {
+            co_await startStream(responder, 200, {});
+            co_await writeChunk(responder, "one ");
+            co_await writeChunk(responder, "two");
+            co_await finishStream(responder);
+        } else if (path == "/cut") {
+            co_await startStream(responder, 200, {});
+            co_await writeChunk(responder, "one ");
+        } else if (path == "/silent") {
+            asio::steady_timer timer(this->loop, 2s);
+            onCallerGone(responder, [this, &timer] {
+                ++this->callersGone;
+                timer.cancel();
+            });
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+
+    template<typename T>
+    T run(asio::awaitable<T> task)
+    {
+        std::optional<T> value;
+        asio::co_spawn(this->loop, std::move(task), [&value](const std::exception_ptr &, T result) {
+            value = std::move(result);
+        });
+        for (int i = 0; i < 1000 && !value; ++i) {
+            this->loop.restart();
+            this->loop.run_one_for(100ms);
+        }
+        REQUIRE(value);
+        return std::move(*value);
+    }
+
+    void runFor(std::chrono::milliseconds duration)
+    {
+        this->loop.restart();
+        this->loop.run_for(duration);
+    }
+
+    Result<HttpResponse> call(const std::string &target, std::string body = {})
+    {
+        return this->run(httpCall(this->client, this->endpoint, {"POST", target, {{"x-request-id", "r1"}}, std::move(body)}, this->timeouts));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(HttpFixture, "httpCall_completeExchange_reusesConnection")
+{
+    this->listen();
+    auto first = this->call("/echo", "hello");
+    REQUIRE(isOk(first));
+    CHECK(valueOf(first).body == "hello");
+    CHECK(headerValue(valueOf(first).headers, "x-request-id") == "r1");
+    CHECK(this->client->idle[this->endpoint].size() == 1);
+    auto second = this->call("/stream");
+    REQUIRE(isOk(second));
+    CHECK(valueOf(second).body == "one two");
+    CHECK(this->client->idle[this->endpoint].size() == 1);
+}
+
+// Guards against an answer cut in the middle being taken for a whole one, and its connection being reused.
+TEST_CASE_METHOD(HttpFixture, "httpCall_streamCut_reportsBrokenAndDropsConnection")
+{
+    this->listen();
+    auto result = this->call("/cut");
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == ErrorCode::StreamBroken);
+    CHECK(errorOf(result).run == RunState::Maybe);
+    CHECK(this->client->idle[this->endpoint].empty());
+}
+
+// Guards against a silent connection holding a request for longer than the first byte timeout.
+TEST_CASE_METHOD(HttpFixture, "httpCall_silentServer_timesOutAndServerSeesCallerGone")
+{
+    this->listen();
+    auto result = this->call("/silent");
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == ErrorCode::FirstByteTimeout);
+    CHECK(errorOf(result).run == RunState::Maybe);
+    this->runFor(50ms);
+    CHECK(this->callersGone == 1);
+}
+
+// Guards against claiming that a request may have run when no connection existed.
+TEST_CASE_METHOD(HttpFixture, "httpCall_connectionRefused_reportsNotRun")
+{
+    this->listen();
+    const Endpoint closed = this->endpoint;
+    this->server.reset();
+    this->runFor(20ms);
+    auto result = this->run(httpCall(this->client, closed, {}, this->timeouts));
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == ErrorCode::ConnectFailed);
+    CHECK(errorOf(result).run == RunState::No);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpServer_bodyOverLimit_answers413")
+{
+    this->listen();
+    auto result = this->call("/echo", std::string(2000, 'x'));
+    REQUIRE(isOk(result));
+    CHECK(valueOf(result).status == 413);
+    CHECK(this->requests == 0);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpCallGated_gateRefuses_bodyNeverReachesHandler")
+{
+    this->listen();
+    auto result = this->run(httpCallGated(this->client, this->endpoint, {"POST", "/echo", {}, "order"}, this->timeouts, []() -> Result<Done> {
+        return makeError(ErrorCode::LeaseExpired, "lease");
+    }));
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == ErrorCode::LeaseExpired);
+    this->runFor(300ms);
+    CHECK(this->requests == 0);
+}
+
+// Guards against an order that takes effect although its sender was paused after the lease check.
+TEST_CASE_METHOD(HttpFixture, "httpCallGated_senderPausedPastServerTimeout_orderDropped")
+{
+    this->listen();
+    auto result = this->run(httpCallGated(this->client, this->endpoint, {"POST", "/echo", {}, "order"}, this->timeouts, [this]() -> Result<Done> {
+        this->runFor(300ms);
+        return Done{};
+    }));
+    CHECK_FALSE(isOk(result));
+    CHECK(this->requests == 0);
+}
+
+TEST_CASE_METHOD(HttpFixture, "httpCallGated_gateAllows_orderRuns")
+{
+    this->listen();
+    auto result = this->run(httpCallGated(this->client, this->endpoint, {"POST", "/echo", {}, "order"}, this->timeouts, []() -> Result<Done> {
+        return Done{};
+    }));
+    REQUIRE(isOk(result));
+    CHECK(valueOf(result).body == "order");
+}
