--- /dev/null
+++ b/tools/lib/demo.py
@@ -0,0 +1,156 @@
+"""Runs the main job on 7 hosts in 3 failure domains and prints one JSON object as its last line."""
+
+import argparse
+import collections
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+import fleet as fleetlib
+
+ONLINE_REQUESTS = 300
+BATCH_ITEMS = 2048
+CLIENT_RETRIES = 2  # Stock client libraries resend a model call twice by default.
+SEED = 7
+
+
+class OnlineClient:
+    """Sends online requests at a steady pace through all live hosts, as a load balancer would."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.sent = 0
+        self.ok = 0
+        self.resent = 0
+        self.errors = []
+        self.lock = threading.Lock()
+        self.random = random.Random(SEED)
+
+    def one(self, number):
+        body = fleetlib.chat_body(self.fleet.model, f"Draft mask brief {number}.", number % 2 == 0)
+        failure = None
+        for attempt in range(CLIENT_RETRIES + 1):
+            with self.lock:
+                host = self.random.choice(self.fleet.live_hosts())
+                self.resent += 1 if attempt else 0
+            try:
+                text = fleetlib.chat(host["http"], body)
+                if not text:
+                    raise RuntimeError("empty answer")
+                with self.lock:
+                    self.ok += 1
+                return
+            except (OSError, RuntimeError, ValueError, fleetlib.http.client.HTTPException) as error:
+                failure = f"{host['id']}: {error!r}"
+                time.sleep(0.2)
+        with self.lock:
+            self.errors.append(failure)
+
+    def run(self, count, seconds):
+        threads = []
+        for number in range(count):
+            thread = threading.Thread(target=self.one, args=(number,))
+            thread.start()
+            threads.append(thread)
+            self.sent += 1
+            time.sleep(seconds / count)
+        for thread in threads:
+            thread.join()
+
+
+def result_lines(fleet):
+    done = fleet.ctl("job", "results", "--key=evening-catalogue")
+    return [json.loads(line) for line in done.stdout.splitlines() if line.strip()]
+
+
+def job_state(fleet):
+    done = fleet.ctl("jobs", "--json", check=False)
+    return done.stdout
+
+
+def run_demo(fleet):
+    started = time.monotonic()
+    print("starting stand-ins and hosts", flush=True)
+    fleet.start_platform()
+    fleet.start_targets()
+    fleet.start_hosts()
+    fleet.make_workspace()
+    print(f"workspace is in force on all hosts after {time.monotonic() - started:.1f} s", flush=True)
+    return started
+
+
+def run_job(fleet, started):
+    path = os.path.join(fleet.folder, "job.jsonl")
+    with open(path, "w", encoding="utf-8") as file:
+        file.write(fleetlib.job_lines(fleet.model, BATCH_ITEMS))
+    fleet.ctl("job", "submit", f"--file={path}", "--key=evening-catalogue", "--due=3600")
+    client = OnlineClient(fleet)
+    online = threading.Thread(target=client.run, args=(ONLINE_REQUESTS, 8.0))
+    online.start()
+    time.sleep(3.0)
+    victim = fleet.hosts[3]["id"]
+    print(f"killing {victim}", flush=True)
+    fleet.kill(victim)
+    online.join()
+    fleet.ctl("job", "watch", "--key=evening-catalogue", "--timeout=45s", check=False)
+    results = result_lines(fleet)
+    counts = collections.Counter(line["custom_id"] for line in results)
+    for error in client.errors[:5]:
+        print("online error:", error)
+    print(f"online requests resent by the client after the host was killed: {client.resent}")
+    return {
+        "hosts": len(fleet.hosts),
+        "failure_domains": len(fleetlib.DOMAINS),
+        "online_sent": client.sent,
+        "online_ok": client.ok,
+        "batch_accepted": BATCH_ITEMS,
+        "batch_finished": sum(1 for line in results if line["status"] == "ok"),
+        "batch_failed": sum(1 for line in results if line["status"] == "failed"),
+        "duplicates": sum(n - 1 for n in counts.values()),
+        "seconds": round(time.monotonic() - started, 1),
+    }
+
+
+def holds(report):
+    return (
+        report["online_ok"] == report["online_sent"]
+        and report["batch_finished"] + report["batch_failed"] == report["batch_accepted"]
+        and report["duplicates"] == 0
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--keep", action="store_true", help="leave everything up until interrupted")
+    parser.add_argument("--build", required=True, help="folder of the built programs")
+    parser.add_argument("--folder", help="folder for settings, logs and data; a temporary one by default")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory(prefix="skylark-demo-") as temporary:
+        folder = options.folder or temporary
+        os.makedirs(folder, exist_ok=True)
+        fleet = fleetlib.Fleet(options.build, folder)
+        try:
+            started = run_demo(fleet)
+            if options.keep:
+                signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+                keys = {"base_url": f"http://{fleetlib.ADDRESS}:{fleet.hosts[0]['http']}/v1", "api_key": fleetlib.API_KEY, "model": fleet.model, "admin": [f"{fleetlib.ADDRESS}:{h['admin']}" for h in fleet.hosts]}
+                print(json.dumps(keys), flush=True)
+                try:
+                    while True:
+                        time.sleep(1)
+                except KeyboardInterrupt:
+                    return 0
+            report = run_job(fleet, started)
+            print(json.dumps(report), flush=True)
+            return 0 if holds(report) else 1
+        finally:
+            fleet.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
