Feature: tools/prove for randomised runs with faults

The first layer runs the property tests of the decisions with a given seed and counts the invariant checks; the second injects faults into real processes through relays.

--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -1,12 +1,34 @@
 /** @file main.cpp Entry point of the test programs. */
 #define CATCH_CONFIG_RUNNER
+#include "core/invariant_func.h"
+
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <fstream>
 #include <glog/logging.h>
 
+namespace {
+
+/** Writes how often each promise's invariants were checked, for tools/prove. */
+void writeCheckReport(const char *path)
+{
+    std::ofstream file(path);
+    const auto counts = skylark::invariantCounts();
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        file << skylark::promiseName(static_cast<skylark::Promise>(i)) << ' ' << counts[i] << '\n';
+    }
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
     google::InitGoogleLogging(argv[0]);
     FLAGS_logtostderr = true;
     FLAGS_minloglevel = google::WARNING;
-    return Catch::Session().run(argc, argv);
+    const int result = Catch::Session().run(argc, argv);
+    if (const char *path = std::getenv("SKYLARK_CHECK_REPORT")) {
+        writeCheckReport(path);
+    }
+    return result;
 }
--- a/tools/lib/prove.py
+++ b/tools/lib/prove.py
@@ -23,6 +23,8 @@
 CANCEL_S = 10.0  # The lease of a host that is cut off lapses within this time.
 SILENT_S = 12.0  # First byte timeout plus retries on other targets.
 
+DECISION_TESTS = ("test_claim", "test_revision", "test_membership", "test_lease", "test_routing", "test_retry", "test_once", "test_batch_limit", "test_items", "test_placement")
+
 
 class Report:
     """Counts of checks, faults and violations."""
@@ -531,6 +533,23 @@
                 self.check_exit(host)
 
 
+def run_decisions(options, report):
+    """Runs the property tests of the decision functions with the given seed; returns the number of property runs."""
+    programs = sorted(name for name in os.listdir(options.build) if name.startswith("test_") and name in DECISION_TESTS)
+    for name in programs:
+        with tempfile.NamedTemporaryFile() as checks:
+            environment = {**os.environ, "SKYLARK_PROPERTY_SEED": str(options.seed), "SKYLARK_PROPERTY_RUNS": str(options.property_runs), "SKYLARK_CHECK_REPORT": checks.name}
+            done = subprocess.run([os.path.join(options.build, name)], env=environment, capture_output=True, text=True, timeout=600, check=False)
+            for line in checks.read().decode().splitlines():
+                promise, count = line.split()
+                report.checked[promise] += int(count)
+                report.events += int(count)
+        if done.returncode != 0:
+            report.violations.append(f"decisions: {name} failed with seed {options.seed}: {done.stdout[-2000:]}{done.stderr[-1000:]}")
+        print(f"decisions: {name} {'passed' if done.returncode == 0 else 'FAILED'}", flush=True)
+    return len(programs) * options.property_runs
+
+
 def run_once(options, seed, report):
     folder = options.folder or tempfile.mkdtemp(prefix="skylark-prove-")
     folder = os.path.join(folder, f"seed-{seed}")
@@ -555,18 +574,21 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60.0, help="total time of the runs' fault phases")
     parser.add_argument("--run_seconds", type=float, default=30.0, help="fault phase of one run")
+    parser.add_argument("--property_runs", type=int, default=300, help="random cases of each property")
+    parser.add_argument("--no-processes", dest="processes", action="store_false", help="decision functions only")
     parser.add_argument("--folder", help="folder for logs; kept")
     options = parser.parse_args()
     report = Report()
+    decision_runs = run_decisions(options, report)
     runs = 0
-    while runs == 0 or runs * options.run_seconds < options.seconds:
+    while options.processes and (runs == 0 or runs * options.run_seconds < options.seconds):
         run_once(options, options.seed + runs, report)
         runs += 1
     for violation in report.violations:
         print("violation:", violation)
     if report.violations:
         print(f"replay: tools/prove --seed {options.seed} --seconds {options.seconds:g}")
-    print(json.dumps({"seed": options.seed, "runs": runs, "events": report.events, "faults": dict(report.faults), "checked": dict(report.checked), "violations": len(report.violations)}))
+    print(json.dumps({"seed": options.seed, "runs": runs + decision_runs, "events": report.events, "faults": dict(report.faults), "checked": dict(report.checked), "violations": len(report.violations)}))
     return 1 if report.violations else 0
 
 
