--- /dev/null
+++ b/standins/engine/control.cpp
@@ -0,0 +1,91 @@
+/** @file control.cpp Faults and counters of the engine stand-in. */
+#include "engine_base.h"
+
+namespace skylark::standin {
+
+namespace json = boost::json;
+
+namespace {
+
+/** Makes all connections that are open now silent, except the caller's own. */
+void silenceConnections(Engine &engine, const HttpResponder &responder)
+{
+    for (auto &[connection, silent] : engine.connections) {
+        silent = silent || connection.lock() != responder.connection;
+    }
+}
+
+HttpResponse setFaults(Engine &engine, const HttpRequest &request, const HttpResponder &responder)
+{
+    const auto body = parseJsonObject(request.body);
+    if (!body) {
+        return errorAnswer(400, "invalid_request", "faults are a JSON object", true);
+    }
+    EngineFaults &faults = engine.faults;
+    faults.dieOn = stringMember(*body, "die_on", faults.dieOn);
+    faults.rejectOn = stringMember(*body, "reject_on", faults.rejectOn);
+    faults.failOn = stringMember(*body, "fail_on", faults.failOn);
+    faults.draining = boolMember(*body, "draining", faults.draining);
+    faults.slowFactor = doubleMember(*body, "slow_factor", faults.slowFactor);
+    faults.cutAfterTokens = static_cast<unsigned>(numberMember(*body, "cut_after_tokens", faults.cutAfterTokens));
+    faults.wrongId = boolMember(*body, "wrong_id", faults.wrongId);
+    if (boolMember(*body, "silent")) {
+        silenceConnections(engine, responder);
+    }
+    sampleLoad(engine);
+    return jsonAnswer(200, json::object());
+}
+
+json::object userStats(const EngineCounts &counts)
+{
+    json::object users;
+    for (const auto &[user, count] : counts.users) {
+        json::object entry;
+        entry["started"] = count.started;
+        entry["finished"] = count.finished;
+        entry["tokens"] = count.tokens;
+        users[user] = std::move(entry);
+    }
+    return users;
+}
+
+HttpResponse stats(const Engine &engine, bool withUsers)
+{
+    const EngineCounts &counts = engine.counts;
+    json::object body;
+    body["started"] = counts.started;
+    body["finished"] = counts.finished;
+    body["cancelled"] = counts.cancelled;
+    body["refused"] = counts.refused;
+    body["tokens"] = counts.tokens;
+    body["tokens_regenerated"] = counts.tokensRegenerated;
+    body["prefill_tokens"] = counts.prefillTokens;
+    body["cached_tokens"] = counts.cachedTokens;
+    body["steps"] = counts.steps;
+    body["max_waiting"] = counts.maxWaiting;
+    body["running"] = engine.running.size();
+    body["waiting"] = engine.waiting.size();
+    body["orders"] = engine.orders;
+    body["orders_refused"] = counts.ordersRefused;
+    body["role"] = engine.role;
+    if (withUsers) {
+        body["users"] = userStats(counts);
+    }
+    return jsonAnswer(200, body);
+}
+
+} // namespace
+
+std::optional<HttpResponse> handleControl(Engine &engine, const HttpRequest &request, const HttpResponder &responder)
+{
+    const std::string_view path = targetPath(request.target);
+    if (path == "/faults" && request.method == "POST") {
+        return setFaults(engine, request, responder);
+    }
+    if (path == "/stats") {
+        return stats(engine, queryParameter(request.target, "users") != "0");
+    }
+    return std::nullopt;
+}
+
+} // namespace skylark::standin
