Feature: Status datagrams and peer RPC

Status and yield messages are packed Cap'n Proto messages in single UDP datagrams with bounds on the packed and the unpacked size. A call that times out drops its connection, so that a silent connection costs one timeout and is not used again.

--- /dev/null
+++ b/src/peer/peer.capnp
@@ -0,0 +1,84 @@
+# Messages between hosts: status datagrams (UDP) and peer RPC (TCP).
+# The generated code in generated/ is committed; after a change run:
+#   capnp compile -oc++:src/peer/generated --src-prefix=src/peer src/peer/peer.capnp
+@0xd1c7a3f0b5e2946b;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("skylark::wire");
+
+struct LoadedModel {
+  name @0 :Text;
+  version @1 :Text;
+  adapters @2 :List(Text);
+}
+
+struct TargetStatus {
+  target @0 :Text;
+  leaving @1 :Bool;
+  baselineStepMs @2 :Float64;
+  # The target's load report as its batch owner received it.
+  reportSequence @3 :UInt64;
+  slots @4 :UInt32;
+  running @5 :UInt32;
+  waiting @6 :UInt32;
+  stepMs @7 :Float64;
+  draining @8 :Bool;
+  models @9 :List(LoadedModel);
+  # Time since the owner received the report; clocks of hosts are not compared.
+  reportAgeMs @10 :UInt32;
+}
+
+struct NamedCount {
+  name @0 :Text;
+  count @1 :UInt32;
+}
+
+struct HostStatus {
+  host @0 :Text;
+  domain @1 :Text;
+  session @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+  leaving @5 :Bool;
+  ready @6 :Bool;
+  configRevision @7 :UInt64;
+  jobsCursor @8 :UInt64;
+  targets @9 :List(TargetStatus);
+  onlineInFlight @10 :List(NamedCount);
+  freeByModel @11 :List(NamedCount);
+}
+
+struct YieldRequest {
+  from @0 :Text;
+  target @1 :Text;
+  slots @2 :UInt32;
+}
+
+struct Datagram {
+  union {
+    status @0 :HostStatus;
+    yield @1 :YieldRequest;
+  }
+}
+
+# A typed error; a null pointer means success.
+struct Failure {
+  code @0 :Text;
+  detail @1 :Text;
+  mayHaveRun @2 :Bool;
+}
+
+struct StateBundle {
+  revision @0 :UInt64;
+  documents @1 :Text;
+  targets @2 :Text;
+  jobs @3 :Text;
+  jobsCursor @4 :UInt64;
+}
+
+interface Peer {
+  getBlob @0 (id :Text) -> (data :Data, failure :Failure);
+  putBlob @1 (id :Text, data :Data) -> (failure :Failure);
+  hasBlobs @2 (ids :List(Text)) -> (stored :List(Bool), failure :Failure);
+  pullState @3 (known :UInt64, jobsCursor :UInt64) -> (state :StateBundle, failure :Failure);
+}
--- a/src/peer/peer_rpc_func.h
+++ b/src/peer/peer_rpc_func.h
@@ -44,6 +44,9 @@
     ~PeerRpc();
 };
 
+/** @return The port that the server listens on; differs from the requested one when that was 0. */
+[[nodiscard]] std::uint16_t listenPort(const PeerRpc &rpc);
+
 /** Reads a blob from a peer. The coroutine resumes on its own executor. */
 boost::asio::awaitable<Result<std::string>> peerGetBlob(PeerRpc &rpc, Endpoint peer, BlobId id, std::chrono::milliseconds timeout);
 
--- /dev/null
+++ b/src/peer/status_codec.cpp
@@ -0,0 +1,212 @@
+/** @file status_codec.cpp Wire form of status and yield datagrams. */
+#include "peer/status_codec_func.h"
+
+#include "peer.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/io.h>
+#include <limits>
+
+namespace skylark {
+
+namespace {
+
+/** Bound on an unpacked message in 8-byte words (512 KiB). Packing can shrink a message of zeros a thousandfold, so the datagram's size is no bound. */
+constexpr std::uint64_t maxMessageWords = 65536;
+
+std::string pack(capnp::MessageBuilder &message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+std::string textOf(capnp::Text::Reader text)
+{
+    return {text.cStr(), text.size()};
+}
+
+template<typename Id>
+void writeCounts(capnp::List<wire::NamedCount>::Builder list, const std::vector<std::pair<Id, unsigned>> &counts)
+{
+    for (unsigned i = 0; i < list.size(); ++i) {
+        list[i].setName(counts[i].first.value);
+        list[i].setCount(counts[i].second);
+    }
+}
+
+template<typename Id>
+std::vector<std::pair<Id, unsigned>> readCounts(capnp::List<wire::NamedCount>::Reader list)
+{
+    std::vector<std::pair<Id, unsigned>> counts;
+    for (const auto entry : list) {
+        counts.emplace_back(Id{textOf(entry.getName())}, entry.getCount());
+    }
+    return counts;
+}
+
+void writeModel(wire::LoadedModel::Builder out, const LoadedModel &model)
+{
+    out.setName(model.name.value);
+    out.setVersion(model.version);
+    auto adapters = out.initAdapters(static_cast<unsigned>(model.adapters.size()));
+    for (unsigned i = 0; i < adapters.size(); ++i) {
+        adapters.set(i, model.adapters[i]);
+    }
+}
+
+LoadedModel readModel(wire::LoadedModel::Reader in)
+{
+    LoadedModel model{ModelId{textOf(in.getName())}, textOf(in.getVersion()), {}};
+    for (const auto adapter : in.getAdapters()) {
+        model.adapters.push_back(textOf(adapter));
+    }
+    return model;
+}
+
+std::uint32_t ageMs(TimePoint since, TimePoint now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void writeTarget(wire::TargetStatus::Builder out, const TargetStatus &target, TimePoint now)
+{
+    const LoadReport &report = target.report;
+    out.setTarget(target.target.value);
+    out.setLeaving(target.leaving);
+    out.setBaselineStepMs(target.baselineStepMs);
+    out.setReportSequence(report.sequence);
+    out.setSlots(report.slots);
+    out.setRunning(report.running);
+    out.setWaiting(report.waiting);
+    out.setStepMs(report.stepMs);
+    out.setDraining(report.draining);
+    out.setReportAgeMs(ageMs(report.receivedAt, now));
+    auto models = out.initModels(static_cast<unsigned>(report.models.size()));
+    for (unsigned i = 0; i < models.size(); ++i) {
+        writeModel(models[i], report.models[i]);
+    }
+}
+
+TargetStatus readTarget(wire::TargetStatus::Reader in, TimePoint now)
+{
+    TargetStatus target;
+    LoadReport &report = target.report;
+    target.target.value = textOf(in.getTarget());
+    target.leaving = in.getLeaving();
+    target.baselineStepMs = in.getBaselineStepMs();
+    report.sequence = in.getReportSequence();
+    report.slots = in.getSlots();
+    report.running = in.getRunning();
+    report.waiting = in.getWaiting();
+    report.stepMs = in.getStepMs();
+    report.draining = in.getDraining();
+    report.receivedAt = now - std::chrono::milliseconds(in.getReportAgeMs());
+    for (const auto model : in.getModels()) {
+        report.models.push_back(readModel(model));
+    }
+    return target;
+}
+
+/** Encodes @p status with @p count target reports, beginning at @p first and wrapping around. */
+std::string encodeTargets(const HostStatus &status, TimePoint now, std::size_t first, std::size_t count)
+{
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::Datagram>().initStatus();
+    out.setHost(status.host.value);
+    out.setDomain(status.domain.value);
+    out.setSession(status.session.value);
+    out.setIncarnation(status.incarnation);
+    out.setSequence(status.sequence);
+    out.setLeaving(status.leaving);
+    out.setReady(status.ready);
+    out.setConfigRevision(status.configRevision.value);
+    out.setJobsCursor(status.jobsCursor);
+    auto targets = out.initTargets(static_cast<unsigned>(count));
+    for (unsigned i = 0; i < count; ++i) {
+        writeTarget(targets[i], status.targets[(first + i) % status.targets.size()], now);
+    }
+    writeCounts(out.initOnlineInFlight(static_cast<unsigned>(status.onlineInFlight.size())), status.onlineInFlight);
+    writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
+    return pack(message);
+}
+
+HostStatus readStatus(wire::HostStatus::Reader in, TimePoint now)
+{
+    HostStatus status;
+    status.host.value = textOf(in.getHost());
+    status.domain.value = textOf(in.getDomain());
+    status.session.value = textOf(in.getSession());
+    status.incarnation = in.getIncarnation();
+    status.sequence = in.getSequence();
+    status.leaving = in.getLeaving();
+    status.ready = in.getReady();
+    status.configRevision.value = in.getConfigRevision();
+    status.jobsCursor = in.getJobsCursor();
+    for (const auto target : in.getTargets()) {
+        status.targets.push_back(readTarget(target, now));
+    }
+    status.onlineInFlight = readCounts<TargetId>(in.getOnlineInFlight());
+    status.freeByModel = readCounts<ModelId>(in.getFreeByModel());
+    return status;
+}
+
+Result<Datagram> readDatagram(wire::Datagram::Reader in, TimePoint now)
+{
+    if (in.isStatus()) {
+        HostStatus status = readStatus(in.getStatus(), now);
+        if (status.host.empty()) {
+            return makeError(ErrorCode::ProtocolError, "status datagram without a host");
+        }
+        return Datagram(std::move(status));
+    }
+    if (in.isYield()) {
+        const auto yield = in.getYield();
+        return Datagram(YieldMessage{HostId{textOf(yield.getFrom())}, TargetId{textOf(yield.getTarget())}, yield.getSlots()});
+    }
+    return makeError(ErrorCode::ProtocolError, "unknown kind of datagram");
+}
+
+} // namespace
+
+std::string encodeStatus(const HostStatus &status, TimePoint now)
+{
+    std::size_t count = status.targets.size();
+    std::string bytes = encodeTargets(status, now, 0, count);
+    while (bytes.size() > maxDatagramBytes && count > 0) {
+        count /= 2;
+        const std::size_t first = static_cast<std::size_t>(status.sequence) * std::max<std::size_t>(count, 1) % status.targets.size();
+        bytes = encodeTargets(status, now, first, count);
+    }
+    return bytes;
+}
+
+std::string encodeYield(const YieldMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto out = builder.initRoot<wire::Datagram>().initYield();
+    out.setFrom(message.from.value);
+    out.setTarget(message.target.value);
+    out.setSlots(message.slots);
+    return pack(builder);
+}
+
+Result<Datagram> decodeDatagram(std::string_view bytes, TimePoint now)
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = maxMessageWords;
+    options.nestingLimit = 8;
+    try {
+        kj::ArrayInputStream in(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        capnp::PackedMessageReader reader(in, options);
+        return readDatagram(reader.getRoot<wire::Datagram>(), now);
+    } catch (const kj::Exception &exception) {
+        return makeError(ErrorCode::ProtocolError, exception.getDescription().cStr());
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/peer/status_exchange.cpp
@@ -0,0 +1,159 @@
+/** @file status_exchange.cpp UDP socket for status and yield datagrams. */
+#include "peer/status_exchange_func.h"
+
+#include "peer/status_codec_func.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <glog/logging.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+/** Receive buffer of the socket. It holds a burst of one datagram from each host of the largest failure domain (33) while the thread is busy. */
+constexpr int socketBufferBytes = 1 << 20;
+
+} // namespace
+
+struct StatusExchange::Impl {
+    udp::socket socket; ///< Socket.
+    StatusHandlers handlers; ///< Receivers.
+    StatusCounts counts; ///< Counters.
+    std::array<char, 65536> buffer{}; ///< Datagram being received; no datagram is larger.
+    udp::endpoint sender; ///< Sender of that datagram.
+};
+
+namespace {
+
+using ImplPtr = std::shared_ptr<StatusExchange::Impl>;
+
+Result<udp::endpoint> toUdp(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(endpoint.address, error);
+    if (error) {
+        return makeError(ErrorCode::InvalidSettings, endpoint.address + " is not an IP number");
+    }
+    return udp::endpoint(address, endpoint.port);
+}
+
+void deliver(StatusExchange::Impl &impl, std::size_t size)
+{
+    auto datagram = size <= maxDatagramBytes ? decodeDatagram({impl.buffer.data(), size}, BootClock::now())
+                                             : Result<Datagram>(makeError(ErrorCode::ProtocolError, "datagram over the limit"));
+    if (!isOk(datagram)) {
+        ++impl.counts.invalid;
+        VLOG(1) << "[peer] dropped a datagram of " << size << " bytes from " << impl.sender << ": " << errorOf(datagram).detail;
+        return;
+    }
+    ++impl.counts.received;
+    impl.counts.bytesReceived += size;
+    if (auto *status = std::get_if<HostStatus>(&valueOf(datagram)); status != nullptr && impl.handlers.onStatus) {
+        impl.handlers.onStatus(std::move(*status));
+    } else if (auto *yield = std::get_if<YieldMessage>(&valueOf(datagram)); yield != nullptr && impl.handlers.onYield) {
+        impl.handlers.onYield(std::move(*yield));
+    }
+}
+
+void receiveNext(const ImplPtr &impl)
+{
+    impl->socket.async_receive_from(asio::buffer(impl->buffer), impl->sender, [impl](const boost::system::error_code &error, std::size_t size) {
+        if (error == asio::error::operation_aborted || !impl->socket.is_open()) {
+            return;
+        }
+        if (!error) {
+            deliver(*impl, size);
+        }
+        if (impl->socket.is_open()) {
+            receiveNext(impl);
+        }
+    });
+}
+
+void sendBytes(StatusExchange::Impl &impl, const std::string &bytes, const Endpoint &peer)
+{
+    const auto endpoint = toUdp(peer);
+    if (!isOk(endpoint)) {
+        return;
+    }
+    boost::system::error_code error;
+    impl.socket.send_to(asio::buffer(bytes), valueOf(endpoint), 0, error);
+    if (!error) {
+        ++impl.counts.sent;
+        impl.counts.bytesSent += bytes.size();
+    }
+}
+
+Error bindError(const Endpoint &listen, const boost::system::error_code &error)
+{
+    return makeError(ErrorCode::Internal, "status address " + listen.address + ":" + std::to_string(listen.port) + ": " + error.message());
+}
+
+} // namespace
+
+Result<std::unique_ptr<StatusExchange>> StatusExchange::create(const asio::any_io_executor &executor, const Endpoint &listen, StatusHandlers handlers)
+{
+    const auto endpoint = toUdp(listen);
+    if (!isOk(endpoint)) {
+        return errorOf(endpoint);
+    }
+    auto impl = std::make_shared<Impl>(Impl{udp::socket(executor), std::move(handlers), {}, {}, {}});
+    boost::system::error_code error;
+    impl->socket.open(valueOf(endpoint).protocol(), error);
+    if (error) {
+        return bindError(listen, error);
+    }
+    impl->socket.bind(valueOf(endpoint), error);
+    if (error) {
+        return bindError(listen, error);
+    }
+    // The kernel may grant less; a full buffer only loses datagrams, which is tolerated.
+    boost::system::error_code ignored;
+    impl->socket.set_option(asio::socket_base::receive_buffer_size(socketBufferBytes), ignored);
+    impl->socket.non_blocking(true, error);
+    if (error) {
+        return bindError(listen, error);
+    }
+    receiveNext(impl);
+    auto exchange = std::make_unique<StatusExchange>();
+    exchange->impl = std::move(impl);
+    return exchange;
+}
+
+StatusExchange::~StatusExchange()
+{
+    if (this->impl) {
+        boost::system::error_code ignored;
+        this->impl->socket.close(ignored);
+    }
+}
+
+void sendStatus(StatusExchange &exchange, const HostStatus &status, const std::vector<Endpoint> &peers)
+{
+    const std::string bytes = encodeStatus(status, BootClock::now());
+    for (const Endpoint &peer : peers) {
+        sendBytes(*exchange.impl, bytes, peer);
+    }
+}
+
+void sendYield(StatusExchange &exchange, const YieldMessage &message, const Endpoint &peer)
+{
+    sendBytes(*exchange.impl, encodeYield(message), peer);
+}
+
+StatusCounts statusCounts(const StatusExchange &exchange)
+{
+    return exchange.impl->counts;
+}
+
+std::uint16_t listenPort(const StatusExchange &exchange)
+{
+    boost::system::error_code ignored;
+    return exchange.impl->socket.local_endpoint(ignored).port();
+}
+
+} // namespace skylark
--- a/src/peer/status_exchange_func.h
+++ b/src/peer/status_exchange_func.h
@@ -45,4 +45,7 @@
 /** @return Counters. */
 [[nodiscard]] StatusCounts statusCounts(const StatusExchange &exchange);
 
+/** @return The port that the socket is bound to; differs from the requested one when that was 0. */
+[[nodiscard]] std::uint16_t listenPort(const StatusExchange &exchange);
+
 } // namespace skylark
--- /dev/null
+++ b/tests/test_peer.cpp
@@ -0,0 +1,396 @@
+/** @file test_peer.cpp Peer RPC and status datagrams over loopback. */
+#include "core/hash_func.h"
+#include "peer/peer_rpc_func.h"
+#include "peer/status_codec_func.h"
+#include "peer/status_exchange_func.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string loopback = "127.0.0.1";
+
+/** A host with blobs in memory, a second host, and an event loop. */
+struct PeerFixture {
+    asio::io_context loop{1}; ///< Event loop of the callers.
+    std::mutex mutex; ///< Guards held.
+    std::vector<std::function<void(Result<std::string>)>> held; ///< Calls for the blob "hold", which stay unanswered.
+    std::map<std::string, std::string> blobs; ///< Blobs of the server; touched by the peer RPC thread only.
+    std::unique_ptr<PeerRpc> server{start({loopback, 0}, handlers())}; ///< Host with handlers.
+    std::unique_ptr<PeerRpc> client{start({loopback, 0}, {})}; ///< Host without handlers.
+    Endpoint endpoint{loopback, listenPort(*server)}; ///< Server's address.
+
+    static std::unique_ptr<PeerRpc> start(const Endpoint &listen, PeerHandlers handlers)
+    {
+        auto created = PeerRpc::create(listen, std::move(handlers));
+        REQUIRE(isOk(created));
+        return std::move(valueOf(created));
+    }
+
+    PeerHandlers handlers()
+    {
+        PeerHandlers handlers;
+        handlers.getBlob = [this](const BlobId &id, std::function<void(Result<std::string>)> reply) {
+            if (id.value == "hold") {
+                const std::scoped_lock lock(this->mutex);
+                this->held.push_back(std::move(reply));
+                return;
+            }
+            const auto found = this->blobs.find(id.value);
+            reply(found == this->blobs.end() ? Result<std::string>(makeError(ErrorCode::BlobNotFound, id.value)) : Result<std::string>(found->second));
+        };
+        handlers.putBlob = [this](const BlobId &id, std::string data, const std::function<void(Result<Done>)> &reply) {
+            this->blobs[id.value] = std::move(data);
+            std::thread(reply, Done{}).join();
+        };
+        handlers.hasBlobs = [this](const std::vector<BlobId> &ids, const std::function<void(Result<std::vector<bool>>)> &reply) {
+            std::vector<bool> stored(ids.size());
+            for (std::size_t i = 0; i < ids.size(); ++i) {
+                stored[i] = this->blobs.contains(ids[i].value);
+            }
+            reply(stored);
+        };
+        handlers.pullState = [](Revision known, std::uint64_t cursor, const std::function<void(Result<StateBundle>)> &reply) {
+            reply(StateBundle{Revision{known.value + 1}, "docs", "targets", "jobs", cursor + 1});
+        };
+        return handlers;
+    }
+
+    template<typename T>
+    std::shared_ptr<std::optional<T>> begin(asio::awaitable<T> task)
+    {
+        auto value = std::make_shared<std::optional<T>>();
+        asio::co_spawn(this->loop, std::move(task), [value, thread = std::this_thread::get_id()](const std::exception_ptr &, T result) {
+            CHECK(std::this_thread::get_id() == thread);
+            *value = std::move(result);
+        });
+        return value;
+    }
+
+    template<typename Condition>
+    void runUntil(Condition condition)
+    {
+        for (int i = 0; i < 1000 && !condition(); ++i) {
+            this->loop.restart();
+            this->loop.run_one_for(10ms);
+        }
+        REQUIRE(condition());
+    }
+
+    template<typename T>
+    T run(asio::awaitable<T> task)
+    {
+        const auto value = this->begin(std::move(task));
+        this->runUntil([&value] {
+            return value->has_value();
+        });
+        return std::move(**value);
+    }
+
+    void waitHeld(std::size_t count)
+    {
+        this->runUntil([this, count] {
+            const std::scoped_lock lock(this->mutex);
+            return this->held.size() == count;
+        });
+    }
+};
+
+/** Accepts connections and never answers. */
+struct SilentPeer {
+    asio::ip::tcp::acceptor acceptor; ///< Listener.
+    std::vector<asio::ip::tcp::socket> accepted; ///< Connections.
+
+    explicit SilentPeer(asio::io_context &loop)
+        : acceptor(loop, {asio::ip::make_address(loopback), 0})
+    {
+        this->acceptNext();
+    }
+    void acceptNext()
+    {
+        this->acceptor.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            if (!error) {
+                this->accepted.push_back(std::move(socket));
+                this->acceptNext();
+            }
+        });
+    }
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {loopback, this->acceptor.local_endpoint().port()};
+    }
+};
+
+HostStatus sampleStatus(std::size_t targets)
+{
+    HostStatus status{HostId{"a1"}, DomainId{"a"}, SessionId{"s"}, 7, 9, true, true, Revision{5}, 11, {}, {{TargetId{"t"}, 3}}, {{ModelId{"m"}, 4}}};
+    for (std::size_t i = 0; i < targets; ++i) {
+        TargetStatus target{TargetId{"target-" + std::to_string(i)}, {}, true, 12.5};
+        target.report = {i + 1, 32, 20, 2, 31.5, true, {{ModelId{"m"}, "v2", {"x", "y"}}}, BootClock::now() - 1s};
+        status.targets.push_back(std::move(target));
+    }
+    return status;
+}
+
+/** Two status sockets on one event loop. */
+struct StatusFixture {
+    asio::io_context loop{1}; ///< Event loop.
+    std::vector<HostStatus> statuses; ///< Received by the second socket.
+    std::vector<YieldMessage> yields; ///< Received by the second socket.
+    std::unique_ptr<StatusExchange> sender{open({})}; ///< First socket.
+    std::unique_ptr<StatusExchange> receiver{open(handlers())}; ///< Second socket.
+    Endpoint endpoint{loopback, listenPort(*receiver)}; ///< Address of the second socket.
+
+    std::unique_ptr<StatusExchange> open(StatusHandlers handlers)
+    {
+        auto created = StatusExchange::create(this->loop.get_executor(), {loopback, 0}, std::move(handlers));
+        REQUIRE(isOk(created));
+        return std::move(valueOf(created));
+    }
+    StatusHandlers handlers()
+    {
+        return {[this](HostStatus status) {
+                    this->statuses.push_back(std::move(status));
+                },
+                [this](YieldMessage message) {
+                    this->yields.push_back(std::move(message));
+                }};
+    }
+    void runUntilHandled(std::uint64_t datagrams)
+    {
+        const auto handled = [this] {
+            const StatusCounts counts = statusCounts(*this->receiver);
+            return counts.received + counts.invalid;
+        };
+        for (int i = 0; i < 500 && handled() < datagrams; ++i) {
+            this->loop.run_one_for(10ms);
+        }
+        REQUIRE(handled() == datagrams);
+    }
+    void sendRaw(const std::string &bytes)
+    {
+        asio::ip::udp::socket socket(this->loop, asio::ip::udp::v4());
+        socket.send_to(asio::buffer(bytes), {asio::ip::make_address(loopback), this->endpoint.port});
+    }
+};
+
+} // namespace
+
+// Guards against values that are lost or mixed up on the wire.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_eachCall_valuesArrive")
+{
+    const std::string data(300000, 'x');
+    CHECK(isOk(run(peerPutBlob(*this->client, this->endpoint, BlobId{"b"}, data, 5s))));
+    const auto got = run(peerGetBlob(*this->client, this->endpoint, BlobId{"b"}, 5s));
+    REQUIRE(isOk(got));
+    CHECK(valueOf(got) == data);
+    const std::vector<BlobId> ids{BlobId{"a"}, BlobId{"b"}};
+    const auto has = run(peerHasBlobs(*this->client, this->endpoint, ids, 5s));
+    REQUIRE(isOk(has));
+    CHECK(valueOf(has) == std::vector<bool>{false, true});
+    const auto state = run(peerPullState(*this->client, this->endpoint, Revision{41}, 6, 5s));
+    REQUIRE(isOk(state));
+    CHECK(valueOf(state).revision.value == 42);
+    CHECK(valueOf(state).documents == "docs");
+    CHECK(valueOf(state).targets == "targets");
+    CHECK(valueOf(state).jobs == "jobs");
+    CHECK(valueOf(state).jobsCursor == 7);
+}
+
+// Guards against errors of a peer that lose their code, and a host without handlers that hangs its callers.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_failures_keepTheirCode")
+{
+    const auto missing = run(peerGetBlob(*this->client, this->endpoint, BlobId{"none"}, 5s));
+    REQUIRE(!isOk(missing));
+    CHECK(errorOf(missing).code == ErrorCode::BlobNotFound);
+    const Endpoint noHandlers{loopback, listenPort(*this->client)};
+    const auto unsupported = run(peerPullState(*this->server, noHandlers, Revision{}, 0, 5s));
+    REQUIRE(!isOk(unsupported));
+    CHECK(errorOf(unsupported).code == ErrorCode::NotFound);
+}
+
+// Guards P12: a silent connection must cost one timeout, and neither a later call nor a call in progress may go on using it.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_silentPeer_nextCallUsesNewConnection")
+{
+    SilentPeer silent(this->loop);
+    const auto patient = this->begin(peerGetBlob(*this->client, silent.endpoint(), BlobId{"b"}, 60s));
+    const auto first = run(peerGetBlob(*this->client, silent.endpoint(), BlobId{"b"}, 200ms));
+    REQUIRE(!isOk(first));
+    CHECK(errorOf(first).code == ErrorCode::Timeout);
+    CHECK(errorOf(first).run == RunState::Maybe);
+    runUntil([&patient] {
+        return patient->has_value();
+    });
+    CHECK(errorOf(**patient).code == ErrorCode::StreamBroken);
+    CHECK(silent.accepted.size() == 1);
+    const auto second = run(peerGetBlob(*this->client, silent.endpoint(), BlobId{"b"}, 200ms));
+    CHECK(errorOf(second).code == ErrorCode::Timeout);
+    CHECK(silent.accepted.size() == 2);
+    CHECK(isOk(run(peerPullState(*this->client, this->endpoint, Revision{}, 0, 5s))));
+}
+
+// Guards against a full connection backlog, which drops connection attempts silently, that blocks a call for good.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_connectUnanswered_endsAsNotRun")
+{
+    asio::ip::tcp::acceptor acceptor(this->loop);
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.bind({asio::ip::make_address(loopback), 0});
+    acceptor.listen(0);
+    std::vector<asio::ip::tcp::socket> fillers;
+    for (int i = 0; i < 4; ++i) {
+        fillers.emplace_back(this->loop).async_connect(acceptor.local_endpoint(), [](const boost::system::error_code &) {
+        });
+    }
+    const Endpoint full{loopback, acceptor.local_endpoint().port()};
+    const auto byCall = run(peerGetBlob(*this->client, full, BlobId{"b"}, 200ms));
+    REQUIRE(!isOk(byCall));
+    CHECK(errorOf(byCall).code == ErrorCode::ConnectTimeout);
+    CHECK(errorOf(byCall).run == RunState::No);
+    const auto byConnect = run(peerGetBlob(*this->client, full, BlobId{"b"}, 60s));
+    REQUIRE(!isOk(byConnect));
+    CHECK(errorOf(byConnect).code == ErrorCode::ConnectTimeout);
+    CHECK(errorOf(byConnect).run == RunState::No);
+}
+
+// Guards against a connection to a former process that stays in use after its host restarted.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_peerRestarts_callsWorkAgain")
+{
+    CHECK(isOk(run(peerPullState(*this->client, this->endpoint, Revision{}, 0, 5s))));
+    this->server.reset();
+    const auto refused = run(peerPullState(*this->client, this->endpoint, Revision{}, 0, 5s));
+    REQUIRE(!isOk(refused));
+    CHECK((errorOf(refused).code == ErrorCode::ConnectFailed || errorOf(refused).code == ErrorCode::StreamBroken));
+    const auto second = run(peerPullState(*this->client, this->endpoint, Revision{}, 0, 5s));
+    REQUIRE(!isOk(second));
+    CHECK(errorOf(second).code == ErrorCode::ConnectFailed);
+    CHECK(errorOf(second).run == RunState::No);
+    this->server = start(this->endpoint, handlers());
+    CHECK(isOk(run(peerPullState(*this->client, this->endpoint, Revision{}, 0, 5s))));
+}
+
+// Guards against a stop that hangs or crashes while calls are pending on either side, and against a late reply to a stopped server.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_destroyedWithPendingCalls_callsEnd")
+{
+    const auto cancelled = this->begin(peerGetBlob(*this->client, this->endpoint, BlobId{"hold"}, 60s));
+    waitHeld(1);
+    this->client.reset();
+    runUntil([&cancelled] {
+        return cancelled->has_value();
+    });
+    CHECK(errorOf(**cancelled).code == ErrorCode::Cancelled);
+
+    this->client = start({loopback, 0}, {});
+    const auto broken = this->begin(peerGetBlob(*this->client, this->endpoint, BlobId{"hold"}, 60s));
+    waitHeld(2);
+    this->server.reset();
+    runUntil([&broken] {
+        return broken->has_value();
+    });
+    CHECK(errorOf(**broken).code == ErrorCode::StreamBroken);
+    for (const auto &reply : this->held) {
+        reply(std::string("late"));
+    }
+}
+
+// Guards against a daemon that starts although its address is taken or malformed.
+TEST_CASE_METHOD(PeerFixture, "peerRpc_badAddress_createFails")
+{
+    CHECK(!isOk(PeerRpc::create({"localhost", 0}, {})));
+    CHECK(!isOk(PeerRpc::create(this->endpoint, {})));
+}
+
+// Guards against fields that are lost or mixed up on the wire.
+TEST_CASE_METHOD(StatusFixture, "status_sent_allFieldsArrive")
+{
+    const HostStatus sent = sampleStatus(2);
+    sendStatus(*this->sender, sent, {this->endpoint});
+    sendYield(*this->sender, {HostId{"a2"}, TargetId{"t"}, 3}, this->endpoint);
+    runUntilHandled(2);
+    REQUIRE(this->statuses.size() == 1);
+    const HostStatus &got = this->statuses[0];
+    CHECK(std::tie(got.host, got.domain, got.session, got.incarnation, got.sequence, got.leaving, got.ready, got.configRevision, got.jobsCursor)
+          == std::tie(sent.host, sent.domain, sent.session, sent.incarnation, sent.sequence, sent.leaving, sent.ready, sent.configRevision, sent.jobsCursor));
+    CHECK(got.onlineInFlight == sent.onlineInFlight);
+    CHECK(got.freeByModel == sent.freeByModel);
+    REQUIRE(got.targets.size() == 2);
+    const TargetStatus &target = got.targets[1];
+    CHECK(target.target.value == "target-1");
+    CHECK(target.leaving);
+    CHECK(target.baselineStepMs == 12.5);
+    CHECK((target.report.sequence == 2 && target.report.slots == 32 && target.report.running == 20 && target.report.waiting == 2));
+    CHECK((target.report.stepMs == 31.5 && target.report.draining));
+    CHECK(target.report.models.at(0).name.value == "m");
+    CHECK(target.report.models.at(0).version == "v2");
+    CHECK(target.report.models.at(0).adapters == std::vector<std::string>{"x", "y"});
+    const auto age = BootClock::now() - target.report.receivedAt;
+    CHECK((age >= 1s && age < 10s));
+    REQUIRE(this->yields.size() == 1);
+    CHECK((this->yields[0].from.value == "a2" && this->yields[0].target.value == "t" && this->yields[0].slots == 3));
+    CHECK(statusCounts(*this->sender).sent == 2);
+    CHECK(statusCounts(*this->sender).bytesSent == statusCounts(*this->receiver).bytesReceived);
+}
+
+// Guards against a malformed datagram that stops the exchange, crashes it, or makes it allocate without bound.
+TEST_CASE_METHOD(StatusFixture, "status_malformedDatagrams_countedAndDropped")
+{
+    std::uint64_t random = 1;
+    std::uint64_t sent = 0;
+    const std::string valid = encodeStatus(sampleStatus(1), BootClock::now());
+    for (int i = 0; i < 50; ++i) {
+        std::string noise(nextRandom(random) % 200, '\0');
+        for (char &byte : noise) {
+            byte = static_cast<char>(nextRandom(random));
+        }
+        sendRaw(noise + "\x01");
+        sendRaw(valid.substr(0, nextRandom(random) % valid.size()));
+        sent += 2;
+        runUntilHandled(sent);
+    }
+    sendRaw(std::string(40000, '\0'));
+    runUntilHandled(++sent);
+    // Each pair of bytes 00 ff unpacks to 2 KiB of zeros.
+    std::string bomb = std::string("\x11\x03\x7f\xff\xff\x0f", 6);
+    for (int i = 0; i < 10000; ++i) {
+        bomb += std::string("\x00\xff", 2);
+    }
+    sendRaw(bomb);
+    runUntilHandled(++sent);
+    CHECK(this->statuses.empty());
+    CHECK(this->yields.empty());
+    CHECK(statusCounts(*this->receiver).invalid == sent);
+    sendStatus(*this->sender, sampleStatus(1), {this->endpoint});
+    runUntilHandled(sent + 1);
+    CHECK(this->statuses.size() == 1);
+}
+
+// Guards against a status that outgrows the datagram, and against targets that are never reported because of the bound.
+TEST_CASE_METHOD(StatusFixture, "status_manyTargets_boundedAndAllReported")
+{
+    HostStatus status = sampleStatus(2000);
+    std::set<TargetId> seen;
+    for (status.sequence = 1; status.sequence <= 20; ++status.sequence) {
+        const std::string bytes = encodeStatus(status, BootClock::now());
+        REQUIRE(bytes.size() <= maxDatagramBytes);
+        const auto decoded = decodeDatagram(bytes, BootClock::now());
+        REQUIRE(isOk(decoded));
+        for (const TargetStatus &target : std::get<HostStatus>(valueOf(decoded)).targets) {
+            seen.insert(target.target);
+        }
+    }
+    CHECK(seen.size() == 2000);
+}
