Feature: Metrics registry and target load table

Quantiles cover the last one to two minutes, so that old load does not hide new load. A refused connection opens the breaker at once; other failures only from the second in a row, because one may be the request's own fault.

--- /dev/null
+++ b/src/metrics/metrics.cpp
@@ -0,0 +1,247 @@
+/** @file metrics.cpp Metrics registry over Boost.Accumulators. */
+#include "metrics/metrics_func.h"
+
+#include "core/clock_func.h"
+#include "metrics/table/metric_table.h"
+
+#include <algorithm>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <mutex>
+#include <variant>
+#include <vector>
+
+namespace skylark {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> quantiles{0.5, 0.95, 0.99};
+constexpr std::array<std::string_view, 3> quantileLabels{"0.5", "0.95", "0.99"};
+
+/** Below this count the samples are kept, because the P-square estimate needs several samples per marker. */
+constexpr std::size_t exactSamples = 64;
+
+/** Quantiles cover between one and two of these windows, so that old load does not hide new load. */
+constexpr auto quantileWindow = std::chrono::seconds(60);
+
+using Accumulator = acc::accumulator_set<double, acc::stats<acc::tag::extended_p_square>>;
+
+/** Samples of one window. */
+struct Window {
+    TimePoint startedAt; ///< Start of the window.
+    std::vector<double> first; ///< First samples in seconds.
+    std::size_t count{0}; ///< Samples.
+    Accumulator estimate{acc::tag::extended_p_square::probabilities = quantiles}; ///< Estimate of the quantiles.
+};
+
+/** One series of durations. */
+struct Summary {
+    double sum{0}; ///< Sum of all samples in seconds.
+    std::uint64_t count{0}; ///< All samples.
+    Window older; ///< Window that is exposed.
+    Window newer; ///< Window that replaces it.
+};
+
+enum class MetricKind : std::uint8_t {
+    Counter,
+    Gauge,
+    Summary,
+};
+
+constexpr std::array<std::string_view, 3> kindNames{"counter", "gauge", "summary"};
+
+/** All series of one name. */
+struct Family {
+    MetricKind kind{MetricKind::Counter}; ///< Kind.
+    std::map<std::string, double> values; ///< Counter or gauge by label text.
+    std::map<std::string, Summary> summaries; ///< Durations by label text.
+};
+
+void addSample(Window &window, double seconds)
+{
+    if (window.first.size() < exactSamples) {
+        window.first.push_back(seconds);
+    }
+    ++window.count;
+    window.estimate(seconds);
+}
+
+double quantileOf(const Window &window, std::size_t index)
+{
+    if (window.count == 0) {
+        return std::nan("");
+    }
+    if (window.count > window.first.size()) {
+        return acc::extended_p_square(window.estimate)[static_cast<long>(index)];
+    }
+    std::vector<double> sorted = window.first;
+    std::sort(sorted.begin(), sorted.end());
+    const auto rank = static_cast<std::size_t>(std::ceil(quantiles.at(index) * static_cast<double>(sorted.size())));
+    return sorted[std::max<std::size_t>(rank, 1) - 1];
+}
+
+void rotate(Summary &summary, TimePoint now)
+{
+    if (now - summary.newer.startedAt < quantileWindow) {
+        return;
+    }
+    summary.older = std::move(summary.newer);
+    summary.newer = Window{};
+    summary.newer.startedAt = now;
+}
+
+std::string escapeLabel(std::string_view value)
+{
+    std::string escaped;
+    for (const char c : value) {
+        if (c == '\\' || c == '"') {
+            escaped.push_back('\\');
+        }
+        if (c == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        escaped.push_back(c);
+    }
+    return escaped;
+}
+
+std::string labelText(MetricLabels labels)
+{
+    std::string text;
+    for (const auto &[name, value] : labels) {
+        text += (text.empty() ? "" : ",") + std::string(name) + "=\"" + escapeLabel(value) + "\"";
+    }
+    return text;
+}
+
+std::string number(double value)
+{
+    std::array<char, 40> buffer{};
+    std::snprintf(buffer.data(), buffer.size(), "%.12g", value);
+    return buffer.data();
+}
+
+std::string helpOf(std::string_view name)
+{
+    for (const MetricInfo &info : metricTable) {
+        if (info.name == name) {
+            return std::string(info.help);
+        }
+    }
+    std::string help(name);
+    std::replace(help.begin(), help.end(), '_', ' ');
+    return help;
+}
+
+void appendLine(std::string &text, std::string_view name, const std::string &labels, double value)
+{
+    text += std::string(name) + (labels.empty() ? "" : "{" + labels + "}") + " " + number(value) + "\n";
+}
+
+void appendSummary(std::string &text, const std::string &name, const std::string &labels, const Summary &summary)
+{
+    const std::string separator = labels.empty() ? "" : ",";
+    const Window &shown = summary.older.count > 0 ? summary.older : summary.newer;
+    for (std::size_t i = 0; i < quantiles.size(); ++i) {
+        appendLine(text, name, labels + separator + "quantile=\"" + std::string(quantileLabels.at(i)) + "\"", quantileOf(shown, i));
+    }
+    appendLine(text, name + "_sum", labels, summary.sum);
+    appendLine(text, name + "_count", labels, static_cast<double>(summary.count));
+}
+
+} // namespace
+
+/** Series by name. */
+struct MetricsRegistry::Impl {
+    mutable std::mutex mutex; ///< Guards families.
+    std::map<std::string, Family, std::less<>> families; ///< By name.
+
+    Family &family(std::string_view name, MetricKind kind)
+    {
+        auto found = this->families.find(name);
+        if (found == this->families.end()) {
+            found = this->families.emplace(std::string(name), Family{}).first;
+            found->second.kind = kind;
+        }
+        return found->second;
+    }
+};
+
+std::shared_ptr<MetricsRegistry> MetricsRegistry::create()
+{
+    auto registry = std::make_shared<MetricsRegistry>();
+    registry->impl = std::make_shared<Impl>();
+    return registry;
+}
+
+void addCounter(MetricsRegistry &registry, std::string_view name, MetricLabels labels, double delta)
+{
+    const std::string key = labelText(labels);
+    const std::scoped_lock lock(registry.impl->mutex);
+    registry.impl->family(name, MetricKind::Counter).values[key] += delta;
+}
+
+void setGauge(MetricsRegistry &registry, std::string_view name, MetricLabels labels, double value)
+{
+    const std::string key = labelText(labels);
+    const std::scoped_lock lock(registry.impl->mutex);
+    registry.impl->family(name, MetricKind::Gauge).values[key] = value;
+}
+
+void observe(MetricsRegistry &registry, std::string_view name, MetricLabels labels, std::chrono::nanoseconds value)
+{
+    const std::string key = labelText(labels);
+    const double seconds = std::chrono::duration<double>(value).count();
+    const TimePoint now = BootClock::now();
+    const std::scoped_lock lock(registry.impl->mutex);
+    auto &summaries = registry.impl->family(name, MetricKind::Summary).summaries;
+    const auto [found, created] = summaries.try_emplace(key);
+    Summary &summary = found->second;
+    if (created) {
+        summary.older.startedAt = now;
+        summary.newer.startedAt = now;
+    }
+    rotate(summary, now);
+    summary.sum += seconds;
+    ++summary.count;
+    addSample(summary.older, seconds);
+    addSample(summary.newer, seconds);
+}
+
+double metricValue(const MetricsRegistry &registry, std::string_view name, MetricLabels labels)
+{
+    const std::string key = labelText(labels);
+    const std::scoped_lock lock(registry.impl->mutex);
+    const auto family = registry.impl->families.find(name);
+    if (family == registry.impl->families.end()) {
+        return 0;
+    }
+    const auto found = family->second.values.find(key);
+    return found == family->second.values.end() ? 0 : found->second;
+}
+
+std::string renderMetrics(const MetricsRegistry &registry)
+{
+    const std::scoped_lock lock(registry.impl->mutex);
+    std::string text;
+    for (const auto &[name, family] : registry.impl->families) {
+        text += "# HELP " + name + " " + helpOf(name) + "\n";
+        text += "# TYPE " + name + " " + std::string(kindNames.at(static_cast<std::size_t>(family.kind))) + "\n";
+        for (const auto &[labels, value] : family.values) {
+            appendLine(text, name, labels, value);
+        }
+        for (const auto &[labels, summary] : family.summaries) {
+            appendSummary(text, name, labels, summary);
+        }
+    }
+    return text;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/policy/target_load.cpp
@@ -0,0 +1,140 @@
+/** @file target_load.cpp Load and health of targets as seen by this host. */
+#include "policy/target_load_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace skylark {
+
+namespace {
+
+/** Weight of a new sample; about ten samples dominate the average, so a slow target is noticed within a few requests. */
+constexpr double sampleWeight = 0.2;
+
+/** Time constant of the averages of streams in flight; idle capacity lasts only seconds. */
+constexpr double inFlightSeconds = 10.0;
+
+constexpr unsigned failuresBeforeBreak = 2; ///< A single failure may be the request's own fault.
+constexpr std::chrono::milliseconds shortestPause{250};
+constexpr std::chrono::milliseconds longestPause{8000};
+
+/** Moves the averages of streams in flight forward to @p now; the count was constant since the last change. */
+void advance(TargetLoad &load, TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(now - load.updatedAt).count();
+    if (load.updatedAt == TimePoint{} || seconds < 0) {
+        load.updatedAt = now;
+        return;
+    }
+    const double keep = std::exp(-seconds / inFlightSeconds);
+    load.onlineMean = load.onlineMean * keep + load.online * (1 - keep);
+    load.onlinePeak = load.onlineMean + (std::max(load.onlinePeak, load.onlineMean) - load.onlineMean) * keep;
+    load.onlinePeak = std::max<double>(load.onlinePeak, load.online);
+    load.updatedAt = now;
+}
+
+void openBreaker(TargetLoad &load, TimePoint now)
+{
+    const unsigned doublings = std::min(load.consecutiveFailures - std::min(load.consecutiveFailures, failuresBeforeBreak), 5U);
+    load.blockedUntil = std::max(load.blockedUntil, now + std::min(longestPause, shortestPause * (1U << doublings)));
+}
+
+void mix(double &average, double sample)
+{
+    average = average == 0 ? sample : average * (1 - sampleWeight) + sample * sampleWeight;
+}
+
+} // namespace
+
+void noteStreamStarted(TargetLoadTable &table, const TargetId &target, StreamKind kind, TimePoint now)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    advance(load, now);
+    ++(kind == StreamKind::Online ? load.online : load.batch);
+    ++load.started;
+    load.onlinePeak = std::max<double>(load.onlinePeak, load.online);
+}
+
+void noteStreamEnded(TargetLoadTable &table, const TargetId &target, StreamKind kind, TimePoint now)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    advance(load, now);
+    unsigned &count = kind == StreamKind::Online ? load.online : load.batch;
+    if (count == 0) {
+        return;
+    }
+    --count;
+    ++load.ended;
+}
+
+void noteReport(TargetLoadTable &table, const TargetId &target, std::uint64_t sequence, TimePoint now)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    advance(load, now);
+    load.reportSequence = sequence;
+    load.startedAtReport = load.started;
+    load.endedAtReport = load.ended;
+}
+
+void noteFailure(TargetLoadTable &table, const TargetId &target, TimePoint now)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    ++load.consecutiveFailures;
+    if (load.consecutiveFailures >= failuresBeforeBreak) {
+        openBreaker(load, now);
+    }
+}
+
+void noteRefused(TargetLoadTable &table, const TargetId &target, TimePoint now)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    ++load.consecutiveFailures;
+    openBreaker(load, now);
+}
+
+void noteSuccess(TargetLoadTable &table, const TargetId &target, TimePoint /*now*/)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    load.consecutiveFailures = 0;
+    load.blockedUntil = TimePoint{};
+}
+
+void noteTokenTiming(TargetLoadTable &table, const TargetId &target, std::optional<double> firstTokenMs, std::optional<double> tokenMs, TimePoint now)
+{
+    const std::scoped_lock lock(table.mutex);
+    TargetLoad &load = table.loads[target];
+    advance(load, now);
+    if (firstTokenMs) {
+        mix(load.firstTokenMs, *firstTokenMs);
+    }
+    if (tokenMs) {
+        mix(load.tokenMs, *tokenMs);
+    }
+}
+
+TargetLoad loadOf(const TargetLoadTable &table, const TargetId &target)
+{
+    const std::scoped_lock lock(table.mutex);
+    const auto found = table.loads.find(target);
+    return found == table.loads.end() ? TargetLoad{} : found->second;
+}
+
+std::vector<std::pair<TargetId, unsigned>> onlineInFlight(const TargetLoadTable &table)
+{
+    const std::scoped_lock lock(table.mutex);
+    std::vector<std::pair<TargetId, unsigned>> counts;
+    for (const auto &[target, load] : table.loads) {
+        if (load.online > 0) {
+            counts.emplace_back(target, load.online);
+        }
+    }
+    return counts;
+}
+
+} // namespace skylark
--- a/src/policy/target_load_base.h
+++ b/src/policy/target_load_base.h
@@ -54,6 +54,9 @@
 /** Records a failure; several in a row open the circuit breaker with an exponentially growing pause. */
 void noteFailure(TargetLoadTable &table, const TargetId &target, TimePoint now);
 
+/** Records a refused or impossible connection and opens the breaker at once. */
+void noteRefused(TargetLoadTable &table, const TargetId &target, TimePoint now);
+
 /** Records a success and closes the breaker. */
 void noteSuccess(TargetLoadTable &table, const TargetId &target, TimePoint now);
 
