--- /dev/null
+++ b/src/policy/admission.cpp
@@ -0,0 +1,48 @@
+/** @file admission.cpp Admission of online requests in the order of their deadlines. */
+#include "policy/admission_func.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+AdmissionDecision decideAdmission(const AdmissionQuestion &question)
+{
+    AdmissionDecision decision;
+    if (question.wait.count() == 0 && question.ahead == 0) {
+        return decision;
+    }
+    decision.wait = std::max(question.wait, question.slotTime) + question.slotTime * static_cast<long long>(question.ahead);
+    const bool late = question.now + decision.wait > question.deadline;
+    if (late || question.queued >= question.limit) {
+        decision.kind = AdmissionKind::Refuse;
+        decision.retryAfter = std::max(decision.wait, std::chrono::milliseconds(1000));
+        return decision;
+    }
+    decision.kind = AdmissionKind::Queue;
+    return decision;
+}
+
+std::uint64_t enqueue(AdmissionQueue &queue, TimePoint deadline)
+{
+    const std::uint64_t ticket = queue.nextTicket++;
+    queue.tickets.emplace(std::pair(deadline, ticket), ticket);
+    return ticket;
+}
+
+void dequeue(AdmissionQueue &queue, TimePoint deadline, std::uint64_t ticket)
+{
+    queue.tickets.erase(std::pair(deadline, ticket));
+}
+
+bool isFirst(const AdmissionQueue &queue, std::uint64_t ticket)
+{
+    return !queue.tickets.empty() && queue.tickets.begin()->second == ticket;
+}
+
+std::size_t aheadOf(const AdmissionQueue &queue, TimePoint deadline)
+{
+    const auto end = queue.tickets.upper_bound(std::pair(deadline, ~std::uint64_t{0}));
+    return static_cast<std::size_t>(std::distance(queue.tickets.begin(), end));
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/policy/once.cpp
@@ -0,0 +1,105 @@
+/** @file once.cpp Decisions about calls that must run at most once. */
+#include "policy/once_func.h"
+
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+
+#include <boost/json.hpp>
+
+namespace skylark {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string textOf(const json::object &object, std::string_view name)
+{
+    const json::value *found = object.if_contains(name);
+    return found != nullptr && found->is_string() ? std::string(found->get_string()) : std::string();
+}
+
+} // namespace
+
+std::string onceKey(const WorkspaceId &workspace, const std::string &idempotencyKey)
+{
+    return "once/" + workspace.value + "/" + idempotencyKey;
+}
+
+std::string onceRequestHash(const std::string &method, const std::string &target, const std::string &body)
+{
+    return hash128Hex(method + "\n" + target + "\n" + body);
+}
+
+std::string onceToJson(const OnceRecord &record)
+{
+    json::object object;
+    object["state"] = record.state == OnceState::Done ? "done" : "started";
+    object["requestHash"] = record.requestHash;
+    object["host"] = record.host.value;
+    object["writeId"] = record.writeId.value;
+    if (record.state == OnceState::Done) {
+        object["status"] = record.status;
+        object["contentType"] = record.contentType;
+        object["responseBody"] = record.responseBody;
+        object["bodyOmitted"] = record.bodyOmitted;
+    }
+    return json::serialize(object);
+}
+
+Result<OnceRecord> onceFromJson(const std::string &text)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error || !value.is_object()) {
+        return makeError(ErrorCode::ProtocolError, "record of an idempotency key does not parse");
+    }
+    const json::object &object = value.get_object();
+    OnceRecord record;
+    record.state = textOf(object, "state") == "done" ? OnceState::Done : OnceState::Started;
+    record.requestHash = textOf(object, "requestHash");
+    record.host.value = textOf(object, "host");
+    record.writeId.value = textOf(object, "writeId");
+    record.contentType = textOf(object, "contentType");
+    record.responseBody = textOf(object, "responseBody");
+    if (const json::value *status = object.if_contains("status"); status != nullptr && status->is_int64()) {
+        record.status = static_cast<int>(status->get_int64());
+    }
+    if (const json::value *omitted = object.if_contains("bodyOmitted"); omitted != nullptr && omitted->is_bool()) {
+        record.bodyOmitted = omitted->get_bool();
+    }
+    return record;
+}
+
+OnceVerdict decideByRecord(const OnceRecord &existing, const std::string &requestHash)
+{
+    if (existing.requestHash != requestHash) {
+        return OnceVerdict::Conflict;
+    }
+    return existing.state == OnceState::Done && !existing.bodyOmitted ? OnceVerdict::Replay : OnceVerdict::InProgress;
+}
+
+OnceVerdict decideByWrite(const std::optional<ErrorCode> &failure, RecordUnavailable policy)
+{
+    if (!failure) {
+        return OnceVerdict::Execute;
+    }
+    // The record of another call exists; it decides, whatever the workspace allows during an outage.
+    if (*failure == ErrorCode::VersionConflict) {
+        return OnceVerdict::InProgress;
+    }
+    return policy == RecordUnavailable::Pass ? OnceVerdict::ExecuteUnrecorded : OnceVerdict::Refuse;
+}
+
+OnceRecord onceAnswered(OnceRecord started, int status, std::string contentType, std::string body, WriteId writeId)
+{
+    SKY_INVARIANT(Promise::AtMostOnce, started.state == OnceState::Started);
+    started.state = OnceState::Done;
+    started.status = status;
+    started.contentType = std::move(contentType);
+    started.bodyOmitted = body.size() > onceBodyLimit;
+    started.responseBody = started.bodyOmitted ? std::string() : std::move(body);
+    started.writeId = std::move(writeId);
+    return started;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/policy/routing.cpp
@@ -0,0 +1,206 @@
+/** @file routing.cpp Online routing. */
+#include "policy/routing_func.h"
+
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+namespace skylark {
+
+namespace {
+
+/** A stream that can be cancelled at once counts half, so that a target full of batch beats one full of online streams. */
+constexpr double batchWeight = 0.5;
+
+/** A fully cached prompt is worth half of a target's slots: prefill costs about as much as the tokens of a short answer. */
+constexpr double affinityGain = 0.5;
+
+constexpr double declinePenalty = 1.0; ///< Added for each multiple of the peers' time per token.
+
+/** Expected cost of a lost packet on a link between failure domains: one retransmission in ten requests of 200 ms. */
+constexpr std::chrono::milliseconds lossPenalty{20};
+
+bool isUsable(const RouteCandidate &candidate)
+{
+    return !candidate.leaving && !candidate.blocked && candidate.slots > 0;
+}
+
+/** @return Usable candidates that were not tried; when all were tried, all usable ones. */
+std::vector<const RouteCandidate *> usableCandidates(const RouteQuestion &question)
+{
+    std::vector<const RouteCandidate *> fresh;
+    std::vector<const RouteCandidate *> all;
+    for (const RouteCandidate &candidate : question.candidates) {
+        if (!isUsable(candidate)) {
+            continue;
+        }
+        all.push_back(&candidate);
+        if (!candidate.tried) {
+            fresh.push_back(&candidate);
+        }
+    }
+    return fresh.empty() ? all : fresh;
+}
+
+const RouteCandidate *lowestScore(const std::vector<const RouteCandidate *> &candidates)
+{
+    const RouteCandidate *best = nullptr;
+    for (const RouteCandidate *candidate : candidates) {
+        if (best == nullptr || routeScore(*candidate) < routeScore(*best)) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+/** @return Two random candidates and the one with the best prefix affinity. */
+std::vector<const RouteCandidate *> sampleCandidates(const std::vector<const RouteCandidate *> &usable, std::uint64_t seed)
+{
+    std::vector<const RouteCandidate *> sample;
+    if (usable.empty()) {
+        return sample;
+    }
+    const std::size_t first = nextRandom(seed) % usable.size();
+    sample.push_back(usable[first]);
+    if (usable.size() > 1) {
+        sample.push_back(usable[(first + 1 + nextRandom(seed) % (usable.size() - 1)) % usable.size()]);
+    }
+    const auto best = std::max_element(usable.begin(), usable.end(), [](const RouteCandidate *a, const RouteCandidate *b) {
+        return a->affinity < b->affinity;
+    });
+    if ((*best)->affinity > 0) {
+        sample.push_back(*best);
+    }
+    return sample;
+}
+
+const RemoteDomain *cheapestRemote(const RouteQuestion &question, bool needFree)
+{
+    const RemoteDomain *best = nullptr;
+    for (const RemoteDomain &remote : question.remotes) {
+        if (remote.tried || (needFree && remote.freeSlots == 0)) {
+            continue;
+        }
+        if (best == nullptr || forwardCost(remote) < forwardCost(*best)) {
+            best = &remote;
+        }
+    }
+    return question.mayForward ? best : nullptr;
+}
+
+RouteDecision forwardTo(const RemoteDomain &remote, std::string why)
+{
+    RouteDecision decision;
+    decision.kind = RouteKind::Forward;
+    decision.domain = remote.domain;
+    decision.reason = "forward to " + remote.domain.value + ": " + std::move(why);
+    return decision;
+}
+
+RouteDecision sendTo(const RouteCandidate &candidate, std::size_t usable)
+{
+    SKY_INVARIANT(Promise::LeavingTarget, !candidate.leaving);
+    RouteDecision decision;
+    decision.kind = RouteKind::Target;
+    decision.target = candidate.id;
+    decision.yieldSlots = yieldNeeded(candidate);
+    decision.wait = estimateWait(candidate);
+    const bool slotFree = candidate.occupied < candidate.slots;
+    SKY_INVARIANT(Promise::OnlineFirst, slotFree || batchOn(candidate) == 0 || decision.yieldSlots > 0);
+    std::array<char, 160> text{};
+    std::snprintf(text.data(),
+                  text.size(),
+                  "score %.3f of %zu targets, occupied %u/%u, online %u, affinity %.2f, yield %u, wait %lld ms",
+                  routeScore(candidate),
+                  usable,
+                  candidate.occupied,
+                  candidate.slots,
+                  candidate.online,
+                  candidate.affinity,
+                  decision.yieldSlots,
+                  static_cast<long long>(decision.wait.count()));
+    decision.reason = "target " + candidate.id.value + ": " + text.data();
+    return decision;
+}
+
+} // namespace
+
+unsigned estimateOccupied(unsigned running, unsigned waiting, std::uint64_t startedSince, std::uint64_t endedSince, unsigned ownInFlight)
+{
+    const std::uint64_t reported = std::uint64_t{running} + waiting + startedSince;
+    const std::uint64_t estimate = reported > endedSince ? reported - endedSince : 0;
+    return static_cast<unsigned>(std::max<std::uint64_t>(estimate, ownInFlight));
+}
+
+unsigned batchOn(const RouteCandidate &candidate)
+{
+    const unsigned notOnline = candidate.occupied > candidate.online ? candidate.occupied - candidate.online : 0;
+    return std::max(notOnline, candidate.ownBatch);
+}
+
+unsigned yieldNeeded(const RouteCandidate &candidate)
+{
+    if (candidate.occupied < candidate.slots) {
+        return 0;
+    }
+    return std::min(candidate.occupied + 1 - candidate.slots, batchOn(candidate));
+}
+
+std::chrono::milliseconds estimateWait(const RouteCandidate &candidate)
+{
+    if (candidate.slots == 0 || candidate.online < candidate.slots) {
+        return std::chrono::milliseconds(0);
+    }
+    const double ahead = candidate.online + 1 - candidate.slots;
+    return std::chrono::milliseconds(static_cast<long long>(std::ceil(ahead * static_cast<double>(candidate.serviceTime.count()) / candidate.slots)));
+}
+
+double routeScore(const RouteCandidate &candidate)
+{
+    const double batch = batchOn(candidate);
+    const double occupied = std::max<double>(candidate.occupied, candidate.online + batch) - batch * (1 - batchWeight);
+    const double load = (occupied + 1) / std::max(candidate.slots, 1U) * candidate.tokenRatio;
+    const double decline = std::max(candidate.declineFactor - 1.0, 0.0) * declinePenalty;
+    return load + decline - candidate.affinity * affinityGain;
+}
+
+std::chrono::milliseconds forwardCost(const RemoteDomain &remote)
+{
+    const double cost = static_cast<double>((remote.roundTrip + lossPenalty).count()) * std::max(remote.costFactor, 1.0);
+    return std::chrono::milliseconds(static_cast<long long>(std::ceil(cost)));
+}
+
+RouteDecision chooseTarget(const RouteQuestion &question)
+{
+    const auto usable = usableCandidates(question);
+    const RouteCandidate *chosen = lowestScore(sampleCandidates(usable, question.seed));
+    if (chosen != nullptr && estimateWait(*chosen).count() > 0) {
+        // The sample is full; the rest is looked at before anyone waits.
+        std::vector<const RouteCandidate *> immediate;
+        std::copy_if(usable.begin(), usable.end(), std::back_inserter(immediate), [](const RouteCandidate *candidate) {
+            return estimateWait(*candidate).count() == 0;
+        });
+        chosen = lowestScore(immediate.empty() ? usable : immediate);
+    }
+    if (chosen == nullptr) {
+        const RemoteDomain *remote = cheapestRemote(question, false);
+        if (remote != nullptr) {
+            return forwardTo(*remote, "no usable target here");
+        }
+        RouteDecision none;
+        none.reason = "no usable target among " + std::to_string(question.candidates.size());
+        return none;
+    }
+    const RemoteDomain *remote = cheapestRemote(question, true);
+    const auto wait = estimateWait(*chosen);
+    if (remote != nullptr && wait > forwardCost(*remote)) {
+        return forwardTo(*remote, "wait " + std::to_string(wait.count()) + " ms over link cost " + std::to_string(forwardCost(*remote).count()) + " ms");
+    }
+    return sendTo(*chosen, usable.size());
+}
+
+} // namespace skylark
