--- /dev/null
+++ b/tests/test_metrics.cpp
@@ -0,0 +1,114 @@
+/** @file test_metrics.cpp Metrics registry and target load table. */
+#include "core/hash_func.h"
+#include "metrics/metrics_func.h"
+#include "policy/target_load_base.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct MetricsFixture {
+    std::shared_ptr<MetricsRegistry> metrics{MetricsRegistry::create()}; ///< Registry.
+    TargetLoadTable loads; ///< Load table.
+    TargetId target{"t1"}; ///< Target.
+    TimePoint now{std::chrono::seconds(1000)}; ///< Present time.
+
+    /** @return The value on the line that begins with @p series. */
+    [[nodiscard]] double valueIn(const std::string &series) const
+    {
+        const std::string text = renderMetrics(*this->metrics);
+        const std::size_t at = text.find(series + " ");
+        REQUIRE(at != std::string::npos);
+        return std::stod(text.substr(at + series.size() + 1));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(MetricsFixture, "renderMetrics_counterAndGauge_exposed")
+{
+    addCounter(*this->metrics, "skylark_requests_total", {{"workspace", "a\"b"}, {"code", "ok"}});
+    addCounter(*this->metrics, "skylark_requests_total", {{"workspace", "a\"b"}, {"code", "ok"}}, 2);
+    setGauge(*this->metrics, "skylark_hosts", {}, 7);
+    const std::string text = renderMetrics(*this->metrics);
+    CHECK(text.find("# TYPE skylark_requests_total counter") != std::string::npos);
+    CHECK(text.find("# HELP skylark_hosts skylark hosts") != std::string::npos);
+    CHECK(text.find("skylark_requests_total{workspace=\"a\\\"b\",code=\"ok\"} 3\n") != std::string::npos);
+    CHECK(metricValue(*this->metrics, "skylark_hosts") == 7);
+    CHECK(metricValue(*this->metrics, "skylark_absent") == 0);
+}
+
+// Guards against quantiles that are far off for few and for many samples.
+TEST_CASE_METHOD(MetricsFixture, "observe_knownDistribution_quantilesAreClose")
+{
+    for (int i = 1; i <= 20; ++i) {
+        observe(*this->metrics, "few_seconds", {}, std::chrono::milliseconds(i));
+    }
+    CHECK(this->valueIn("few_seconds{quantile=\"0.5\"}") == Approx(0.010));
+    CHECK(this->valueIn("few_seconds{quantile=\"0.99\"}") == Approx(0.020));
+    std::uint64_t seed = 7;
+    for (int i = 0; i < 20000; ++i) {
+        observe(*this->metrics, "many_seconds", {}, std::chrono::microseconds(nextRandom(seed) % 1000000));
+    }
+    CHECK(this->valueIn("many_seconds{quantile=\"0.5\"}") == Approx(0.5).margin(0.02));
+    CHECK(this->valueIn("many_seconds{quantile=\"0.95\"}") == Approx(0.95).margin(0.02));
+    CHECK(this->valueIn("many_seconds{quantile=\"0.99\"}") == Approx(0.99).margin(0.01));
+    CHECK(this->valueIn("many_seconds_count") == 20000);
+}
+
+TEST_CASE_METHOD(MetricsFixture, "registry_severalThreads_countsAll")
+{
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([this] {
+            for (int n = 0; n < 1000; ++n) {
+                addCounter(*this->metrics, "c_total");
+                observe(*this->metrics, "d_seconds", {}, 1ms);
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    CHECK(metricValue(*this->metrics, "c_total") == 4000);
+    CHECK(this->valueIn("d_seconds_count") == 4000);
+}
+
+TEST_CASE_METHOD(MetricsFixture, "targetLoad_streams_countedByKind")
+{
+    noteStreamStarted(this->loads, this->target, StreamKind::Online, this->now);
+    noteStreamStarted(this->loads, this->target, StreamKind::Batch, this->now);
+    noteReport(this->loads, this->target, 5, this->now);
+    noteStreamEnded(this->loads, this->target, StreamKind::Online, this->now + 1s);
+    const TargetLoad load = loadOf(this->loads, this->target);
+    CHECK(load.online == 0);
+    CHECK(load.batch == 1);
+    CHECK(load.started - load.startedAtReport == 0);
+    CHECK(load.ended - load.endedAtReport == 1);
+    CHECK(load.onlinePeak >= load.onlineMean);
+    CHECK(onlineInFlight(this->loads).empty());
+}
+
+// Guards against a dead target that keeps getting requests, and against one that never gets another chance.
+TEST_CASE_METHOD(MetricsFixture, "targetLoad_failures_openBreakerWithGrowingPause")
+{
+    noteFailure(this->loads, this->target, this->now);
+    CHECK(loadOf(this->loads, this->target).blockedUntil <= this->now);
+    noteFailure(this->loads, this->target, this->now);
+    const TimePoint first = loadOf(this->loads, this->target).blockedUntil;
+    CHECK(first > this->now);
+    for (int i = 0; i < 20; ++i) {
+        noteFailure(this->loads, this->target, this->now);
+    }
+    CHECK(loadOf(this->loads, this->target).blockedUntil > first);
+    CHECK(loadOf(this->loads, this->target).blockedUntil <= this->now + 10s);
+    noteSuccess(this->loads, this->target, this->now);
+    CHECK(loadOf(this->loads, this->target).blockedUntil <= this->now);
+    noteRefused(this->loads, this->target, this->now);
+    CHECK(loadOf(this->loads, this->target).blockedUntil > this->now);
+}
--- /dev/null
+++ b/tests/test_once.cpp
@@ -0,0 +1,129 @@
+/** @file test_once.cpp Properties of the records of calls that must run at most once. */
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+#include "policy/once_func.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace skylark;
+
+namespace {
+
+/** Key-value service with one key, and hosts that handle copies of one call in any interleaving. */
+struct OnceFixture {
+    /** One copy of the call at one host. */
+    struct Copy {
+        int step{0}; ///< 0 not begun, 1 record created, 2 sent, 3 finished.
+        std::string body; ///< Request body.
+    };
+
+    std::optional<std::string> stored; ///< Value of the key.
+    int runs{0}; ///< Executions at the service.
+    int replays{0}; ///< Answers from the record.
+
+    OnceFixture()
+    {
+        setenv("RC_PARAMS", "seed=20261204", 0);
+    }
+
+    /** Makes one step of @p copy. @p crash Whether the host stops there. */
+    void advance(Copy &copy, bool crash)
+    {
+        if (copy.step == 0) {
+            this->begin(copy);
+        } else if (copy.step == 1) {
+            this->runs += crash ? 0 : 1;
+            copy.step = crash ? 3 : 2;
+        } else if (copy.step == 2) {
+            if (!crash) {
+                const auto started = onceFromJson(*this->stored);
+                this->stored = onceToJson(onceAnswered(valueOf(started), 200, "text/plain", "answer", WriteId{"w2"}));
+            }
+            copy.step = 3;
+        }
+    }
+
+    void begin(Copy &copy)
+    {
+        const std::string hash = onceRequestHash("POST", "/order", copy.body);
+        if (this->stored) {
+            const auto existing = onceFromJson(*this->stored);
+            REQUIRE(isOk(existing));
+            this->replays += decideByRecord(valueOf(existing), hash) == OnceVerdict::Replay ? 1 : 0;
+            copy.step = 3;
+            return;
+        }
+        OnceRecord record;
+        record.requestHash = hash;
+        record.writeId.value = "w1";
+        this->stored = onceToJson(record);
+        copy.step = 1;
+    }
+};
+
+} // namespace
+
+// Guards against two executions of one idempotency key, whatever the interleaving of resent calls and host crashes.
+TEST_CASE_METHOD(OnceFixture, "onceRecord_resentCalls_runAtMostOnce")
+{
+    for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
+        INFO("seed " << seed);
+        std::uint64_t state = seed;
+        this->stored.reset();
+        this->runs = 0;
+        std::vector<Copy> copies(4);
+        for (Copy &copy : copies) {
+            copy.body = nextRandom(state) % 4 == 0 ? "other" : "same";
+        }
+        for (int i = 0; i < 40; ++i) {
+            this->advance(copies[nextRandom(state) % copies.size()], nextRandom(state) % 5 == 0);
+        }
+        REQUIRE(this->runs <= 1);
+    }
+    CHECK(this->replays > 0);
+}
+
+TEST_CASE_METHOD(OnceFixture, "decideByRecord_states_giveTheirVerdict")
+{
+    OnceRecord record;
+    record.requestHash = "h";
+    CHECK(decideByRecord(record, "h") == OnceVerdict::InProgress);
+    CHECK(decideByRecord(record, "x") == OnceVerdict::Conflict);
+    const OnceRecord done = onceAnswered(record, 201, "text/plain", "made", WriteId{"w"});
+    CHECK(decideByRecord(done, "h") == OnceVerdict::Replay);
+    CHECK(decideByRecord(done, "x") == OnceVerdict::Conflict);
+    const OnceRecord large = onceAnswered(record, 200, "text/plain", std::string(onceBodyLimit + 1, 'x'), WriteId{"w"});
+    CHECK(decideByRecord(large, "h") == OnceVerdict::InProgress);
+    CHECK(large.responseBody.empty());
+}
+
+// Guards against an outage policy that overrides the record of another call.
+TEST_CASE_METHOD(OnceFixture, "decideByWrite_outcomes_followTheWorkspace")
+{
+    CHECK(decideByWrite({}, RecordUnavailable::Refuse) == OnceVerdict::Execute);
+    for (const ErrorCode code : {ErrorCode::PlatformUnavailable, ErrorCode::RateLimited, ErrorCode::OutcomeUnknown}) {
+        CHECK(decideByWrite(code, RecordUnavailable::Refuse) == OnceVerdict::Refuse);
+        CHECK(decideByWrite(code, RecordUnavailable::Pass) == OnceVerdict::ExecuteUnrecorded);
+    }
+    CHECK(decideByWrite(ErrorCode::VersionConflict, RecordUnavailable::Pass) == OnceVerdict::InProgress);
+}
+
+TEST_CASE_METHOD(OnceFixture, "onceJson_anyRecord_roundTrips")
+{
+    const bool held = rc::check("round trip", [](const std::string &hash, bool done, std::uint8_t status) {
+        OnceRecord record;
+        record.requestHash = hash128Hex(hash);
+        record.writeId.value = "w";
+        record.host.value = "h1";
+        if (done) {
+            record = onceAnswered(record, status, "text/plain", "body \"quoted\"\n", WriteId{"w2"});
+        }
+        const auto parsed = onceFromJson(onceToJson(record));
+        RC_ASSERT(isOk(parsed));
+        RC_ASSERT(onceToJson(valueOf(parsed)) == onceToJson(record));
+    });
+    CHECK(held);
+    CHECK_FALSE(isOk(onceFromJson("[]")));
+}
--- /dev/null
+++ b/tests/test_routing.cpp
@@ -0,0 +1,250 @@
+/** @file test_routing.cpp Properties of routing, admission and prefix affinity. */
+#include "policy/admission_func.h"
+#include "policy/affinity_base.h"
+#include "policy/routing_func.h"
+
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct RoutingFixture {
+    int violations{0}; ///< Reported invariant violations.
+
+    RoutingFixture()
+    {
+        setenv("RC_PARAMS", "seed=20261204", 0);
+        setViolationHandler([this](Promise, std::string_view, std::string_view, int) {
+            ++this->violations;
+        });
+    }
+    ~RoutingFixture()
+    {
+        setViolationHandler({});
+    }
+
+    static RouteCandidate candidate(std::string name, unsigned slots, unsigned occupied, unsigned online)
+    {
+        RouteCandidate made;
+        made.id.value = std::move(name);
+        made.slots = slots;
+        made.occupied = occupied;
+        made.online = online;
+        return made;
+    }
+
+    /** @return A random question; every value follows from @p seed. */
+    static RouteQuestion randomQuestion(std::uint64_t seed)
+    {
+        RouteQuestion question;
+        question.seed = seed;
+        const auto below = [&seed](std::uint64_t limit) {
+            return static_cast<unsigned>(nextRandom(seed) % limit);
+        };
+        const unsigned count = below(8);
+        for (unsigned i = 0; i < count; ++i) {
+            const unsigned slots = below(9);
+            RouteCandidate made = candidate("t" + std::to_string(i), slots, below(14), below(10));
+            made.leaving = below(4) == 0;
+            made.blocked = below(5) == 0;
+            made.tried = below(3) == 0;
+            made.affinity = below(2) == 0 ? 0 : below(100) / 100.0;
+            made.declineFactor = 1 + below(10) / 10.0;
+            question.candidates.push_back(made);
+        }
+        const unsigned remotes = below(3);
+        for (unsigned i = 0; i < remotes; ++i) {
+            question.remotes.push_back({DomainId{"d" + std::to_string(i)}, below(3), std::chrono::milliseconds(below(20)), 1.0 + below(3), below(3) == 0});
+        }
+        question.mayForward = below(2) == 0;
+        return question;
+    }
+
+    static const RouteCandidate *find(const RouteQuestion &question, const TargetId &id)
+    {
+        for (const RouteCandidate &candidate : question.candidates) {
+            if (candidate.id == id) {
+                return &candidate;
+            }
+        }
+        return nullptr;
+    }
+};
+
+/** Runs @p property for 2000 consecutive seeds. */
+template<typename Property>
+void forSeeds(Property property)
+{
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+        INFO("seed " << seed);
+        property(seed);
+    }
+}
+
+} // namespace
+
+// Guards against work for a leaving or failing target, and against online requests queued behind batch.
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_anyState_targetIsUsableAndBatchGivesWay")
+{
+    forSeeds([this](std::uint64_t seed) {
+        const RouteQuestion question = randomQuestion(seed);
+        const RouteDecision decision = chooseTarget(question);
+        REQUIRE(this->violations == 0);
+        if (decision.kind == RouteKind::Forward) {
+            REQUIRE(question.mayForward);
+        }
+        if (decision.kind != RouteKind::Target) {
+            return;
+        }
+        const RouteCandidate *chosen = find(question, decision.target);
+        REQUIRE(chosen != nullptr);
+        REQUIRE_FALSE(chosen->leaving);
+        REQUIRE_FALSE(chosen->blocked);
+        REQUIRE(decision.yieldSlots <= batchOn(*chosen));
+        const unsigned left = std::max(chosen->occupied, chosen->online) - std::min(decision.yieldSlots, chosen->occupied);
+        const bool batchLeft = batchOn(*chosen) > decision.yieldSlots;
+        REQUIRE((left < chosen->slots || !batchLeft));
+    });
+}
+
+// Guards against a request that waits or fails although a usable target has a slot for it.
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_slotObtainable_noWait")
+{
+    forSeeds([](std::uint64_t seed) {
+        const RouteQuestion question = randomQuestion(seed);
+        const RouteDecision decision = chooseTarget(question);
+        bool freshUsable = false;
+        bool obtainable = false;
+        for (const RouteCandidate &candidate : question.candidates) {
+            const bool usable = !candidate.leaving && !candidate.blocked && candidate.slots > 0 && !candidate.tried;
+            freshUsable = freshUsable || usable;
+            obtainable = obtainable || (usable && candidate.online < candidate.slots);
+        }
+        if (freshUsable && decision.kind == RouteKind::Target) {
+            REQUIRE_FALSE(find(question, decision.target)->tried);
+        }
+        if (obtainable) {
+            REQUIRE(decision.kind == RouteKind::Target);
+            REQUIRE(decision.wait == 0ms);
+        }
+    });
+}
+
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_sameQuestion_sameAnswer")
+{
+    forSeeds([](std::uint64_t seed) {
+        REQUIRE(chooseTarget(randomQuestion(seed)).reason == chooseTarget(randomQuestion(seed)).reason);
+    });
+}
+
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_onlyBatchTaken_asksForYield")
+{
+    RouteQuestion question;
+    question.candidates = {candidate("a", 4, 4, 1)};
+    const RouteDecision decision = chooseTarget(question);
+    CHECK(decision.kind == RouteKind::Target);
+    CHECK(decision.yieldSlots == 1);
+}
+
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_localWaitOverLinkCost_forwards")
+{
+    RouteQuestion question;
+    question.candidates = {candidate("a", 4, 4, 4)};
+    question.remotes = {{DomainId{"east"}, 2, 6ms, 1.0, false}};
+    CHECK(chooseTarget(question).kind == RouteKind::Forward);
+    question.mayForward = false;
+    CHECK(chooseTarget(question).kind == RouteKind::Target);
+    question.mayForward = true;
+    question.candidates[0].serviceTime = 40ms;
+    CHECK(chooseTarget(question).kind == RouteKind::Target);
+}
+
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_prefixKnown_prefersItsTarget")
+{
+    RouteQuestion question;
+    for (int i = 0; i < 8; ++i) {
+        question.candidates.push_back(candidate("t" + std::to_string(i), 8, 2, 2));
+    }
+    question.candidates[5].affinity = 0.9;
+    for (question.seed = 0; question.seed < 50; ++question.seed) {
+        REQUIRE(chooseTarget(question).target.value == "t5");
+    }
+}
+
+// Guards against a declining target that keeps its full share of requests.
+TEST_CASE_METHOD(RoutingFixture, "chooseTarget_targetDeclines_getsLess")
+{
+    RouteQuestion question;
+    for (int i = 0; i < 4; ++i) {
+        question.candidates.push_back(candidate("t" + std::to_string(i), 8, 4, 4));
+    }
+    question.candidates[0].declineFactor = 1.5;
+    int declining = 0;
+    for (question.seed = 0; question.seed < 400; ++question.seed) {
+        declining += chooseTarget(question).target.value == "t0" ? 1 : 0;
+    }
+    CHECK(declining == 0);
+}
+
+TEST_CASE_METHOD(RoutingFixture, "decideAdmission_waitOverDeadline_refusesWithRetryAfter")
+{
+    AdmissionQuestion question;
+    question.now = TimePoint(100s);
+    question.deadline = question.now + 2s;
+    question.slotTime = 500ms;
+    CHECK(decideAdmission(question).kind == AdmissionKind::Run);
+    question.wait = 1s;
+    CHECK(decideAdmission(question).kind == AdmissionKind::Queue);
+    question.ahead = 3;
+    const AdmissionDecision refused = decideAdmission(question);
+    CHECK(refused.kind == AdmissionKind::Refuse);
+    CHECK(refused.retryAfter >= 1s);
+    question.ahead = 0;
+    question.queued = question.limit;
+    CHECK(decideAdmission(question).kind == AdmissionKind::Refuse);
+}
+
+TEST_CASE_METHOD(RoutingFixture, "admissionQueue_anyOrderOfArrival_earliestDeadlineFirst")
+{
+    const bool held = rc::check("earliest deadline first", [](const std::vector<std::uint16_t> &arrivals) {
+        AdmissionQueue queue;
+        std::vector<std::pair<TimePoint, std::uint64_t>> tickets;
+        for (const std::uint16_t arrival : arrivals) {
+            const TimePoint deadline{std::chrono::milliseconds(arrival)};
+            tickets.emplace_back(deadline, enqueue(queue, deadline));
+        }
+        std::sort(tickets.begin(), tickets.end());
+        for (const auto &[deadline, ticket] : tickets) {
+            RC_ASSERT(isFirst(queue, ticket));
+            dequeue(queue, deadline, ticket);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE_METHOD(RoutingFixture, "affinityTable_manyPrompts_boundedAndFindsLongestPrefix")
+{
+    AffinityTable table;
+    table.capacity = 100;
+    const std::string shared(1024, 's');
+    rememberPrefixes(table, prefixHashes(shared, "m"), TargetId{"a"});
+    const auto longer = prefixHashes(shared + std::string(1024, 't'), "m");
+    const AffinityMatch match = findAffinity(table, longer);
+    CHECK(match.target.value == "a");
+    CHECK(match.share == Approx(0.5));
+    CHECK(findAffinity(table, prefixHashes(shared, "other")).target.empty());
+    for (int i = 0; i < 200; ++i) {
+        rememberPrefixes(table, prefixHashes(std::string(600, static_cast<char>('a' + i % 20)) + std::to_string(i), "m"), TargetId{"b"});
+    }
+    CHECK(table.recent.size() <= 100);
+    CHECK(table.byPrefix.size() == table.recent.size());
+    forgetTarget(table, TargetId{"b"});
+    CHECK(table.byPrefix.size() == table.recent.size());
+}
