--- /dev/null
+++ b/src/traffic/caller_server.cpp
@@ -0,0 +1,173 @@
+/** @file caller_server.cpp HTTP server for callers. */
+#include "traffic/caller_server_func.h"
+
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+#include "core/table/error_table.h"
+#include "traffic/caller_server_base.h"
+#include "traffic/error_render_func.h"
+#include "traffic/filter_func.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using Filter = asio::awaitable<std::optional<Error>> (*)(CallerServer::Impl &, RequestContext &);
+
+/** Filters in their order; the last one answers the caller. */
+constexpr std::array<Filter, 6> filterChain{checkReadiness, authenticate, checkLimits, matchRoute, admit, execute};
+
+constexpr std::size_t maxRequestIdBytes = 256; ///< Longer ids are replaced.
+constexpr std::chrono::milliseconds drainPoll{20}; ///< Interval between looks at the running requests in a planned stop.
+
+std::uint64_t numberHeader(const HttpRequest &request, std::string_view name)
+{
+    const std::string_view text = headerValue(request.headers, name);
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+/** @return The caller's request id if it can be echoed, or a new one. */
+RequestId requestIdOf(const HttpRequest &request)
+{
+    const std::string_view given = headerValue(request.headers, "x-request-id");
+    const bool usable = !given.empty() && given.size() <= maxRequestIdBytes && std::all_of(given.begin(), given.end(), [](char c) {
+        return c > ' ' && c < 0x7f;
+    });
+    return RequestId{usable ? std::string(given) : randomIdHex()};
+}
+
+/** @return Latest first token that a forwarding host allows, or the workspace's deadline, which authentication sets. */
+TimePoint deadlineOf(const HttpRequest &request, TimePoint now)
+{
+    const std::uint64_t left = std::min<std::uint64_t>(numberHeader(request, "x-skylark-deadline-ms"), 3600000);
+    return left == 0 ? TimePoint::max() : now + std::chrono::milliseconds(left);
+}
+
+void prepare(CallerServer::Impl &impl, RequestContext &context)
+{
+    context.id = requestIdOf(context.request);
+    context.snapshot = impl.context.snapshot->current.load();
+    context.config = context.snapshot->config;
+    context.hops = static_cast<unsigned>(std::min<std::uint64_t>(numberHeader(context.request, "x-skylark-hops"), 16));
+    context.arrivedAt = BootClock::now();
+    context.deadline = deadlineOf(context.request, context.arrivedAt);
+    onCallerGone(context.responder, [&context] {
+        context.callerGone = true;
+        if (context.cancelWork) {
+            context.cancelWork();
+        }
+        context.cancelCall.emit(asio::cancellation_type::terminal);
+    });
+}
+
+asio::awaitable<void> sendError(RequestContext &context, Error error)
+{
+    context.outcome = errorInfo(error.code).name;
+    if (context.callerGone) {
+        context.outcome = errorInfo(ErrorCode::CallerGone).name;
+        co_return;
+    }
+    SKY_INVARIANT(Promise::NotRun, error.run == RunState::Maybe || !context.mayHaveRun);
+    co_await sendResponse(context.responder, renderError(error, context.id.value));
+}
+
+void countRequest(CallerServer::Impl &impl, const RequestContext &context)
+{
+    MetricsRegistry &metrics = *impl.context.metrics;
+    const std::string workspace = context.workspace != nullptr ? context.workspace->id.value : "none";
+    addCounter(metrics, "skylark_requests_total", {{"workspace", workspace}, {"code", context.outcome}});
+    if (context.callerGone) {
+        addCounter(metrics, "skylark_callers_gone_total");
+    }
+    if (context.route == CallerRoute::Chat && context.generation) {
+        observe(metrics, "skylark_added_seconds", {}, BootClock::now() - context.arrivedAt - context.targetTime - context.queueTime);
+    }
+}
+
+asio::awaitable<void> handleCaller(std::shared_ptr<CallerServer::Impl> impl, HttpRequest request, HttpResponder &responder)
+{
+    RequestContext context{.request = std::move(request), .responder = responder};
+    prepare(*impl, context);
+    for (const Filter filter : filterChain) {
+        auto error = co_await filter(*impl, context);
+        if (error) {
+            co_await sendError(context, std::move(*error));
+            break;
+        }
+    }
+    countRequest(*impl, context);
+}
+
+HttpServerOptions makeOptions(const Settings &settings, const Endpoint &listen)
+{
+    HttpServerOptions options;
+    options.listen = listen;
+    options.maxBody = std::max(settings.maxRequestBody, settings.maxJobBody);
+    options.renderError = [](const Error &error) {
+        return renderError(error, {});
+    };
+    return options;
+}
+
+} // namespace
+
+Result<std::shared_ptr<CallerServer>> CallerServer::create(HostContext &context, std::shared_ptr<BatchService> batch)
+{
+    const HostInfo *self = context.settings->self();
+    if (self == nullptr) {
+        return makeError(ErrorCode::InvalidSettings, "host " + context.settings->host.value + " is not listed");
+    }
+    auto server = std::make_shared<CallerServer>();
+    server->impl = std::make_shared<Impl>(context);
+    Impl &impl = *server->impl;
+    impl.batch = std::move(batch);
+    impl.http = HttpClient::create(context.online.get_executor());
+    impl.seed = context.settings->seed != 0 ? context.settings->seed : hash64(randomIdHex());
+    auto kv = KvClient::create(context.settings->platform, impl.http);
+    if (!isOk(kv)) {
+        return errorOf(kv);
+    }
+    impl.kv = std::move(valueOf(kv));
+    // The server holds a weak reference: the state owns the server.
+    auto handler = [weak = std::weak_ptr<Impl>(server->impl)](HttpRequest request, HttpResponder &responder) {
+        return handleCaller(weak.lock(), std::move(request), responder);
+    };
+    auto listening = HttpServer::create(context.online.get_executor(), makeOptions(*context.settings, self->http), handler);
+    if (!isOk(listening)) {
+        return errorOf(listening);
+    }
+    impl.server = std::move(valueOf(listening));
+    return server;
+}
+
+void announceStop(CallerServer &server)
+{
+    announceClose(*server.impl->server);
+}
+
+asio::awaitable<std::size_t> drainCallers(CallerServer &server, std::chrono::milliseconds timeout)
+{
+    const std::shared_ptr<CallerServer::Impl> impl = server.impl;
+    stopAccepting(*impl->server);
+    asio::steady_timer timer(impl->http->executor);
+    const TimePoint end = BootClock::now() + timeout;
+    while (activeRequests(*impl->server) > 0 && BootClock::now() < end) {
+        closeIdleConnections(*impl->server);
+        timer.expires_after(drainPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    closeIdleConnections(*impl->server);
+    co_return activeRequests(*impl->server);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/traffic/service_send.cpp
@@ -0,0 +1,234 @@
+/** @file service_send.cpp Attempts of one service call. */
+#include "traffic/service_call_func.h"
+
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+#include "core/table/error_table.h"
+#include "policy/retry_func.h"
+#include "traffic/answer_stream_func.h"
+#include "traffic/error_render_func.h"
+#include "traffic/target_failure_func.h"
+#include "traffic/target_view_func.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Header fields that belong to one connection or to this system. */
+constexpr std::array<std::string_view, 10> droppedHeaders{"host",
+                                                          "connection",
+                                                          "content-length",
+                                                          "transfer-encoding",
+                                                          "expect",
+                                                          "authorization",
+                                                          "x-request-id",
+                                                          "x-skylark-hops",
+                                                          "x-skylark-deadline-ms",
+                                                          "idempotency-key"};
+
+/** Progress of one call. */
+struct ServiceAttempts {
+    bool repeatable{false}; ///< Whether it may run more than once.
+    std::vector<TargetId> tried; ///< Targets on which an attempt failed.
+    std::vector<DomainId> triedDomains; ///< Failure domains whose hosts refused or failed.
+    std::optional<Error> last; ///< Failure of the last attempt.
+    std::optional<HttpResponse> failedResponse; ///< 5xx answer of the last attempt.
+};
+
+HttpRequest makeRequest(const RequestContext &context, std::string target)
+{
+    HttpRequest request;
+    request.method = context.request.method;
+    request.target = std::move(target);
+    request.body = context.request.body;
+    for (const HttpHeader &header : context.request.headers) {
+        const bool dropped = std::any_of(droppedHeaders.begin(), droppedHeaders.end(), [&header](std::string_view name) {
+            return boost::algorithm::iequals(header.name, name);
+        });
+        if (!dropped) {
+            request.headers.push_back(header);
+        }
+    }
+    return request;
+}
+
+HttpTimeouts serviceTimeouts(const RequestContext &context)
+{
+    HttpTimeouts timeouts;
+    timeouts.firstByte = context.workspace->online.firstByteTimeout;
+    timeouts.idle = context.workspace->online.idleTimeout;
+    return timeouts;
+}
+
+RequestId nextAttempt(CallerServer::Impl &impl, RequestContext &context)
+{
+    ++context.attempts;
+    return RequestId{context.id.value + "." + std::to_string(nextRandom(impl.seed)) + "." + std::to_string(context.attempts)};
+}
+
+/** @return The failure that an answer stands for, if any. */
+std::optional<Error> failureOf(const HttpResponse &response)
+{
+    if (response.status == 503 && !headerValue(response.headers, "x-not-run").empty()) {
+        return makeError(ErrorCode::TargetOverloaded, "service says that the call was not run");
+    }
+    if (response.status >= 500) {
+        return makeError(ErrorCode::TargetFailed, "service answered " + std::to_string(response.status), RunState::Maybe);
+    }
+    return {};
+}
+
+/** Sends one attempt; a call that is not repeatable uses a new connection and is not cancelled once sent. */
+asio::awaitable<Result<HttpResponse>> callTarget(CallerServer::Impl &impl, RequestContext &context, TargetInfo target, RequestId attempt, bool repeatable)
+{
+    SKY_INVARIANT(Promise::AtMostOnce, repeatable || !context.mayHaveRun);
+    const StreamCount count(*impl.context.loads, target.id);
+    const auto use = repeatable ? ConnectionUse::Pooled : ConnectionUse::Fresh;
+    auto call = callService(impl.http, target.endpoint, makeRequest(context, context.rest), attempt, serviceTimeouts(context), use);
+    const TimePoint before = BootClock::now();
+    Result<HttpResponse> result = makeError(ErrorCode::Internal, "call has no result", RunState::Maybe);
+    if (repeatable) {
+        result = co_await cancellable<HttpResponse>(context, std::move(call));
+    } else {
+        result = co_await std::move(call);
+    }
+    context.targetTime += BootClock::now() - before;
+    co_return result;
+}
+
+/** @return The answer, or nothing when another attempt may follow. */
+asio::awaitable<std::optional<HttpResponse>> attemptTarget(CallerServer::Impl &impl, RequestContext &context, TargetInfo target, ServiceAttempts &state)
+{
+    const RequestId attempt = nextAttempt(impl, context);
+    logDecision(impl.context.decisions, "route", context.id, "service target " + target.id.value + ": fewest calls in flight");
+    auto result = co_await callTarget(impl, context, target, attempt, state.repeatable);
+    state.failedResponse.reset();
+    std::optional<Error> failure = isOk(result) ? failureOf(valueOf(result)) : std::optional<Error>(errorOf(result));
+    if (!failure) {
+        noteSuccess(*impl.context.loads, target.id, BootClock::now());
+        context.mayHaveRun = true;
+        co_return std::move(valueOf(result));
+    }
+    if (isOk(result)) {
+        state.failedResponse = std::move(valueOf(result));
+    }
+    noteCallFailed(impl, context, target, attempt, *failure);
+    state.tried.push_back(target.id);
+    state.last = failure;
+    co_return std::nullopt;
+}
+
+/** @return A live host of another failure domain that was not tried, or null. */
+const HostView *nextHost(CallerServer::Impl &impl, const RequestContext &context, const ServiceAttempts &state)
+{
+    if (context.hops > 0) {
+        return nullptr;
+    }
+    for (const HostView &host : context.snapshot->hosts) {
+        const DomainId &domain = host.info.domain;
+        const bool tried = std::find(state.triedDomains.begin(), state.triedDomains.end(), domain) != state.triedDomains.end();
+        if (tried || domain == context.snapshot->self.domain) {
+            continue;
+        }
+        if (const HostView *chosen = chooseHost(impl, *context.snapshot, domain)) {
+            return chosen;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<std::optional<HttpResponse>> attemptHost(CallerServer::Impl &impl, RequestContext &context, HostInfo host, ServiceAttempts &state)
+{
+    SKY_INVARIANT(Promise::AtMostOnce, state.repeatable || !context.mayHaveRun);
+    const RequestId attempt = nextAttempt(impl, context);
+    HttpRequest request = makeRequest(context, context.request.target);
+    request.headers.push_back({"authorization", std::string(headerValue(context.request.headers, "authorization"))});
+    request.headers.push_back({"x-request-id", attempt.value});
+    request.headers.push_back({"x-skylark-hops", std::to_string(context.hops + 1)});
+    logDecision(impl.context.decisions, "route", context.id, "forward to " + host.domain.value + ": no usable service target here");
+    const auto use = state.repeatable ? ConnectionUse::Pooled : ConnectionUse::Fresh;
+    const TimePoint before = BootClock::now();
+    auto result = co_await httpCall(impl.http, host.http, std::move(request), serviceTimeouts(context), use);
+    context.targetTime += BootClock::now() - before;
+    state.triedDomains.push_back(host.domain);
+    state.failedResponse.reset();
+    Error failure = makeError(ErrorCode::ResponseMismatch, "other host answered another request", RunState::Maybe);
+    if (!isOk(result)) {
+        failure = errorOf(result);
+    } else if (headerValue(valueOf(result).headers, "x-request-id") == attempt.value) {
+        const int status = valueOf(result).status;
+        const Error reported = parseErrorResponse(status, valueOf(result).body);
+        if (status < 500 || reported.run == RunState::Maybe) {
+            context.mayHaveRun = true;
+            co_return std::move(valueOf(result));
+        }
+        failure = reported;
+    }
+    context.mayHaveRun = context.mayHaveRun || failure.run == RunState::Maybe;
+    if (isSilence(failure.code)) {
+        dropSilentConnections(impl, host.http);
+    }
+    state.last = failure;
+    co_return std::nullopt;
+}
+
+/** @return Whether another attempt may follow. */
+bool mayGoOn(CallerServer::Impl &impl, const RequestContext &context, const ServiceAttempts &state)
+{
+    RetryQuestion question;
+    question.code = state.last->code;
+    question.mayHaveRun = context.mayHaveRun;
+    question.repeatable = state.repeatable;
+    question.attempts = context.attempts;
+    if (context.callerGone || mayRetry(question) == RetryVerdict::GiveUp || !takeRetry(impl.budget, BootClock::now())) {
+        return false;
+    }
+    addCounter(*impl.context.metrics, "skylark_retries_total", {{"error", errorInfo(state.last->code).name}});
+    return true;
+}
+
+Result<HttpResponse> finalResult(const RequestContext &context, ServiceAttempts &state)
+{
+    if (state.failedResponse && state.last->code == ErrorCode::TargetFailed) {
+        return std::move(*state.failedResponse);
+    }
+    Error error = state.last.value_or(makeError(ErrorCode::NoTarget, "no target for service " + context.subject));
+    if (error.code == ErrorCode::TargetOverloaded && !context.mayHaveRun) {
+        error.code = ErrorCode::Overloaded;
+    }
+    return finalError(context, std::move(error), state.last);
+}
+
+} // namespace
+
+asio::awaitable<Result<HttpResponse>> sendServiceCall(CallerServer::Impl &impl, RequestContext &context, bool repeatable)
+{
+    ServiceAttempts state;
+    state.repeatable = repeatable;
+    noteRequest(impl.budget, BootClock::now());
+    for (;;) {
+        context.snapshot = impl.context.snapshot->current.load();
+        const TargetView *view = chooseService(impl, *context.snapshot, context.subject, state.tried, BootClock::now());
+        std::optional<HttpResponse> answer;
+        if (view != nullptr) {
+            answer = co_await attemptTarget(impl, context, view->info, state);
+        } else if (const HostView *host = nextHost(impl, context, state)) {
+            answer = co_await attemptHost(impl, context, host->info, state);
+        } else {
+            co_return finalResult(context, state);
+        }
+        if (answer) {
+            co_return std::move(*answer);
+        }
+        if (!mayGoOn(impl, context, state)) {
+            co_return finalResult(context, state);
+        }
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/traffic/target_failure.cpp
@@ -0,0 +1,121 @@
+/** @file target_failure.cpp What a failed call means for the target and the request. */
+#include "traffic/target_failure_func.h"
+
+#include "core/invariant_func.h"
+#include "core/table/error_table.h"
+#include "engine/engine_client_func.h"
+#include "policy/retry_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** A refusing target is asked at most this often whether it is leaving. */
+constexpr std::chrono::milliseconds drainCheckInterval{200};
+
+HttpTimeouts shortTimeouts()
+{
+    using std::chrono::milliseconds;
+    return {milliseconds(300), milliseconds(300), milliseconds(500), milliseconds(500)};
+}
+
+asio::awaitable<void> checkDraining(std::shared_ptr<CallerServer::Impl> impl, TargetInfo target)
+{
+    const auto report = co_await readLoad(impl->http, target.endpoint, shortTimeouts());
+    if (!isOk(report) || !valueOf(report).draining) {
+        co_return;
+    }
+    impl->leavingSince[target.id] = BootClock::now();
+    logDecision(impl->context.decisions, "route", {}, "target " + target.id.value + " is leaving: its load report says draining");
+    if (impl->context.reportLeaving) {
+        impl->context.reportLeaving(target.id);
+    }
+}
+
+void startDrainCheck(CallerServer::Impl &impl, const TargetInfo &target)
+{
+    const TimePoint now = BootClock::now();
+    TimePoint &checked = impl.drainChecked[target.id];
+    if (checked != TimePoint{} && now - checked < drainCheckInterval) {
+        return;
+    }
+    checked = now;
+    asio::co_spawn(impl.http->executor, checkDraining(impl.shared_from_this(), target), asio::detached);
+}
+
+asio::awaitable<void> cancelSilent(std::shared_ptr<HttpClient> http, Endpoint endpoint, RequestId attempt)
+{
+    co_await cancelGenerate(std::move(http), std::move(endpoint), std::move(attempt), shortTimeouts());
+}
+
+} // namespace
+
+bool isSilence(ErrorCode code)
+{
+    return code == ErrorCode::FirstByteTimeout || code == ErrorCode::IdleTimeout || code == ErrorCode::ConnectTimeout || code == ErrorCode::SendFailed;
+}
+
+void dropSilentConnections(CallerServer::Impl &impl, const Endpoint &endpoint)
+{
+    httpCloseIdle(*impl.http, endpoint, BootClock::now());
+    const auto left = impl.http->idle.find(endpoint);
+    SKY_INVARIANT(Promise::SilentConnection, left == impl.http->idle.end() || left->second.empty());
+    addCounter(*impl.context.metrics, "skylark_silent_connections_total");
+}
+
+void noteCallFailed(CallerServer::Impl &impl, RequestContext &context, const TargetInfo &target, const RequestId &attempt, const Error &error)
+{
+    context.mayHaveRun = context.mayHaveRun || error.run == RunState::Maybe;
+    if (context.callerGone) {
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    if (isSilence(error.code)) {
+        dropSilentConnections(impl, target.endpoint);
+    }
+    if (error.run == RunState::Maybe && isSilence(error.code) && target.kind == TargetKind::Engine) {
+        asio::co_spawn(impl.http->executor, cancelSilent(impl.http, target.endpoint, attempt), asio::detached);
+    }
+    if (error.code == ErrorCode::TargetOverloaded) {
+        startDrainCheck(impl, target);
+        return;
+    }
+    if (error.code == ErrorCode::ConnectFailed) {
+        noteRefused(*impl.context.loads, target.id, now);
+        return;
+    }
+    if (isTargetFailure(error.code)) {
+        noteFailure(*impl.context.loads, target.id, now);
+    }
+}
+
+Error finalError(const RequestContext &context, Error error, const std::optional<Error> &lastAttempt)
+{
+    if (!context.mayHaveRun) {
+        return error;
+    }
+    if (!errorInfo(error.code).mayHaveRun && lastAttempt && errorInfo(lastAttempt->code).mayHaveRun) {
+        error = *lastAttempt;
+    }
+    error.run = RunState::Maybe;
+    return error;
+}
+
+StreamCount::StreamCount(TargetLoadTable &loads, TargetId counted)
+    : table(loads)
+    , target(std::move(counted))
+{
+    noteStreamStarted(this->table, this->target, StreamKind::Online, BootClock::now());
+}
+
+StreamCount::~StreamCount()
+{
+    noteStreamEnded(this->table, this->target, StreamKind::Online, BootClock::now());
+}
+
+} // namespace skylark
