--- /dev/null
+++ b/src/control/config_edit.cpp
@@ -0,0 +1,190 @@
+/** @file config_edit.cpp Commit of operators' edits on the head. */
+#include "config/config_json_func.h"
+#include "control/controller_func.h"
+#include "core/table/error_table.h"
+#include "policy/revision_func.h"
+
+#include <glog/logging.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int mostAttempts = 12; // Each lost race means that another operator's edit was committed.
+constexpr auto raceSpread = 50ms;
+constexpr auto editLimit = 8s; // The operator's tool waits 10 s.
+
+/** Writes the key of a document whose log entry is about to leave, unless the key is as new. */
+asio::awaitable<Result<Done>> materialise(ControlPtr control, Document document)
+{
+    const std::string key = documentKey(document.kind, document.name);
+    auto present = co_await kvGet(*control->kv, key);
+    notePlatform(*control);
+    if (!isOk(present)) {
+        co_return errorOf(present);
+    }
+    KvVersion version;
+    if (const auto &entry = valueOf(present)) {
+        const auto stored = documentFromKey(entry->key, entry->value);
+        if (isOk(stored) && valueOf(stored).revision >= document.revision) {
+            co_return Done{};
+        }
+        version = entry->version;
+    }
+    const auto written = co_await kvPut(*control->kv, key, documentToJson(document), version);
+    notePlatform(*control);
+    if (!isOk(written)) {
+        co_return errorOf(written);
+    }
+    co_return Done{};
+}
+
+/** Writes all documents that must have a key before the head is written. */
+asio::awaitable<Result<Done>> materialiseAll(ControlPtr control, std::vector<Document> documents)
+{
+    for (Document &document : documents) {
+        const auto done = co_await materialise(control, std::move(document));
+        if (!isOk(done)) {
+            co_return errorOf(done);
+        }
+    }
+    co_return Done{};
+}
+
+Error conflictError(const ConfigEdit &edit, std::uint64_t current)
+{
+    Error error = makeError(ErrorCode::RevisionConflict,
+                            std::string(documentKindName(edit.kind)) + " " + edit.name + " is at document revision " + std::to_string(current)
+                                + ", the edit expects " + std::to_string(edit.expectedDocRevision));
+    error.param = std::to_string(current);
+    return error;
+}
+
+EditResult resultOf(const ConfigChange &change)
+{
+    return {change.document.revision, change.document.docRevision};
+}
+
+/** Checks the document against the configuration that the edit is based on. */
+Result<Done> checkEdit(const ControlPtr &control, const ConfigEdit &edit)
+{
+    const Document document{.kind = edit.kind, .name = edit.name, .revision = {}, .docRevision = 0, .deleted = edit.deleted, .body = edit.body};
+    const auto mistakes = validateDocument(*control->fleet, document);
+    if (!mistakes.empty()) {
+        return invalidDocument(mistakes);
+    }
+    return Done{};
+}
+
+/** One attempt: reads, plans and writes. @return VersionConflict or OutcomeUnknown when another attempt must follow. */
+asio::awaitable<Result<EditResult>> tryEdit(ControlPtr control, ConfigEdit edit)
+{
+    auto read = co_await readHead(control);
+    if (!isOk(read)) {
+        co_return errorOf(read);
+    }
+    const auto [head, version] = std::move(valueOf(read));
+    const auto taken = co_await takeHead(control, head, "edit");
+    if (!isOk(taken)) {
+        co_return errorOf(taken);
+    }
+    if (const auto committed = findWrite(head, edit.writeId)) {
+        co_return resultOf(*committed);
+    }
+    if (control->config.revision != head.revision) {
+        co_return makeError(ErrorCode::VersionConflict, "the head has moved on");
+    }
+    EditPlan plan = planEdit(head, control->config, edit);
+    if (const auto *conflict = std::get_if<EditConflict>(&plan)) {
+        co_return conflictError(edit, conflict->currentDocRevision);
+    }
+    const auto valid = checkEdit(control, edit);
+    if (!isOk(valid)) {
+        co_return errorOf(valid);
+    }
+    auto &write = std::get<EditWrite>(plan);
+    const auto materialised = co_await materialiseAll(control, std::move(write.materialise));
+    if (!isOk(materialised)) {
+        // Nothing of the edit itself was written yet.
+        const bool again = errorOf(materialised).code == ErrorCode::OutcomeUnknown || errorOf(materialised).code == ErrorCode::VersionConflict;
+        co_return makeError(again ? ErrorCode::VersionConflict : errorOf(materialised).code, errorOf(materialised).detail);
+    }
+    const auto written = co_await kvPut(*control->kv, "config/head", headToJson(write.next), version);
+    notePlatform(*control);
+    if (!isOk(written)) {
+        co_return errorOf(written);
+    }
+    const EditResult result = resultOf(write.next.log.back());
+    co_await takeHead(control, std::move(write.next), "edit");
+    co_return result;
+}
+
+void countEdit(const ControlPtr &control, const ConfigEdit &edit, const Result<EditResult> &result)
+{
+    const std::string_view outcome = isOk(result) ? "committed" : errorInfo(errorOf(result).code).name;
+    addCounter(*control->context.metrics, "skylark_config_edits_total", {{"outcome", outcome}});
+    std::string text = std::string(documentKindName(edit.kind)) + " " + edit.name + " by " + edit.by + ": " + std::string(outcome);
+    if (isOk(result)) {
+        text += " as revision " + std::to_string(valueOf(result).revision.value);
+    }
+    logDecision(control->context.decisions, "config", RequestId{edit.writeId.value}, std::move(text));
+}
+
+asio::awaitable<Result<EditResult>> retryEdit(ControlPtr control, ConfigEdit edit)
+{
+    const TimePoint limit = BootClock::now() + editLimit;
+    bool maybeWritten = false;
+    Error last = makeError(ErrorCode::PlatformUnavailable, "too many edits at once");
+    for (int attempt = 0; attempt < mostAttempts && BootClock::now() < limit; ++attempt) {
+        auto result = co_await tryEdit(control, edit);
+        if (isOk(result)) {
+            co_return result;
+        }
+        const ErrorCode code = errorOf(result).code;
+        maybeWritten = maybeWritten || code == ErrorCode::OutcomeUnknown;
+        const bool unanswered = code == ErrorCode::PlatformUnavailable || code == ErrorCode::RateLimited;
+        if (code != ErrorCode::VersionConflict && code != ErrorCode::OutcomeUnknown && !(unanswered && maybeWritten)) {
+            co_return result;
+        }
+        last = errorOf(result);
+        co_await pauseFor(control, randomBelow(*control, raceSpread * (attempt + 1)));
+    }
+    if (maybeWritten) {
+        co_return makeError(ErrorCode::OutcomeUnknown, "the edit was sent, but its answer was lost: " + last.detail, RunState::Maybe);
+    }
+    co_return makeError(ErrorCode::PlatformUnavailable, last.detail);
+}
+
+} // namespace
+
+asio::awaitable<Result<std::pair<ConfigHead, KvVersion>>> readHead(ControlPtr control)
+{
+    auto entry = co_await kvGet(*control->kv, "config/head");
+    notePlatform(*control);
+    if (!isOk(entry)) {
+        co_return makeError(ErrorCode::PlatformUnavailable, errorOf(entry).detail);
+    }
+    std::pair<ConfigHead, KvVersion> read;
+    if (!valueOf(entry)) {
+        co_return read;
+    }
+    auto head = headFromJson(valueOf(entry)->value);
+    if (!isOk(head)) {
+        co_return errorOf(head);
+    }
+    read.first = std::move(valueOf(head));
+    read.second = valueOf(entry)->version;
+    co_return read;
+}
+
+asio::awaitable<Result<EditResult>> commitEdit(ControlPtr control, ConfigEdit edit)
+{
+    auto result = co_await retryEdit(control, edit);
+    countEdit(control, edit, result);
+    co_return result;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/control/control.cpp
@@ -0,0 +1,191 @@
+/** @file control.cpp Construction of the control part, its start and its entry points for other threads. */
+#include "control/controller_func.h"
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto refusedMemory = 30s; // A refusal is believed longer than the platform's list lags.
+
+asio::awaitable<void> serveAdmin(std::weak_ptr<Control::Impl> weak, HttpRequest request, HttpResponder &responder)
+{
+    const ControlPtr control = weak.lock();
+    if (!control) {
+        co_return;
+    }
+    HttpResponse response = co_await answerAdmin(control, std::move(request));
+    co_await sendResponse(responder, std::move(response));
+}
+
+StatusHandlers statusHandlers(const std::weak_ptr<Control::Impl> &weak)
+{
+    StatusHandlers handlers;
+    handlers.onStatus = [weak](HostStatus status) {
+        if (const ControlPtr control = weak.lock()) {
+            takeStatus(control, std::move(status));
+        }
+    };
+    handlers.onYield = [weak](YieldMessage message) {
+        const ControlPtr control = weak.lock();
+        if (control && control->batch) {
+            addCounter(*control->context.metrics, "skylark_yield_messages_total", {{"direction", "received"}});
+            asio::post(control->context.batch, [batch = control->batch, message = std::move(message)] {
+                yieldBatch(*batch, message.target, message.slots);
+            });
+        }
+    };
+    return handlers;
+}
+
+/** Sends the yield message; runs on the control thread. */
+void sendYieldTo(const ControlPtr &control, const TargetId &target, unsigned slots)
+{
+    const auto found = control->targets.find(target);
+    const auto owner = found == control->targets.end() ? control->hosts.end() : control->hosts.find(found->second.owner);
+    if (owner == control->hosts.end()) {
+        return;
+    }
+    addCounter(*control->context.metrics, "skylark_yield_messages_total", {{"direction", "sent"}});
+    sendYield(*control->exchange, {.from = control->self.id, .target = target, .slots = slots}, owner->second.info.status);
+}
+
+/** @return The batch owner of @p target in the present snapshot. */
+HostId snapshotOwner(const ControlSnapshot &snapshot, const TargetId &target)
+{
+    const auto found = std::find_if(snapshot.targets.begin(), snapshot.targets.end(), [&target](const TargetView &view) {
+        return view.info.id == target;
+    });
+    return found == snapshot.targets.end() ? HostId() : found->batchOwner;
+}
+
+} // namespace
+
+Control::Impl::Impl(HostContext &hostContext, PeerRpc &peerRpc)
+    : context(hostContext)
+    , rpc(peerRpc)
+    , pullWakeup{asio::steady_timer(hostContext.control)}
+    , watchWakeup{asio::steady_timer(hostContext.control)}
+    , leaseWakeup{asio::steady_timer(hostContext.control)}
+    , publishTimer(hostContext.control)
+    , statusTimer(hostContext.control)
+{
+}
+
+Result<std::shared_ptr<Control>> Control::create(HostContext &context, PeerRpc &rpc, std::shared_ptr<BatchService> batch)
+{
+    const Settings &settings = *context.settings;
+    const HostInfo *self = settings.self();
+    if (self == nullptr) {
+        return makeError(ErrorCode::InvalidSettings, "host " + settings.host.value + " is not in the list of hosts");
+    }
+    auto impl = std::make_shared<Impl>(context, rpc);
+    impl->batch = std::move(batch);
+    impl->self = *self;
+    impl->session = SessionId{randomIdHex()};
+    impl->incarnation = static_cast<std::uint64_t>(unixNow().time_since_epoch().count());
+    impl->reportSequence = impl->incarnation;
+    impl->random = settings.seed != 0 ? settings.seed : hash64(impl->session.value);
+    impl->http = HttpClient::create(context.control.get_executor());
+    for (const HostInfo &host : settings.hosts) {
+        if (host.id != settings.host) {
+            impl->hosts[host.id].info = host;
+        }
+    }
+    auto kv = KvClient::create(settings.platform, impl->http);
+    if (!isOk(kv)) {
+        return errorOf(kv);
+    }
+    impl->kv = std::move(valueOf(kv));
+    auto exchange = StatusExchange::create(context.control.get_executor(), self->status, statusHandlers(impl));
+    if (!isOk(exchange)) {
+        return errorOf(exchange);
+    }
+    impl->exchange = std::move(valueOf(exchange));
+    HttpServerOptions options;
+    options.listen = self->admin;
+    const std::weak_ptr<Impl> weak = impl;
+    auto admin = HttpServer::create(context.control.get_executor(), std::move(options), [weak](HttpRequest request, HttpResponder &responder) {
+        return serveAdmin(weak, std::move(request), responder);
+    });
+    if (!isOk(admin)) {
+        return errorOf(admin);
+    }
+    impl->admin = std::move(valueOf(admin));
+    markChanged(impl); // Other parts need the session before the first answer of the service.
+    auto control = std::make_shared<Control>();
+    control->impl = std::move(impl);
+    return control;
+}
+
+void startControl(Control &handle)
+{
+    const ControlPtr &control = handle.impl;
+    LOG(INFO) << "[member] host " << control->self.id.value << " starts session " << control->session.value;
+    const auto spawn = [&control](asio::awaitable<void> controller) {
+        asio::co_spawn(control->context.control, std::move(controller), asio::detached);
+    };
+    spawn(runLease(control));
+    spawn(runConfigWatch(control));
+    spawn(runPulls(control));
+    spawn(runMembership(control));
+    spawn(runTargetList(control));
+    spawn(runLoadPolls(control));
+    spawn(runJobWatch(control));
+}
+
+void requestYield(Control &handle, const TargetId &target, unsigned slots)
+{
+    ControlPtr control = handle.impl;
+    const auto snapshot = control->context.snapshot->current.load();
+    if (snapshotOwner(*snapshot, target) == control->self.id) {
+        if (control->batch) {
+            asio::post(control->context.batch, [batch = control->batch, target, slots] {
+                yieldBatch(*batch, target, slots);
+            });
+        }
+        return;
+    }
+    asio::post(control->context.control, [control, target, slots] {
+        sendYieldTo(control, target, slots);
+    });
+}
+
+void reportLeaving(Control &handle, const TargetId &target)
+{
+    ControlPtr control = handle.impl;
+    asio::post(control->context.control, [control, target] {
+        const auto found = control->targets.find(target);
+        if (found != control->targets.end()) {
+            found->second.refusedUntil = BootClock::now() + refusedMemory;
+            evaluateTargets(control);
+        }
+    });
+}
+
+asio::awaitable<void> announceLeaving(Control &handle)
+{
+    constexpr int repetitions = 3; // A lost datagram must not hide the planned stop.
+    constexpr auto gap = 20ms;
+    ControlPtr control = handle.impl;
+    control->stopping = true;
+    signal(control->watchWakeup);
+    evaluateTargets(control);
+    markChanged(control);
+    LOG(INFO) << "[member] planned stop announced";
+    for (int i = 0; i < repetitions; ++i) {
+        sendStatusNow(*control, true);
+        co_await pauseFor(control, gap);
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/control/control_impl_base.h
@@ -0,0 +1,115 @@
+/** @file control_impl_base.h State of the control thread, shared by its controllers. */
+#pragma once
+
+#include "control/control_base.h"
+#include "http/http_client_func.h"
+#include "http/http_server_func.h"
+#include "peer/status_exchange_func.h"
+#include "platform/kv_client_func.h"
+#include "policy/revision_type.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace skylark {
+
+/** Wakes one waiting coroutine; a signal without a waiter is kept. */
+struct Wakeup {
+    boost::asio::steady_timer timer; ///< Waited on.
+    bool signalled{false}; ///< Whether a signal is kept.
+};
+
+/** Outage state of the key-value service and the bucket of background calls. */
+struct PlatformGate {
+    bool down{false}; ///< Whether the last call had no answer.
+    TimePoint downSince{}; ///< Start of the outage.
+    TimePoint openAt{}; ///< Background calls wait until then after an outage.
+    double tokens{0}; ///< Background calls that may be made at once.
+    TimePoint refilledAt{}; ///< Time of the last refill.
+};
+
+/** Session lease of this host. */
+struct LeaseState {
+    LeaseId id; ///< Lease; empty when there is none.
+    TimePoint deadline{}; ///< Effects after it are not allowed.
+    bool lapsed{false}; ///< Whether the lapse was logged.
+    bool ended{false}; ///< Whether a planned stop has ended the session.
+};
+
+/** What this host knows of another host. */
+struct HostEntry {
+    HostInfo info; ///< From the settings.
+    HostStatus status; ///< Last accepted status.
+    TimePoint heardAt{}; ///< Time of its arrival.
+    HostState state{HostState::Unknown}; ///< Liveness.
+    std::uint64_t jobsSeen{0}; ///< Job cursor of its last bundle, for its present incarnation.
+    std::set<TargetId> leavingTargets; ///< Targets that it says are leaving.
+};
+
+/** What this host knows of a target of its failure domain. */
+struct TargetEntry {
+    TargetInfo info; ///< From the platform's list.
+    LoadReport report; ///< Last report, own or relayed.
+    HostId reporter; ///< Host that polled it.
+    TimePoint refusedUntil{}; ///< Refused work as leaving; believed until then.
+    bool leavingKnown{false}; ///< Leaving at the last evaluation.
+    HostId owner; ///< Batch owner at the last evaluation.
+    bool polling{false}; ///< Whether a poll is in flight.
+    double baselineStepMs{0}; ///< Long-term average of the step time in milliseconds.
+    double declineFactor{1.0}; ///< Step time over that of peers with the same model.
+};
+
+/** A job with the local serial number of its last change. */
+struct JobEntry {
+    std::shared_ptr<const JobRecord> record; ///< Record.
+    std::uint64_t serial{0}; ///< Local change number; 0 when it was relayed by a peer, which offers it itself.
+};
+
+/** State of the control thread. */
+struct Control::Impl {
+    HostContext &context; ///< Facilities.
+    PeerRpc &rpc; ///< Outgoing calls to peers.
+    std::shared_ptr<BatchService> batch; ///< Batch part; null in tests.
+    HostInfo self; ///< This host.
+    SessionId session; ///< This run.
+    std::uint64_t incarnation{0}; ///< Start time in Unix milliseconds.
+    std::uint64_t sequence{0}; ///< Status datagrams made.
+    std::uint64_t random{0}; ///< State of the random sequence.
+    std::shared_ptr<HttpClient> http; ///< Transport.
+    std::shared_ptr<KvClient> kv; ///< Key-value service.
+    std::unique_ptr<StatusExchange> exchange; ///< Status socket.
+    std::unique_ptr<HttpServer> admin; ///< Operators' server.
+
+    ConfigState config; ///< Configuration.
+    std::shared_ptr<const FleetConfig> fleet; ///< Configuration resolved; null until confirmed.
+    PlatformGate gate; ///< Calls to the key-value service.
+    LeaseState lease; ///< Session lease.
+    std::map<HostId, HostEntry> hosts; ///< All other hosts.
+    std::map<TargetId, TargetEntry> targets; ///< Targets of this failure domain.
+    std::vector<TargetInfo> targetList; ///< Last list, of all failure domains.
+    bool targetsKnown{false}; ///< Whether a list was ever read.
+    std::vector<HostId> ownersFor; ///< Live hosts that the batch owners were chosen from.
+    bool ownersOutdated{true}; ///< Whether the targets have changed since.
+    std::uint64_t reportSequence{0}; ///< Sequence of the last load report; starts at the incarnation, so that it rises over a restart.
+    std::map<JobId, JobEntry> jobs; ///< Known jobs.
+    std::uint64_t jobSerial{0}; ///< Last local change number.
+    bool stopping{false}; ///< Planned stop.
+
+    Wakeup pullWakeup; ///< Peers have news.
+    Wakeup watchWakeup; ///< Watcher role may have changed.
+    Wakeup leaseWakeup; ///< Lease controller may end.
+    boost::asio::steady_timer publishTimer; ///< Next publication.
+    bool publishPending{false}; ///< Whether a publication is scheduled.
+    TimePoint publishedAt{}; ///< Last publication.
+    boost::asio::steady_timer statusTimer; ///< Next status sent at once.
+    bool statusPending{false}; ///< Whether a status is about to be sent.
+    unsigned remoteRounds{0}; ///< Rounds sent to other failure domains.
+
+    Impl(HostContext &hostContext, PeerRpc &peerRpc);
+};
+
+using ControlPtr = std::shared_ptr<Control::Impl>;
+
+} // namespace skylark
--- /dev/null
+++ b/src/control/pull_controller.cpp
@@ -0,0 +1,134 @@
+/** @file pull_controller.cpp State pulled from peers, and the answers to their pulls. */
+#include "config/config_json_func.h"
+#include "control/controller_func.h"
+#include "policy/revision_func.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <glog/logging.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto pullTimeout = 2s; // Leaves time for a second peer within the 5 s of P9.
+constexpr auto pullIdle = 1s;
+
+/** @return Whether @p host has something that this host lacks. */
+bool hasNews(const Control::Impl &control, const HostEntry &host)
+{
+    if (host.state == HostState::Unknown || host.state == HostState::Dead) {
+        return false;
+    }
+    const bool sameDomain = host.info.domain == control.self.domain;
+    const bool confirms = !control.config.confirmed && sameDomain && host.status.ready;
+    return confirms || host.status.configRevision > control.config.revision || (sameDomain && host.status.jobsCursor > host.jobsSeen);
+}
+
+/** @return The host to pull from: the highest revision first, then this domain, then a random one. */
+HostEntry *choosePeer(Control::Impl &control, const std::set<HostId> &failed)
+{
+    HostEntry *best = nullptr;
+    const auto rank = [&control](const HostEntry &host) {
+        return std::tuple(std::max(host.status.configRevision, control.config.revision), host.info.domain == control.self.domain);
+    };
+    std::int64_t ties = 0;
+    for (auto &[id, host] : control.hosts) {
+        if (!hasNews(control, host) || failed.contains(id)) {
+            continue;
+        }
+        if (best == nullptr || rank(host) > rank(*best)) {
+            best = &host;
+            ties = 1;
+        } else if (rank(host) == rank(*best) && randomBelow(control, std::chrono::nanoseconds(++ties)).count() == 0) {
+            best = &host;
+        }
+    }
+    return best;
+}
+
+void takeTargets(const ControlPtr &control, const std::string &text)
+{
+    if (control->targetsKnown || text.empty()) {
+        return;
+    }
+    auto list = targetsFromJson(text);
+    if (isOk(list)) {
+        takeTargetList(control, std::move(valueOf(list)));
+    }
+}
+
+/** Pulls once. @return Whether the peer answered. */
+asio::awaitable<bool> pullFrom(ControlPtr control, HostId peer)
+{
+    const HostEntry before = control->hosts.at(peer);
+    auto pulled = co_await peerPullState(control->rpc, before.info.peerRpc, control->config.revision, before.jobsSeen, pullTimeout);
+    addCounter(*control->context.metrics, "skylark_pulls_total", {{"outcome", isOk(pulled) ? "ok" : "failed"}});
+    if (!isOk(pulled)) {
+        VLOG(1) << "[peer] pull from " << peer.value << " failed; " << errorOf(pulled).detail;
+        co_return false;
+    }
+    const StateBundle &bundle = valueOf(pulled);
+    if (!bundle.documents.empty()) {
+        const auto documents = bundleFromJson(bundle.documents);
+        if (!isOk(documents)) {
+            LOG(WARNING) << "[peer] bundle of " << peer.value << " is malformed; " << errorOf(documents).detail;
+            co_return false;
+        }
+        takeBundle(control, valueOf(documents), peer);
+    }
+    takeTargets(control, bundle.targets);
+    takeJobs(control, bundle.jobs);
+    HostEntry &host = control->hosts.at(peer);
+    if (host.status.incarnation == before.status.incarnation) {
+        host.jobsSeen = std::max(host.jobsSeen, bundle.jobsCursor);
+    }
+    co_return true;
+}
+
+Result<StateBundle> makeBundle(const Control::Impl &control, Revision known, std::uint64_t jobsCursor)
+{
+    if (!control.config.confirmed) {
+        // An answer confirms the configuration of a starting host, so a host that is starting itself must not give one.
+        return makeError(ErrorCode::NotReady, "no confirmed configuration yet");
+    }
+    StateBundle bundle;
+    bundle.revision = control.config.revision;
+    bundle.documents = bundleToJson(bundleSince(control.config, known));
+    bundle.targets = control.targetsKnown ? targetsToJson(control.targetList) : std::string();
+    bundle.jobs = jobsSince(control, jobsCursor);
+    bundle.jobsCursor = control.jobSerial;
+    return bundle;
+}
+
+} // namespace
+
+asio::awaitable<void> runPulls(ControlPtr control)
+{
+    while (!control->lease.ended) {
+        std::set<HostId> failed;
+        while (const HostEntry *peer = choosePeer(*control, failed)) {
+            const HostId id = peer->info.id;
+            const bool answered = co_await pullFrom(control, id);
+            const auto &entry = control->hosts.at(id);
+            if (!answered || hasNews(*control, entry)) {
+                // A peer that answers without being of use is not asked again in this round.
+                failed.insert(id);
+            }
+        }
+        co_await waitFor(control, control->pullWakeup, pullIdle);
+    }
+}
+
+void pullState(Control &handle, Revision known, std::uint64_t jobsCursor, std::function<void(Result<StateBundle>)> reply)
+{
+    ControlPtr control = handle.impl;
+    asio::post(control->context.control, [control, known, jobsCursor, reply = std::move(reply)] {
+        reply(makeBundle(*control, known, jobsCursor));
+    });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/control/snapshot.cpp
@@ -0,0 +1,107 @@
+/** @file snapshot.cpp Publication of the control snapshot. */
+#include "control/controller_func.h"
+#include "core/invariant_func.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::nanoseconds publishInterval = 20ms; // Bounds the cost of copying the state at 50 times a second.
+
+/** @return Online streams that other hosts of the domain say they have, by target. */
+std::unordered_map<TargetId, unsigned> onlineElsewhere(const Control::Impl &control)
+{
+    std::unordered_map<TargetId, unsigned> streams;
+    for (const auto &[id, host] : control.hosts) {
+        if (host.info.domain != control.self.domain || host.state == HostState::Dead || host.state == HostState::Unknown) {
+            continue;
+        }
+        for (const auto &[target, count] : host.status.onlineInFlight) {
+            streams[target] += count;
+        }
+    }
+    return streams;
+}
+
+std::vector<TargetView> targetViews(const Control::Impl &control)
+{
+    const auto elsewhere = onlineElsewhere(control);
+    std::vector<TargetView> views;
+    views.reserve(control.targets.size());
+    for (const auto &[id, target] : control.targets) {
+        const auto streams = elsewhere.find(id);
+        views.push_back({.info = target.info,
+                         .report = target.report,
+                         .leaving = target.leavingKnown,
+                         .batchOwner = target.owner,
+                         .onlineElsewhere = streams == elsewhere.end() ? 0 : streams->second,
+                         .declineFactor = target.declineFactor});
+    }
+    return views;
+}
+
+std::vector<HostView> hostViews(const Control::Impl &control)
+{
+    std::vector<HostView> views;
+    views.reserve(control.hosts.size() + 1);
+    views.push_back({.info = control.self,
+                     .state = control.stopping ? HostState::Leaving : HostState::Live,
+                     .session = control.session,
+                     .configRevision = control.config.revision,
+                     .freeByModel = freeSlotsByModel(control)});
+    for (const auto &[id, host] : control.hosts) {
+        views.push_back({.info = host.info,
+                         .state = host.state,
+                         .session = host.status.session,
+                         .configRevision = host.status.configRevision,
+                         .freeByModel = host.status.freeByModel});
+    }
+    return views;
+}
+
+void publish(Control::Impl &control)
+{
+    auto next = std::make_shared<ControlSnapshot>();
+    next->self = control.self;
+    next->session = control.session;
+    next->config = control.fleet;
+    next->targets = targetViews(control);
+    next->hosts = hostViews(control);
+    for (const auto &[id, job] : control.jobs) {
+        next->jobs.push_back(job.record);
+    }
+    next->leaseDeadline = control.lease.deadline;
+    next->ready = control.fleet != nullptr && control.targetsKnown;
+    next->stopping = control.stopping;
+    next->platformReachable = !control.gate.down;
+    const auto previous = control.context.snapshot->current.load();
+    if (previous->config) {
+        SKY_INVARIANT(Promise::ConfigForward, next->config && next->config->revision >= previous->config->revision);
+    }
+    control.context.snapshot->current.store(std::move(next));
+    control.publishedAt = BootClock::now();
+}
+
+} // namespace
+
+void markChanged(const ControlPtr &control)
+{
+    if (control->publishPending) {
+        return;
+    }
+    control->publishPending = true;
+    const auto since = BootClock::now() - control->publishedAt;
+    control->publishTimer.expires_after(std::max<std::chrono::nanoseconds>(publishInterval - since, 0ns));
+    control->publishTimer.async_wait([control](const boost::system::error_code &error) {
+        control->publishPending = false;
+        if (!error) {
+            publish(*control);
+        }
+    });
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/control/target_controller.cpp
@@ -0,0 +1,209 @@
+/** @file target_controller.cpp Batch owners, load reports and leaving targets. */
+#include "control/controller_func.h"
+#include "core/hash_func.h"
+#include "engine/engine_client_func.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <glog/logging.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr HttpTimeouts pollTimeouts{.connect = 300ms, .send = 300ms, .firstByte = 800ms, .idle = 500ms};
+constexpr auto declineInterval = 5s;
+constexpr double baselineGain = 0.002; // At two polls a second, a time constant of about four minutes.
+
+HostId ownerOf(const TargetId &target, const std::vector<HostId> &live)
+{
+    const auto best = std::max_element(live.begin(), live.end(), [&target](const HostId &left, const HostId &right) {
+        return rendezvousScore(target.value, left.value) < rendezvousScore(target.value, right.value);
+    });
+    return best == live.end() ? HostId() : *best;
+}
+
+/** @return Targets that peers which are not dead say are leaving. */
+std::set<TargetId> leavingByPeers(const Control::Impl &control)
+{
+    std::set<TargetId> leaving;
+    for (const auto &[id, host] : control.hosts) {
+        if (host.state != HostState::Dead && host.state != HostState::Unknown) {
+            leaving.insert(host.leavingTargets.begin(), host.leavingTargets.end());
+        }
+    }
+    return leaving;
+}
+
+/** Sets each target's step time over the median of the targets with the same model; 1 where fewer than three are known. */
+void evaluateDecline(Control::Impl &control)
+{
+    std::map<std::pair<ModelId, std::string>, std::vector<double>> stepsByModel;
+    for (const auto &[id, target] : control.targets) {
+        for (const LoadedModel &model : target.report.models) {
+            if (target.report.stepMs > 0) {
+                stepsByModel[{model.name, model.version}].push_back(target.report.stepMs);
+            }
+        }
+    }
+    std::map<std::pair<ModelId, std::string>, double> medians;
+    for (auto &[model, steps] : stepsByModel) {
+        const auto middle = steps.begin() + static_cast<std::ptrdiff_t>(steps.size() / 2);
+        std::nth_element(steps.begin(), middle, steps.end());
+        medians[model] = steps.size() < 3 ? 0.0 : *middle;
+    }
+    for (auto &[id, target] : control.targets) {
+        target.declineFactor = 1.0;
+        for (const LoadedModel &model : target.report.models) {
+            const double median = medians[{model.name, model.version}];
+            if (median > 0 && target.report.stepMs > 0) {
+                target.declineFactor = std::max(target.declineFactor, target.report.stepMs / median);
+            }
+        }
+    }
+}
+
+/** Assigns batch owners when the live hosts or the targets have changed. */
+bool evaluateOwners(Control::Impl &control)
+{
+    auto live = liveDomainHosts(control);
+    if (!control.ownersOutdated && live == control.ownersFor) {
+        return false;
+    }
+    bool changed = false;
+    for (auto &[id, target] : control.targets) {
+        HostId owner = ownerOf(id, live);
+        changed = changed || owner != target.owner;
+        target.owner = std::move(owner);
+    }
+    control.ownersFor = std::move(live);
+    control.ownersOutdated = false;
+    return changed;
+}
+
+void takeReport(Control::Impl &control, TargetEntry &target, LoadReport report, const HostId &reporter)
+{
+    report.receivedAt = BootClock::now();
+    if (report.stepMs > 0) {
+        target.baselineStepMs = target.baselineStepMs <= 0 ? report.stepMs : target.baselineStepMs + baselineGain * (report.stepMs - target.baselineStepMs);
+    }
+    noteReport(*control.context.loads, target.info.id, report.sequence, report.receivedAt);
+    target.report = std::move(report);
+    target.reporter = reporter;
+}
+
+asio::awaitable<void> pollTarget(ControlPtr control, TargetId id, Endpoint endpoint)
+{
+    auto report = co_await readLoad(control->http, std::move(endpoint), pollTimeouts);
+    addCounter(*control->context.metrics, "skylark_load_polls_total", {{"outcome", isOk(report) ? "ok" : "failed"}});
+    const auto found = control->targets.find(id);
+    if (found == control->targets.end()) {
+        co_return;
+    }
+    TargetEntry &target = found->second;
+    target.polling = false;
+    if (!isOk(report)) {
+        VLOG(1) << "[member] load of target " << id.value << " could not be read; " << errorOf(report).detail;
+        co_return;
+    }
+    valueOf(report).sequence = ++control->reportSequence;
+    takeReport(*control, target, std::move(valueOf(report)), control->self.id);
+    evaluateTargets(control);
+    markChanged(control);
+}
+
+} // namespace
+
+bool leavingFirstHand(const Control::Impl &control, const TargetEntry &target, TimePoint now)
+{
+    const bool draining = target.report.draining && target.reporter == control.self.id;
+    return target.info.leaving || draining || now < target.refusedUntil;
+}
+
+void takeTargetStatuses(Control::Impl &control, HostEntry &sender)
+{
+    sender.leavingTargets.clear();
+    if (sender.info.domain != control.self.domain) {
+        return;
+    }
+    for (const TargetStatus &status : sender.status.targets) {
+        if (status.leaving) {
+            sender.leavingTargets.insert(status.target);
+        }
+        const auto found = control.targets.find(status.target);
+        if (found == control.targets.end() || status.report.sequence == 0 || found->second.owner == control.self.id) {
+            continue;
+        }
+        TargetEntry &target = found->second;
+        if (target.reporter == sender.info.id && status.report.sequence <= target.report.sequence) {
+            continue;
+        }
+        takeReport(control, target, status.report, sender.info.id);
+        if (status.baselineStepMs > 0) {
+            target.baselineStepMs = status.baselineStepMs;
+        }
+    }
+}
+
+void evaluateTargets(const ControlPtr &control)
+{
+    const TimePoint now = BootClock::now();
+    const auto byPeers = leavingByPeers(*control);
+    bool changed = evaluateOwners(*control);
+    bool push = false;
+    for (auto &[id, target] : control->targets) {
+        const bool firstHand = leavingFirstHand(*control, target, now);
+        const bool leaving = firstHand || byPeers.contains(id);
+        if (leaving != target.leavingKnown) {
+            LOG(INFO) << "[place] target " << id.value << (leaving ? " is leaving" : " is no longer leaving");
+            push = push || (leaving && firstHand);
+            changed = true;
+        }
+        target.leavingKnown = leaving;
+    }
+    if (push) {
+        pushStatus(control);
+    }
+    if (changed) {
+        markChanged(control);
+    }
+}
+
+std::vector<std::pair<ModelId, unsigned>> freeSlotsByModel(const Control::Impl &control)
+{
+    std::map<ModelId, unsigned> free;
+    for (const auto &[id, target] : control.targets) {
+        const unsigned busy = target.report.running + target.report.waiting;
+        const unsigned slots = target.leavingKnown || busy >= target.report.slots ? 0 : target.report.slots - busy;
+        for (const LoadedModel &model : target.report.models) {
+            free[model.name] += slots;
+        }
+    }
+    return {free.begin(), free.end()};
+}
+
+asio::awaitable<void> runLoadPolls(ControlPtr control)
+{
+    TimePoint nextDecline = BootClock::now();
+    while (!control->lease.ended) {
+        if (BootClock::now() >= nextDecline) {
+            nextDecline = BootClock::now() + declineInterval;
+            evaluateDecline(*control);
+        }
+        evaluateTargets(control);
+        for (auto &[id, target] : control->targets) {
+            if (target.info.kind != TargetKind::Engine || target.owner != control->self.id || target.polling) {
+                continue;
+            }
+            target.polling = true;
+            asio::co_spawn(control->context.control, pollTarget(control, id, target.info.endpoint), asio::detached);
+        }
+        co_await pauseFor(control, control->context.settings->loadPollInterval);
+    }
+}
+
+} // namespace skylark
