--- /dev/null
+++ b/tests/test_items.cpp
@@ -0,0 +1,149 @@
+/** @file test_items.cpp Order of batch work and attempts of items. */
+#include "policy/batch_order_func.h"
+#include "policy/item_attempt_func.h"
+#include "support/batch_property.h"
+
+#include <set>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct ItemFixture {
+    ItemHistory history; ///< Item under test.
+
+    AttemptDecision fail(const std::string &target, ErrorCode code, bool died = false, bool alone = false)
+    {
+        AttemptDecision decision = nextAttempt(this->history, {TargetId{target}, code, died, alone}, 4);
+        this->history = decision.history;
+        return decision;
+    }
+};
+
+struct OrderFixture {
+    UnixTime now{1000000s}; ///< Present time.
+
+    [[nodiscard]] JobDemand job(const std::string &id, std::chrono::seconds due, std::uint64_t left = 0, double share = 1.0) const
+    {
+        return {JobId{id}, share, this->now + due, this->now, left};
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ItemFixture, "nextAttempt_targetRejectsItem_failsAtOnce")
+{
+    const AttemptDecision decision = this->fail("a", ErrorCode::TargetRejected);
+    CHECK(decision.action == AttemptAction::Fail);
+    CHECK(decision.failure == ErrorCode::TargetRejected);
+}
+
+TEST_CASE_METHOD(ItemFixture, "nextAttempt_fourFailures_exhaustsAttempts")
+{
+    CHECK(this->fail("a", ErrorCode::TargetFailed).action == AttemptAction::Retry);
+    CHECK(this->fail("b", ErrorCode::StreamBroken).action == AttemptAction::Retry);
+    CHECK(this->fail("c", ErrorCode::IdleTimeout).action == AttemptAction::Retry);
+    const AttemptDecision last = this->fail("d", ErrorCode::TargetFailed);
+    CHECK(last.action == AttemptAction::Fail);
+    CHECK(last.failure == ErrorCode::AttemptsExhausted);
+}
+
+// Guards against a yield or a full target using up the attempts of a good item.
+TEST_CASE_METHOD(ItemFixture, "nextAttempt_yieldedOrNotRun_costsNoAttempt")
+{
+    for (int i = 0; i < 20; ++i) {
+        CHECK(this->fail("a", ErrorCode::Cancelled).action == AttemptAction::Retry);
+        CHECK(this->fail("a", ErrorCode::TargetOverloaded).action == AttemptAction::Retry);
+        CHECK(this->fail("a", ErrorCode::ConnectFailed).action == AttemptAction::Retry);
+    }
+    CHECK(this->history.attempts == 0);
+}
+
+// Guards against an item that kills its target taking down one target after another.
+TEST_CASE_METHOD(ItemFixture, "nextAttempt_aloneWhenTwoTargetsDied_suspectedPoison")
+{
+    CHECK(this->fail("a", ErrorCode::StreamBroken, true, false).action == AttemptAction::RetryAlone);
+    CHECK(this->fail("b", ErrorCode::StreamBroken, true, true).action == AttemptAction::RetryAlone);
+    const AttemptDecision last = this->fail("c", ErrorCode::StreamBroken, true, true);
+    CHECK(last.action == AttemptAction::Fail);
+    CHECK(last.failure == ErrorCode::SuspectedPoison);
+}
+
+TEST_CASE_METHOD(ItemFixture, "mayTryTarget_triedTarget_onlyWhenAllWereTried")
+{
+    this->fail("a", ErrorCode::TargetFailed);
+    CHECK_FALSE(mayTryTarget(this->history, TargetId{"a"}, {TargetId{"a"}, TargetId{"b"}}));
+    CHECK(mayTryTarget(this->history, TargetId{"b"}, {TargetId{"a"}, TargetId{"b"}}));
+    CHECK(mayTryTarget(this->history, TargetId{"a"}, {TargetId{"a"}}));
+}
+
+TEST_CASE("nextAttempt_anyFailures_boundedAttemptsAndDeaths")
+{
+    const std::vector<ErrorCode> codes{
+        ErrorCode::Cancelled, ErrorCode::TargetOverloaded, ErrorCode::StreamBroken, ErrorCode::TargetFailed, ErrorCode::IdleTimeout, ErrorCode::TargetRejected};
+    CHECK(propertyHolds("bounded attempts", 300, [&codes] {
+        ItemHistory history;
+        const auto maxAttempts = *rc::gen::inRange(1U, 7U);
+        unsigned counted = 0;
+        unsigned deaths = 0;
+        for (int step = 0; step < 60; ++step) {
+            const ErrorCode code = codes[*rc::gen::inRange<std::size_t>(0, codes.size())];
+            const bool died = code == ErrorCode::StreamBroken && *rc::gen::arbitrary<bool>();
+            const bool alone = *rc::gen::arbitrary<bool>();
+            const AttemptDecision decision = nextAttempt(history, {TargetId{std::to_string(step)}, code, died, alone}, maxAttempts);
+            counted += code == ErrorCode::Cancelled || code == ErrorCode::TargetOverloaded ? 0 : 1;
+            deaths += died && alone ? 1 : 0;
+            RC_ASSERT(decision.history.attempts == counted);
+            RC_ASSERT(counted <= maxAttempts);
+            RC_ASSERT(deaths <= 2U);
+            const bool mustFail = code == ErrorCode::TargetRejected || counted == maxAttempts || deaths == 2;
+            RC_ASSERT((decision.action == AttemptAction::Fail) == mustFail);
+            if (mustFail) {
+                return;
+            }
+            RC_ASSERT((decision.action == AttemptAction::RetryAlone) == decision.history.suspect);
+            history = decision.history;
+        }
+    }));
+}
+
+TEST_CASE_METHOD(OrderFixture, "orderJobs_lessSlack_comesFirst")
+{
+    const std::vector<JobDemand> jobs{this->job("late", 1000s), this->job("soon", 500s)};
+    CHECK(orderJobs(jobs, this->now, 0) == std::vector<std::size_t>{1, 0});
+    const std::vector<JobDemand> large{this->job("late", 1000s, 900), this->job("soon", 500s, 10)};
+    CHECK(orderJobs(large, this->now, 1.0) == std::vector<std::size_t>{0, 1});
+}
+
+TEST_CASE_METHOD(OrderFixture, "orderJobs_largerShare_comesFirstAtEqualSlack")
+{
+    const std::vector<JobDemand> jobs{this->job("small", 1000s, 0, 1.0), this->job("large", 1000s, 0, 3.0)};
+    CHECK(orderJobs(jobs, this->now, 0) == std::vector<std::size_t>{1, 0});
+    const std::vector<JobDemand> overdue{this->job("small", -10s, 0, 1.0), this->job("large", -10s, 0, 3.0)};
+    CHECK(orderJobs(overdue, this->now, 0) == std::vector<std::size_t>{1, 0});
+}
+
+TEST_CASE_METHOD(OrderFixture, "isDueAtRisk_rateTooLow_isReported")
+{
+    CHECK(isDueAtRisk(this->now + 10s, this->now, 100, 5.0));
+    CHECK_FALSE(isDueAtRisk(this->now + 30s, this->now, 100, 5.0));
+    CHECK_FALSE(isDueAtRisk(this->now - 10s, this->now, 0, 5.0));
+    CHECK(isDueAtRisk(this->now - 10s, this->now, 1, 0.0));
+}
+
+TEST_CASE("walkOrder_anyHostAndJob_visitsEachGroupOnce")
+{
+    CHECK(propertyHolds("walk is a permutation", 300, [] {
+        const HostId host{std::to_string(*rc::gen::inRange(0, 1000))};
+        const JobId job{std::to_string(*rc::gen::inRange(0, 1000))};
+        const auto count = *rc::gen::inRange(0U, 300U);
+        const auto order = walkOrder(host, job, count);
+        const std::set<std::uint32_t> seen(order.begin(), order.end());
+        RC_ASSERT(order.size() == count);
+        RC_ASSERT(seen.size() == count);
+        RC_ASSERT((seen.empty() || *seen.rbegin() == count - 1));
+        RC_ASSERT(order == walkOrder(host, job, count));
+    }));
+    CHECK(walkOrder(HostId{"a"}, JobId{"j"}, 100) != walkOrder(HostId{"b"}, JobId{"j"}, 100));
+}
