--- a/tests/test_engine.cpp
+++ b/tests/test_engine.cpp
@@ -288,3 +288,77 @@
     CHECK(this->stats()["orders"].get_array().empty());
     CHECK(valueOf(this->run(readLoad(this->http, this->endpoint, this->timeouts))).models.size() == 1);
 }
+
+// Guards against batch limits that are tested only with fresh load reports.
+TEST_CASE_METHOD(EngineFixture, "readLoad_streamsJustStarted_reportLags")
+{
+    const RunningProgram lagging = RunningProgram::create("standin-engine", {"--load_lag_ms=5000"});
+    auto stream = this->run(startGenerate(this->http, lagging.endpoint, this->makeCall("one", 50000), this->timeouts));
+    REQUIRE(isOk(stream));
+    const auto report = this->run(readLoad(this->http, lagging.endpoint, this->timeouts));
+    REQUIRE(isOk(report));
+    CHECK(valueOf(report).running == 0);
+    CHECK(valueOf(report).slots == 8);
+    CHECK(numberMember(this->callJson(lagging.endpoint, "GET", "/stats").get_object(), "running") == 1);
+}
+
+// Guards against batch work beyond the slots going unnoticed by the tests: the engine itself has no priorities.
+TEST_CASE_METHOD(EngineFixture, "startGenerate_moreThanSlots_waitsInOrderOfArrival")
+{
+    std::vector<GenerateStream> batch;
+    for (int i = 0; i < 2; ++i) {
+        auto stream = this->start(this->makeCall("batch" + std::to_string(i), 25));
+        REQUIRE(isOk(stream));
+        batch.push_back(std::move(valueOf(stream)));
+    }
+    CHECK_FALSE(this->generate(this->makeCall("online", 1)).error);
+    CHECK(this->stat("max_waiting") == 1);
+    // One batch stream has to end before the online one can run.
+    CHECK(this->stat("finished") >= 2);
+}
+
+namespace {
+
+/** A plain service and a client. */
+struct ServiceFixture : TestLoop {
+    RunningProgram standin{RunningProgram::create("standin-service")}; ///< Service.
+    HttpTimeouts timeouts; ///< Defaults.
+
+    Result<HttpResponse> order(const std::string &key)
+    {
+        HttpRequest request{"POST", "/orders", {{"idempotency-key", key}, {"X-Request-Id", "caller"}}, R"({"mask":"dodo"})"};
+        return this->run(callService(this->http, this->standin.endpoint, std::move(request), RequestId{key}, this->timeouts, ConnectionUse::Fresh));
+    }
+
+    json::object stats()
+    {
+        return this->callJson(this->standin.endpoint, "GET", "/stats").get_object();
+    }
+};
+
+} // namespace
+
+// Guards against a lost answer being reported as not run, which would let a caller repeat the order.
+TEST_CASE_METHOD(ServiceFixture, "callService_answerLost_reportsMaybeRun")
+{
+    const auto first = this->order("k1");
+    REQUIRE(isOk(first));
+    CHECK(valueOf(first).status == 201);
+    CHECK(headerValue(valueOf(first).headers, "x-request-id") == "k1");
+    this->callJson(this->standin.endpoint, "POST", "/faults", R"({"cut_after_executing":1})");
+    const auto lost = this->order("k2");
+    REQUIRE_FALSE(isOk(lost));
+    CHECK(errorOf(lost).run == RunState::Maybe);
+    CHECK(numberMember(this->stats(), "orders") == 2);
+    CHECK(numberMember(this->stats()["executions"].get_object(), "k2") == 1);
+}
+
+TEST_CASE_METHOD(ServiceFixture, "callService_serviceLeaving_isRefusedAsNotRun")
+{
+    this->callJson(this->standin.endpoint, "POST", "/faults", R"({"draining":true})");
+    const auto refused = this->order("k1");
+    REQUIRE(isOk(refused));
+    CHECK(valueOf(refused).status == 503);
+    CHECK(headerValue(valueOf(refused).headers, "x-not-run") == "1");
+    CHECK(numberMember(this->stats(), "orders") == 0);
+}
