--- /dev/null
+++ b/tests/support/traffic_fixture.h
@@ -0,0 +1,116 @@
+/** @file traffic_fixture.h A callers' server with stand-in targets on one event loop. */
+#pragma once
+
+#include "core/invariant_func.h"
+#include "http/http_client_func.h"
+#include "http/http_server_func.h"
+#include "traffic/caller_server_base.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace skylark {
+
+/** How a stand-in target answers generations and service calls. */
+enum class TargetMode : std::uint8_t {
+    Whole, ///< Completely.
+    Cut, ///< Closes the connection after cutAfter tokens; a service call closes it unanswered.
+    Silent, ///< Takes the request and never answers.
+    Stall, ///< Stops sending after cutAfter tokens.
+    NotRun, ///< 503 that says "not run".
+};
+
+/** A stand-in target on the loop of the test. */
+struct StubTarget {
+    boost::asio::io_context &loop; ///< Event loop.
+    std::unique_ptr<HttpServer> server; ///< Server.
+    TargetMode mode{TargetMode::Whole}; ///< Behaviour.
+    unsigned cutAfter{3}; ///< For Cut and Stall.
+    unsigned tokens{10}; ///< Tokens of a whole answer: "w0 ", "w1 " and so on.
+    bool draining{false}; ///< Told in the load report.
+    int generations{0}; ///< Generations received.
+    int serviceCalls{0}; ///< Service calls received.
+    int callersGone{0}; ///< Requests whose connection was closed early.
+    std::vector<HttpRequest> requests; ///< Requests received.
+
+    explicit StubTarget(boost::asio::io_context &context);
+    [[nodiscard]] Endpoint endpoint() const;
+    boost::asio::awaitable<void> handle(HttpRequest request, HttpResponder &responder);
+    boost::asio::awaitable<void> generate(HttpRequest request, HttpResponder &responder);
+    boost::asio::awaitable<void> waitUntilGone(HttpResponder &responder);
+};
+
+/** A stand-in key-value service with conditional writes. */
+struct StubStore {
+    std::unique_ptr<HttpServer> server; ///< Server.
+    std::map<std::string, std::pair<std::string, std::uint64_t>> values; ///< Value and version by path.
+
+    explicit StubStore(boost::asio::io_context &loop);
+    boost::asio::awaitable<void> handle(HttpRequest request, HttpResponder &responder);
+};
+
+/** A callers' server, its host and its targets. */
+struct TrafficFixture {
+    HostContext context; ///< Host.
+    std::shared_ptr<Settings> settings{std::make_shared<Settings>()}; ///< Settings.
+    std::shared_ptr<FleetConfig> config{std::make_shared<FleetConfig>()}; ///< Configuration with the workspace "atelier".
+    ControlSnapshot snapshot; ///< Published by publish().
+    std::vector<std::unique_ptr<StubTarget>> targets; ///< Targets.
+    std::unique_ptr<StubStore> store; ///< Key-value service.
+    std::shared_ptr<CallerServer> server; ///< Server under test.
+    std::shared_ptr<HttpClient> client; ///< Caller.
+    int violations{0}; ///< Invariant violations.
+    std::vector<std::pair<std::string, unsigned>> yields; ///< Yield requests.
+    std::vector<std::string> leaving; ///< Targets reported as leaving.
+
+    TrafficFixture();
+    ~TrafficFixture();
+
+    /** Adds an engine, or a service target when @p service is not empty. @param running Streams in its load report. */
+    StubTarget &addTarget(const std::string &service = {}, unsigned slots = 8, unsigned running = 0);
+    /** Makes the snapshot visible to the server. */
+    void publish();
+    /** @return The workspace, to be changed before publish(). */
+    WorkspaceConfig &workspace();
+    void startServer();
+    [[nodiscard]] Endpoint endpoint() const;
+
+    /** Runs @p task on the loop. */
+    template<typename T>
+    T run(boost::asio::awaitable<T> task)
+    {
+        std::optional<T> value;
+        boost::asio::co_spawn(this->context.online, std::move(task), [&value](const std::exception_ptr &, T result) {
+            value.emplace(std::move(result));
+        });
+        for (int i = 0; i < 100000 && !value; ++i) {
+            this->context.online.restart();
+            this->context.online.run_one_for(std::chrono::milliseconds(100));
+        }
+        REQUIRE(value);
+        return std::move(*value);
+    }
+
+    void runFor(std::chrono::milliseconds duration);
+    HttpResponse call(std::string method, std::string path, std::string body, HttpHeaders headers = {});
+    HttpResponse chat(bool stream, HttpHeaders headers = {});
+};
+
+/** @return The words "w0 " to "w<count - 1> ". */
+std::string words(unsigned count);
+
+/** @return The text in a whole answer or in the events of a streamed one. */
+std::string answerText(const HttpResponse &response);
+
+/** @return Member @p name of the error in @p response. */
+std::string errorMember(const HttpResponse &response, std::string_view name);
+
+} // namespace skylark
--- /dev/null
+++ b/tests/test_traffic.cpp
@@ -0,0 +1,327 @@
+/** @file test_traffic.cpp Callers' server: online generations against stand-in targets. */
+#include "support/traffic_fixture.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+TEST_CASE_METHOD(TrafficFixture, "chat_wholeAnswer_textUsageAndIdReturned")
+{
+    const StubTarget &target = this->addTarget();
+    this->startServer();
+    const HttpResponse response = this->chat(false, {{"x-request-id", "caller-1"}});
+    CHECK(response.status == 200);
+    CHECK(answerText(response) == words(10));
+    CHECK(headerValue(response.headers, "x-request-id") == "caller-1");
+    const json::value answer = json::parse(response.body);
+    CHECK(answer.at("usage").at("completion_tokens").as_int64() == 10);
+    CHECK(answer.at("usage").at("prompt_tokens").as_int64() == 7);
+    CHECK(answer.at("choices").at(0).at("finish_reason").as_string() == "stop");
+    REQUIRE(target.generations == 1);
+    CHECK(headerValue(target.requests[0].headers, "x-request-id") != "caller-1");
+    CHECK(metricValue(*this->context.metrics, "skylark_requests_total", {{"workspace", "atelier"}, {"code", "ok"}}) == 1);
+    CHECK_FALSE(decisionsOf(this->context.decisions, RequestId{"caller-1"}).empty());
+}
+
+TEST_CASE_METHOD(TrafficFixture, "chat_streamedAnswer_eventsEndWithDone")
+{
+    this->addTarget();
+    this->startServer();
+    const HttpResponse response = this->chat(true);
+    CHECK(response.status == 200);
+    CHECK(headerValue(response.headers, "content-type") == "text/event-stream");
+    CHECK(answerText(response) == words(10));
+    CHECK(response.body.ends_with("data: [DONE]\n\n"));
+    CHECK(response.body.find(R"("finish_reason":"stop")") != std::string::npos);
+    CHECK(response.body.find(R"("completion_tokens":10)") != std::string::npos);
+}
+
+// Guards against work for callers without a workspace.
+TEST_CASE_METHOD(TrafficFixture, "chat_missingOrWrongKey_401AndNoTargetCall")
+{
+    const StubTarget &target = this->addTarget();
+    this->startServer();
+    for (const char *value : {"Bearer wrong", "Basic key", "Bearer"}) {
+        const HttpResponse response = this->chat(false, {{"authorization", value}});
+        CHECK(response.status == 401);
+        CHECK(errorMember(response, "code") == "invalid_api_key");
+        CHECK(errorMember(response, "run") == "no");
+    }
+    CHECK(target.requests.empty());
+}
+
+TEST_CASE_METHOD(TrafficFixture, "chat_invalidBody_errorNamesTheMember")
+{
+    const StubTarget &target = this->addTarget();
+    this->startServer();
+    const auto paramOf = [this](const std::string &body) {
+        const HttpResponse response = this->call("POST", "/v1/chat/completions", body);
+        return std::to_string(response.status) + " " + errorMember(response, "param");
+    };
+    CHECK(paramOf("[]") == "400 body");
+    CHECK(paramOf(R"({"messages":[]})") == "400 model");
+    CHECK(paramOf(R"({"model":"brief","messages":[]})") == "400 messages");
+    CHECK(paramOf(R"({"model":"brief","messages":[{"role":"user","content":1}]})") == "400 messages[0].content");
+    CHECK(paramOf(R"({"model":"other","messages":[{"role":"user","content":"x"}]})") == "404 model");
+    CHECK(target.requests.empty());
+}
+
+// Guards against a cut or repeated answer when a target dies in the middle of a stream.
+TEST_CASE_METHOD(TrafficFixture, "chat_targetCutsMidway_oneWholeAnswerFromTwoTargets")
+{
+    StubTarget &cutting = this->addTarget({}, 8, 0);
+    const StubTarget &other = this->addTarget({}, 8, 6);
+    cutting.mode = TargetMode::Cut;
+    this->startServer();
+    for (const bool stream : {false, true}) {
+        const HttpResponse response = this->chat(stream);
+        CHECK(response.status == 200);
+        CHECK(answerText(response) == words(10));
+    }
+    CHECK(cutting.generations >= 1);
+    CHECK(other.generations == 2);
+    CHECK(metricValue(*this->context.metrics, "skylark_resumes_total") >= 1);
+}
+
+// Guards against a silent target that holds a request, or whose connection is used again.
+TEST_CASE_METHOD(TrafficFixture, "chat_silentTarget_answeredElsewhereInBoundedTime")
+{
+    StubTarget &silent = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    this->startServer();
+    REQUIRE(this->chat(false).status == 200);
+    REQUIRE(this->server->impl->http->idle[silent.endpoint()].size() == 1);
+    silent.mode = TargetMode::Silent;
+    const TimePoint before = BootClock::now();
+    const HttpResponse response = this->chat(false);
+    CHECK(answerText(response) == words(10));
+    CHECK(BootClock::now() - before < 3s);
+    CHECK(silent.generations == 2);
+    CHECK(this->server->impl->http->idle[silent.endpoint()].empty());
+    CHECK(invariantCounts()[static_cast<std::size_t>(Promise::SilentConnection)] > 0);
+}
+
+// Guards against a target that falls silent in the middle of an answer.
+TEST_CASE_METHOD(TrafficFixture, "chat_targetStallsMidway_answerContinuedElsewhere")
+{
+    StubTarget &stalling = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    stalling.mode = TargetMode::Stall;
+    this->startServer();
+    CHECK(answerText(this->chat(true)) == words(10));
+    this->runFor(50ms);
+    CHECK(stalling.callersGone == 1);
+}
+
+// Guards against "not run" for an answer that was begun.
+TEST_CASE_METHOD(TrafficFixture, "chat_allTargetsCut_runMaybe")
+{
+    StubTarget &cutting = this->addTarget();
+    cutting.mode = TargetMode::Cut;
+    cutting.cutAfter = 0;
+    this->startServer();
+    const HttpResponse response = this->chat(false);
+    CHECK(response.status >= 500);
+    CHECK(errorMember(response, "run") == "maybe");
+}
+
+// Guards against a stream that looks complete although it was cut.
+TEST_CASE_METHOD(TrafficFixture, "chat_streamCannotBeCompleted_callerSeesItCut")
+{
+    StubTarget &cutting = this->addTarget();
+    cutting.mode = TargetMode::Cut;
+    cutting.cutAfter = 1;
+    this->startServer();
+    const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}],"stream":true})";
+    HttpRequest request{"POST", "/v1/chat/completions", {{"authorization", "Bearer key"}}, body};
+    const auto result = this->run(httpCall(this->client, this->endpoint(), std::move(request), HttpTimeouts{1s, 1s, 15s, 15s}));
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == ErrorCode::StreamBroken);
+}
+
+TEST_CASE_METHOD(TrafficFixture, "chat_allTargetsLeaving_503NotRun")
+{
+    const StubTarget &target = this->addTarget();
+    this->snapshot.targets[0].leaving = true;
+    this->startServer();
+    const HttpResponse response = this->chat(false);
+    CHECK(response.status == 503);
+    CHECK(errorMember(response, "code") == "no_target");
+    CHECK(errorMember(response, "run") == "no");
+    CHECK_FALSE(headerValue(response.headers, "retry-after").empty());
+    CHECK(target.requests.empty());
+}
+
+// Guards against new work for a target that is leaving while the platform's list lags.
+TEST_CASE_METHOD(TrafficFixture, "chat_targetRefusesAndDrains_reportedAndAvoided")
+{
+    StubTarget &draining = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    draining.mode = TargetMode::NotRun;
+    draining.draining = true;
+    this->startServer();
+    CHECK(answerText(this->chat(false)) == words(10));
+    this->runFor(50ms);
+    CHECK(this->leaving == std::vector<std::string>{"t1"});
+    const std::size_t before = draining.requests.size();
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(draining.requests.size() == before);
+}
+
+// Guards against a target that goes on generating for nobody.
+TEST_CASE_METHOD(TrafficFixture, "chat_callerGone_targetSeesItsConnectionClosed")
+{
+    StubTarget &target = this->addTarget();
+    this->workspace().online.firstByteTimeout = 10s;
+    this->workspace().online.idleTimeout = 10s;
+    this->startServer();
+    for (const TargetMode mode : {TargetMode::Silent, TargetMode::Stall}) {
+        target.mode = mode;
+        target.callersGone = 0;
+        const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}],"stream":true})";
+        HttpRequest request{"POST", "/v1/chat/completions", {{"authorization", "Bearer key"}}, body};
+        const auto result = this->run(httpCall(this->client, this->endpoint(), std::move(request), HttpTimeouts{1s, 1s, 200ms, 200ms}));
+        REQUIRE_FALSE(isOk(result));
+        this->runFor(300ms);
+        CHECK(target.callersGone == 1);
+        CHECK(loadOf(*this->context.loads, TargetId{"t1"}).online == 0);
+    }
+    CHECK(metricValue(*this->context.metrics, "skylark_callers_gone_total") == 2);
+}
+
+// Guards against requests that wait although they cannot start before their deadline.
+TEST_CASE_METHOD(TrafficFixture, "chat_slotsTakenPastDeadline_429WithRetryAfter")
+{
+    const StubTarget &target = this->addTarget({}, 2, 2);
+    this->snapshot.targets[0].onlineElsewhere = 2;
+    this->workspace().online.deadline = 200ms;
+    this->startServer();
+    const HttpResponse response = this->chat(false);
+    CHECK(response.status == 429);
+    CHECK(errorMember(response, "code") == "overloaded");
+    CHECK(errorMember(response, "run") == "no");
+    CHECK_FALSE(headerValue(response.headers, "retry-after").empty());
+    CHECK(target.requests.empty());
+}
+
+TEST_CASE_METHOD(TrafficFixture, "chat_allTargetsRefuse_429NotRun")
+{
+    StubTarget &target = this->addTarget();
+    target.mode = TargetMode::NotRun;
+    this->startServer();
+    const HttpResponse response = this->chat(false);
+    CHECK(response.status == 429);
+    CHECK(errorMember(response, "run") == "no");
+    CHECK(target.requests.size() >= 2);
+}
+
+// Guards against a queued request that is not served when a slot becomes free.
+TEST_CASE_METHOD(TrafficFixture, "chat_slotsTaken_waitsForTheNextSlot")
+{
+    StubTarget &target = this->addTarget({}, 1, 0);
+    target.tokens = 40;
+    this->startServer();
+    this->server->impl->queues[ModelId{"brief"}].serviceMs = 100;
+    const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}]})";
+    int done = 0;
+    for (int i = 0; i < 3; ++i) {
+        HttpRequest request{"POST", "/v1/chat/completions", {{"authorization", "Bearer key"}}, body};
+        asio::co_spawn(this->context.online,
+                       httpCall(this->client, this->endpoint(), std::move(request), HttpTimeouts{1s, 1s, 15s, 15s}),
+                       [&done](const std::exception_ptr &, const Result<HttpResponse> &result) {
+                           done += isOk(result) && valueOf(result).status == 200 ? 1 : 0;
+                       });
+    }
+    unsigned most = 0;
+    for (int i = 0; i < 200 && done < 3; ++i) {
+        this->runFor(20ms);
+        most = std::max(most, loadOf(*this->context.loads, TargetId{"t1"}).online);
+    }
+    CHECK(done == 3);
+    CHECK(most == 1);
+}
+
+// Guards against online requests queued behind batch: the slot is asked for before the request is sent.
+TEST_CASE_METHOD(TrafficFixture, "chat_slotsTakenByBatch_yieldRequested")
+{
+    StubTarget &target = this->addTarget({}, 4, 4);
+    this->startServer();
+    int requestsAtYield = -1;
+    this->context.requestYield = [this, &target, &requestsAtYield](const TargetId &id, unsigned slots) {
+        requestsAtYield = target.generations;
+        this->yields.emplace_back(id.value, slots);
+    };
+    CHECK(this->chat(false).status == 200);
+    CHECK(this->yields == std::vector<std::pair<std::string, unsigned>>{{"t1", 1U}});
+    CHECK(requestsAtYield == 0);
+}
+
+// Guards against requests that fail although another failure domain has room, and against forwarding in circles.
+TEST_CASE_METHOD(TrafficFixture, "chat_noTargetHere_forwardedOnceAndContinuedAfterACut")
+{
+    StubTarget remote(this->context.online);
+    HostView host;
+    host.info.id.value = "h2";
+    host.info.domain.value = "south";
+    host.info.http = remote.endpoint();
+    host.state = HostState::Live;
+    host.freeByModel.emplace_back(ModelId{"brief"}, 4U);
+    this->snapshot.hosts.push_back(host);
+    this->startServer();
+    const HttpResponse response = this->chat(true);
+    CHECK(answerText(response) == words(10));
+    REQUIRE(remote.requests.size() == 1);
+    CHECK(headerValue(remote.requests[0].headers, "x-skylark-hops") == "1");
+    CHECK(headerValue(remote.requests[0].headers, "authorization") == "Bearer key");
+    const HttpResponse refused = this->chat(false, {{"x-skylark-hops", "1"}});
+    CHECK(refused.status == 503);
+    CHECK(remote.requests.size() == 1);
+    this->addTarget({}, 8, 8);
+    this->snapshot.targets[0].onlineElsewhere = 8;
+    this->publish();
+    remote.mode = TargetMode::Cut;
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(remote.requests.size() == 2);
+}
+
+TEST_CASE_METHOD(TrafficFixture, "callerServer_unknownPathAndNotReady_typedErrors")
+{
+    this->startServer();
+    CHECK(this->call("GET", "/v1/unknown", "").status == 404);
+    CHECK(this->call("GET", "/v1/models", "").body.find("\"brief\"") != std::string::npos);
+    CHECK(this->call("GET", "/v1/jobs", "").status == 503);
+    this->snapshot.ready = false;
+    this->publish();
+    const HttpResponse response = this->chat(false);
+    CHECK(response.status == 503);
+    CHECK(errorMember(response, "code") == "not_ready");
+}
+
+// Guards against a planned stop that cuts off a running request.
+TEST_CASE_METHOD(TrafficFixture, "drainCallers_requestRunning_waitsForIt")
+{
+    StubTarget &target = this->addTarget();
+    target.tokens = 100;
+    this->startServer();
+    std::optional<HttpResponse> answer;
+    const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}]})";
+    HttpRequest request{"POST", "/v1/chat/completions", {{"authorization", "Bearer key"}}, body};
+    asio::co_spawn(this->context.online,
+                   httpCall(this->client, this->endpoint(), std::move(request), HttpTimeouts{1s, 1s, 15s, 15s}),
+                   [&answer](const std::exception_ptr &, Result<HttpResponse> result) {
+                       if (isOk(result)) {
+                           answer = std::move(valueOf(result));
+                       }
+                   });
+    this->runFor(30ms);
+    announceStop(*this->server);
+    CHECK(this->run(drainCallers(*this->server, 10s)) == 0);
+    this->runFor(20ms);
+    REQUIRE(answer);
+    CHECK(answerText(*answer) == words(100));
+    CHECK(headerValue(answer->headers, "connection") == "close");
+}
