Feature: Batch submission, group execution, results, cancel and planned stop

A job is accepted once its inputs have their copies and its record exists. A group holds items of one model only, because a host sends batch only to the targets that it owns, and a group of several models might fit no host.

--- /dev/null
+++ b/src/batch/batch_service.cpp
@@ -0,0 +1,149 @@
+/** @file batch_service.cpp Creation of the batch part and what its files share. */
+#include "batch/batch_service_func.h"
+
+#include "batch/batch_internal_func.h"
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto longestKvPause = std::chrono::seconds(10); ///< Spreads the first calls of all hosts after an outage.
+constexpr auto shortestKvPause = std::chrono::milliseconds(200); ///< Pause after a single lost call.
+constexpr auto paceBurst = std::chrono::seconds(1); ///< Calls that an idle host may save up.
+
+bool isOutage(ErrorCode code)
+{
+    return code == ErrorCode::PlatformUnavailable || code == ErrorCode::OutcomeUnknown || code == ErrorCode::RateLimited;
+}
+
+} // namespace
+
+Result<std::shared_ptr<BatchService>> BatchService::create(HostContext &context, std::shared_ptr<BlobCluster> blobs)
+{
+    auto http = HttpClient::create(context.batch.get_executor());
+    auto kv = KvClient::create(context.settings->platform, http);
+    if (!isOk(kv)) {
+        return errorOf(kv);
+    }
+    auto service = std::make_shared<BatchService>();
+    service->impl = std::make_shared<BatchState>(context, std::move(blobs), std::move(http), std::move(valueOf(kv)));
+    service->impl->seed = context.settings->seed != 0 ? context.settings->seed : hash64(randomIdHex());
+    return service;
+}
+
+void startBatch(BatchService &service)
+{
+    asio::post(service.impl->context.batch, [state = service.impl] {
+        if (!std::exchange(state->started, true)) {
+            asio::co_spawn(state->context.batch, pumpLoop(state), asio::detached);
+        }
+    });
+}
+
+void yieldBatch(BatchService &service, const TargetId &target, unsigned slots)
+{
+    yieldStreams(*service.impl, target, slots);
+}
+
+std::string batchStatusJson(const BatchService &service)
+{
+    const std::scoped_lock lock(service.impl->statusMutex);
+    return service.impl->statusJson;
+}
+
+std::shared_ptr<const ControlSnapshot> snapshotOf(const BatchState &state)
+{
+    return state.context.snapshot->current.load();
+}
+
+JobState jobStateOf(const BatchState &state, const JobId &job)
+{
+    if (state.stopped.contains(job)) {
+        return JobState::Cancelled;
+    }
+    const auto snapshot = snapshotOf(state);
+    for (const auto &record : snapshot->jobs) {
+        if (record->id == job) {
+            return record->state;
+        }
+    }
+    // A snapshot without the job says nothing: the control thread may still be reading the job list.
+    return JobState::Active;
+}
+
+GroupContext groupContext(const BatchState &state, const JobId &job)
+{
+    const auto snapshot = snapshotOf(state);
+    return {snapshot->session, BootClock::now(), snapshot->leaseDeadline, jobStateOf(state, job)};
+}
+
+WriteId newWriteId()
+{
+    return {randomIdHex()};
+}
+
+asio::awaitable<void> pauseFor(asio::any_io_executor executor, std::chrono::nanoseconds delay)
+{
+    asio::steady_timer timer(executor, std::chrono::duration_cast<asio::steady_timer::duration>(delay));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void wakePump(BatchState &state)
+{
+    state.pumpTimer.cancel();
+}
+
+void noteKvOutcome(BatchState &state, const std::optional<ErrorCode> &failure)
+{
+    const TimePoint now = BootClock::now();
+    if (!failure || !isOutage(*failure)) {
+        state.kvLost = false;
+        return;
+    }
+    if (!std::exchange(state.kvLost, true)) {
+        state.kvLostAt = now;
+    }
+    // The pause grows with the outage, so that hosts come back spread over up to ten seconds after a long one.
+    const auto outage = std::clamp<std::chrono::nanoseconds>(now - state.kvLostAt, shortestKvPause, longestKvPause);
+    const auto share = static_cast<double>(nextRandom(state.seed) >> 11U) / static_cast<double>(1ULL << 53U);
+    state.kvRetryAt = now + std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(outage.count()) * (0.5 + share / 2)));
+}
+
+bool mayCallKv(const BatchState &state)
+{
+    return BootClock::now() >= state.kvRetryAt;
+}
+
+asio::awaitable<void> paceKv(BatchStatePtr state)
+{
+    const auto rate = std::max(1U, state->context.settings->platformCallsPerSecond);
+    const TimePoint now = BootClock::now();
+    state->kvNextCall = std::max(state->kvNextCall + std::chrono::nanoseconds(std::chrono::seconds(1)) / rate, now - paceBurst);
+    if (state->kvNextCall > now) {
+        co_await pauseFor(state->context.batch.get_executor(), state->kvNextCall - now);
+    }
+}
+
+asio::awaitable<Result<KvVersion>> writeRecord(BatchStatePtr state, std::string key, std::string value, WriteId writeId, KvVersion expected)
+{
+    ++state->recordWrites;
+    auto written = co_await kvPutRecognised(*state->kv, std::move(key), std::move(value), std::move(writeId), expected);
+    noteKvOutcome(*state, isOk(written) ? std::nullopt : std::optional(errorOf(written).code));
+    co_return written;
+}
+
+void logBatch(BatchState &state, std::string text)
+{
+    logDecision(state.context.decisions, "batch", {}, std::move(text));
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/batch/drain.cpp
@@ -0,0 +1,63 @@
+/** @file drain.cpp Planned stop: held groups are given back with their partial results. */
+#include "batch/batch_internal_func.h"
+#include "batch/batch_record_func.h"
+#include "policy/claim_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto finishWait = std::chrono::seconds(5); ///< Longest wait for completions and releases; after it the groups are taken over when the session ends.
+constexpr auto pollInterval = std::chrono::milliseconds(20); ///< Of that wait.
+
+asio::awaitable<void> releaseGroup(BatchStatePtr state, std::shared_ptr<HeldGroup> group)
+{
+    const std::string lines = renderPartial(*group);
+    BlobId partial;
+    if (!lines.empty()) {
+        partial = makeBlobId(group->job->id, group->index, "partial", lines);
+        const auto stored = co_await storeReplicated(*state->blobs, partial, lines);
+        // Without its copies the blob must not be named; the next holder runs the items again.
+        partial = isOk(stored) ? partial : BlobId{};
+    }
+    const GroupContext context = groupContext(*state, group->job->id);
+    if (group->phase == GroupPhase::Dropped || group->unverified || context.now >= context.leaseDeadline) {
+        dropGroup(*state, group, GroupMark::Elsewhere);
+        co_return;
+    }
+    const GroupRecord release = makeRelease(group->record, partial, newWriteId());
+    checkGroupWrite(group->record, release, context);
+    const auto written = co_await writeRecord(state, batchGroupKey(group->job->id, group->index), renderBatchGroup(release), release.writeId, group->version);
+    logBatch(*state,
+             "group " + std::to_string(group->index) + " of job " + group->job->id.value + (isOk(written) ? " released" : " not released")
+                 + (partial.empty() ? "" : " with partial results"));
+    dropGroup(*state, group, GroupMark::Elsewhere);
+}
+
+} // namespace
+
+asio::awaitable<void> drainBatch(BatchService &service)
+{
+    const BatchStatePtr state = service.impl;
+    state->draining = true;
+    abortRuns(*state, nullptr);
+    const auto held = state->held;
+    for (const auto &group : held) {
+        const bool finishing = group->phase == GroupPhase::Finishing || (group->phase == GroupPhase::Running && group->left == 0);
+        if (!finishing) {
+            asio::co_spawn(state->context.batch, releaseGroup(state, group), asio::detached);
+        }
+    }
+    const TimePoint deadline = BootClock::now() + finishWait;
+    while ((!state->held.empty() || state->claiming) && BootClock::now() < deadline) {
+        wakePump(*state);
+        co_await pauseFor(state->context.batch.get_executor(), pollInterval);
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/batch/planning.cpp
@@ -0,0 +1,154 @@
+/** @file planning.cpp Limits of the owned targets and order of the jobs. */
+#include "batch/batch_internal_func.h"
+#include "policy/batch_limit_func.h"
+#include "policy/batch_order_func.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+constexpr auto tailWeightRefresh = std::chrono::seconds(1); ///< Looking through thousands of workspaces in every turn would be wasted.
+
+bool hasModel(const TargetView &view, const ModelSpec &spec)
+{
+    return std::any_of(view.report.models.begin(), view.report.models.end(), [&spec](const LoadedModel &loaded) {
+        return loaded.name == spec.name && (spec.version.empty() || loaded.version == spec.version);
+    });
+}
+
+/** @return The largest weight among the workspaces that use a model of the target. */
+double tailWeightOf(const TargetView &view, const ControlSnapshot &snapshot)
+{
+    double weight = 0;
+    bool used = false;
+    const UnixTime now = unixNow();
+    for (const auto &[id, workspace] : snapshot.config->workspaces) {
+        const bool uses = std::any_of(workspace.models.begin(), workspace.models.end(), [&view](const ModelSpec &spec) {
+            return hasModel(view, spec);
+        });
+        if (uses) {
+            used = true;
+            weight = std::max(weight, effectiveTailWeight(workspace.batch, now));
+        }
+    }
+    return used ? weight : BatchPolicy().tailWeight;
+}
+
+std::chrono::nanoseconds longestReportAge(const Settings &settings)
+{
+    // A few lost polls must not empty the target.
+    return settings.loadPollInterval * 4 + std::chrono::seconds(1);
+}
+
+BatchLimitInput limitInput(const BatchState &state, const TargetView &view, const BatchTarget &target, TimePoint now)
+{
+    const TargetLoad load = loadOf(*state.context.loads, view.info.id);
+    BatchLimitInput input;
+    input.slots = view.report.slots;
+    input.running = view.report.running;
+    input.waiting = view.report.waiting;
+    input.reportSequence = view.report.sequence;
+    input.reportFresh = now - view.report.receivedAt < longestReportAge(*state.context.settings);
+    input.ownOnline = load.online;
+    input.ownBatch = static_cast<unsigned>(target.running.size());
+    input.ownAtReport = load.startedAtReport > load.endedAtReport ? static_cast<unsigned>(load.startedAtReport - load.endedAtReport) : 0;
+    input.onlineElsewhere = view.onlineElsewhere;
+    input.onlineMean = load.onlineMean;
+    input.onlinePeak = load.onlinePeak;
+    input.firstTokenMs = load.firstTokenMs;
+    input.tokenMs = load.tokenMs;
+    input.tailWeight = target.tailWeight;
+    return input;
+}
+
+bool isUsable(const BatchState &state, const TargetView &view, const BatchTarget &target, TimePoint now)
+{
+    const bool leaving = view.leaving || view.info.leaving || view.report.draining;
+    return !leaving && now >= target.pausedUntil && now >= loadOf(*state.context.loads, view.info.id).blockedUntil;
+}
+
+void planTarget(BatchState &state, const ControlSnapshot &snapshot, const TargetView &view, TimePoint now)
+{
+    BatchTarget &target = state.targets[view.info.id];
+    if (now - target.tailWeightAt > tailWeightRefresh && snapshot.config) {
+        target.tailWeight = tailWeightOf(view, snapshot);
+        target.tailWeightAt = now;
+    }
+    const BatchLimitInput input = limitInput(state, view, target, now);
+    const BatchLimit limit = decideBatchLimit(target.limitState, input);
+    target.limitState = limit.state;
+    target.limit = now < target.holdUntil ? std::min(limit.streams, target.holdAt) : limit.streams;
+    const unsigned running = input.ownBatch;
+    const unsigned online = input.ownOnline + input.onlineElsewhere;
+    if (running > target.limit && (input.waiting > 0 || online + running > input.slots)) {
+        yieldStreams(state, view.info.id, running - target.limit);
+    }
+}
+
+std::chrono::nanoseconds forgetAfter()
+{
+    return std::chrono::minutes(5);
+}
+
+} // namespace
+
+std::vector<const TargetView *> planTargets(BatchState &state, const ControlSnapshot &snapshot)
+{
+    std::vector<const TargetView *> usable;
+    const TimePoint now = BootClock::now();
+    for (const TargetView &view : snapshot.targets) {
+        if (view.info.kind != TargetKind::Engine || view.batchOwner != snapshot.self.id || view.report.slots == 0) {
+            continue;
+        }
+        planTarget(state, snapshot, view, now);
+        if (isUsable(state, view, state.targets[view.info.id], now)) {
+            usable.push_back(&view);
+        }
+    }
+    std::erase_if(state.targets, [now](const auto &entry) {
+        return entry.second.running.empty() && now - entry.second.tailWeightAt > forgetAfter();
+    });
+    return usable;
+}
+
+bool servesModel(const TargetView &view, const ControlSnapshot &snapshot, const WorkspaceId &workspace, const ModelId &model)
+{
+    ModelSpec wanted;
+    wanted.name = model;
+    if (snapshot.config) {
+        const auto found = snapshot.config->workspaces.find(workspace);
+        if (found != snapshot.config->workspaces.end()) {
+            for (const ModelSpec &spec : found->second.models) {
+                wanted.version = spec.name == model ? spec.version : wanted.version;
+            }
+        }
+    }
+    return hasModel(view, wanted);
+}
+
+std::vector<JobWork *> jobsByUrgency(BatchState &state, const ControlSnapshot &snapshot)
+{
+    std::vector<JobWork *> works;
+    std::vector<JobDemand> demands;
+    for (auto &[id, work] : state.jobs) {
+        JobDemand demand{
+            id, 1.0, work.record->due, work.record->created, work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount)};
+        if (snapshot.config) {
+            const auto workspace = snapshot.config->workspaces.find(work.record->workspace);
+            demand.share = workspace == snapshot.config->workspaces.end() ? 1.0 : workspace->second.batch.share;
+        }
+        works.push_back(&work);
+        demands.push_back(demand);
+    }
+    std::vector<JobWork *> ordered;
+    const auto order = orderJobs(demands, unixNow(), fleetRate(state));
+    ordered.reserve(order.size());
+    for (const std::size_t index : order) {
+        ordered.push_back(works[index]);
+    }
+    return ordered;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/batch/progress.cpp
@@ -0,0 +1,281 @@
+/** @file progress.cpp Jobs as callers and operators see them: progress, list, cancel, results. */
+#include "batch/batch_internal_func.h"
+#include "batch/batch_record_func.h"
+#include "policy/batch_order_func.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto progressCache = std::chrono::seconds(1); ///< Bounds the reads of callers that poll.
+constexpr auto tickInterval = std::chrono::seconds(1); ///< Of rates and the status answer.
+constexpr double rateWeight = 0.1; ///< Averages the rate over about ten seconds.
+constexpr int cancelAttempts = 5; ///< Each conflict means that the record changed, which happens at most twice in its life.
+
+Error notFound(const JobId &job)
+{
+    return makeError(ErrorCode::NotFound, "no job " + job.value);
+}
+
+/** Reads the record of a job of @p workspace. */
+asio::awaitable<Result<JobRecord>> readJob(BatchStatePtr state, WorkspaceId workspace, JobId job)
+{
+    auto entry = co_await kvGet(*state->kv, batchJobKey(job));
+    if (!isOk(entry)) {
+        co_return errorOf(entry);
+    }
+    if (!valueOf(entry)) {
+        co_return notFound(job);
+    }
+    auto record = parseBatchJob(job, valueOf(entry)->value, valueOf(entry)->version);
+    if (isOk(record) && valueOf(record).workspace != workspace) {
+        co_return notFound(job);
+    }
+    co_return record;
+}
+
+/** Adds up the done groups of a job. */
+asio::awaitable<Result<JobProgress>> countGroups(BatchStatePtr state, JobRecord record)
+{
+    auto page = co_await kvRangeAll(*state->kv, batchGroupPrefix(record.id));
+    if (!isOk(page)) {
+        co_return errorOf(page);
+    }
+    JobProgress progress;
+    progress.job = std::move(record);
+    for (const KvEntry &entry : valueOf(page).entries) {
+        const auto group = parseBatchGroup(entry.value);
+        if (isOk(group) && valueOf(group).state == GroupState::Done) {
+            ++progress.groupsDone;
+            progress.finished += valueOf(group).finished;
+            progress.failed += valueOf(group).failed;
+        }
+    }
+    const std::uint64_t left = progress.job.itemCount - std::min(progress.finished, progress.job.itemCount);
+    progress.dueRisk = progress.job.state == JobState::Active && isDueAtRisk(progress.job.due, unixNow(), left, fleetRate(*state));
+    state->progress[progress.job.id] = {progress, BootClock::now()};
+    co_return progress;
+}
+
+/** @return Whether the job is known here and belongs to @p workspace; nothing when it is not known. */
+std::optional<bool> belongsTo(const BatchState &state, const WorkspaceId &workspace, const JobId &job)
+{
+    const auto snapshot = snapshotOf(state);
+    for (const auto &record : snapshot->jobs) {
+        if (record->id == job) {
+            return record->workspace == workspace;
+        }
+    }
+    const auto cached = state.progress.find(job);
+    return cached == state.progress.end() ? std::nullopt : std::optional(cached->second.progress.job.workspace == workspace);
+}
+
+/** Stops work on a job that was cancelled here, before the news comes back through the job list. */
+void stopJob(BatchState &state, const JobRecord &record)
+{
+    state.stopped.insert(record.id);
+    state.jobs.erase(record.id);
+    state.progress.erase(record.id);
+    const auto held = state.held;
+    for (const auto &group : held) {
+        if (group->job->id == record.id) {
+            dropGroup(state, group, GroupMark::Elsewhere);
+        }
+    }
+    if (state.context.announceJob) {
+        state.context.announceJob(record);
+    }
+}
+
+asio::awaitable<void> fetchJob(BatchStatePtr state, JobId job)
+{
+    co_await paceKv(state);
+    auto entry = co_await kvGet(*state->kv, batchJobKey(job));
+    noteKvOutcome(*state, isOk(entry) ? std::nullopt : std::optional(errorOf(entry).code));
+    if (isOk(entry) && valueOf(entry)) {
+        auto record = parseBatchJob(job, valueOf(entry)->value, valueOf(entry)->version);
+        if (isOk(record) && valueOf(record).state != JobState::Active) {
+            state->stopped.insert(job);
+        } else if (isOk(record) && valueOf(record).inputBlobs.size() == valueOf(record).groupCount) {
+            adoptJob(*state, std::make_shared<const JobRecord>(std::move(valueOf(record))));
+        }
+    }
+    co_await pauseFor(state->context.batch.get_executor(), std::chrono::seconds(1));
+    state->fetching.erase(job);
+}
+
+json::object statusOf(const BatchState &state, const JobWork &work)
+{
+    json::object job;
+    job["id"] = work.record->id.value;
+    job["workspace"] = work.record->workspace.value;
+    job["items"] = work.record->itemCount;
+    job["groups"] = work.record->groupCount;
+    job["itemsDone"] = std::min<std::uint64_t>(work.itemsDone, work.record->itemCount);
+    job["dueUnixMs"] = work.record->due.time_since_epoch().count();
+    job["groupsHeldHere"] = std::count_if(state.held.begin(), state.held.end(), [&work](const auto &group) {
+        return group->job->id == work.record->id;
+    });
+    const std::uint64_t left = work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount);
+    job["dueRisk"] = isDueAtRisk(work.record->due, unixNow(), left, fleetRate(state));
+    return job;
+}
+
+} // namespace
+
+void adoptJob(BatchState &state, const std::shared_ptr<const JobRecord> &record)
+{
+    if (state.stopped.contains(record->id) || state.jobs.contains(record->id)) {
+        return;
+    }
+    if (record->inputBlobs.size() != record->groupCount) {
+        if (mayCallKv(state) && state.fetching.insert(record->id).second) {
+            asio::co_spawn(state.context.batch, fetchJob(state.shared_from_this(), record->id), asio::detached);
+        }
+        return;
+    }
+    JobWork work;
+    work.record = record;
+    work.walk = walkOrder(snapshotOf(state)->self.id, record->id, record->groupCount);
+    work.marks.assign(record->groupCount, GroupMark::Unknown);
+    state.jobs.emplace(record->id, std::move(work));
+}
+
+double fleetRate(const BatchState &state)
+{
+    const auto snapshot = snapshotOf(state);
+    const auto live = std::count_if(snapshot->hosts.begin(), snapshot->hosts.end(), [](const HostView &host) {
+        return host.state == HostState::Live;
+    });
+    return state.itemsPerSecond * static_cast<double>(std::max<std::ptrdiff_t>(1, live));
+}
+
+void refreshStatus(BatchState &state)
+{
+    const TimePoint now = BootClock::now();
+    if (now - state.tickedAt < tickInterval) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(now - state.tickedAt).count();
+    const double rate = static_cast<double>(state.itemsFinished - state.itemsAtTick) / seconds;
+    state.itemsPerSecond = state.tickedAt == TimePoint{} ? 0 : state.itemsPerSecond + rateWeight * (rate - state.itemsPerSecond);
+    state.itemsAtTick = state.itemsFinished;
+    state.tickedAt = now;
+    if (state.itemsFinished > 0) {
+        const double writes = static_cast<double>(state.recordWrites) / static_cast<double>(state.itemsFinished);
+        setGauge(*state.context.metrics, "skylark_batch_writes_per_item", {}, writes);
+    }
+    setGauge(*state.context.metrics, "skylark_batch_groups_held", {}, static_cast<double>(state.held.size()));
+    json::array jobs;
+    for (const auto &[id, work] : state.jobs) {
+        jobs.emplace_back(statusOf(state, work));
+    }
+    std::string text = json::serialize(jobs);
+    const std::scoped_lock lock(state.statusMutex);
+    state.statusJson = std::move(text);
+}
+
+asio::awaitable<Result<JobProgress>> jobProgress(BatchService &service, WorkspaceId workspace, JobId job)
+{
+    const BatchStatePtr state = service.impl;
+    const auto cached = state->progress.find(job);
+    const bool known = cached != state->progress.end() && cached->second.progress.job.workspace == workspace;
+    if (known && BootClock::now() - cached->second.readAt < progressCache) {
+        co_return cached->second.progress;
+    }
+    auto record = co_await readJob(state, workspace, job);
+    if (!isOk(record)) {
+        co_return errorOf(record);
+    }
+    co_return co_await countGroups(state, std::move(valueOf(record)));
+}
+
+asio::awaitable<Result<std::vector<JobProgress>>> listJobs(BatchService &service, WorkspaceId workspace)
+{
+    const BatchStatePtr state = service.impl;
+    const auto snapshot = snapshotOf(*state);
+    std::vector<JobProgress> list;
+    for (const auto &record : snapshot->jobs) {
+        if (record->workspace != workspace) {
+            continue;
+        }
+        const auto cached = state->progress.find(record->id);
+        const bool fresh = cached != state->progress.end() && BootClock::now() - cached->second.readAt < progressCache;
+        auto progress = fresh ? Result<JobProgress>(cached->second.progress) : co_await countGroups(state, *record);
+        if (!isOk(progress)) {
+            co_return errorOf(progress);
+        }
+        list.push_back(std::move(valueOf(progress)));
+    }
+    co_return list;
+}
+
+asio::awaitable<Result<JobProgress>> cancelJob(BatchService &service, WorkspaceId workspace, JobId job)
+{
+    const BatchStatePtr state = service.impl;
+    for (int attempt = 0; attempt < cancelAttempts; ++attempt) {
+        auto read = co_await readJob(state, workspace, job);
+        if (!isOk(read)) {
+            co_return errorOf(read);
+        }
+        JobRecord record = std::move(valueOf(read));
+        if (record.state != JobState::Active) {
+            co_return co_await countGroups(state, std::move(record));
+        }
+        record.state = JobState::Cancelled;
+        record.writeId = newWriteId();
+        auto version = co_await writeRecord(state, batchJobKey(job), renderBatchJob(record), record.writeId, record.version);
+        if (isOk(version)) {
+            record.version = valueOf(version);
+            logBatch(*state, "job " + job.value + " cancelled");
+            stopJob(*state, record);
+            co_return co_await countGroups(state, std::move(record));
+        }
+        if (errorOf(version).code != ErrorCode::VersionConflict) {
+            co_return errorOf(version);
+        }
+    }
+    co_return makeError(ErrorCode::PlatformUnavailable, "the record of job " + job.value + " keeps changing");
+}
+
+asio::awaitable<Result<std::string>> readGroupResults(BatchService &service, WorkspaceId workspace, JobId job, std::uint32_t group)
+{
+    const BatchStatePtr state = service.impl;
+    auto belongs = belongsTo(*state, workspace, job);
+    if (!belongs) {
+        auto record = co_await readJob(state, workspace, job);
+        if (!isOk(record)) {
+            co_return errorOf(record);
+        }
+        belongs = true;
+    }
+    if (!*belongs) {
+        co_return notFound(job);
+    }
+    auto entry = co_await kvGet(*state->kv, batchGroupKey(job, group));
+    if (!isOk(entry)) {
+        co_return errorOf(entry);
+    }
+    if (!valueOf(entry)) {
+        co_return std::string();
+    }
+    const auto record = parseBatchGroup(valueOf(entry)->value);
+    if (!isOk(record)) {
+        co_return errorOf(record);
+    }
+    if (valueOf(record).state != GroupState::Done) {
+        co_return std::string();
+    }
+    co_return co_await readReplicated(*state->blobs, valueOf(record).resultBlob);
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/batch/submission.cpp
@@ -0,0 +1,221 @@
+/** @file submission.cpp Accepting a job: check, durable copies, record. */
+#include "batch/batch_internal_func.h"
+#include "batch/batch_record_func.h"
+#include "batch/job_parse_func.h"
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+#include "policy/batch_order_func.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t parallelCopies = 8; ///< Blobs stored at the same time; bounds the memory for a large job.
+constexpr std::size_t linesPerTurn = 512; ///< Lines parsed before other coroutines of the thread run, about a millisecond.
+constexpr auto replicaRetryAfter = std::chrono::seconds(2); ///< A disk host is replaced or heard of again within a few status intervals.
+
+/** Blobs of one submission on their way to the disk hosts. */
+struct BlobUpload {
+    std::vector<std::pair<BlobId, std::string>> blobs; ///< Blobs by group.
+    std::size_t next{0}; ///< Next blob to store.
+    std::size_t stored{0}; ///< Blobs with their copies.
+    std::size_t workers{0}; ///< Running coroutines.
+    std::optional<Error> error; ///< First failure.
+    asio::steady_timer done; ///< Cancelled by the last worker.
+
+    explicit BlobUpload(const asio::any_io_executor &executor)
+        : done(executor, asio::steady_timer::time_point::max())
+    {
+    }
+};
+
+asio::awaitable<void> uploadWorker(BatchStatePtr state, std::shared_ptr<BlobUpload> upload)
+{
+    while (!upload->error && upload->next < upload->blobs.size()) {
+        auto &[id, data] = upload->blobs[upload->next++];
+        const auto stored = co_await storeReplicated(*state->blobs, id, std::move(data));
+        if (isOk(stored)) {
+            ++upload->stored;
+        } else if (!upload->error) {
+            upload->error = errorOf(stored);
+        }
+    }
+    if (--upload->workers == 0) {
+        upload->done.cancel();
+    }
+}
+
+asio::awaitable<Result<Done>> uploadBlobs(BatchStatePtr state, std::shared_ptr<BlobUpload> upload)
+{
+    upload->workers = std::min(parallelCopies, upload->blobs.size());
+    const std::size_t workers = upload->workers;
+    for (std::size_t i = 0; i < workers; ++i) {
+        asio::co_spawn(state->context.batch, uploadWorker(state, upload), asio::detached);
+    }
+    while (upload->workers > 0) {
+        co_await upload->done.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (upload->error) {
+        Error error = *upload->error;
+        error.retryAfter = error.retryAfter.value_or(replicaRetryAfter);
+        co_return error;
+    }
+    co_return Done{};
+}
+
+/** Parses all lines before anything is stored, so that a refused submission leaves nothing behind. */
+asio::awaitable<Result<ParsedJob>> parseBody(BatchStatePtr state, std::shared_ptr<const WorkspaceConfig> workspace, std::shared_ptr<const std::string> body)
+{
+    JobParser parser;
+    parser.workspace = workspace.get();
+    std::string_view rest = *body;
+    while (!rest.empty()) {
+        const std::string_view line = rest.substr(0, rest.find('\n'));
+        rest.remove_prefix(std::min(rest.size(), line.size() + 1));
+        const auto parsed = parseJobLine(parser, line);
+        if (!isOk(parsed)) {
+            co_return errorOf(parsed);
+        }
+        if (parser.line % linesPerTurn == 0) {
+            co_await asio::post(state->context.batch, asio::use_awaitable);
+        }
+    }
+    if (parser.job.items == 0) {
+        co_return makeError(ErrorCode::InvalidRequest, "the submission has no items");
+    }
+    co_return std::move(parser.job);
+}
+
+/** Moves the groups into blobs and names them in the record. */
+std::shared_ptr<BlobUpload> makeUpload(BatchState &state, ParsedJob &parsed, JobRecord &record)
+{
+    auto upload = std::make_shared<BlobUpload>(state.context.batch.get_executor());
+    for (std::uint32_t i = 0; i < parsed.groups.size(); ++i) {
+        GroupInput &group = parsed.groups[i];
+        const BlobId id = makeBlobId(record.id, i, inputBlobKind(group.model), group.lines);
+        record.inputBlobs.push_back(id);
+        upload->blobs.emplace_back(id, std::move(group.lines));
+    }
+    record.itemCount = parsed.items;
+    record.groupCount = static_cast<std::uint32_t>(parsed.groups.size());
+    record.models = std::move(parsed.models);
+    return upload;
+}
+
+/** Answers a resent job with its progress. */
+asio::awaitable<Result<JobProgress>> answerKnown(std::shared_ptr<BatchService> service, JobRecord wanted, std::string present, KvVersion version)
+{
+    auto known = parseBatchJob(wanted.id, present, version);
+    if (!isOk(known)) {
+        co_return errorOf(known);
+    }
+    if (valueOf(known).contentHash != wanted.contentHash) {
+        co_return makeError(ErrorCode::JobKeyConflict, "job key \"" + wanted.jobKey + "\" was used with other content");
+    }
+    if (service->impl->context.announceJob) {
+        service->impl->context.announceJob(valueOf(known));
+    }
+    co_return co_await jobProgress(*service, wanted.workspace, wanted.id);
+}
+
+/** @return Progress of a job that was just accepted. */
+JobProgress progressOfNew(BatchState &state, JobRecord record)
+{
+    std::uint64_t ahead = 0;
+    for (const auto &[id, work] : state.jobs) {
+        const bool earlier = id != record.id && work.record->due <= record.due;
+        ahead += earlier ? work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount) : 0;
+    }
+    JobProgress progress;
+    progress.dueRisk = isDueAtRisk(record.due, unixNow(), ahead + record.itemCount, fleetRate(state));
+    progress.job = std::move(record);
+    return progress;
+}
+
+/** Writes the record, which accepts the job. */
+asio::awaitable<Result<JobProgress>> createJob(std::shared_ptr<BatchService> service, JobRecord record)
+{
+    const BatchStatePtr state = service->impl;
+    auto version = co_await writeRecord(state, batchJobKey(record.id), renderBatchJob(record), record.writeId, KvVersion{0});
+    if (isOk(version)) {
+        record.version = valueOf(version);
+        logBatch(*state,
+                 "job " + record.id.value + " of workspace " + record.workspace.value + " accepted: " + std::to_string(record.itemCount) + " items in "
+                     + std::to_string(record.groupCount) + " groups");
+        adoptJob(*state, std::make_shared<const JobRecord>(record));
+        if (state->context.announceJob) {
+            state->context.announceJob(record);
+        }
+        wakePump(*state);
+        co_return progressOfNew(*state, std::move(record));
+    }
+    if (errorOf(version).code != ErrorCode::VersionConflict) {
+        co_return errorOf(version);
+    }
+    auto entry = co_await kvGet(*state->kv, batchJobKey(record.id));
+    if (!isOk(entry)) {
+        co_return errorOf(entry);
+    }
+    if (!valueOf(entry)) {
+        co_return makeError(ErrorCode::PlatformUnavailable, "the record of the job has vanished");
+    }
+    co_return co_await answerKnown(service, std::move(record), valueOf(entry)->value, valueOf(entry)->version);
+}
+
+JobRecord newRecord(const WorkspaceConfig &workspace, std::string jobKey, std::optional<UnixTime> due, const std::string &body)
+{
+    JobRecord record;
+    record.id = batchJobId(workspace.id, jobKey);
+    record.workspace = workspace.id;
+    record.jobKey = std::move(jobKey);
+    record.contentHash = hash128Hex(body);
+    record.created = unixNow();
+    record.due = due.value_or(record.created + workspace.batch.defaultDue);
+    record.writeId = newWriteId();
+    return record;
+}
+
+} // namespace
+
+asio::awaitable<Result<JobProgress>> submitJob(
+    BatchService &service, WorkspaceConfig workspace, std::string jobKey, std::optional<UnixTime> due, std::string body)
+{
+    auto handle = std::make_shared<BatchService>(service);
+    const BatchStatePtr state = handle->impl;
+    if (jobKey.empty()) {
+        Error error = makeError(ErrorCode::InvalidRequest, "a job needs a key");
+        error.param = "x-job-key";
+        co_return error;
+    }
+    JobRecord record = newRecord(workspace, std::move(jobKey), due, body);
+    auto parsed =
+        co_await parseBody(state, std::make_shared<const WorkspaceConfig>(std::move(workspace)), std::make_shared<const std::string>(std::move(body)));
+    if (!isOk(parsed)) {
+        co_return errorOf(parsed);
+    }
+    auto known = co_await kvGet(*state->kv, batchJobKey(record.id));
+    if (!isOk(known)) {
+        co_return errorOf(known);
+    }
+    if (valueOf(known)) {
+        co_return co_await answerKnown(handle, std::move(record), valueOf(known)->value, valueOf(known)->version);
+    }
+    auto upload = makeUpload(*state, valueOf(parsed), record);
+    const auto stored = co_await uploadBlobs(state, upload);
+    if (!isOk(stored)) {
+        co_return errorOf(stored);
+    }
+    SKY_INVARIANT(Promise::DurableAck, upload->stored == record.groupCount && record.inputBlobs.size() == record.groupCount);
+    co_return co_await createJob(handle, std::move(record));
+}
+
+} // namespace skylark
--- a/src/policy/claim_func.h
+++ b/src/policy/claim_func.h
@@ -11,7 +11,8 @@
 /**
  * Decides about a group that this session does not hold.
  * @param present Record as read, or nothing when the key is absent or unread.
- * @param live Live sessions, read before @p present; null when unknown, so that no claimed group is taken over.
+ * @param live Live sessions, read after @p present, because a session may have begun between the two reads; null when unknown, so that no claimed
+ * group is taken over.
  * @param writeId Recognises the write, if one follows.
  */
 [[nodiscard]] ClaimDecision decideClaim(const std::optional<VersionedGroup> &present,
