Feature: skylarkctl

A separate program for operators: documents, revisions, hosts, targets, jobs and decisions, with exit codes for scripts. Also keeps the parsed target list alive while it is read; the loop used a destroyed temporary.

--- a/src/control/target_list.cpp
+++ b/src/control/target_list.cpp
@@ -58,8 +58,9 @@
 Result<std::vector<TargetInfo>> targetsFromJson(std::string_view text)
 {
     try {
+        const json::value targets = json::parse(json::string_view(text.data(), text.size()));
         std::vector<TargetInfo> list;
-        for (const json::value &target : json::parse(json::string_view(text.data(), text.size())).as_array()) {
+        for (const json::value &target : targets.as_array()) {
             list.push_back(targetOf(target.as_object()));
         }
         return list;
--- /dev/null
+++ b/src/ctl/command_fleet.cpp
@@ -0,0 +1,249 @@
+/** @file command_fleet.cpp Commands on hosts, targets and decisions. */
+#include "ctl/command_func.h"
+#include "ctl/ctl_http_func.h"
+#include "ctl/ctl_output_func.h"
+
+#include <algorithm>
+#include <iostream>
+#include <thread>
+
+namespace skylark {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Hosts that do not have the wanted revision. */
+struct PendingHosts {
+    std::vector<std::string> behind; ///< Answer with an older revision.
+    std::vector<std::string> silent; ///< Do not answer.
+};
+
+/** Asks a host itself, because what others know of it lags. @return Nothing when it does not answer. */
+std::optional<std::uint64_t> ownRevision(const json::value &host)
+{
+    const auto endpoints = parseEndpoints(textAt(host, {"admin"}));
+    if (!endpoints || endpoints->empty()) {
+        return std::nullopt;
+    }
+    HttpRequest request;
+    request.target = "/admin/v1/config/in_force";
+    const auto answer = callHost(endpoints->front(), request, 1s);
+    if (!isOk(answer) || valueOf(answer).status != 200) {
+        return std::nullopt;
+    }
+    return numberAt(valueOf(answer).json, "config_revision");
+}
+
+std::optional<PendingHosts> findPending(const CtlOptions &options, ExitCode &code)
+{
+    const auto answer = readAdmin(options, "/admin/v1/config/in_force?revision=" + std::to_string(options.revision), code);
+    if (!answer) {
+        return std::nullopt;
+    }
+    PendingHosts pending;
+    for (const json::value &host : arrayAt(answer->json, "hosts")) {
+        if (flagAt(host, "in_force")) {
+            continue;
+        }
+        const auto revision = ownRevision(host);
+        const std::string name = textAt(host, {"id"}) + " (" + textAt(host, {"domain"}) + ")";
+        if (!revision) {
+            pending.silent.push_back(name);
+        } else if (*revision < options.revision) {
+            pending.behind.push_back(name + " at revision " + std::to_string(*revision));
+        }
+    }
+    return pending;
+}
+
+std::string agoText(const json::value &host)
+{
+    const std::string text = textAt(host, {"heard_ms_ago"});
+    return text.empty() || text.front() == '-' ? "never" : oneDecimal(static_cast<double>(numberAt(host, "heard_ms_ago")) / 1000.0) + " s";
+}
+
+std::string modelsText(const json::value &target)
+{
+    std::string text = textAt(target, {"service"});
+    for (const json::value &model : arrayAt(target, "models")) {
+        text += (text.empty() ? "" : ",") + textAt(model, {"name"}) + "@" + textAt(model, {"version"});
+    }
+    return text.empty() ? "-" : text;
+}
+
+double numberOf(const json::value &value, const char *name)
+{
+    const json::object *object = value.if_object();
+    const json::value *member = object == nullptr ? nullptr : object->if_contains(name);
+    return member != nullptr && member->is_number() ? member->to_number<double>() : 0.0;
+}
+
+std::string stateText(const json::value &target)
+{
+    if (flagAt(target, "leaving")) {
+        return "leaving";
+    }
+    return flagAt(target, "blocked") ? "blocked" : "serving";
+}
+
+} // namespace
+
+ExitCode revisionWaitCommand(const CtlOptions &options)
+{
+    if (options.revision == 0) {
+        return usageError("usage: skylarkctl revision wait --revision N [--timeout 10s]");
+    }
+    const auto limit = std::chrono::steady_clock::now() + options.timeout;
+    for (;;) {
+        ExitCode code = ExitCode::Ok;
+        const auto pending = findPending(options, code);
+        if (pending && pending->behind.empty() && pending->silent.empty()) {
+            std::cout << "revision " << options.revision << " is in force on all hosts\n";
+            return ExitCode::Ok;
+        }
+        if (std::chrono::steady_clock::now() >= limit) {
+            if (!pending) {
+                return code;
+            }
+            for (const std::string &host : pending->behind) {
+                std::cerr << "skylarkctl: not in force on " << host << "\n";
+            }
+            for (const std::string &host : pending->silent) {
+                std::cerr << "skylarkctl: no answer from " << host << "\n";
+            }
+            return ExitCode::Refused;
+        }
+        std::this_thread::sleep_for(200ms);
+    }
+}
+
+ExitCode hostsCommand(const CtlOptions &options)
+{
+    ExitCode code = ExitCode::Ok;
+    const auto answer = readAdmin(options, "/admin/v1/hosts", code);
+    if (!answer) {
+        return code;
+    }
+    if (options.json) {
+        printJson(answer->json);
+        return ExitCode::Ok;
+    }
+    Table table{.heading = {"HOST", "DOMAIN", "STATE", "READY", "REVISION", "HEARD", "ADMIN"}, .rows = {}};
+    for (const json::value &host : arrayAt(answer->json, "hosts")) {
+        table.rows.push_back({textAt(host, {"id"}),
+                              textAt(host, {"domain"}),
+                              textAt(host, {"state"}),
+                              flagAt(host, "ready") ? "yes" : "no",
+                              textAt(host, {"config_revision"}),
+                              agoText(host),
+                              textAt(host, {"admin"})});
+    }
+    printTable(table);
+    std::cout << "as seen by " << textAt(answer->json, {"self"}) << ", key-value service "
+              << (flagAt(answer->json, "platform_reachable") ? "reachable" : "not reachable") << "\n";
+    return ExitCode::Ok;
+}
+
+ExitCode targetsCommand(const CtlOptions &options)
+{
+    ExitCode code = ExitCode::Ok;
+    const auto targets = readEachDomain(options, "/admin/v1/targets", "targets", code);
+    if (!targets) {
+        return code;
+    }
+    if (options.json) {
+        printJson(*targets);
+        return ExitCode::Ok;
+    }
+    Table table{.heading = {"TARGET", "DOMAIN", "KIND", "STATE", "RUNNING", "WAITING", "SLOTS", "STEP MS", "OWNER", "MODELS"}, .rows = {}};
+    for (const json::value &target : *targets) {
+        table.rows.push_back({textAt(target, {"id"}),
+                              textAt(target, {"domain"}),
+                              textAt(target, {"kind"}),
+                              stateText(target),
+                              textAt(target, {"running"}),
+                              textAt(target, {"waiting"}),
+                              textAt(target, {"slots"}),
+                              oneDecimal(numberOf(target, "step_ms")),
+                              textAt(target, {"batch_owner"}),
+                              modelsText(target)});
+    }
+    printTable(table);
+    return ExitCode::Ok;
+}
+
+ExitCode declineCommand(const CtlOptions &options)
+{
+    ExitCode code = ExitCode::Ok;
+    const auto targets = readEachDomain(options, "/admin/v1/decline", "targets", code);
+    if (!targets) {
+        return code;
+    }
+    if (options.json) {
+        printJson(*targets);
+        return ExitCode::Ok;
+    }
+    Table table{.heading = {"TARGET", "DOMAIN", "STEP MS", "TO PEERS", "TO BASELINE", "DECLINED"}, .rows = {}};
+    for (const json::value &target : *targets) {
+        table.rows.push_back({textAt(target, {"id"}),
+                              textAt(target, {"domain"}),
+                              oneDecimal(numberOf(target, "step_ms")),
+                              "x" + oneDecimal(numberOf(target, "factor_to_peers")),
+                              "x" + oneDecimal(numberOf(target, "factor_to_baseline")),
+                              flagAt(target, "declined") ? "yes" : "no"});
+    }
+    printTable(table);
+    return ExitCode::Ok;
+}
+
+ExitCode whyCommand(const CtlOptions &options)
+{
+    if (options.word(1).empty()) {
+        return usageError("usage: skylarkctl why REQUEST_ID");
+    }
+    ExitCode code = ExitCode::Ok;
+    const auto hosts = readAdmin(options, "/admin/v1/hosts", code);
+    if (!hosts) {
+        return code;
+    }
+    HttpRequest request;
+    request.target = "/admin/v1/why?request=" + percentEncode(options.word(1));
+    json::array found;
+    for (const json::value &host : arrayAt(hosts->json, "hosts")) {
+        const auto endpoints = parseEndpoints(textAt(host, {"admin"}));
+        if (!endpoints || endpoints->empty() || textAt(host, {"state"}) == "dead") {
+            continue;
+        }
+        const auto answer = callHost(endpoints->front(), request, 3s);
+        if (!isOk(answer)) {
+            std::cerr << "skylarkctl: host " << textAt(host, {"id"}) << " does not answer; its decisions are missing\n";
+            continue;
+        }
+        for (json::value decision : arrayAt(valueOf(answer).json, "decisions")) {
+            decision.as_object()["host"] = textAt(host, {"id"});
+            found.push_back(std::move(decision));
+        }
+    }
+    std::stable_sort(found.begin(), found.end(), [](const json::value &left, const json::value &right) {
+        return numberAt(left, "at_unix_ms") < numberAt(right, "at_unix_ms");
+    });
+    if (options.json) {
+        printJson(found);
+    } else {
+        Table table{.heading = {"TIME", "HOST", "PART", "DECISION"}, .rows = {}};
+        for (const json::value &decision : found) {
+            table.rows.push_back(
+                {formatTime(numberAt(decision, "at_unix_ms")), textAt(decision, {"host"}), textAt(decision, {"part"}), textAt(decision, {"text"})});
+        }
+        printTable(table);
+    }
+    if (found.empty()) {
+        std::cerr << "skylarkctl: no host remembers a decision about " << options.word(1) << "\n";
+        return ExitCode::Refused;
+    }
+    return ExitCode::Ok;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/ctl/command_job.cpp
@@ -0,0 +1,238 @@
+/** @file command_job.cpp Commands on batch jobs. */
+#include "ctl/command_func.h"
+#include "ctl/ctl_http_func.h"
+#include "ctl/ctl_output_func.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
+
+namespace skylark {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpRequest apiRequest(const CtlOptions &options, std::string method, std::string target)
+{
+    HttpRequest request;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    request.headers.push_back({"Authorization", "Bearer " + options.apiKey});
+    return request;
+}
+
+/** @return Whether the options of job commands are given; prints what is missing. */
+bool checkApi(const CtlOptions &options)
+{
+    if (options.api.empty() || options.apiKey.empty()) {
+        usageError("job commands need --api HOST:PORT and --api_key KEY");
+        return false;
+    }
+    return true;
+}
+
+/** @return The path of the job that the third word names, or an empty text with a message. */
+std::string jobTarget(const CtlOptions &options)
+{
+    if (!checkApi(options)) {
+        return {};
+    }
+    if (options.word(2).empty()) {
+        usageError("usage: skylarkctl job " + options.word(1) + " JOB_ID");
+        return {};
+    }
+    return "/v1/jobs/" + percentEncode(options.word(2));
+}
+
+std::vector<std::string> jobRow(const json::value &job)
+{
+    return {textAt(job, {"id"}),
+            textAt(job, {"workspace"}),
+            textAt(job, {"state"}),
+            textAt(job, {"finished"}) + "/" + textAt(job, {"item_count"}),
+            textAt(job, {"failed"}),
+            formatTime(numberAt(job, "due_unix_ms")),
+            flagAt(job, "due_risk") ? "yes" : "no"};
+}
+
+void printJobs(const json::array &jobs)
+{
+    Table table{.heading = {"JOB", "WORKSPACE", "STATE", "FINISHED", "FAILED", "DUE", "DUE RISK"}, .rows = {}};
+    for (const json::value &job : jobs) {
+        table.rows.push_back(jobRow(job));
+    }
+    printTable(table);
+}
+
+ExitCode printJobAnswer(const CtlOptions &options, const Result<CtlAnswer> &answer)
+{
+    const ExitCode code = reportAnswer(answer);
+    if (code != ExitCode::Ok) {
+        return code;
+    }
+    if (options.json) {
+        printJson(valueOf(answer).json);
+    } else {
+        printJobs({valueOf(answer).json});
+    }
+    return ExitCode::Ok;
+}
+
+/** @return "[#####.....] 512/2000 finished, 3 failed, 40.0 items/s". */
+std::string progressLine(const json::value &job, double rate)
+{
+    constexpr std::uint64_t width = 30;
+    const std::uint64_t items = std::max<std::uint64_t>(numberAt(job, "item_count"), 1);
+    const std::uint64_t finished = std::min(numberAt(job, "finished"), items);
+    std::string line = "[" + std::string(finished * width / items, '#') + std::string(width - finished * width / items, '.') + "] ";
+    line += std::to_string(finished) + "/" + std::to_string(items) + " finished, " + textAt(job, {"failed"}) + " failed, " + oneDecimal(rate) + " items/s";
+    return line + (flagAt(job, "due_risk") ? ", due time at risk" : "");
+}
+
+/** Prints progress: over one line on a terminal, otherwise a line for each change. */
+struct ProgressPrinter {
+    std::string last; ///< Last line.
+    std::uint64_t firstFinished{0}; ///< Items finished at the first look.
+    std::chrono::steady_clock::time_point start{std::chrono::steady_clock::now()}; ///< First look.
+    bool started{false}; ///< Whether there was a look.
+
+    void print(const json::value &job)
+    {
+        const std::uint64_t finished = numberAt(job, "finished");
+        if (!this->started) {
+            this->started = true;
+            this->firstFinished = finished;
+        }
+        const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - this->start).count();
+        const std::uint64_t since = finished - std::min(finished, this->firstFinished);
+        const std::string line = progressLine(job, seconds > 0 ? static_cast<double>(since) / seconds : 0.0);
+        if (isatty(STDOUT_FILENO) != 0) {
+            std::cout << "\r" << line << std::string(this->last.size() > line.size() ? this->last.size() - line.size() : 0, ' ') << std::flush;
+        } else if (line != this->last) {
+            std::cout << line << std::endl;
+        }
+        this->last = line;
+    }
+};
+
+} // namespace
+
+ExitCode jobsCommand(const CtlOptions &options)
+{
+    ExitCode code = ExitCode::Ok;
+    const auto answer = readAdmin(options, "/admin/v1/jobs", code);
+    if (!answer) {
+        return code;
+    }
+    if (options.json) {
+        printJson(answer->json);
+    } else {
+        printJobs(answer->json.is_array() ? answer->json.get_array() : arrayAt(answer->json, "jobs"));
+    }
+    return ExitCode::Ok;
+}
+
+ExitCode jobSubmitCommand(const CtlOptions &options)
+{
+    if (!checkApi(options)) {
+        return ExitCode::Usage;
+    }
+    if (options.file.empty() || options.key.empty()) {
+        return usageError("usage: skylarkctl job submit --file ITEMS.jsonl --key JOB_KEY [--due TIME]");
+    }
+    auto text = readWholeFile(options.file);
+    if (!text) {
+        return usageError("cannot read " + options.file);
+    }
+    // The job key makes the submission safe to repeat on the next host: a resent job meets its own record.
+    HttpRequest request = apiRequest(options, "POST", "/v1/jobs");
+    request.headers.push_back({"Content-Type", "application/jsonl"});
+    request.headers.push_back({"x-job-key", options.key});
+    if (!options.due.empty()) {
+        request.headers.push_back({"x-due", options.due});
+    }
+    request.body = std::move(*text);
+    return printJobAnswer(options, callAny(options.api, request));
+}
+
+ExitCode jobWatchCommand(const CtlOptions &options)
+{
+    constexpr auto interval = 500ms;
+    constexpr int patience = 20; // Failed looks in a row; the job goes on without this program.
+    const std::string target = jobTarget(options);
+    if (target.empty()) {
+        return ExitCode::Usage;
+    }
+    ProgressPrinter printer;
+    int failures = 0;
+    for (;;) {
+        const auto answer = callAny(options.api, apiRequest(options, "GET", target));
+        const bool unavailable = !isOk(answer) || valueOf(answer).status == 503;
+        if (unavailable && ++failures < patience) {
+            std::this_thread::sleep_for(interval);
+            continue;
+        }
+        const ExitCode code = reportAnswer(answer);
+        if (code != ExitCode::Ok) {
+            return code;
+        }
+        failures = 0;
+        printer.print(valueOf(answer).json);
+        const std::string state = textAt(valueOf(answer).json, {"state"});
+        if (state != "active") {
+            std::cout << "\njob is " << state << "\n";
+            return state == "done" ? ExitCode::Ok : ExitCode::Refused;
+        }
+        std::this_thread::sleep_for(interval);
+    }
+}
+
+ExitCode jobResultsCommand(const CtlOptions &options)
+{
+    const std::string target = jobTarget(options);
+    if (target.empty()) {
+        return ExitCode::Usage;
+    }
+    std::ofstream file;
+    if (!options.out.empty()) {
+        file.open(options.out, std::ios::binary | std::ios::trunc);
+        if (!file) {
+            return usageError("cannot write " + options.out);
+        }
+    }
+    std::ostream &out = options.out.empty() ? std::cout : file;
+    Result<CtlAnswer> answer = makeError(ErrorCode::ConnectFailed, "no host address is given");
+    bool written = false;
+    for (const Endpoint &endpoint : options.api) {
+        answer = streamHost(endpoint, apiRequest(options, "GET", target + "/results"), [&](const std::string &piece) {
+            written = true;
+            out << piece;
+        });
+        // Output that has begun is not begun again on another host, or lines would appear twice.
+        if (written || (isOk(answer) && valueOf(answer).status != 503)) {
+            break;
+        }
+    }
+    out.flush();
+    if (written && !isOk(answer)) {
+        std::cerr << "skylarkctl: the results were cut off: " << errorOf(answer).detail << "\n";
+        return ExitCode::Unreachable;
+    }
+    return reportAnswer(answer);
+}
+
+ExitCode jobCancelCommand(const CtlOptions &options)
+{
+    const std::string target = jobTarget(options);
+    if (target.empty()) {
+        return ExitCode::Usage;
+    }
+    return printJobAnswer(options, callAny(options.api, apiRequest(options, "POST", target + "/cancel")));
+}
+
+} // namespace skylark
