Feature: Decline and placement controllers; integrate all parts

Placement orders pass the lease check between the target's 100 answer and the body. Decline replaces the ratio of single reports to the median, which took load for decline.

--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr double declineNamed = 1.3; // The slow-down of section 1.6 that must be named.
-
 json::string_view view(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -209,7 +207,7 @@
                                           {"baseline_step_ms", target.baselineStepMs},
                                           {"factor_to_peers", target.declineFactor},
                                           {"factor_to_baseline", ratio},
-                                          {"declined", target.declineFactor >= declineNamed || ratio >= declineNamed}});
+                                          {"declined", target.inDecline}});
     }
     return {{"domain", control.self.domain.value}, {"targets", std::move(targets)}};
 }
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -141,6 +141,8 @@
     spawn(runTargetList(control));
     spawn(runLoadPolls(control));
     spawn(runJobWatch(control));
+    spawn(runDecline(control));
+    spawn(runPlacement(control));
 }
 
 void requestYield(Control &handle, const TargetId &target, unsigned slots)
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -58,7 +58,8 @@
     HostId owner; ///< Batch owner at the last evaluation.
     bool polling{false}; ///< Whether a poll is in flight.
     double baselineStepMs{0}; ///< Long-term average of the step time in milliseconds.
-    double declineFactor{1.0}; ///< Step time over that of peers with the same model.
+    double declineFactor{1.0}; ///< Smoothed step time over the expected one, at least 1.
+    bool inDecline{false}; ///< Whether an alarm of slow decline is raised.
 };
 
 /** A job with the local serial number of its last change. */
--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -112,6 +112,14 @@
 /** Parses a target list. */
 [[nodiscard]] Result<std::vector<TargetInfo>> targetsFromJson(std::string_view text);
 
+// Decline and placement (decline_controller.cpp, placement_controller.cpp).
+
+/** Compares targets with their peers and their past, and this host with its own usual level. */
+boost::asio::awaitable<void> runDecline(ControlPtr control);
+
+/** Holds the domain's placement lease while this host ranks first, and loads models as the templates want. */
+boost::asio::awaitable<void> runPlacement(ControlPtr control);
+
 // Jobs (job_controller.cpp, job_record.cpp).
 
 /** Watches the job records while this host is a watcher. */
--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -206,9 +206,12 @@
     const std::string &domain = control.self.domain.value;
     const std::uint64_t own = rendezvousScore(domain, control.self.id.value);
     const auto live = liveDomainHosts(control);
-    return std::count_if(live.begin(), live.end(), [&](const HostId &host) {
-        return rendezvousScore(domain, host.value) > own;
-    }) < watchers;
+    return std::count_if(live.begin(),
+                         live.end(),
+                         [&](const HostId &host) {
+                             return rendezvousScore(domain, host.value) > own;
+                         })
+           < watchers;
 }
 
 void takeStatus(const ControlPtr &control, HostStatus status)
@@ -280,7 +283,8 @@
         }
         sendStatus(*control->exchange, makeStatus(*control), domainPeers(*control, false));
         evaluateHosts(control);
-        const std::chrono::nanoseconds interval = control->stopping ? std::min<std::chrono::milliseconds>(leavingTick, localInterval(*control)) : localInterval(*control);
+        const std::chrono::nanoseconds interval =
+            control->stopping ? std::min<std::chrono::milliseconds>(leavingTick, localInterval(*control)) : localInterval(*control);
         // A small spread keeps the datagrams of a domain from arriving in bursts.
         co_await pauseFor(control, interval - interval / 20 + randomBelow(*control, interval / 10));
     }
--- /dev/null
+++ b/src/control/placement_controller.cpp
@@ -0,0 +1,213 @@
+/** @file placement_controller.cpp Loads models as the templates want, under a fenced lease. */
+#include "control/controller_func.h"
+#include "core/hash_func.h"
+#include "engine/engine_client_func.h"
+#include "policy/placement_func.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+#include <glog/logging.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto roundInterval = std::chrono::seconds(1);
+constexpr auto retryInterval = std::chrono::seconds(3);
+constexpr unsigned maxLoadsPerRound = 2;
+
+/** The fenced lease as this host holds it. */
+struct PlacementLease {
+    bool held{false}; ///< Whether this session wrote the key.
+    KvVersion version; ///< Version of the key: the fencing number.
+    LeaseId boundTo; ///< Session lease that the key is bound to.
+};
+
+std::string leaseKey(const Control::Impl &control)
+{
+    return "lease/placement/" + control.self.domain.value;
+}
+
+/** @return Whether this host should hold the lease: it ranks first among the live hosts of its domain. */
+bool isCandidate(const Control::Impl &control)
+{
+    const std::string subject = leaseKey(control);
+    const std::uint64_t own = rendezvousScore(subject, control.self.id.value);
+    const auto hosts = liveDomainHosts(control);
+    return !control.stopping && std::none_of(hosts.begin(), hosts.end(), [&](const HostId &host) {
+        return rendezvousScore(subject, host.value) > own;
+    });
+}
+
+/** @return Models with wanted replicas over all workspaces; the largest wish counts. */
+std::vector<WantedModel> wantedModels(const FleetConfig &fleet)
+{
+    std::map<std::pair<ModelId, std::string>, WantedModel> wanted;
+    for (const auto &[id, workspace] : fleet.workspaces) {
+        for (const ModelSpec &model : workspace.models) {
+            WantedModel &entry = wanted[{model.name, model.version}];
+            entry.name = model.name;
+            entry.version = model.version;
+            entry.replicas = std::max(entry.replicas, model.replicas);
+            for (const std::string &adapter : model.adapters) {
+                if (model.replicas > 0 && std::find(entry.adapters.begin(), entry.adapters.end(), adapter) == entry.adapters.end()) {
+                    entry.adapters.push_back(adapter);
+                }
+            }
+        }
+    }
+    std::vector<WantedModel> list;
+    for (auto &[key, model] : wanted) {
+        list.push_back(std::move(model));
+    }
+    return list;
+}
+
+std::vector<PlacementTarget> placementTargets(const Control::Impl &control, const std::map<TargetId, TimePoint> &pending)
+{
+    std::vector<PlacementTarget> targets;
+    for (const auto &[id, entry] : control.targets) {
+        if (entry.info.kind != TargetKind::Engine) {
+            continue;
+        }
+        PlacementTarget target;
+        target.id = id;
+        target.running = entry.report.running;
+        target.usable = !entry.leavingKnown && entry.report.receivedAt != TimePoint();
+        const auto found = pending.find(id);
+        // A report that arrived after the order shows its effect.
+        target.orderPending = found != pending.end() && entry.report.receivedAt < found->second + std::chrono::seconds(2);
+        for (const LoadedModel &model : entry.report.models) {
+            target.models.emplace_back(model.name, model.version);
+            target.adapters.insert(target.adapters.end(), model.adapters.begin(), model.adapters.end());
+        }
+        targets.push_back(std::move(target));
+    }
+    return targets;
+}
+
+asio::awaitable<void> acquire(ControlPtr control, PlacementLease &lease)
+{
+    const WriteId writeId{randomIdHex()};
+    json::object value;
+    value["session"] = control->session.value;
+    value["writeId"] = writeId.value;
+    const LeaseId bound = control->lease.id;
+    const auto written = co_await kvPutRecognised(*control->kv, leaseKey(*control), json::serialize(value), writeId, KvVersion{}, bound);
+    notePlatform(*control);
+    if (isOk(written)) {
+        lease = {true, valueOf(written), bound};
+        LOG(INFO) << "[place] placement lease acquired, fencing number " << lease.version.value;
+    }
+}
+
+asio::awaitable<void> release(ControlPtr control, PlacementLease &lease)
+{
+    lease.held = false;
+    // An order whose answer was lost may still take effect within the target's order timeout.
+    std::chrono::milliseconds longest{0};
+    for (const auto &[id, entry] : control->targets) {
+        longest = std::max(longest, entry.info.orderTimeout);
+    }
+    co_await pauseFor(control, longest);
+    co_await kvDelete(*control->kv, leaseKey(*control), lease.version);
+    notePlatform(*control);
+    LOG(INFO) << "[place] placement lease released";
+}
+
+/** Asks the weight store for one load. */
+asio::awaitable<bool> reserveWeights(ControlPtr control, PlacementOrder order)
+{
+    const auto reserved = co_await reserveWeightFetch(*control->kv, order.model, order.version);
+    notePlatform(*control);
+    if (!isOk(reserved)) {
+        LOG(INFO) << "[place] weight store refuses a load now, model=" << order.model.value;
+    }
+    co_return isOk(reserved);
+}
+
+EngineOrder makeOrder(const PlacementOrder &order, const PlacementLease &lease)
+{
+    EngineOrder wire;
+    wire.action = order.kind == OrderKind::LoadModel ? "load_model" : order.kind == OrderKind::UnloadModel ? "unload_model" : "load_adapter";
+    wire.model = order.model;
+    wire.version = order.version;
+    wire.adapter = order.adapter;
+    wire.fencing = Fencing{lease.version.value};
+    return wire;
+}
+
+/**
+ * Sends one order. The lease is checked after the target has taken the head: a holder that is paused after the check for longer than
+ * the target's order timeout finds its order dropped, and one paused for less still holds the lease.
+ */
+asio::awaitable<void> sendPlacement(ControlPtr control, PlacementOrder order, PlacementLease lease)
+{
+    const auto found = control->targets.find(order.target);
+    if (found == control->targets.end()) {
+        co_return;
+    }
+    const TargetInfo info = found->second.info;
+    HttpTimeouts timeouts;
+    const std::string text = order.model.value + " version " + order.version + (order.adapter.empty() ? "" : " adapter " + order.adapter);
+    const auto gate = [control, info, lease]() -> Result<Done> {
+        if (control->lease.id != lease.boundTo) {
+            return makeError(ErrorCode::LeaseExpired, "session lease was replaced");
+        }
+        return orderAllowed(control->lease.deadline, info.orderTimeout, BootClock::now());
+    };
+    const EngineOrder wire = makeOrder(order, lease);
+    const auto sent = co_await sendOrder(control->http, info.endpoint, wire, timeouts, gate);
+    const std::string outcome = isOk(sent) ? "accepted" : "refused: " + errorOf(sent).detail;
+    logDecision(control->context.decisions, "place", {}, wire.action + " " + text + " on " + order.target.value + ", " + order.reason + ", " + outcome);
+    addCounter(*control->context.metrics, "skylark_orders_total", {{"outcome", isOk(sent) ? "accepted" : "refused"}});
+}
+
+asio::awaitable<void> placeOnce(ControlPtr control, PlacementLease lease, std::map<TargetId, TimePoint> &pending)
+{
+    if (!control->fleet) {
+        co_return;
+    }
+    const auto orders = planPlacement(wantedModels(*control->fleet), placementTargets(*control, pending), maxLoadsPerRound);
+    for (const PlacementOrder &order : orders) {
+        if (order.kind != OrderKind::UnloadModel && !co_await reserveWeights(control, order)) {
+            co_return;
+        }
+        pending[order.target] = BootClock::now();
+        co_await sendPlacement(control, order, lease);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> runPlacement(ControlPtr control)
+{
+    PlacementLease lease;
+    std::map<TargetId, TimePoint> pending;
+    while (!control->stopping) {
+        co_await pauseFor(control, lease.held ? std::chrono::nanoseconds(roundInterval) : std::chrono::nanoseconds(retryInterval));
+        if (lease.held && lease.boundTo != control->lease.id) {
+            lease.held = false; // The key went with the old session lease.
+        }
+        const bool alive = BootClock::now() < control->lease.deadline;
+        if (!alive) {
+            continue;
+        }
+        co_await awaitPlatform(control);
+        if (lease.held && !isCandidate(*control)) {
+            co_await release(control, lease);
+        } else if (!lease.held && isCandidate(*control)) {
+            co_await acquire(control, lease);
+        }
+        if (lease.held) {
+            co_await placeOnce(control, lease, pending);
+        }
+    }
+}
+
+} // namespace skylark
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr HttpTimeouts pollTimeouts{.connect = 300ms, .send = 300ms, .firstByte = 800ms, .idle = 500ms};
-constexpr auto declineInterval = 5s;
 constexpr double baselineGain = 0.002; // At two polls a second, a time constant of about four minutes.
 
 HostId ownerOf(const TargetId &target, const std::vector<HostId> &live)
@@ -39,34 +38,6 @@
     return leaving;
 }
 
-/** Sets each target's step time over the median of the targets with the same model; 1 where fewer than three are known. */
-void evaluateDecline(Control::Impl &control)
-{
-    std::map<std::pair<ModelId, std::string>, std::vector<double>> stepsByModel;
-    for (const auto &[id, target] : control.targets) {
-        for (const LoadedModel &model : target.report.models) {
-            if (target.report.stepMs > 0) {
-                stepsByModel[{model.name, model.version}].push_back(target.report.stepMs);
-            }
-        }
-    }
-    std::map<std::pair<ModelId, std::string>, double> medians;
-    for (auto &[model, steps] : stepsByModel) {
-        const auto middle = steps.begin() + static_cast<std::ptrdiff_t>(steps.size() / 2);
-        std::nth_element(steps.begin(), middle, steps.end());
-        medians[model] = steps.size() < 3 ? 0.0 : *middle;
-    }
-    for (auto &[id, target] : control.targets) {
-        target.declineFactor = 1.0;
-        for (const LoadedModel &model : target.report.models) {
-            const double median = medians[{model.name, model.version}];
-            if (median > 0 && target.report.stepMs > 0) {
-                target.declineFactor = std::max(target.declineFactor, target.report.stepMs / median);
-            }
-        }
-    }
-}
-
 /** Assigns batch owners when the live hosts or the targets have changed. */
 bool evaluateOwners(Control::Impl &control)
 {
@@ -188,12 +159,7 @@
 
 asio::awaitable<void> runLoadPolls(ControlPtr control)
 {
-    TimePoint nextDecline = BootClock::now();
     while (!control->lease.ended) {
-        if (BootClock::now() >= nextDecline) {
-            nextDecline = BootClock::now() + declineInterval;
-            evaluateDecline(*control);
-        }
         evaluateTargets(control);
         for (auto &[id, target] : control->targets) {
             if (target.info.kind != TargetKind::Engine || target.owner != control->self.id || target.polling) {
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -8,6 +8,7 @@
 #include "peer/peer_rpc_func.h"
 #include "traffic/caller_server_func.h"
 
+#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,7 +17,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <atomic>
 #include <csignal>
 #include <glog/logging.h>
 #include <thread>
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -227,6 +227,19 @@
     return found == family->second.values.end() ? 0 : found->second;
 }
 
+double metricSum(const MetricsRegistry &registry, std::string_view name)
+{
+    const std::scoped_lock lock(registry.impl->mutex);
+    const auto family = registry.impl->families.find(name);
+    double sum = 0;
+    if (family != registry.impl->families.end()) {
+        for (const auto &[labels, value] : family->second.values) {
+            sum += value;
+        }
+    }
+    return sum;
+}
+
 std::string renderMetrics(const MetricsRegistry &registry)
 {
     const std::scoped_lock lock(registry.impl->mutex);
--- a/src/metrics/metrics_func.h
+++ b/src/metrics/metrics_func.h
@@ -33,6 +33,9 @@
 /** @return The value of a counter or gauge; 0 when it does not exist. */
 [[nodiscard]] double metricValue(const MetricsRegistry &registry, std::string_view name, MetricLabels labels = {});
 
+/** @return The sum of all series of a counter or gauge. */
+[[nodiscard]] double metricSum(const MetricsRegistry &registry, std::string_view name);
+
 /** @return All series in the text exposition format, version 0.0.4. */
 [[nodiscard]] std::string renderMetrics(const MetricsRegistry &registry);
 
--- a/src/platform/kv_client.cpp
+++ b/src/platform/kv_client.cpp
@@ -403,6 +403,19 @@
     co_return co_await leaseCall(client, "DELETE", std::move(target), std::move(lease));
 }
 
+asio::awaitable<Result<Done>> reserveWeightFetch(KvClient &client, ModelId model, std::string version)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/weights/fetch";
+    request.body = json::serialize(json::object{{"model", model.value}, {"version", version}});
+    const auto answer = co_await callForObject(client, CallKind::Write, std::move(request));
+    if (!isOk(answer)) {
+        co_return errorOf(answer);
+    }
+    co_return Done{};
+}
+
 asio::awaitable<Result<std::vector<TargetInfo>>> platformTargets(KvClient &client)
 {
     HttpRequest request;
--- a/src/platform/kv_client_func.h
+++ b/src/platform/kv_client_func.h
@@ -93,6 +93,9 @@
 /** Ends a lease and deletes its keys. */
 boost::asio::awaitable<Result<Done>> kvRevokeLease(KvClient &client, LeaseId lease);
 
+/** Asks the weight store for one load of a model version. @return RateLimited when its rate is used up. */
+boost::asio::awaitable<Result<Done>> reserveWeightFetch(KvClient &client, ModelId model, std::string version);
+
 /** Reads the platform's list of targets. */
 boost::asio::awaitable<Result<std::vector<TargetInfo>>> platformTargets(KvClient &client);
 
--- a/src/policy/decline_type.h
+++ b/src/policy/decline_type.h
@@ -13,7 +13,7 @@
 
 /** Parameters of the detection. */
 struct DeclineSettings {
-    std::chrono::seconds window{10}; ///< Samples of one window give one median.
+    std::chrono::milliseconds window{10000}; ///< Samples of one window give one median.
     double drift{0.1398}; ///< Log ratio below which nothing accumulates; log 1.15, half of a 30 % slow-down.
     double threshold{0.8}; ///< Accumulated log ratio that raises an alarm; a 30 % slow-down reaches it in 7 windows.
     double clearBelow{0.2}; ///< An alarm ends when the accumulated log ratio falls below this.
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -48,6 +48,7 @@
     std::chrono::milliseconds drainTimeout{60000}; ///< Longest wait for running requests in a planned stop.
     std::size_t maxRequestBody{std::size_t{8} << 20U}; ///< Largest online request body in bytes.
     std::size_t maxJobBody{std::size_t{512} << 20U}; ///< Largest job submission in bytes.
+    std::chrono::milliseconds declineWindow{10000}; ///< Window of the decline detection.
     unsigned platformCallsPerSecond{50}; ///< Bound on background calls to the key-value service.
     std::uint64_t seed{0}; ///< Seed of random decisions; 0 takes one from the system.
 
--- a/src/settings/table/settings_table.h
+++ b/src/settings/table/settings_table.h
@@ -27,6 +27,7 @@
     DurationSetting{"lease_ttl_ms", &Settings::leaseTtl, std::chrono::milliseconds(100), longestInterval},
     DurationSetting{"lease_renew_ms", &Settings::leaseRenew, std::chrono::milliseconds(10), longestInterval},
     DurationSetting{"lease_margin_ms", &Settings::leaseMargin, std::chrono::milliseconds(1), longestInterval},
+    DurationSetting{"decline_window_ms", &Settings::declineWindow, std::chrono::milliseconds(100), longestInterval},
     DurationSetting{"lame_duck_ms", &Settings::lameDuck, std::chrono::milliseconds(0), longestInterval},
     DurationSetting{"drain_timeout_ms", &Settings::drainTimeout, std::chrono::milliseconds(0), longestInterval},
 };
--- a/src/traffic/answer.cpp
+++ b/src/traffic/answer.cpp
@@ -84,6 +84,8 @@
     Generation &generation = *context.generation;
     generation.promptTokens = event.promptTokens > 0 ? event.promptTokens : generation.promptTokens;
     generation.cachedTokens = event.cachedTokens > 0 ? event.cachedTokens : generation.cachedTokens;
+    addCounter(*impl.context.metrics, "skylark_prompt_tokens_total", {}, event.promptTokens);
+    addCounter(*impl.context.metrics, "skylark_cached_tokens_total", {}, event.cachedTokens);
     if (!event.finishReason.empty()) {
         generation.finishReason = event.finishReason;
     }
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -216,6 +216,7 @@
     askForSlots(impl, context.generation->decision);
     {
         const StreamCount count(*impl.context.loads, target.id);
+        addCounter(*impl.context.metrics, "skylark_target_attempts_total");
         auto started = co_await startOnTarget(impl, context, target.endpoint, attempt, timeouts);
         context.targetTime += BootClock::now() - startedAt;
         if (isOk(started)) {
