Fix: Identifiers freed twice after default arguments in co_await expressions

Cause: g++ 12 copies aggregate temporaries in a co_await expression bitwise; the default LeaseId of kvPut() was destroyed twice and hosts aborted at the first conditional write. Ruled out: the lease and placement controllers, whose backtraces only passed through. Identifiers are no aggregates any more.

--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace skylark {
 
@@ -13,6 +14,16 @@
 struct StrongId {
     std::string value; ///< Identifier text.
 
+    // The constructors keep the type from being an aggregate: g++ 12 copies aggregate temporaries in a co_await expression
+    // bitwise and then destroys both, which frees the string twice.
+    StrongId() noexcept
+    {
+    }
+    explicit StrongId(std::string text)
+        : value(std::move(text))
+    {
+    }
+
     auto operator<=>(const StrongId &) const = default;
     [[nodiscard]] bool empty() const
     {
--- a/src/traffic/service_call.cpp
+++ b/src/traffic/service_call.cpp
@@ -188,7 +188,8 @@
     }
     const std::string key(headerValue(context.request.headers, "idempotency-key"));
     if (key.empty() || call->repeatable || context.hops > 0) {
-        co_return co_await sendAndRelay(impl, context, OnceTicket{}, call->repeatable);
+        OnceTicket none;
+        co_return co_await sendAndRelay(impl, context, std::move(none), call->repeatable);
     }
     if (!isValidKey(key)) {
         Error error = makeError(ErrorCode::InvalidRequest, "the idempotency key must have up to 200 visible characters without a slash");
--- a/tools/lib/demo.py
+++ b/tools/lib/demo.py
@@ -63,16 +63,11 @@
             thread.join()
 
 
-def result_lines(fleet):
-    done = fleet.ctl("job", "results", "--key=evening-catalogue")
+def result_lines(fleet, job):
+    done = fleet.ctl("job", "results", job)
     return [json.loads(line) for line in done.stdout.splitlines() if line.strip()]
 
 
-def job_state(fleet):
-    done = fleet.ctl("jobs", "--json", check=False)
-    return done.stdout
-
-
 def run_demo(fleet):
     started = time.monotonic()
     print("starting stand-ins and hosts", flush=True)
@@ -88,7 +83,7 @@
     path = os.path.join(fleet.folder, "job.jsonl")
     with open(path, "w", encoding="utf-8") as file:
         file.write(fleetlib.job_lines(fleet.model, BATCH_ITEMS))
-    fleet.ctl("job", "submit", f"--file={path}", "--key=evening-catalogue", "--due=3600")
+    job = json.loads(fleet.ctl("job", "submit", f"--file={path}", "--key=evening-catalogue", "--due=3600", "--json").stdout)["id"]
     client = OnlineClient(fleet)
     online = threading.Thread(target=client.run, args=(ONLINE_REQUESTS, 8.0))
     online.start()
@@ -97,8 +92,8 @@
     print(f"killing {victim}", flush=True)
     fleet.kill(victim)
     online.join()
-    fleet.ctl("job", "watch", "--key=evening-catalogue", "--timeout=45s", check=False)
-    results = result_lines(fleet)
+    fleet.ctl("job", "watch", job, "--timeout=45s", check=False)
+    results = result_lines(fleet, job)
     counts = collections.Counter(line["custom_id"] for line in results)
     for error in client.errors[:5]:
         print("online error:", error)
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -153,7 +153,7 @@
         path = os.path.join(self.folder, f"{kind}-{name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(body, file, indent=2)
-        return self.ctl(kind, "apply", name, f"--file={path}", "--by=demo")
+        return json.loads(self.ctl(kind, "apply", name, f"--file={path}", "--by=demo", "--json").stdout)["revision"]
 
     def make_workspace(self, batch=None, online=None):
         """Creates a template and a workspace through skylarkctl and waits until they are in force."""
@@ -164,8 +164,8 @@
             "batch": batch or {"share": 1.0, "tail_weight": 0.5, "default_due_s": 3600, "max_attempts": 4},
         }
         self.apply_document("template", "atelier", template)
-        self.apply_document("workspace", "masque-dodo", {"template": "atelier", "api_keys": [API_KEY]})
-        self.ctl("revision", "wait", "--timeout=10s")
+        revision = self.apply_document("workspace", "masque-dodo", {"template": "atelier", "api_keys": [API_KEY]})
+        self.ctl("revision", "wait", f"--revision={revision}", "--timeout=10s")
 
     def signal(self, name, number):
         self.processes[name].send_signal(number)
