Feature: Session lease decisions

After an outage background calls begin at random times within 10 s and keep to a token bucket, so that hosts do not flood the service when it returns.

--- /dev/null
+++ b/src/policy/lease.cpp
@@ -0,0 +1,125 @@
+/** @file lease.cpp Decisions about the session lease and about background calls to the key-value service. */
+#include "policy/lease_func.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/** Largest number of doublings of the retry delay; the renewal interval bounds it earlier. */
+constexpr unsigned maxDoublings = 16;
+
+/** @return Random part of @p range, from 0 to below @p range. */
+nanoseconds randomPart(nanoseconds range, std::uint64_t &random)
+{
+    const std::uint64_t number = nextRandom(random);
+    return range.count() <= 0 ? nanoseconds(0) : nanoseconds(static_cast<std::int64_t>(number % static_cast<std::uint64_t>(range.count())));
+}
+
+void refill(PlatformGate &gate, const PlatformLimits &limits, TimePoint now)
+{
+    if (!gate.refilledAt) {
+        gate.tokens = limits.burst;
+        gate.refilledAt = now;
+        return;
+    }
+    if (now > *gate.refilledAt) {
+        const std::chrono::duration<double> passed = now - *gate.refilledAt;
+        gate.tokens = std::min(limits.burst, gate.tokens + passed.count() * limits.callsPerSecond);
+        gate.refilledAt = now;
+    }
+}
+
+} // namespace
+
+void leaseAttempted(LeaseState &state, TimePoint now)
+{
+    state.lastSentAt = now;
+}
+
+void leaseGranted(LeaseState &state, LeaseId lease, TimePoint sentAt, std::chrono::milliseconds ttl, std::chrono::milliseconds margin)
+{
+    state.lease = std::move(lease);
+    state.deadline = sentAt + ttl - margin;
+    state.failures = 0;
+}
+
+void leaseRenewed(LeaseState &state, const LeaseId &lease, TimePoint sentAt, std::chrono::milliseconds ttl, std::chrono::milliseconds margin)
+{
+    if (state.lease.empty() || lease != state.lease) {
+        return;
+    }
+    state.deadline = std::max(state.deadline, sentAt + ttl - margin);
+    state.failures = 0;
+}
+
+void leaseAttemptFailed(LeaseState &state)
+{
+    ++state.failures;
+}
+
+void leaseEnded(LeaseState &state, const LeaseId &lease)
+{
+    if (lease != state.lease) {
+        return;
+    }
+    state.lease = {};
+    state.deadline = {};
+}
+
+bool leaseAllows(const LeaseState &state, TimePoint now)
+{
+    return !state.lease.empty() && now < state.deadline;
+}
+
+bool leaseOutlasts(const LeaseState &state, TimePoint now, std::chrono::milliseconds duration)
+{
+    return !state.lease.empty() && now + duration < state.deadline;
+}
+
+TimePoint leaseAttemptDue(const LeaseState &state, const LeaseTiming &timing, std::uint64_t &random)
+{
+    nanoseconds delay = timing.renew;
+    if (state.failures > 0) {
+        const unsigned doublings = std::min(state.failures - 1, maxDoublings);
+        delay = std::min<nanoseconds>(timing.retry * (std::int64_t{1} << doublings), timing.renew);
+    }
+    return state.lastSentAt + delay - delay / 10 + randomPart(delay / 5, random);
+}
+
+void platformAnswered(PlatformGate &gate, const PlatformLimits &limits, TimePoint now, std::uint64_t &random)
+{
+    if (platformDown(gate, limits, now)) {
+        gate.resumeAt = now + randomPart(limits.spread, random);
+    }
+    gate.failingSince.reset();
+}
+
+void platformFailed(PlatformGate &gate, TimePoint now)
+{
+    if (!gate.failingSince) {
+        gate.failingSince = now;
+    }
+}
+
+bool platformDown(const PlatformGate &gate, const PlatformLimits &limits, TimePoint now)
+{
+    return gate.failingSince && now - *gate.failingSince >= limits.outageAfter;
+}
+
+bool takePlatformCall(PlatformGate &gate, const PlatformLimits &limits, TimePoint now)
+{
+    refill(gate, limits, now);
+    if (now < gate.resumeAt || platformDown(gate, limits, now) || gate.tokens < 1) {
+        return false;
+    }
+    gate.tokens -= 1;
+    return true;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/tests/test_lease.cpp
@@ -0,0 +1,275 @@
+/** @file test_lease.cpp Decisions about the session lease and background calls. */
+#include "core/hash_func.h"
+#include "policy/lease_func.h"
+#include "support/seeded_property_func.h"
+
+#include <algorithm>
+#include <map>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Key-value service with one lease, as far as a host's lease is concerned. */
+struct LeaseService {
+    LeaseId current; ///< Lease that exists.
+    TimePoint expiresAt{}; ///< Its end.
+    int granted{0}; ///< Leases granted.
+
+    LeaseId grant(TimePoint now, milliseconds ttl)
+    {
+        this->current.value = "lease-" + std::to_string(++this->granted);
+        this->expiresAt = now + ttl;
+        return this->current;
+    }
+    bool renew(const LeaseId &lease, TimePoint now, milliseconds ttl)
+    {
+        if (lease != this->current || now >= this->expiresAt) {
+            return false;
+        }
+        this->expiresAt = now + ttl;
+        return true;
+    }
+};
+
+/** A renewal whose answer is on its way, perhaps for ever. */
+struct Renewal {
+    LeaseId lease; ///< Lease renewed.
+    TimePoint sentAt; ///< Clock value read before sending.
+    bool accepted{false}; ///< Answer of the service.
+};
+
+/** A host and the service on a simulated clock; each step is chosen by the property. */
+struct LeaseFixture {
+    LeaseTiming timing; ///< Times.
+    TimePoint now{1000s}; ///< Simulated time.
+    LeaseState state; ///< Host's view.
+    LeaseService service; ///< Service.
+    std::vector<Renewal> pending; ///< Renewals whose answers have not arrived.
+    std::map<LeaseId, TimePoint> lastSuccess; ///< Sending time of the last accepted request whose answer arrived, by lease.
+
+    void reset()
+    {
+        *this = LeaseFixture();
+    }
+
+    void take(const Renewal &renewal)
+    {
+        if (!renewal.accepted) {
+            leaseEnded(this->state, renewal.lease);
+            return;
+        }
+        leaseRenewed(this->state, renewal.lease, renewal.sentAt, this->timing.ttl, this->timing.margin);
+        TimePoint &last = this->lastSuccess[renewal.lease];
+        last = std::max(last, renewal.sentAt);
+    }
+
+    void acquire(milliseconds pause)
+    {
+        const TimePoint sentAt = this->now;
+        this->now += pause;
+        const LeaseId lease = this->service.grant(this->now, this->timing.ttl);
+        this->now += pause;
+        leaseGranted(this->state, lease, sentAt, this->timing.ttl, this->timing.margin);
+        this->lastSuccess[lease] = sentAt;
+    }
+
+    /** Reads the clock, pauses, and sends a renewal; the pause is between the read and the service. */
+    void send(milliseconds pause)
+    {
+        const TimePoint sentAt = this->now;
+        leaseAttempted(this->state, sentAt);
+        this->now += pause;
+        const bool accepted = this->service.renew(this->state.lease, this->now, this->timing.ttl);
+        this->pending.push_back({this->state.lease, sentAt, accepted});
+    }
+
+    /** Delivers, repeats or loses one answer. */
+    void answer(std::size_t index, int fate)
+    {
+        if (this->pending.empty()) {
+            return;
+        }
+        const auto chosen = this->pending.begin() + static_cast<std::ptrdiff_t>(index % this->pending.size());
+        if (fate == 0) {
+            leaseAttemptFailed(this->state);
+        } else {
+            take(*chosen);
+        }
+        if (fate != 1) {
+            this->pending.erase(chosen);
+        }
+    }
+
+    /** Checks every effect that the state allows at the present time. */
+    void checkEffects(milliseconds pause)
+    {
+        if (leaseAllows(this->state, this->now)) {
+            RC_ASSERT(this->now < this->lastSuccess.at(this->state.lease) + this->timing.ttl - this->timing.margin);
+            RC_ASSERT(this->service.current == this->state.lease);
+            RC_ASSERT(this->now + this->timing.margin < this->service.expiresAt);
+        }
+        // A pause between the check and the effect: an order is dropped by its target when it is later than the time that the check covers.
+        const milliseconds covered = 1000ms;
+        const bool checked = leaseOutlasts(this->state, this->now, covered);
+        this->now += pause;
+        if (checked && pause <= covered) {
+            RC_ASSERT(this->now < this->lastSuccess.at(this->state.lease) + this->timing.ttl - this->timing.margin);
+        }
+    }
+};
+
+milliseconds generatePause()
+{
+    return milliseconds(*rc::gen::oneOf(rc::gen::inRange(0, 50), rc::gen::inRange(0, 500), rc::gen::inRange(0, 3000), rc::gen::inRange(0, 15000)));
+}
+
+} // namespace
+
+// Guards P11: no effect after the deadline, whatever renewal answers are late, lost, repeated or crossed, and wherever the host is paused.
+TEST_CASE_METHOD(LeaseFixture, "leaseAllows_anyAnswersAndPauses_neverPastDeadline")
+{
+    int allowed = 0;
+    requireProperty(21, 500, [this, &allowed] {
+        reset();
+        acquire(0ms);
+        const int steps = *rc::gen::inRange(20, 80);
+        for (int i = 0; i < steps; ++i) {
+            const int action = *rc::gen::inRange(0, 10);
+            if (action == 0 && (this->state.lease.empty() || this->now >= this->service.expiresAt)) {
+                acquire(generatePause());
+            } else if (action <= 3 && !this->state.lease.empty()) {
+                send(generatePause());
+            } else if (action <= 6) {
+                answer(static_cast<std::size_t>(*rc::gen::inRange(0, 100)), *rc::gen::inRange(0, 4));
+            } else {
+                allowed += leaseAllows(this->state, this->now) ? 1 : 0;
+                checkEffects(generatePause());
+            }
+        }
+    });
+    // The property would also hold for a lease that never allows anything.
+    CHECK(allowed > 500);
+}
+
+// Guards against the answer for a former lease that revives a lost one, and against a deadline that moves backwards.
+TEST_CASE_METHOD(LeaseFixture, "leaseRenewed_lateAnswers_ignoredOrHarmless")
+{
+    const LeaseId first{"one"};
+    CHECK(!leaseAllows(this->state, this->now));
+    leaseGranted(this->state, first, this->now, this->timing.ttl, this->timing.margin);
+    leaseRenewed(this->state, first, this->now + 5s, this->timing.ttl, this->timing.margin);
+    leaseRenewed(this->state, first, this->now + 3s, this->timing.ttl, this->timing.margin);
+    CHECK(leaseAllows(this->state, this->now + 13s - 1ns));
+    CHECK(!leaseAllows(this->state, this->now + 13s));
+    CHECK(leaseOutlasts(this->state, this->now, 12s));
+    CHECK(!leaseOutlasts(this->state, this->now, 13s));
+    leaseEnded(this->state, LeaseId{"other"});
+    CHECK(leaseAllows(this->state, this->now));
+    leaseEnded(this->state, first);
+    leaseRenewed(this->state, first, this->now + 6s, this->timing.ttl, this->timing.margin);
+    CHECK(!leaseAllows(this->state, this->now));
+    leaseGranted(this->state, LeaseId{"two"}, this->now, this->timing.ttl, this->timing.margin);
+    leaseRenewed(this->state, first, this->now + 9s, this->timing.ttl, this->timing.margin);
+    CHECK(!leaseAllows(this->state, this->now + 8s));
+}
+
+// Guards against a lease that lapses because one or two renewals were lost, and against hosts that renew in step.
+TEST_CASE_METHOD(LeaseFixture, "leaseAttemptDue_failures_retriedWithinDeadline")
+{
+    requireProperty(22, 300, [this] {
+        std::uint64_t random = *rc::gen::arbitrary<std::uint64_t>();
+        LeaseState held;
+        leaseGranted(held, LeaseId{"one"}, this->now, this->timing.ttl, this->timing.margin);
+        leaseAttempted(held, this->now);
+        const auto first = leaseAttemptDue(held, this->timing, random) - this->now;
+        RC_ASSERT(first >= this->timing.renew * 9 / 10);
+        RC_ASSERT(first < this->timing.renew * 11 / 10);
+        TimePoint at = this->now + first;
+        int attempts = 0;
+        for (; at < held.deadline; ++attempts) {
+            leaseAttempted(held, at);
+            leaseAttemptFailed(held);
+            const TimePoint due = leaseAttemptDue(held, this->timing, random);
+            RC_ASSERT(due > at);
+            RC_ASSERT(due - at <= this->timing.renew * 11 / 10);
+            at = due;
+        }
+        RC_ASSERT(attempts >= 4);
+    });
+    LeaseState old;
+    old.failures = 1000000;
+    std::uint64_t random = 1;
+    CHECK(leaseAttemptDue(old, this->timing, random) - old.lastSentAt <= this->timing.renew * 11 / 10);
+}
+
+// Guards against a stampede on the service when it returns: 360 hosts with work to do are spread over 10 s, and each keeps to its rate.
+TEST_CASE("platformGate_serviceReturns_callsSpread")
+{
+    const PlatformLimits limits;
+    const TimePoint start{5000s};
+    std::map<std::int64_t, int> firstCalls;
+    std::uint64_t random = 42;
+    for (int host = 0; host < 360; ++host) {
+        PlatformGate gate;
+        CHECK(takePlatformCall(gate, limits, start - 3600s));
+        platformFailed(gate, start - 3600s);
+        platformFailed(gate, start - 1s);
+        CHECK(!takePlatformCall(gate, limits, start - 1s));
+        platformAnswered(gate, limits, start, random);
+        int calls = 0;
+        for (TimePoint now = start; now < start + 20s; now += 10ms) {
+            if (takePlatformCall(gate, limits, now) && ++calls == 1) {
+                ++firstCalls[std::chrono::duration_cast<std::chrono::seconds>(now - start).count()];
+            }
+        }
+        CHECK(calls <= 20 * 5 + 5);
+        CHECK(calls >= 10 * 5);
+    }
+    CHECK(firstCalls.size() == 10);
+    for (const auto &[second, count] : firstCalls) {
+        CHECK(count < 72);
+    }
+}
+
+// Guards against a single lost answer that holds up background work, such as a configuration watch, like an outage.
+TEST_CASE("platformGate_singleFailure_noWait")
+{
+    const PlatformLimits limits;
+    const TimePoint start{5000s};
+    std::uint64_t random = 1;
+    PlatformGate gate;
+    platformFailed(gate, start);
+    CHECK(!platformDown(gate, limits, start + 1s));
+    CHECK(takePlatformCall(gate, limits, start + 1s));
+    platformAnswered(gate, limits, start + 1s, random);
+    CHECK(takePlatformCall(gate, limits, start + 1s));
+    CHECK(!platformDown(gate, limits, start + 3600s));
+}
+
+// Guards against more calls than the rate and the burst permit in any stretch of time.
+TEST_CASE("platformGate_anyCalls_withinRate")
+{
+    requireProperty(23, 300, [] {
+        const PlatformLimits limits;
+        PlatformGate gate;
+        TimePoint now{1000s};
+        std::vector<TimePoint> taken;
+        for (const int step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 700))) {
+            now += milliseconds(step);
+            for (int i = 0; i < 3; ++i) {
+                if (takePlatformCall(gate, limits, now)) {
+                    taken.push_back(now);
+                }
+            }
+        }
+        for (std::size_t from = 0; from < taken.size(); ++from) {
+            for (std::size_t to = from; to < taken.size(); ++to) {
+                const std::chrono::duration<double> span = taken[to] - taken[from];
+                RC_ASSERT(static_cast<double>(to - from + 1) <= limits.burst + limits.callsPerSecond * span.count() + 1e-6);
+            }
+        }
+    });
+}
