--- a/src/peer/peer_loop.cpp
+++ b/src/peer/peer_loop.cpp
@@ -17,6 +17,9 @@
 /** Bound on one RPC message in 8-byte words: the largest blob and as much again for the rest. */
 constexpr std::uint64_t maxMessageWords = 2 * maxBlobBytes / sizeof(std::uint64_t);
 
+/** Bound on the calls in progress of one incoming connection in 8-byte words (16 MiB); a single larger call is still served. */
+constexpr std::size_t maxWordsInProgress = (std::size_t{16} << 20U) / sizeof(std::uint64_t);
+
 capnp::ReaderOptions readerOptions()
 {
     capnp::ReaderOptions options;
@@ -109,8 +112,8 @@
     , system(capnp::makeRpcServer(this->network, kj::mv(service)))
 {
     setOptions(*this->stream);
-    // Calls in progress of one connection together hold at most two of the largest messages.
-    this->system.setFlowLimit(2 * maxMessageWords);
+    // Above the limit, further calls of the connection wait in the socket, so that a peer cannot fill the memory with large blobs.
+    this->system.setFlowLimit(maxWordsInProgress);
 }
 
 PeerClient::PeerClient(kj::Own<kj::AsyncIoStream> &&connected)
