--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -136,7 +136,9 @@
 asio::awaitable<Result<KvVersion>> writeRecord(BatchStatePtr state, std::string key, std::string value, WriteId writeId, KvVersion expected)
 {
     ++state->recordWrites;
-    auto written = co_await kvPutRecognised(*state->kv, std::move(key), std::move(value), std::move(writeId), expected);
+    // g++ 12 destroys the default argument of the lease twice inside co_await, so it is a variable.
+    const LeaseId noLease;
+    auto written = co_await kvPutRecognised(*state->kv, std::move(key), std::move(value), std::move(writeId), expected, noLease);
     noteKvOutcome(*state, isOk(written) ? std::nullopt : std::optional(errorOf(written).code));
     co_return written;
 }
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -210,7 +210,11 @@
         }
         const auto cached = state->progress.find(record->id);
         const bool fresh = cached != state->progress.end() && BootClock::now() - cached->second.readAt < progressCache;
-        auto progress = fresh ? Result<JobProgress>(cached->second.progress) : co_await countGroups(state, *record);
+        if (fresh) {
+            list.push_back(cached->second.progress);
+            continue;
+        }
+        auto progress = co_await countGroups(state, *record);
         if (!isOk(progress)) {
             co_return errorOf(progress);
         }
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr auto storeRetry = std::chrono::milliseconds(500); ///< Pause after too few disk hosts were reachable.
+constexpr auto completionRetry = std::chrono::milliseconds(100); ///< Pause while the lease or the record is being checked.
 constexpr auto loadRetry = std::chrono::milliseconds(500); ///< Pause after an input blob could not be read.
 constexpr unsigned maxLoadFailures = 5; ///< Then another host, which may reach a copy, should try.
 constexpr auto unreadablePause = std::chrono::seconds(30); ///< No further claims of a job whose input this host cannot read.
@@ -263,11 +264,13 @@
 {
     std::string lines;
     const GroupOutcome outcome = outcomeOf(*group, lines);
-    if (!co_await storeResult(state, group, outcome.resultBlob, std::move(lines))) {
-        co_return;
-    }
-    while (group->phase == GroupPhase::Finishing && !co_await tryComplete(state, group, outcome)) {
-        co_await pauseFor(state->context.batch.get_executor(), std::chrono::milliseconds(100));
+    const bool stored = co_await storeResult(state, group, outcome.resultBlob, std::move(lines));
+    bool settled = !stored;
+    while (!settled && group->phase == GroupPhase::Finishing) {
+        settled = co_await tryComplete(state, group, outcome);
+        if (!settled) {
+            co_await pauseFor(state->context.batch.get_executor(), completionRetry);
+        }
     }
     wakePump(*state);
 }
--- a/src/batch/scan.cpp
+++ b/src/batch/scan.cpp
@@ -97,8 +97,11 @@
 asio::awaitable<void> takeOverGroups(BatchStatePtr state, JobId job, GroupScan scan)
 {
     const SessionId own = snapshotOf(*state)->session;
-    if (needsSessions(*state, scan, own) && !co_await readSessions(state)) {
-        co_return;
+    if (needsSessions(*state, scan, own)) {
+        const bool known = co_await readSessions(state);
+        if (!known) {
+            co_return;
+        }
     }
     std::size_t taken = 0;
     for (const auto &[index, group] : scan.groups) {
