Change: Bound the cost of the batch loop with many jobs, and leave targets that another host owns

Scans of idle hosts are spaced by the size of the fleet, because 360 idle hosts would otherwise read far more than the key-value service allows. Streams on a target that another host owns now are cancelled and resume elsewhere.

--- a/src/batch/batch_internal_func.h
+++ b/src/batch/batch_internal_func.h
@@ -108,13 +108,19 @@
 [[nodiscard]] bool servesModel(const TargetView &view, const ControlSnapshot &snapshot, const WorkspaceId &workspace, const ModelId &model);
 
 /** @return Active jobs, the most urgent first. */
-[[nodiscard]] std::vector<JobWork *> jobsByUrgency(BatchState &state, const ControlSnapshot &snapshot);
+[[nodiscard]] const std::vector<JobWork *> &jobsByUrgency(BatchState &state, const ControlSnapshot &snapshot);
 
 // Progress (progress.cpp).
 
 /** Takes a job record into the working set if it is active. */
 void adoptJob(BatchState &state, const std::shared_ptr<const JobRecord> &record);
 
+/** @return Items of a job without a recorded result, as far as known. */
+[[nodiscard]] std::uint64_t itemsLeft(const JobWork &work);
+
+/** Removes a job from the working set. */
+void forgetJob(BatchState &state, const JobId &job);
+
 /** @return Items finished a second by the whole fleet, estimated from this host; 0 when unknown. */
 [[nodiscard]] double fleetRate(const BatchState &state);
 
--- a/src/batch/batch_state_base.h
+++ b/src/batch/batch_state_base.h
@@ -128,6 +128,10 @@
     boost::asio::steady_timer pumpTimer; ///< Next turn of the execution loop; cancelled to wake it.
     std::map<TargetId, BatchTarget> targets; ///< Targets that this host owns or has streams on.
     std::map<JobId, JobWork> jobs; ///< Active jobs.
+    std::vector<JobWork *> jobOrder; ///< Active jobs, the most urgent first.
+    TimePoint jobOrderAt{}; ///< Time of that order; zero after a job came or went.
+    std::shared_ptr<const ControlSnapshot> seenSnapshot; ///< Snapshot whose jobs were taken over.
+    TimePoint nextIdleScan{}; ///< No scan for lost groups before.
     std::set<JobId> fetching; ///< Jobs whose record is being read because the snapshot lacks its input blobs.
     std::set<JobId> stopped; ///< Jobs known as cancelled or done.
     std::vector<std::shared_ptr<HeldGroup>> held; ///< Groups in order of claim.
--- a/src/batch/execution.cpp
+++ b/src/batch/execution.cpp
@@ -26,6 +26,7 @@
     std::shared_ptr<const ControlSnapshot> snapshot; ///< Control state.
     std::vector<const TargetView *> targets; ///< Targets that may take batch.
     std::vector<JobWork *> jobs; ///< The most urgent first.
+    std::map<std::pair<WorkspaceId, ModelId>, bool> wants; ///< Whether another group with a model is wanted.
     std::vector<std::shared_ptr<HeldGroup>> groups; ///< Held groups in the order of their jobs.
 };
 
@@ -62,18 +63,17 @@
     return holds;
 }
 
-void syncJobs(BatchState &state, const ControlSnapshot &snapshot)
+void dropStopped(BatchState &state)
 {
-    for (const auto &record : snapshot.jobs) {
-        if (record->state == JobState::Active) {
-            adoptJob(state, record);
-            continue;
+    std::vector<JobId> ended;
+    for (const auto &[id, work] : state.jobs) {
+        if (state.stopped.contains(id)) {
+            ended.push_back(id);
         }
-        state.stopped.insert(record->id);
     }
-    std::erase_if(state.jobs, [&state](const auto &entry) {
-        return state.stopped.contains(entry.first);
-    });
+    for (const JobId &id : ended) {
+        forgetJob(state, id);
+    }
     const auto held = state.held;
     for (const auto &group : held) {
         if (state.stopped.contains(group->job->id)) {
@@ -82,6 +82,22 @@
     }
 }
 
+/** Takes over new jobs and ends work on those that are cancelled or done. */
+void syncJobs(BatchState &state, const std::shared_ptr<const ControlSnapshot> &snapshot)
+{
+    if (state.seenSnapshot != snapshot) {
+        state.seenSnapshot = snapshot;
+        for (const auto &record : snapshot->jobs) {
+            if (record->state == JobState::Active) {
+                adoptJob(state, record);
+            } else {
+                state.stopped.insert(record->id);
+            }
+        }
+    }
+    dropStopped(state);
+}
+
 void verifyGroups(const BatchStatePtr &state)
 {
     for (const auto &group : state->held) {
@@ -229,10 +245,40 @@
 }
 
 /** @return Whether this host should claim another group with @p model: it could soon run out of items. */
-bool wantsGroup(const BatchState &state, const Turn &turn, const WorkspaceId &workspace, const ModelId &model)
+bool wantsGroup(const BatchState &state, Turn &turn, const WorkspaceId &workspace, const ModelId &model)
 {
-    const Supply supply = supplyFor(state, turn, workspace, model);
-    return supply.limit > 0 && supply.ahead < maxGroupsAhead && supply.waiting < supply.limit;
+    const auto [known, isNew] = turn.wants.try_emplace({workspace, model}, false);
+    if (isNew) {
+        const Supply supply = supplyFor(state, turn, workspace, model);
+        known->second = supply.limit > 0 && supply.ahead < maxGroupsAhead && supply.waiting < supply.limit;
+    }
+    return known->second;
+}
+
+bool wantsAny(const BatchState &state, Turn &turn, const JobRecord &job)
+{
+    return std::any_of(job.models.begin(), job.models.end(), [&](const ModelId &model) {
+        return wantsGroup(state, turn, job.workspace, model);
+    });
+}
+
+/** @return Time between two scans of idle hosts here; it grows with the fleet, so that all hosts together stay below some 100 scans a second. */
+std::chrono::nanoseconds idleScanInterval(const ControlSnapshot &snapshot)
+{
+    return std::max<std::chrono::nanoseconds>(std::chrono::milliseconds(100), std::chrono::milliseconds(10) * snapshot.hosts.size());
+}
+
+/** @return Whether the groups of @p work should be read now. @param claimable Whether it has a group to claim. */
+bool isScanDue(const BatchState &state, const JobWork &work, bool claimable, bool wanted, TimePoint now)
+{
+    if (claimable || now < work.blockedUntil) {
+        return false;
+    }
+    const bool conflicted = work.next < work.walk.size();
+    if (work.scanWanted || conflicted) {
+        return now - work.scannedAt >= finalScanInterval;
+    }
+    return wanted && now - work.scannedAt >= scanInterval && now >= state.nextIdleScan;
 }
 
 asio::awaitable<void> acquire(BatchStatePtr state, JobId job, std::uint32_t group)
@@ -249,7 +295,7 @@
 }
 
 /** Starts one claim or scan if there is a need; one at a time bounds the load on the key-value service. */
-void acquireWork(const BatchStatePtr &state, const Turn &turn)
+void acquireWork(const BatchStatePtr &state, Turn &turn)
 {
     if (state->claiming || !mayCallKv(*state)) {
         return;
@@ -262,14 +308,10 @@
             asio::co_spawn(state->context.batch, acquire(state, work->record->id, *group), asio::detached);
             return;
         }
-        const bool wanted = std::any_of(work->record->models.begin(), work->record->models.end(), [&](const ModelId &model) {
-            return wantsGroup(*state, turn, work->record->workspace, model);
-        });
-        const bool allTaken = !group && work->next == work->walk.size();
-        const bool conflicted = !group && !allTaken && now >= work->blockedUntil;
-        const auto interval = work->scanWanted || conflicted ? std::chrono::nanoseconds(finalScanInterval) : std::chrono::nanoseconds(scanInterval);
-        if ((allTaken || conflicted) && (wanted || work->scanWanted) && now - work->scannedAt >= interval) {
+        const bool wanted = wantsAny(*state, turn, *work->record);
+        if (isScanDue(*state, *work, group.has_value(), wanted, now)) {
             work->scannedAt = now;
+            state->nextIdleScan = now + idleScanInterval(*turn.snapshot);
             state->claiming = true;
             asio::co_spawn(state->context.batch, scan(state, work->record->id, wanted), asio::detached);
             return;
@@ -295,7 +337,7 @@
 {
     Turn turn;
     turn.snapshot = snapshotOf(*state);
-    syncJobs(*state, *turn.snapshot);
+    syncJobs(*state, turn.snapshot);
     refreshStatus(*state);
     if (!checkLease(*state, *turn.snapshot)) {
         return;
--- a/src/batch/planning.cpp
+++ b/src/batch/planning.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr auto orderRefresh = std::chrono::milliseconds(250); ///< Slack changes slowly, and sorting thousands of jobs in every turn costs.
+constexpr auto forgetAfter = std::chrono::minutes(5); ///< A target that is not owned any more.
 constexpr auto tailWeightRefresh = std::chrono::seconds(1); ///< Looking through thousands of workspaces in every turn would be wasted.
 
 bool hasModel(const TargetView &view, const ModelSpec &spec)
@@ -87,9 +89,35 @@
     }
 }
 
-std::chrono::nanoseconds forgetAfter()
+/** Gives up a target that another host owns now; two hosts must not fill it. */
+void leaveTarget(BatchState &state, const TargetView &view)
 {
-    return std::chrono::minutes(5);
+    const auto target = state.targets.find(view.info.id);
+    if (target != state.targets.end() && !target->second.running.empty()) {
+        yieldStreams(state, view.info.id, static_cast<unsigned>(target->second.running.size()));
+    }
+}
+
+std::vector<JobWork *> orderWorks(BatchState &state, const ControlSnapshot &snapshot)
+{
+    std::vector<JobWork *> works;
+    std::vector<JobDemand> demands;
+    for (auto &[id, work] : state.jobs) {
+        JobDemand demand{id, 1.0, work.record->due, work.record->created, itemsLeft(work)};
+        if (snapshot.config) {
+            const auto workspace = snapshot.config->workspaces.find(work.record->workspace);
+            demand.share = workspace == snapshot.config->workspaces.end() ? 1.0 : workspace->second.batch.share;
+        }
+        works.push_back(&work);
+        demands.push_back(demand);
+    }
+    std::vector<JobWork *> ordered;
+    const auto order = orderJobs(demands, unixNow(), fleetRate(state));
+    ordered.reserve(order.size());
+    for (const std::size_t index : order) {
+        ordered.push_back(works[index]);
+    }
+    return ordered;
 }
 
 } // namespace
@@ -99,7 +127,11 @@
     std::vector<const TargetView *> usable;
     const TimePoint now = BootClock::now();
     for (const TargetView &view : snapshot.targets) {
-        if (view.info.kind != TargetKind::Engine || view.batchOwner != snapshot.self.id || view.report.slots == 0) {
+        if (view.info.kind != TargetKind::Engine || view.report.slots == 0) {
+            continue;
+        }
+        if (view.batchOwner != snapshot.self.id) {
+            leaveTarget(state, view);
             continue;
         }
         planTarget(state, snapshot, view, now);
@@ -108,7 +140,7 @@
         }
     }
     std::erase_if(state.targets, [now](const auto &entry) {
-        return entry.second.running.empty() && now - entry.second.tailWeightAt > forgetAfter();
+        return entry.second.running.empty() && now - entry.second.tailWeightAt > forgetAfter;
     });
     return usable;
 }
@@ -128,27 +160,14 @@
     return hasModel(view, wanted);
 }
 
-std::vector<JobWork *> jobsByUrgency(BatchState &state, const ControlSnapshot &snapshot)
+const std::vector<JobWork *> &jobsByUrgency(BatchState &state, const ControlSnapshot &snapshot)
 {
-    std::vector<JobWork *> works;
-    std::vector<JobDemand> demands;
-    for (auto &[id, work] : state.jobs) {
-        JobDemand demand{
-            id, 1.0, work.record->due, work.record->created, work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount)};
-        if (snapshot.config) {
-            const auto workspace = snapshot.config->workspaces.find(work.record->workspace);
-            demand.share = workspace == snapshot.config->workspaces.end() ? 1.0 : workspace->second.batch.share;
-        }
-        works.push_back(&work);
-        demands.push_back(demand);
-    }
-    std::vector<JobWork *> ordered;
-    const auto order = orderJobs(demands, unixNow(), fleetRate(state));
-    ordered.reserve(order.size());
-    for (const std::size_t index : order) {
-        ordered.push_back(works[index]);
+    const TimePoint now = BootClock::now();
+    if (now - state.jobOrderAt > orderRefresh) {
+        state.jobOrder = orderWorks(state, snapshot);
+        state.jobOrderAt = now;
     }
-    return ordered;
+    return state.jobOrder;
 }
 
 } // namespace skylark
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -83,7 +83,7 @@
 void stopJob(BatchState &state, const JobRecord &record)
 {
     state.stopped.insert(record.id);
-    state.jobs.erase(record.id);
+    forgetJob(state, record.id);
     state.progress.erase(record.id);
     const auto held = state.held;
     for (const auto &group : held) {
@@ -120,13 +120,12 @@
     job["workspace"] = work.record->workspace.value;
     job["items"] = work.record->itemCount;
     job["groups"] = work.record->groupCount;
-    job["itemsDone"] = std::min<std::uint64_t>(work.itemsDone, work.record->itemCount);
+    job["itemsDone"] = work.record->itemCount - itemsLeft(work);
     job["dueUnixMs"] = work.record->due.time_since_epoch().count();
     job["groupsHeldHere"] = std::count_if(state.held.begin(), state.held.end(), [&work](const auto &group) {
         return group->job->id == work.record->id;
     });
-    const std::uint64_t left = work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount);
-    job["dueRisk"] = isDueAtRisk(work.record->due, unixNow(), left, fleetRate(state));
+    job["dueRisk"] = isDueAtRisk(work.record->due, unixNow(), itemsLeft(work), fleetRate(state));
     return job;
 }
 
@@ -148,6 +147,20 @@
     work.walk = walkOrder(snapshotOf(state)->self.id, record->id, record->groupCount);
     work.marks.assign(record->groupCount, GroupMark::Unknown);
     state.jobs.emplace(record->id, std::move(work));
+    state.jobOrderAt = {};
+}
+
+void forgetJob(BatchState &state, const JobId &job)
+{
+    // The order holds pointers to the working set.
+    state.jobOrder.clear();
+    state.jobOrderAt = {};
+    state.jobs.erase(job);
+}
+
+std::uint64_t itemsLeft(const JobWork &work)
+{
+    return work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount);
 }
 
 double fleetRate(const BatchState &state)
--- a/src/batch/scan.cpp
+++ b/src/batch/scan.cpp
@@ -20,7 +20,7 @@
     std::uint64_t items{0}; ///< Items in done groups.
 };
 
-std::optional<GroupScan> readScan(const JobId &job, const KvPage &page)
+GroupScan readScan(const JobId &job, const KvPage &page)
 {
     GroupScan scan;
     const std::size_t skip = batchGroupPrefix(job).size();
@@ -153,12 +153,12 @@
         co_return;
     }
     work->second.scannedAt = BootClock::now();
-    auto scan = readScan(job, valueOf(page));
-    applyScan(work->second, *scan);
-    if (scan->done == work->second.record->groupCount) {
+    GroupScan scan = readScan(job, valueOf(page));
+    applyScan(work->second, scan);
+    if (scan.done == work->second.record->groupCount) {
         co_await markJobDone(state, job);
     } else if (takeOver) {
-        co_await takeOverGroups(state, job, std::move(*scan));
+        co_await takeOverGroups(state, job, std::move(scan));
     }
     wakePump(*state);
 }
--- a/src/batch/submission.cpp
+++ b/src/batch/submission.cpp
@@ -133,7 +133,7 @@
     std::uint64_t ahead = 0;
     for (const auto &[id, work] : state.jobs) {
         const bool earlier = id != record.id && work.record->due <= record.due;
-        ahead += earlier ? work.record->itemCount - std::min<std::uint64_t>(work.itemsDone, work.record->itemCount) : 0;
+        ahead += earlier ? itemsLeft(work) : 0;
     }
     JobProgress progress;
     progress.dueRisk = isDueAtRisk(record.due, unixNow(), ahead + record.itemCount, fleetRate(state));
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -295,6 +295,41 @@
     CHECK(this->writes("job") == 2);
 }
 
+// Guards against a host that goes on after another host took the cancel.
+TEST_CASE_METHOD(BatchFixture, "job_cancelledElsewhere_stopsWithTheSnapshot")
+{
+    this->addEngine("e1", {"--slots=8", "--time_scale=4"});
+    const JobId job = this->accepted("evening", jobBody(40, 50));
+    REQUIRE(this->until([this] {
+        return this->host().streams() == 8;
+    }));
+    JobRecord record = *this->host().view.jobs.front();
+    record.state = JobState::Cancelled;
+    this->host().takeJob(record);
+    this->host().drive();
+    this->driveFor(100ms);
+    CHECK(this->host().streams() == 0);
+    CHECK(this->host().service->impl->held.empty());
+    CHECK(this->group(job, 0).state == GroupState::Claimed);
+}
+
+// Guards against two hosts filling one target after its owner changed.
+TEST_CASE_METHOD(BatchFixture, "target_ownedByOtherHost_streamsMoveAway")
+{
+    this->addEngine("e1", {"--slots=8", "--time_scale=4"});
+    const JobId job = this->accepted("evening", jobBody(16, 50));
+    REQUIRE(this->until([this] {
+        return this->host().streams() == 8;
+    }));
+    this->host().view.targets.front().batchOwner.value = "h2";
+    this->host().publish();
+    this->driveFor(100ms);
+    CHECK(this->host().streams() == 0);
+    this->host().view.targets.front().batchOwner.value = "h1";
+    REQUIRE(this->waitDone(job));
+    this->checkResults(job, 1, 16, 50);
+}
+
 // Guards against an item that can never be done holding up its job.
 TEST_CASE_METHOD(BatchFixture, "job_itemsThatAlwaysFail_endAsTypedFailures")
 {
