--- a/src/batch/scan.cpp
+++ b/src/batch/scan.cpp
@@ -20,7 +20,7 @@
     std::uint64_t items{0}; ///< Items in done groups.
 };
 
-std::optional<GroupScan> readScan(const JobId &job, const KvPage &page)
+GroupScan readScan(const JobId &job, const KvPage &page)
 {
     GroupScan scan;
     const std::size_t skip = batchGroupPrefix(job).size();
@@ -97,8 +97,11 @@
 asio::awaitable<void> takeOverGroups(BatchStatePtr state, JobId job, GroupScan scan)
 {
     const SessionId own = snapshotOf(*state)->session;
-    if (needsSessions(*state, scan, own) && !co_await readSessions(state)) {
-        co_return;
+    if (needsSessions(*state, scan, own)) {
+        const bool known = co_await readSessions(state);
+        if (!known) {
+            co_return;
+        }
     }
     std::size_t taken = 0;
     for (const auto &[index, group] : scan.groups) {
@@ -150,12 +153,12 @@
         co_return;
     }
     work->second.scannedAt = BootClock::now();
-    auto scan = readScan(job, valueOf(page));
-    applyScan(work->second, *scan);
-    if (scan->done == work->second.record->groupCount) {
+    GroupScan scan = readScan(job, valueOf(page));
+    applyScan(work->second, scan);
+    if (scan.done == work->second.record->groupCount) {
         co_await markJobDone(state, job);
     } else if (takeOver) {
-        co_await takeOverGroups(state, job, std::move(*scan));
+        co_await takeOverGroups(state, job, std::move(scan));
     }
     wakePump(*state);
 }
