--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -51,16 +51,16 @@
             {"admin", addressOf(control.self.admin)}};
 }
 
-json::object hostView(const HostEntry &host)
+json::object hostView(const HostEntry &host, const MemberRecord &member)
 {
     return {{"id", host.info.id.value},
             {"domain", host.info.domain.value},
-            {"state", view(hostStateName(host.state))},
-            {"ready", host.status.ready && host.state != HostState::Dead},
-            {"session", host.status.session.value},
-            {"config_revision", host.status.configRevision.value},
-            {"heard_ms_ago", millisecondsSince(host.heardAt)},
-            {"free_by_model", freeView(host.status.freeByModel)},
+            {"state", view(hostStateName(member.state))},
+            {"ready", member.status.ready && member.state != HostState::Dead},
+            {"session", member.status.session.value},
+            {"config_revision", member.status.configRevision.value},
+            {"heard_ms_ago", millisecondsSince(member.heardAt)},
+            {"free_by_model", freeView(member.status.freeByModel)},
             {"http", addressOf(host.info.http)},
             {"admin", addressOf(host.info.admin)}};
 }
@@ -125,7 +125,7 @@
     std::array<unsigned, 5> byState{};
     ++byState[static_cast<std::size_t>(control.stopping ? HostState::Leaving : HostState::Live)];
     for (const auto &[id, host] : control.hosts) {
-        ++byState[static_cast<std::size_t>(host.state)];
+        ++byState[static_cast<std::size_t>(memberOf(control, id).state)];
     }
     for (const HostState state : {HostState::Unknown, HostState::Live, HostState::Suspect, HostState::Dead, HostState::Leaving}) {
         setGauge(*control.context.metrics, "skylark_hosts", {{"state", hostStateName(state)}}, byState[static_cast<std::size_t>(state)]);
@@ -171,7 +171,7 @@
     json::array hosts;
     hosts.emplace_back(selfHostView(control));
     for (const auto &[id, host] : control.hosts) {
-        hosts.emplace_back(hostView(host));
+        hosts.emplace_back(hostView(host, memberOf(control, id)));
     }
     return {{"self", control.self.id.value}, {"platform_reachable", !control.gate.down}, {"hosts", std::move(hosts)}};
 }
@@ -191,7 +191,8 @@
     const HostState own = control.stopping ? HostState::Leaving : HostState::Live;
     hosts.emplace_back(inForceEntry(control.self, own, control.config.revision, wanted));
     for (const auto &[id, host] : control.hosts) {
-        hosts.emplace_back(inForceEntry(host.info, host.state, host.status.configRevision, wanted));
+        const MemberRecord &member = memberOf(control, id);
+        hosts.emplace_back(inForceEntry(host.info, member.state, member.status.configRevision, wanted));
     }
     return {{"self", control.self.id.value},
             {"config_revision", control.config.revision.value},
--- a/src/control/config_edit.cpp
+++ b/src/control/config_edit.cpp
@@ -79,6 +79,44 @@
     return Done{};
 }
 
+/** Writes the documents that leave the log, then the head, which commits the edit. */
+asio::awaitable<Result<EditResult>> writeEdit(ControlPtr control, EditWrite write, KvVersion version)
+{
+    const auto materialised = co_await materialiseAll(control, std::move(write.materialise));
+    if (!isOk(materialised)) {
+        // Nothing of the edit itself was written yet, so a lost answer here is no unknown outcome.
+        const Error &error = errorOf(materialised);
+        co_return makeError(error.code == ErrorCode::OutcomeUnknown ? ErrorCode::VersionConflict : error.code, error.detail);
+    }
+    const auto written = co_await kvPut(*control->kv, "config/head", headToJson(write.next), version);
+    notePlatform(*control);
+    if (!isOk(written)) {
+        co_return errorOf(written);
+    }
+    const EditResult result = resultOf(write.next.log.back());
+    co_await takeHead(control, std::move(write.next), "edit");
+    co_return result;
+}
+
+/** Decides on an edit of the head that was just read. */
+Result<EditPlan> decideEdit(const ControlPtr &control, const ConfigHead &head, const ConfigEdit &edit)
+{
+    if (control->config.revision != head.revision) {
+        return makeError(ErrorCode::VersionConflict, "the head has moved on");
+    }
+    EditPlan plan = planEdit(head, control->config, edit);
+    if (const auto *conflict = std::get_if<EditConflict>(&plan)) {
+        return conflictError(edit, conflict->currentDocRevision);
+    }
+    if (std::holds_alternative<EditWrite>(plan)) {
+        const auto valid = checkEdit(control, edit);
+        if (!isOk(valid)) {
+            return errorOf(valid);
+        }
+    }
+    return plan;
+}
+
 /** One attempt: reads, plans and writes. @return VersionConflict or OutcomeUnknown when another attempt must follow. */
 asio::awaitable<Result<EditResult>> tryEdit(ControlPtr control, ConfigEdit edit)
 {
@@ -86,7 +124,7 @@
     if (!isOk(read)) {
         co_return errorOf(read);
     }
-    const auto [head, version] = std::move(valueOf(read));
+    const ConfigHead &head = valueOf(read).first;
     const auto taken = co_await takeHead(control, head, "edit");
     if (!isOk(taken)) {
         co_return errorOf(taken);
@@ -94,32 +132,11 @@
     if (const auto committed = findWrite(head, edit.writeId)) {
         co_return resultOf(*committed);
     }
-    if (control->config.revision != head.revision) {
-        co_return makeError(ErrorCode::VersionConflict, "the head has moved on");
-    }
-    EditPlan plan = planEdit(head, control->config, edit);
-    if (const auto *conflict = std::get_if<EditConflict>(&plan)) {
-        co_return conflictError(edit, conflict->currentDocRevision);
-    }
-    const auto valid = checkEdit(control, edit);
-    if (!isOk(valid)) {
-        co_return errorOf(valid);
-    }
-    auto &write = std::get<EditWrite>(plan);
-    const auto materialised = co_await materialiseAll(control, std::move(write.materialise));
-    if (!isOk(materialised)) {
-        // Nothing of the edit itself was written yet.
-        const bool again = errorOf(materialised).code == ErrorCode::OutcomeUnknown || errorOf(materialised).code == ErrorCode::VersionConflict;
-        co_return makeError(again ? ErrorCode::VersionConflict : errorOf(materialised).code, errorOf(materialised).detail);
-    }
-    const auto written = co_await kvPut(*control->kv, "config/head", headToJson(write.next), version);
-    notePlatform(*control);
-    if (!isOk(written)) {
-        co_return errorOf(written);
+    auto plan = decideEdit(control, head, edit);
+    if (!isOk(plan)) {
+        co_return errorOf(plan);
     }
-    const EditResult result = resultOf(write.next.log.back());
-    co_await takeHead(control, std::move(write.next), "edit");
-    co_return result;
+    co_return co_await writeEdit(control, std::move(std::get<EditWrite>(valueOf(plan))), valueOf(read).second);
 }
 
 void countEdit(const ControlPtr &control, const ConfigEdit &edit, const Result<EditResult> &result)
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -6,6 +6,7 @@
 #include "http/http_server_func.h"
 #include "peer/status_exchange_func.h"
 #include "platform/kv_client_func.h"
+#include "policy/membership_type.h"
 #include "policy/revision_type.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -38,12 +39,9 @@
     bool ended{false}; ///< Whether a planned stop has ended the session.
 };
 
-/** What this host knows of another host. */
+/** What this host keeps of another host beside its status. */
 struct HostEntry {
     HostInfo info; ///< From the settings.
-    HostStatus status; ///< Last accepted status.
-    TimePoint heardAt{}; ///< Time of its arrival.
-    HostState state{HostState::Unknown}; ///< Liveness.
     std::uint64_t jobsSeen{0}; ///< Job cursor of its last bundle, for its present incarnation.
     std::set<TargetId> leavingTargets; ///< Targets that it says are leaving.
 };
@@ -87,6 +85,7 @@
     PlatformGate gate; ///< Calls to the key-value service.
     LeaseState lease; ///< Session lease.
     std::map<HostId, HostEntry> hosts; ///< All other hosts.
+    MembershipView members; ///< Statuses and liveness of other hosts.
     std::map<TargetId, TargetEntry> targets; ///< Targets of this failure domain.
     std::vector<TargetInfo> targetList; ///< Last list, of all failure domains.
     bool targetsKnown{false}; ///< Whether a list was ever read.
--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -75,6 +75,9 @@
 /** @return Whether this host is one of the two watchers of its domain. */
 [[nodiscard]] bool isWatcher(const Control::Impl &control);
 
+/** @return Status and liveness of a host; an empty record when it was never heard of. */
+[[nodiscard]] const MemberRecord &memberOf(const Control::Impl &control, const HostId &host);
+
 /** @return The live hosts of this failure domain, this one included unless it is stopping. */
 [[nodiscard]] std::vector<HostId> liveDomainHosts(const Control::Impl &control);
 
@@ -95,7 +98,7 @@
 void takeTargetList(const ControlPtr &control, std::vector<TargetInfo> list);
 
 /** Takes the target reports of a peer's status. */
-void takeTargetStatuses(Control::Impl &control, HostEntry &sender);
+void takeTargetStatuses(Control::Impl &control, HostEntry &sender, const HostStatus &status);
 
 /** Evaluates batch owners and leaving targets again. */
 void evaluateTargets(const ControlPtr &control);
--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -1,6 +1,6 @@
 /** @file member_controller.cpp Status datagrams and liveness of hosts. */
 #include "control/controller_func.h"
-#include "core/hash_func.h"
+#include "policy/membership_func.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -14,8 +14,6 @@
 
 constexpr auto remoteInterval = 2s;
 constexpr unsigned fullRounds = 2; // A host that starts greets every host, so that it does not stay unknown in other domains.
-constexpr unsigned suspectAfter = 4; // Missed intervals.
-constexpr unsigned deadAfter = 8;
 constexpr auto leavingTick = 500ms;
 
 /** @return Hosts in the settings that belong to @p domain, this one included. */
@@ -30,61 +28,25 @@
 std::chrono::milliseconds localInterval(const Control::Impl &control)
 {
     const Settings &settings = *control.context.settings;
-    const auto hosts = static_cast<std::int64_t>(domainSize(control, control.self.domain));
-    return std::max(settings.statusInterval, settings.statusPerHost * hosts);
+    return statusInterval(domainSize(control, control.self.domain), settings.statusInterval, settings.statusPerHost);
 }
 
-/** @return The time between two datagrams of @p host to this one. */
-std::chrono::milliseconds expectedInterval(const Control::Impl &control, const HostEntry &host)
+MembershipIntervals intervalsOf(const Control::Impl &control)
 {
-    if (host.info.domain == control.self.domain) {
-        return localInterval(control);
-    }
-    // A host of another domain addresses the hosts of this one in turn.
-    return remoteInterval * static_cast<std::int64_t>(domainSize(control, control.self.domain));
-}
-
-HostState stateOf(const Control::Impl &control, const HostEntry &host, TimePoint now)
-{
-    if (host.heardAt == TimePoint()) {
-        return HostState::Unknown;
-    }
-    const auto missed = (now - host.heardAt) / expectedInterval(control, host);
-    if (missed >= deadAfter) {
-        return HostState::Dead;
-    }
-    if (host.status.leaving) {
-        return HostState::Leaving;
-    }
-    return missed >= suspectAfter ? HostState::Suspect : HostState::Live;
-}
-
-/** @return Whether @p status replaces what is known: the higher incarnation wins, then the higher sequence. */
-bool supersedes(const HostStatus &status, const HostStatus &known)
-{
-    return std::pair(status.incarnation, status.sequence) > std::pair(known.incarnation, known.sequence);
-}
-
-/** Evaluates one host's state. @return Whether it changed. */
-bool evaluateHost(const Control::Impl &control, HostEntry &host, TimePoint now)
-{
-    const HostState state = stateOf(control, host, now);
-    if (state == host.state) {
-        return false;
-    }
-    LOG(INFO) << "[member] host " << host.info.id.value << " is " << hostStateName(state) << ", was " << hostStateName(host.state);
-    host.state = state;
-    return true;
+    MembershipIntervals intervals;
+    intervals.ownDomain = control.self.domain;
+    intervals.withinDomain = localInterval(control);
+    intervals.acrossDomains = crossDomainInterval(remoteInterval, domainSize(control, control.self.domain));
+    return intervals;
 }
 
 void evaluateHosts(const ControlPtr &control)
 {
-    bool changed = false;
-    const TimePoint now = BootClock::now();
-    for (auto &[id, host] : control->hosts) {
-        changed = evaluateHost(*control, host, now) || changed;
+    const auto changes = expireHosts(control->members, BootClock::now(), intervalsOf(*control));
+    for (const MemberChange &change : changes) {
+        LOG(INFO) << "[member] host " << change.host.value << " is " << hostStateName(change.after) << ", was " << hostStateName(change.before);
     }
-    if (changed) {
+    if (!changes.empty()) {
         signal(control->watchWakeup);
         evaluateTargets(control);
         markChanged(control);
@@ -129,20 +91,20 @@
     return status;
 }
 
-/** @return One host of each other domain, in turn, preferring hosts that are not dead. */
+/** @return One host of each other domain, in turn. */
 std::vector<Endpoint> remotePeers(const Control::Impl &control)
 {
-    std::map<DomainId, std::vector<const HostEntry *>> byDomain;
+    std::map<DomainId, std::vector<HostId>> byDomain;
     for (const auto &[id, host] : control.hosts) {
         if (host.info.domain != control.self.domain) {
-            byDomain[host.info.domain].push_back(&host);
+            byDomain[host.info.domain].push_back(id);
         }
     }
     std::vector<Endpoint> peers;
     for (const auto &[domain, hosts] : byDomain) {
-        // The own name shifts the turn, so that hosts of one domain do not all address the same host.
-        const std::uint64_t turn = control.remoteRounds + hash64(control.self.id.value);
-        peers.push_back(hosts[turn % hosts.size()]->info.status);
+        if (const auto receiver = crossDomainReceiver(control.self.id, hosts, control.remoteRounds)) {
+            peers.push_back(control.hosts.at(*receiver).info.status);
+        }
     }
     return peers;
 }
@@ -183,14 +145,21 @@
     return "unknown";
 }
 
+const MemberRecord &memberOf(const Control::Impl &control, const HostId &host)
+{
+    static const MemberRecord unknown;
+    const auto found = control.members.members.find(host);
+    return found == control.members.members.end() ? unknown : found->second;
+}
+
 std::vector<HostId> liveDomainHosts(const Control::Impl &control)
 {
     std::vector<HostId> live;
     if (!control.stopping) {
         live.push_back(control.self.id);
     }
-    for (const auto &[id, host] : control.hosts) {
-        if (host.info.domain == control.self.domain && host.state == HostState::Live) {
+    for (const auto &[id, member] : control.members.members) {
+        if (member.status.domain == control.self.domain && member.state == HostState::Live) {
             live.push_back(id);
         }
     }
@@ -199,16 +168,11 @@
 
 bool isWatcher(const Control::Impl &control)
 {
-    constexpr std::ptrdiff_t watchers = 2;
     if (control.stopping || control.lease.ended) {
         return false;
     }
-    const std::string &domain = control.self.domain.value;
-    const std::uint64_t own = rendezvousScore(domain, control.self.id.value);
-    const auto live = liveDomainHosts(control);
-    return std::count_if(live.begin(), live.end(), [&](const HostId &host) {
-        return rendezvousScore(domain, host.value) > own;
-    }) < watchers;
+    const auto watchers = configWatchers(control.self.domain, liveDomainHosts(control));
+    return std::find(watchers.begin(), watchers.end(), control.self.id) != watchers.end();
 }
 
 void takeStatus(const ControlPtr &control, HostStatus status)
@@ -218,26 +182,25 @@
         return;
     }
     HostEntry &host = found->second;
-    if (!supersedes(status, host.status)) {
+    const HostState before = memberOf(*control, status.host).state;
+    const StatusEffect effect = observeStatus(control->members, status, BootClock::now());
+    if (effect == StatusEffect::Ignored) {
         return;
     }
-    const bool restarted = status.incarnation != host.status.incarnation;
-    if (restarted) {
-        host.jobsSeen = 0;
-    }
-    host.status = std::move(status);
-    host.heardAt = BootClock::now();
-    takeTargetStatuses(*control, host);
-    if (evaluateHost(*control, host, host.heardAt)) {
+    const MemberRecord &member = memberOf(*control, status.host);
+    if (before != member.state) {
+        LOG(INFO) << "[member] host " << status.host.value << " is " << hostStateName(member.state) << ", was " << hostStateName(before);
         signal(control->watchWakeup);
     }
-    if (restarted) {
+    if (effect == StatusEffect::Joined) {
+        host.jobsSeen = 0;
         // The new process knows nothing of this host yet.
         sendStatus(*control->exchange, makeStatus(*control), std::vector<Endpoint>{host.info.status});
     }
+    takeTargetStatuses(*control, host, status);
     evaluateTargets(control);
     const bool confirms = !control->config.confirmed && host.info.domain == control->self.domain;
-    if (host.status.configRevision > control->config.revision || host.status.jobsCursor > host.jobsSeen || confirms) {
+    if (status.configRevision > control->config.revision || status.jobsCursor > host.jobsSeen || confirms) {
         signal(control->pullWakeup);
     }
     markChanged(control);
--- a/src/control/pull_controller.cpp
+++ b/src/control/pull_controller.cpp
@@ -20,12 +20,13 @@
 /** @return Whether @p host has something that this host lacks. */
 bool hasNews(const Control::Impl &control, const HostEntry &host)
 {
-    if (host.state == HostState::Unknown || host.state == HostState::Dead) {
+    const MemberRecord &member = memberOf(control, host.info.id);
+    if (member.state == HostState::Unknown || member.state == HostState::Dead) {
         return false;
     }
     const bool sameDomain = host.info.domain == control.self.domain;
-    const bool confirms = !control.config.confirmed && sameDomain && host.status.ready;
-    return confirms || host.status.configRevision > control.config.revision || (sameDomain && host.status.jobsCursor > host.jobsSeen);
+    const bool confirms = !control.config.confirmed && sameDomain;
+    return confirms || member.status.configRevision > control.config.revision || (sameDomain && member.status.jobsCursor > host.jobsSeen);
 }
 
 /** @return The host to pull from: the highest revision first, then this domain, then a random one. */
@@ -33,7 +34,7 @@
 {
     HostEntry *best = nullptr;
     const auto rank = [&control](const HostEntry &host) {
-        return std::tuple(std::max(host.status.configRevision, control.config.revision), host.info.domain == control.self.domain);
+        return std::tuple(std::max(memberOf(control, host.info.id).status.configRevision, control.config.revision), host.info.domain == control.self.domain);
     };
     std::int64_t ties = 0;
     for (auto &[id, host] : control.hosts) {
@@ -65,6 +66,7 @@
 asio::awaitable<bool> pullFrom(ControlPtr control, HostId peer)
 {
     const HostEntry before = control->hosts.at(peer);
+    const std::uint64_t incarnation = memberOf(*control, peer).status.incarnation;
     auto pulled = co_await peerPullState(control->rpc, before.info.peerRpc, control->config.revision, before.jobsSeen, pullTimeout);
     addCounter(*control->context.metrics, "skylark_pulls_total", {{"outcome", isOk(pulled) ? "ok" : "failed"}});
     if (!isOk(pulled)) {
@@ -83,7 +85,7 @@
     takeTargets(control, bundle.targets);
     takeJobs(control, bundle.jobs);
     HostEntry &host = control->hosts.at(peer);
-    if (host.status.incarnation == before.status.incarnation) {
+    if (memberOf(*control, peer).status.incarnation == incarnation) {
         host.jobsSeen = std::max(host.jobsSeen, bundle.jobsCursor);
     }
     co_return true;
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -16,11 +16,11 @@
 std::unordered_map<TargetId, unsigned> onlineElsewhere(const Control::Impl &control)
 {
     std::unordered_map<TargetId, unsigned> streams;
-    for (const auto &[id, host] : control.hosts) {
-        if (host.info.domain != control.self.domain || host.state == HostState::Dead || host.state == HostState::Unknown) {
+    for (const auto &[id, member] : control.members.members) {
+        if (member.status.domain != control.self.domain || member.state == HostState::Dead || member.state == HostState::Unknown) {
             continue;
         }
-        for (const auto &[target, count] : host.status.onlineInFlight) {
+        for (const auto &[target, count] : member.status.onlineInFlight) {
             streams[target] += count;
         }
     }
@@ -54,11 +54,12 @@
                      .configRevision = control.config.revision,
                      .freeByModel = freeSlotsByModel(control)});
     for (const auto &[id, host] : control.hosts) {
+        const MemberRecord &member = memberOf(control, id);
         views.push_back({.info = host.info,
-                         .state = host.state,
-                         .session = host.status.session,
-                         .configRevision = host.status.configRevision,
-                         .freeByModel = host.status.freeByModel});
+                         .state = member.state,
+                         .session = member.status.session,
+                         .configRevision = member.status.configRevision,
+                         .freeByModel = member.status.freeByModel});
     }
     return views;
 }
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -1,7 +1,7 @@
 /** @file target_controller.cpp Batch owners, load reports and leaving targets. */
 #include "control/controller_func.h"
-#include "core/hash_func.h"
 #include "engine/engine_client_func.h"
+#include "policy/membership_func.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -19,20 +19,13 @@
 constexpr auto declineInterval = 5s;
 constexpr double baselineGain = 0.002; // At two polls a second, a time constant of about four minutes.
 
-HostId ownerOf(const TargetId &target, const std::vector<HostId> &live)
-{
-    const auto best = std::max_element(live.begin(), live.end(), [&target](const HostId &left, const HostId &right) {
-        return rendezvousScore(target.value, left.value) < rendezvousScore(target.value, right.value);
-    });
-    return best == live.end() ? HostId() : *best;
-}
-
 /** @return Targets that peers which are not dead say are leaving. */
 std::set<TargetId> leavingByPeers(const Control::Impl &control)
 {
     std::set<TargetId> leaving;
     for (const auto &[id, host] : control.hosts) {
-        if (host.state != HostState::Dead && host.state != HostState::Unknown) {
+        const HostState state = memberOf(control, id).state;
+        if (state != HostState::Dead && state != HostState::Unknown) {
             leaving.insert(host.leavingTargets.begin(), host.leavingTargets.end());
         }
     }
@@ -76,7 +69,7 @@
     }
     bool changed = false;
     for (auto &[id, target] : control.targets) {
-        HostId owner = ownerOf(id, live);
+        HostId owner = batchOwner(id, live).value_or(HostId());
         changed = changed || owner != target.owner;
         target.owner = std::move(owner);
     }
@@ -124,13 +117,13 @@
     return target.info.leaving || draining || now < target.refusedUntil;
 }
 
-void takeTargetStatuses(Control::Impl &control, HostEntry &sender)
+void takeTargetStatuses(Control::Impl &control, HostEntry &sender, const HostStatus &hostStatus)
 {
     sender.leavingTargets.clear();
     if (sender.info.domain != control.self.domain) {
         return;
     }
-    for (const TargetStatus &status : sender.status.targets) {
+    for (const TargetStatus &status : hostStatus.targets) {
         if (status.leaving) {
             sender.leavingTargets.insert(status.target);
         }
--- a/src/ctl/command_job.cpp
+++ b/src/ctl/command_job.cpp
@@ -54,9 +54,9 @@
     return {textAt(job, {"id"}),
             textAt(job, {"workspace"}),
             textAt(job, {"state"}),
-            textAt(job, {"finished"}) + "/" + textAt(job, {"item_count"}),
+            textAt(job, {"finished"}) + "/" + textAt(job, {"items"}),
             textAt(job, {"failed"}),
-            formatTime(numberAt(job, "due_unix_ms")),
+            textAt(job, {"due"}),
             flagAt(job, "due_risk") ? "yes" : "no"};
 }
 
@@ -87,7 +87,7 @@
 std::string progressLine(const json::value &job, double rate)
 {
     constexpr std::uint64_t width = 30;
-    const std::uint64_t items = std::max<std::uint64_t>(numberAt(job, "item_count"), 1);
+    const std::uint64_t items = std::max<std::uint64_t>(numberAt(job, "items"), 1);
     const std::uint64_t finished = std::min(numberAt(job, "finished"), items);
     std::string line = "[" + std::string(finished * width / items, '#') + std::string(width - finished * width / items, '.') + "] ";
     line += std::to_string(finished) + "/" + std::to_string(items) + " finished, " + textAt(job, {"failed"}) + " failed, " + oneDecimal(rate) + " items/s";
