--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -177,11 +177,30 @@
     connection->stream.socket().cancel(ignored);
 }
 
+/** Lists a connection at its server as long as its coroutine exists, which may be destroyed unfinished with the event loop. */
+struct ConnectionEntry {
+    std::shared_ptr<HttpServer::Impl> impl; ///< Server.
+    HttpServerConnection *connection; ///< Connection.
+
+    ConnectionEntry(std::shared_ptr<HttpServer::Impl> server, HttpServerConnection *listed)
+        : impl(std::move(server))
+        , connection(listed)
+    {
+        this->impl->connections.insert(this->connection);
+    }
+    ConnectionEntry(const ConnectionEntry &) = delete;
+    ConnectionEntry &operator=(const ConnectionEntry &) = delete;
+    ~ConnectionEntry()
+    {
+        this->impl->connections.erase(this->connection);
+    }
+};
+
 asio::awaitable<void> serveConnection(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
 {
     auto connection =
         std::make_shared<HttpServerConnection>(HttpServerConnection{beast::tcp_stream(std::move(socket)), {}, impl, impl->options.writeTimeout, {}});
-    impl->connections.insert(connection.get());
+    const ConnectionEntry entry(impl, connection.get());
     beast::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     while (connection->keepAlive) {
@@ -192,7 +211,6 @@
         }
         co_await handleRequest(impl, connection, std::move(*request));
     }
-    impl->connections.erase(connection.get());
     connection->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     connection->stream.close();
 }
