--- a/src/control/config_controller.cpp
+++ b/src/control/config_controller.cpp
@@ -62,7 +62,8 @@
 asio::awaitable<Result<Done>> takeHeadText(ControlPtr control, std::string text, std::string source)
 {
     if (text.empty()) {
-        co_return co_await takeHead(control, ConfigHead(), std::move(source));
+        ConfigHead empty;
+        co_return co_await takeHead(control, std::move(empty), std::move(source));
     }
     auto head = headFromJson(text);
     if (!isOk(head)) {
--- a/src/control/config_edit.cpp
+++ b/src/control/config_edit.cpp
@@ -34,7 +34,8 @@
         }
         version = entry->version;
     }
-    const auto written = co_await kvPut(*control->kv, key, documentToJson(document), version);
+    const LeaseId noLease; // Named, because g++ 12 frees a braced default argument twice inside a co_await expression.
+    const auto written = co_await kvPut(*control->kv, key, documentToJson(document), version, noLease);
     notePlatform(*control);
     if (!isOk(written)) {
         co_return errorOf(written);
@@ -88,7 +89,8 @@
         const Error &error = errorOf(materialised);
         co_return makeError(error.code == ErrorCode::OutcomeUnknown ? ErrorCode::VersionConflict : error.code, error.detail);
     }
-    const auto written = co_await kvPut(*control->kv, "config/head", headToJson(write.next), version);
+    const LeaseId noLease;
+    const auto written = co_await kvPut(*control->kv, "config/head", headToJson(write.next), version, noLease);
     notePlatform(*control);
     if (!isOk(written)) {
         co_return errorOf(written);
--- a/src/control/job_controller.cpp
+++ b/src/control/job_controller.cpp
@@ -1,9 +1,10 @@
 /** @file job_controller.cpp Known jobs: watch, relay and announcement. */
+#include "batch/batch_record_func.h"
 #include "control/controller_func.h"
-#include "control/job_record_func.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <exception>
 #include <glog/logging.h>
 
 namespace skylark {
@@ -33,6 +34,25 @@
     return "active";
 }
 
+/** @return A job as peers relay it: its record with the id and version. */
+json::object relayedJob(const JobRecord &job)
+{
+    return {{"id", job.id.value}, {"version", job.version.value}, {"record", renderBatchJob(job)}};
+}
+
+/** Parses a relayed job. */
+Result<JobRecord> jobFromRelay(const json::value &value)
+{
+    try {
+        const json::object &object = value.as_object();
+        const auto id = json::value_to<std::string>(object.at("id"));
+        const auto record = json::value_to<std::string>(object.at("record"));
+        return parseBatchJob(JobId{id}, record, KvVersion{object.at("version").to_number<std::uint64_t>()});
+    } catch (const std::exception &problem) {
+        return makeError(ErrorCode::ProtocolError, std::string("relayed job: ") + problem.what());
+    }
+}
+
 /** Drops the oldest finished jobs beyond the bound. */
 void dropOldJobs(Control::Impl &control)
 {
@@ -58,7 +78,7 @@
     if (!key.starts_with(jobPrefix) || entry.version.value == 0) {
         return;
     }
-    auto job = jobFromRecord(JobId{std::string(key.substr(jobPrefix.size()))}, entry.value, entry.version);
+    auto job = parseBatchJob(JobId{std::string(key.substr(jobPrefix.size()))}, entry.value, entry.version);
     if (!isOk(job)) {
         LOG(ERROR) << "[batch] job record cannot be parsed and is ignored; " << errorOf(job).detail;
         return;
@@ -128,7 +148,7 @@
     json::array jobs;
     for (const auto &[id, job] : control.jobs) {
         if (job.serial > cursor) {
-            jobs.emplace_back(jobToJson(*job.record));
+            jobs.emplace_back(relayedJob(*job.record));
         }
     }
     return jobs.empty() ? std::string() : json::serialize(jobs);
@@ -146,9 +166,11 @@
         return;
     }
     for (const json::value &value : jobs.get_array()) {
-        auto job = jobFromJson(value);
+        auto job = jobFromRelay(value);
         if (isOk(job)) {
             takeJob(control, std::move(valueOf(job)), false);
+        } else {
+            LOG(WARNING) << "[peer] " << errorOf(job).detail;
         }
     }
 }
