--- a/src/config/workspace_reader.cpp
+++ b/src/config/workspace_reader.cpp
@@ -59,7 +59,9 @@
     for (std::size_t i = 0; i < items.size(); ++i) {
         const std::string &name = nameOf(items[i]);
         if (!name.empty() && !seen.insert(name).second) {
-            addMistake(reader, path + "[" + std::to_string(i) + "]" + suffix, "is listed twice");
+            std::string place = path;
+            place.append("[").append(std::to_string(i)).append("]").append(suffix);
+            addMistake(reader, std::move(place), "is listed twice");
         }
     }
 }
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -30,9 +30,9 @@
 StatusHandlers statusHandlers(const std::weak_ptr<Control::Impl> &weak)
 {
     StatusHandlers handlers;
-    handlers.onStatus = [weak](HostStatus status) {
+    handlers.onStatus = [weak](const HostStatus &status) {
         if (const ControlPtr control = weak.lock()) {
-            takeStatus(control, std::move(status));
+            takeStatus(control, status);
         }
     };
     handlers.onYield = [weak](YieldMessage message) {
--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -64,7 +64,7 @@
 boost::asio::awaitable<void> runMembership(ControlPtr control);
 
 /** Takes a status datagram. */
-void takeStatus(const ControlPtr &control, HostStatus status);
+void takeStatus(const ControlPtr &control, const HostStatus &status);
 
 /** Sends a status soon to all hosts of the domain and to one of each other domain. */
 void pushStatus(const ControlPtr &control);
--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -175,7 +175,7 @@
     return std::find(watchers.begin(), watchers.end(), control.self.id) != watchers.end();
 }
 
-void takeStatus(const ControlPtr &control, HostStatus status)
+void takeStatus(const ControlPtr &control, const HostStatus &status)
 {
     const auto found = control->hosts.find(status.host);
     if (found == control->hosts.end() || found->second.info.domain != status.domain) {
@@ -243,7 +243,8 @@
         }
         sendStatus(*control->exchange, makeStatus(*control), domainPeers(*control, false));
         evaluateHosts(control);
-        const std::chrono::nanoseconds interval = control->stopping ? std::min<std::chrono::milliseconds>(leavingTick, localInterval(*control)) : localInterval(*control);
+        const std::chrono::nanoseconds interval =
+            control->stopping ? std::min<std::chrono::milliseconds>(leavingTick, localInterval(*control)) : localInterval(*control);
         // A small spread keeps the datagrams of a domain from arriving in bursts.
         co_await pauseFor(control, interval - interval / 20 + randomBelow(*control, interval / 10));
     }
--- a/src/ctl/command_document.cpp
+++ b/src/ctl/command_document.cpp
@@ -99,7 +99,8 @@
     code = reportAnswer(answer);
     if (code == ExitCode::Conflict) {
         const std::string current = textAt(valueOf(answer).json, {"error", "param"});
-        std::cerr << "skylarkctl: look at it with \"skylarkctl " << options.word(0) << " show " << options.word(2) << "\", then use --expect " << current << "\n";
+        std::cerr << "skylarkctl: look at it with \"skylarkctl " << options.word(0) << " show " << options.word(2) << "\", then use --expect " << current
+                  << "\n";
     }
     if (code != ExitCode::Ok) {
         return code;
--- a/src/ctl/command_job.cpp
+++ b/src/ctl/command_job.cpp
@@ -52,7 +52,7 @@
 std::vector<std::string> jobRow(const json::value &job)
 {
     return {textAt(job, {"id"}),
-            textAt(job, {"workspace"}),
+            textAt(job, {"job_key"}),
             textAt(job, {"state"}),
             textAt(job, {"finished"}) + "/" + textAt(job, {"items"}),
             textAt(job, {"failed"}),
@@ -62,7 +62,7 @@
 
 void printJobs(const json::array &jobs)
 {
-    Table table{.heading = {"JOB", "WORKSPACE", "STATE", "FINISHED", "FAILED", "DUE", "DUE RISK"}, .rows = {}};
+    Table table{.heading = {"JOB", "KEY", "STATE", "FINISHED", "FAILED", "DUE", "DUE RISK"}, .rows = {}};
     for (const json::value &job : jobs) {
         table.rows.push_back(jobRow(job));
     }
@@ -131,9 +131,19 @@
     }
     if (options.json) {
         printJson(answer->json);
-    } else {
-        printJobs(answer->json.is_array() ? answer->json.get_array() : arrayAt(answer->json, "jobs"));
+        return ExitCode::Ok;
+    }
+    Table table{.heading = {"JOB", "WORKSPACE", "ITEMS DONE", "GROUPS", "HELD HERE", "DUE", "DUE RISK"}, .rows = {}};
+    for (const json::value &job : answer->json.is_array() ? answer->json.get_array() : arrayAt(answer->json, "jobs")) {
+        table.rows.push_back({textAt(job, {"id"}),
+                              textAt(job, {"workspace"}),
+                              textAt(job, {"itemsDone"}) + "/" + textAt(job, {"items"}),
+                              textAt(job, {"groups"}),
+                              textAt(job, {"groupsHeldHere"}),
+                              formatTime(numberAt(job, "dueUnixMs")),
+                              flagAt(job, "dueRisk") ? "yes" : "no"});
     }
+    printTable(table);
     return ExitCode::Ok;
 }
 
--- a/src/ctl/ctl_output.cpp
+++ b/src/ctl/ctl_output.cpp
@@ -154,7 +154,8 @@
     for (std::size_t i = 0; i < lines.size(); ++i) {
         if (lines[i].mark != ' ') {
             const std::size_t from = i < context ? 0 : i - context;
-            std::fill(shown.begin() + static_cast<std::ptrdiff_t>(from), shown.begin() + static_cast<std::ptrdiff_t>(std::min(lines.size(), i + context + 1)), true);
+            std::fill(
+                shown.begin() + static_cast<std::ptrdiff_t>(from), shown.begin() + static_cast<std::ptrdiff_t>(std::min(lines.size(), i + context + 1)), true);
         }
     }
     std::string text;
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -43,7 +43,8 @@
     CtlCommand{"workspace", "list", "", "Lists all workspaces.", listCommand},
     CtlCommand{"workspace", "delete", "NAME --expect N", "Deletes a workspace.", deleteCommand},
     CtlCommand{"workspace", "history", "[NAME]", "Lists the last changes of workspaces.", historyCommand},
-    CtlCommand{"revision", "wait", "--revision N [--timeout 10s]", "Waits until a fleet revision is in force on every host; names the others.", revisionWaitCommand},
+    CtlCommand{
+        "revision", "wait", "--revision N [--timeout 10s]", "Waits until a fleet revision is in force on every host; names the others.", revisionWaitCommand},
     CtlCommand{"hosts", "", "", "Lists the hosts as one host sees them.", hostsCommand},
     CtlCommand{"targets", "", "", "Lists the targets of all failure domains with their load.", targetsCommand},
     CtlCommand{"jobs", "", "", "Lists the batch jobs of all workspaces.", jobsCommand},
--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -250,7 +250,8 @@
     const auto present = this->call(this->common.platform, HttpRequest{.target = "/kv/config/head"});
     REQUIRE(isOk(present));
     const std::string version(headerValue(valueOf(present).headers, "x-version"));
-    const auto put = this->call(this->common.platform, {.method = "PUT", .target = "/kv/config/head?if_version=" + version, .headers = {}, .body = valueOf(old).body});
+    const auto put =
+        this->call(this->common.platform, {.method = "PUT", .target = "/kv/config/head?if_version=" + version, .headers = {}, .body = valueOf(old).body});
     REQUIRE(isOk(put));
     REQUIRE(valueOf(put).status == 200);
     this->runFor(1500ms);
@@ -273,8 +274,11 @@
         outcomes.push_back(std::async(std::launch::async, [admin, i] {
             TestLoop loop;
             HttpRequest request{.method = "POST", .target = "/admin/v1/config/apply", .headers = {}, .body = {}};
-            request.body = json::serialize(
-                json::object{{"kind", "template"}, {"name", "chat"}, {"expected_doc_revision", 0}, {"body", bodyWithDeadline(100 + i)}, {"by", "operator " + std::to_string(i)}});
+            request.body = json::serialize(json::object{{"kind", "template"},
+                                                        {"name", "chat"},
+                                                        {"expected_doc_revision", 0},
+                                                        {"body", bodyWithDeadline(100 + i)},
+                                                        {"by", "operator " + std::to_string(i)}});
             HttpTimeouts timeouts;
             timeouts.firstByte = 15s;
             const auto answer = loop.run(httpCall(loop.http, admin, std::move(request), timeouts, ConnectionUse::Fresh));
