--- a/src/ctl/command_job.cpp
+++ b/src/ctl/command_job.cpp
@@ -52,17 +52,17 @@
 std::vector<std::string> jobRow(const json::value &job)
 {
     return {textAt(job, {"id"}),
-            textAt(job, {"workspace"}),
+            textAt(job, {"job_key"}),
             textAt(job, {"state"}),
-            textAt(job, {"finished"}) + "/" + textAt(job, {"item_count"}),
+            textAt(job, {"finished"}) + "/" + textAt(job, {"items"}),
             textAt(job, {"failed"}),
-            formatTime(numberAt(job, "due_unix_ms")),
+            textAt(job, {"due"}),
             flagAt(job, "due_risk") ? "yes" : "no"};
 }
 
 void printJobs(const json::array &jobs)
 {
-    Table table{.heading = {"JOB", "WORKSPACE", "STATE", "FINISHED", "FAILED", "DUE", "DUE RISK"}, .rows = {}};
+    Table table{.heading = {"JOB", "KEY", "STATE", "FINISHED", "FAILED", "DUE", "DUE RISK"}, .rows = {}};
     for (const json::value &job : jobs) {
         table.rows.push_back(jobRow(job));
     }
@@ -87,7 +87,7 @@
 std::string progressLine(const json::value &job, double rate)
 {
     constexpr std::uint64_t width = 30;
-    const std::uint64_t items = std::max<std::uint64_t>(numberAt(job, "item_count"), 1);
+    const std::uint64_t items = std::max<std::uint64_t>(numberAt(job, "items"), 1);
     const std::uint64_t finished = std::min(numberAt(job, "finished"), items);
     std::string line = "[" + std::string(finished * width / items, '#') + std::string(width - finished * width / items, '.') + "] ";
     line += std::to_string(finished) + "/" + std::to_string(items) + " finished, " + textAt(job, {"failed"}) + " failed, " + oneDecimal(rate) + " items/s";
@@ -131,9 +131,19 @@
     }
     if (options.json) {
         printJson(answer->json);
-    } else {
-        printJobs(answer->json.is_array() ? answer->json.get_array() : arrayAt(answer->json, "jobs"));
+        return ExitCode::Ok;
+    }
+    Table table{.heading = {"JOB", "WORKSPACE", "ITEMS DONE", "GROUPS", "HELD HERE", "DUE", "DUE RISK"}, .rows = {}};
+    for (const json::value &job : answer->json.is_array() ? answer->json.get_array() : arrayAt(answer->json, "jobs")) {
+        table.rows.push_back({textAt(job, {"id"}),
+                              textAt(job, {"workspace"}),
+                              textAt(job, {"itemsDone"}) + "/" + textAt(job, {"items"}),
+                              textAt(job, {"groups"}),
+                              textAt(job, {"groupsHeldHere"}),
+                              formatTime(numberAt(job, "dueUnixMs")),
+                              flagAt(job, "dueRisk") ? "yes" : "no"});
     }
+    printTable(table);
     return ExitCode::Ok;
 }
 
