--- a/standins/platform/control.cpp
+++ b/standins/platform/control.cpp
@@ -24,6 +24,8 @@
         faults.downMode = downModeOf(stringMember(*body, "down_mode"));
     }
     faults.slow = std::chrono::milliseconds(numberMember(*body, "slow_ms", static_cast<std::uint64_t>(faults.slow.count())));
+    faults.slowWrites = std::chrono::milliseconds(numberMember(*body, "slow_writes_ms", static_cast<std::uint64_t>(faults.slowWrites.count())));
+    faults.dropWrites = doubleMember(*body, "drop_writes", faults.dropWrites);
     faults.loseAnswers = doubleMember(*body, "lose_answers", faults.loseAnswers);
     faults.random = numberMember(*body, "seed", faults.random);
     if (body->contains("rate_limit")) {
@@ -91,6 +93,7 @@
     body["watching"] = counts.watching;
     body["refused"] = counts.refused;
     body["lost"] = counts.lost;
+    body["dropped"] = counts.dropped;
     body["weight_fetches"] = counts.weightFetches;
     body["weights_refused"] = counts.weightsRefused;
     body["writes_by_prefix"] = countsOf(counts.writesByPrefix);
--- a/standins/platform/platform.cpp
+++ b/standins/platform/platform.cpp
@@ -214,13 +214,26 @@
     co_await sendResponse(responder, jsonAnswer(200, *events));
 }
 
+bool happens(Platform &platform, double probability)
+{
+    return probability > 0 && randomFraction(platform.faults.random) < probability;
+}
+
 /** Runs one read or write and sends or loses its answer. */
 asio::awaitable<void> runAndAnswer(Platform &platform, HttpRequest request, HttpResponder &responder)
 {
     const bool write = isWrite(request);
+    if (write && happens(platform, platform.faults.dropWrites)) {
+        ++platform.counts.dropped;
+        abortConnection(responder);
+        co_return;
+    }
+    if (write && platform.faults.slowWrites.count() > 0) {
+        co_await sleepFor(platform.loop, platform.faults.slowWrites);
+    }
     ++(write ? platform.counts.writes : platform.counts.reads);
     HttpResponse response = runCall(platform, request);
-    if (write && platform.faults.loseAnswers > 0 && randomFraction(platform.faults.random) < platform.faults.loseAnswers) {
+    if (write && happens(platform, platform.faults.loseAnswers)) {
         ++platform.counts.lost;
         abortConnection(responder);
         co_return;
--- a/standins/platform/platform_base.h
+++ b/standins/platform/platform_base.h
@@ -19,6 +19,8 @@
     bool down{false}; ///< Whether no call runs.
     DownMode downMode{DownMode::Refuse}; ///< What callers see meanwhile.
     std::chrono::milliseconds slow{0}; ///< Delay of each call before it runs.
+    std::chrono::milliseconds slowWrites{0}; ///< Further delay of each write before it runs.
+    double dropWrites{0}; ///< Probability that a write does not run and its connection is closed.
     double loseAnswers{0}; ///< Probability that a write takes effect without an answer.
     std::uint64_t random{1}; ///< State of the random sequence.
 };
@@ -30,6 +32,7 @@
     std::uint64_t watches{0}; ///< Watch calls that ran.
     std::uint64_t refused{0}; ///< Calls refused by the rate limit or while down.
     std::uint64_t lost{0}; ///< Answers lost after a write.
+    std::uint64_t dropped{0}; ///< Writes that did not run and were not answered.
     std::uint64_t weightFetches{0}; ///< Weight fetches that ran.
     std::uint64_t weightsRefused{0}; ///< Weight fetches over the limit.
     unsigned watching{0}; ///< Watches waiting now.
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -118,12 +118,52 @@
     auto unknown = this->putRecognised("head", "late");
     CHECK(codeOf(unknown) == ErrorCode::OutcomeUnknown);
     this->faults(R"({"slow_ms":0})");
+    this->kv->timeout = 1500ms;
     const auto again = this->putRecognised("head", "late");
     REQUIRE(isOk(again));
     this->runFor(2500ms);
     CHECK(this->get("head")->version == valueOf(again));
 }
 
+// Guards against a write being given up, or made twice, when it is still on its way while the key is read back.
+TEST_CASE_METHOD(PlatformFixture, "kvPutRecognised_writeStillOnItsWay_takesEffectOnce")
+{
+    this->faults(R"({"slow_writes_ms":2000})");
+    const auto written = this->putRecognised("head", "late");
+    REQUIRE(isOk(written));
+    this->runFor(3000ms);
+    CHECK(this->get("head")->version == valueOf(written));
+    const auto events = this->run(kvWatch(*this->kv, "head", 0, 0ms));
+    REQUIRE(isOk(events));
+    CHECK(valueOf(events).events.size() == 1);
+}
+
+TEST_CASE_METHOD(PlatformFixture, "kvPutRecognised_writesDroppedAndAnswersLost_successMeansOneEffect")
+{
+    this->faults(R"({"drop_writes":0.4,"lose_answers":0.4,"seed":11})");
+    KvVersion version;
+    int unknown = 0;
+    for (int i = 0; i < 60; ++i) {
+        const std::string writeId = "w" + std::to_string(i);
+        const auto written = this->putRecognised("head", writeId, version);
+        const auto present = this->get("head");
+        if (isOk(written)) {
+            REQUIRE(present);
+            CHECK(present->value == R"({"writeId":")" + writeId + "\"}");
+            CHECK(present->version == valueOf(written));
+        } else {
+            CHECK(codeOf(written) == ErrorCode::OutcomeUnknown);
+            ++unknown;
+        }
+        version = present ? present->version : KvVersion{};
+    }
+    CHECK(unknown > 0);
+    CHECK(unknown < 20);
+    // Each logical write takes effect at most once.
+    CHECK(numberMember(this->stats(), "cursor") <= 60);
+    CHECK(numberMember(this->stats(), "cursor") >= static_cast<std::uint64_t>(60 - unknown));
+}
+
 TEST_CASE_METHOD(PlatformFixture, "kvClient_serviceDown_reportsWhatMayHaveRun")
 {
     this->faults(R"({"down":true})");
