--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -39,7 +39,7 @@
 }
 
 /** Reads the body of an answer that is not a stream, for its error text. */
-asio::awaitable<HttpResponse> readRefusal(HttpExchange exchange, std::chrono::milliseconds idleTimeout)
+asio::awaitable<HttpResponse> readRefusal(HttpExchange &exchange, std::chrono::milliseconds idleTimeout)
 {
     HttpResponse response;
     response.status = exchange.status;
@@ -150,6 +150,22 @@
     }
 }
 
+/** Turns the answer's head into a stream, or into the error that it stands for. */
+asio::awaitable<Result<GenerateStream>> acceptAnswer(HttpExchange exchange, RequestId requestId, std::chrono::milliseconds idleTimeout)
+{
+    if (const auto mismatch = echoMismatch(exchange.headers, requestId, exchange.status == 200)) {
+        co_return *mismatch;
+    }
+    if (exchange.status != 200) {
+        const HttpResponse refusal = co_await readRefusal(exchange, idleTimeout);
+        co_return engineRefusal(refusal);
+    }
+    GenerateStream stream;
+    stream.exchange = std::move(exchange);
+    stream.requestId = std::move(requestId);
+    co_return stream;
+}
+
 } // namespace
 
 asio::awaitable<Result<GenerateStream>> startGenerate(std::shared_ptr<HttpClient> http, Endpoint endpoint, GenerateCall call, HttpTimeouts timeouts)
@@ -162,18 +178,7 @@
     if (!isOk(opened)) {
         co_return engineTransportError(*http, endpoint, errorOf(opened));
     }
-    HttpExchange &exchange = valueOf(opened);
-    if (const auto mismatch = echoMismatch(exchange.headers, call.requestId, exchange.status == 200)) {
-        co_return *mismatch;
-    }
-    if (exchange.status != 200) {
-        const HttpResponse refusal = co_await readRefusal(std::move(exchange), timeouts.idle);
-        co_return engineRefusal(refusal);
-    }
-    GenerateStream stream;
-    stream.exchange = std::move(exchange);
-    stream.requestId = std::move(call.requestId);
-    co_return stream;
+    co_return co_await acceptAnswer(std::move(valueOf(opened)), std::move(call.requestId), timeouts.idle);
 }
 
 asio::awaitable<Result<std::optional<TokenEvent>>> readToken(GenerateStream &stream, std::chrono::milliseconds idleTimeout)
