--- a/tests/test_peer.cpp
+++ b/tests/test_peer.cpp
@@ -191,14 +191,19 @@
 
 } // namespace
 
-// Guards against values that are lost or mixed up on the wire.
+// Guards against values that are lost or mixed up on the wire, and blobs above the bound on calls in progress that never arrive.
 TEST_CASE_METHOD(PeerFixture, "peerRpc_eachCall_valuesArrive")
 {
-    const std::string data(300000, 'x');
-    CHECK(isOk(run(peerPutBlob(*this->client, this->endpoint, BlobId{"b"}, data, 5s))));
-    const auto got = run(peerGetBlob(*this->client, this->endpoint, BlobId{"b"}, 5s));
+    std::string data;
+    data.resize(std::size_t{20} << 20U, 'x');
+    CHECK(isOk(run(peerPutBlob(*this->client, this->endpoint, BlobId{"b"}, data, 9s))));
+    const auto got = run(peerGetBlob(*this->client, this->endpoint, BlobId{"b"}, 9s));
     REQUIRE(isOk(got));
-    CHECK(valueOf(got) == data);
+    CHECK((valueOf(got) == data));
+    data.resize(std::size_t{65} << 20U, 'x');
+    const auto tooLarge = run(peerPutBlob(*this->client, this->endpoint, BlobId{"b"}, data, 9s));
+    REQUIRE(!isOk(tooLarge));
+    CHECK(errorOf(tooLarge).code == ErrorCode::PayloadTooLarge);
     const std::vector<BlobId> ids{BlobId{"a"}, BlobId{"b"}};
     const auto has = run(peerHasBlobs(*this->client, this->endpoint, ids, 5s));
     REQUIRE(isOk(has));
