--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -90,7 +90,7 @@
 
     def start_targets(self):
         for i, engine in enumerate(self.engines):
-            self.spawn(engine["id"], "standin-engine", f"--port={engine['port']}", f"--slots={self.slots}", f"--models={self.model}", f"--seed={i + 1}", *self.engine_flags)
+            self.spawn(engine["id"], "standin-engine", f"--port={engine['port']}", f"--slots={self.slots}", f"--models={self.model}@1", f"--seed={i + 1}", *self.engine_flags)
         for service in self.services:
             self.spawn(service["id"], "standin-service", f"--port={service['port']}")
         targets = [{"id": e["id"], "kind": "engine", "service": "", "domain": e["domain"], "address": ADDRESS, "port": e["port"], "leaving": False, "checks_fencing": True, "order_timeout_ms": 1000} for e in self.engines]
--- a/tools/lib/prove.py
+++ b/tools/lib/prove.py
@@ -365,7 +365,7 @@
 
     def start_engine(self, index):
         engine = self.fleet.engines[index]
-        self.fleet.spawn(engine["id"], "standin-engine", f"--port={engine['port']}", f"--slots={self.fleet.slots}", f"--models={self.fleet.model}", f"--seed={index + 1}", *self.fleet.engine_flags)
+        self.fleet.spawn(engine["id"], "standin-engine", f"--port={engine['port']}", f"--slots={self.fleet.slots}", f"--models={self.fleet.model}@1", f"--seed={index + 1}", *self.fleet.engine_flags)
 
     def fault_silent(self):
         engine = self.random.choice(self.fleet.engines)
