--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -64,6 +64,7 @@
 TEST_CASE_METHOD(MetricsFixture, "registry_severalThreads_countsAll")
 {
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i) {
         threads.emplace_back([this] {
             for (int n = 0; n < 1000; ++n) {
