--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -6,6 +6,7 @@
 #include "http/http_server_func.h"
 #include "peer/status_exchange_func.h"
 #include "platform/kv_client_func.h"
+#include "policy/membership_type.h"
 #include "policy/revision_type.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -38,12 +39,9 @@
     bool ended{false}; ///< Whether a planned stop has ended the session.
 };
 
-/** What this host knows of another host. */
+/** What this host keeps of another host beside its status. */
 struct HostEntry {
     HostInfo info; ///< From the settings.
-    HostStatus status; ///< Last accepted status.
-    TimePoint heardAt{}; ///< Time of its arrival.
-    HostState state{HostState::Unknown}; ///< Liveness.
     std::uint64_t jobsSeen{0}; ///< Job cursor of its last bundle, for its present incarnation.
     std::set<TargetId> leavingTargets; ///< Targets that it says are leaving.
 };
@@ -58,7 +56,8 @@
     HostId owner; ///< Batch owner at the last evaluation.
     bool polling{false}; ///< Whether a poll is in flight.
     double baselineStepMs{0}; ///< Long-term average of the step time in milliseconds.
-    double declineFactor{1.0}; ///< Step time over that of peers with the same model.
+    double declineFactor{1.0}; ///< Smoothed step time over the expected one, at least 1.
+    bool inDecline{false}; ///< Whether an alarm of slow decline is raised.
 };
 
 /** A job with the local serial number of its last change. */
@@ -87,6 +86,7 @@
     PlatformGate gate; ///< Calls to the key-value service.
     LeaseState lease; ///< Session lease.
     std::map<HostId, HostEntry> hosts; ///< All other hosts.
+    MembershipView members; ///< Statuses and liveness of other hosts.
     std::map<TargetId, TargetEntry> targets; ///< Targets of this failure domain.
     std::vector<TargetInfo> targetList; ///< Last list, of all failure domains.
     bool targetsKnown{false}; ///< Whether a list was ever read.
--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -64,7 +64,7 @@
 boost::asio::awaitable<void> runMembership(ControlPtr control);
 
 /** Takes a status datagram. */
-void takeStatus(const ControlPtr &control, HostStatus status);
+void takeStatus(const ControlPtr &control, const HostStatus &status);
 
 /** Sends a status soon to all hosts of the domain and to one of each other domain. */
 void pushStatus(const ControlPtr &control);
@@ -75,6 +75,9 @@
 /** @return Whether this host is one of the two watchers of its domain. */
 [[nodiscard]] bool isWatcher(const Control::Impl &control);
 
+/** @return Status and liveness of a host; an empty record when it was never heard of. */
+[[nodiscard]] const MemberRecord &memberOf(const Control::Impl &control, const HostId &host);
+
 /** @return The live hosts of this failure domain, this one included unless it is stopping. */
 [[nodiscard]] std::vector<HostId> liveDomainHosts(const Control::Impl &control);
 
@@ -95,7 +98,7 @@
 void takeTargetList(const ControlPtr &control, std::vector<TargetInfo> list);
 
 /** Takes the target reports of a peer's status. */
-void takeTargetStatuses(Control::Impl &control, HostEntry &sender);
+void takeTargetStatuses(Control::Impl &control, HostEntry &sender, const HostStatus &status);
 
 /** Evaluates batch owners and leaving targets again. */
 void evaluateTargets(const ControlPtr &control);
@@ -112,6 +115,14 @@
 /** Parses a target list. */
 [[nodiscard]] Result<std::vector<TargetInfo>> targetsFromJson(std::string_view text);
 
+// Decline and placement (decline_controller.cpp, placement_controller.cpp).
+
+/** Compares targets with their peers and their past, and this host with its own usual level. */
+boost::asio::awaitable<void> runDecline(ControlPtr control);
+
+/** Holds the domain's placement lease while this host ranks first, and loads models as the templates want. */
+boost::asio::awaitable<void> runPlacement(ControlPtr control);
+
 // Jobs (job_controller.cpp, job_record.cpp).
 
 /** Watches the job records while this host is a watcher. */
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -1,7 +1,7 @@
 /** @file target_controller.cpp Batch owners, load reports and leaving targets. */
 #include "control/controller_func.h"
-#include "core/hash_func.h"
 #include "engine/engine_client_func.h"
+#include "policy/membership_func.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -16,57 +16,21 @@
 namespace {
 
 constexpr HttpTimeouts pollTimeouts{.connect = 300ms, .send = 300ms, .firstByte = 800ms, .idle = 500ms};
-constexpr auto declineInterval = 5s;
 constexpr double baselineGain = 0.002; // At two polls a second, a time constant of about four minutes.
 
-HostId ownerOf(const TargetId &target, const std::vector<HostId> &live)
-{
-    const auto best = std::max_element(live.begin(), live.end(), [&target](const HostId &left, const HostId &right) {
-        return rendezvousScore(target.value, left.value) < rendezvousScore(target.value, right.value);
-    });
-    return best == live.end() ? HostId() : *best;
-}
-
 /** @return Targets that peers which are not dead say are leaving. */
 std::set<TargetId> leavingByPeers(const Control::Impl &control)
 {
     std::set<TargetId> leaving;
     for (const auto &[id, host] : control.hosts) {
-        if (host.state != HostState::Dead && host.state != HostState::Unknown) {
+        const HostState state = memberOf(control, id).state;
+        if (state != HostState::Dead && state != HostState::Unknown) {
             leaving.insert(host.leavingTargets.begin(), host.leavingTargets.end());
         }
     }
     return leaving;
 }
 
-/** Sets each target's step time over the median of the targets with the same model; 1 where fewer than three are known. */
-void evaluateDecline(Control::Impl &control)
-{
-    std::map<std::pair<ModelId, std::string>, std::vector<double>> stepsByModel;
-    for (const auto &[id, target] : control.targets) {
-        for (const LoadedModel &model : target.report.models) {
-            if (target.report.stepMs > 0) {
-                stepsByModel[{model.name, model.version}].push_back(target.report.stepMs);
-            }
-        }
-    }
-    std::map<std::pair<ModelId, std::string>, double> medians;
-    for (auto &[model, steps] : stepsByModel) {
-        const auto middle = steps.begin() + static_cast<std::ptrdiff_t>(steps.size() / 2);
-        std::nth_element(steps.begin(), middle, steps.end());
-        medians[model] = steps.size() < 3 ? 0.0 : *middle;
-    }
-    for (auto &[id, target] : control.targets) {
-        target.declineFactor = 1.0;
-        for (const LoadedModel &model : target.report.models) {
-            const double median = medians[{model.name, model.version}];
-            if (median > 0 && target.report.stepMs > 0) {
-                target.declineFactor = std::max(target.declineFactor, target.report.stepMs / median);
-            }
-        }
-    }
-}
-
 /** Assigns batch owners when the live hosts or the targets have changed. */
 bool evaluateOwners(Control::Impl &control)
 {
@@ -76,7 +40,7 @@
     }
     bool changed = false;
     for (auto &[id, target] : control.targets) {
-        HostId owner = ownerOf(id, live);
+        HostId owner = batchOwner(id, live).value_or(HostId());
         changed = changed || owner != target.owner;
         target.owner = std::move(owner);
     }
@@ -124,13 +88,13 @@
     return target.info.leaving || draining || now < target.refusedUntil;
 }
 
-void takeTargetStatuses(Control::Impl &control, HostEntry &sender)
+void takeTargetStatuses(Control::Impl &control, HostEntry &sender, const HostStatus &hostStatus)
 {
     sender.leavingTargets.clear();
     if (sender.info.domain != control.self.domain) {
         return;
     }
-    for (const TargetStatus &status : sender.status.targets) {
+    for (const TargetStatus &status : hostStatus.targets) {
         if (status.leaving) {
             sender.leavingTargets.insert(status.target);
         }
@@ -188,12 +152,7 @@
 
 asio::awaitable<void> runLoadPolls(ControlPtr control)
 {
-    TimePoint nextDecline = BootClock::now();
     while (!control->lease.ended) {
-        if (BootClock::now() >= nextDecline) {
-            nextDecline = BootClock::now() + declineInterval;
-            evaluateDecline(*control);
-        }
         evaluateTargets(control);
         for (auto &[id, target] : control->targets) {
             if (target.info.kind != TargetKind::Engine || target.owner != control->self.id || target.polling) {
