Fix: A host took callers before it knew which models are loaded

Ruled out: a version mismatch, which affects all requests. A host is ready with the reports of all engines, or after 3 s.

--- a/src/control/admin_server.cpp
+++ b/src/control/admin_server.cpp
@@ -61,7 +61,10 @@
     if (!control.fleet) {
         return "no confirmed configuration";
     }
-    return control.targetsKnown ? "" : "no list of targets";
+    if (!control.targetsKnown) {
+        return "no list of targets";
+    }
+    return servesCallers(control) ? "" : "no load reports yet";
 }
 
 HttpResponse answerReady(const Control::Impl &control)
--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -40,7 +40,7 @@
     return {{"id", control.self.id.value},
             {"domain", control.self.domain.value},
             {"state", control.stopping ? "leaving" : "live"},
-            {"ready", control.fleet != nullptr && control.targetsKnown && !control.stopping},
+            {"ready", servesCallers(control) && !control.stopping},
             {"session", control.session.value},
             {"config_revision", control.config.revision.value},
             {"heard_ms_ago", 0},
@@ -216,7 +216,7 @@
 void refreshMetrics(const Control::Impl &control)
 {
     MetricsRegistry &metrics = *control.context.metrics;
-    setGauge(metrics, "skylark_ready", {}, control.fleet && control.targetsKnown && !control.stopping ? 1 : 0);
+    setGauge(metrics, "skylark_ready", {}, servesCallers(control) && !control.stopping ? 1 : 0);
     setGauge(metrics, "skylark_config_revision", {}, static_cast<double>(control.config.revision.value));
     const double left = std::chrono::duration<double>(control.lease.deadline - BootClock::now()).count();
     setGauge(metrics, "skylark_lease_remaining_seconds", {}, std::max(0.0, left));
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -90,6 +90,7 @@
     std::map<TargetId, TargetEntry> targets; ///< Targets of this failure domain.
     std::vector<TargetInfo> targetList; ///< Last list, of all failure domains.
     bool targetsKnown{false}; ///< Whether a list was ever read.
+    TimePoint targetsKnownAt{}; ///< Time of the first list.
     std::vector<HostId> ownersFor; ///< Live hosts that the batch owners were chosen from.
     bool ownersOutdated{true}; ///< Whether the targets have changed since.
     std::uint64_t reportSequence{0}; ///< Sequence of the last load report; starts at the incarnation, so that it rises over a restart.
--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -29,6 +29,9 @@
 
 // Snapshot (snapshot.cpp).
 
+/** @return Whether callers can be served: configuration, target list and load reports are known, or the wait for reports is over. */
+[[nodiscard]] bool servesCallers(const Control::Impl &control);
+
 /** Publishes a new snapshot soon, at most every 20 ms. */
 void markChanged(const ControlPtr &control);
 
--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -82,7 +82,7 @@
     status.incarnation = control.incarnation;
     status.sequence = ++control.sequence;
     status.leaving = control.stopping;
-    status.ready = control.fleet != nullptr && control.targetsKnown && !control.stopping;
+    status.ready = servesCallers(control) && !control.stopping;
     status.configRevision = control.config.revision;
     status.jobsCursor = control.jobSerial;
     status.targets = targetStatuses(control, BootClock::now());
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -64,6 +64,23 @@
     return views;
 }
 
+} // namespace
+
+bool servesCallers(const Control::Impl &control)
+{
+    // Without any load report no loaded model is known, and every request would be refused.
+    constexpr auto longestWait = std::chrono::seconds(3);
+    if (!control.fleet || !control.targetsKnown) {
+        return false;
+    }
+    const bool waited = BootClock::now() - control.targetsKnownAt > longestWait;
+    return waited || std::all_of(control.targets.begin(), control.targets.end(), [](const auto &entry) {
+        return entry.second.info.kind != TargetKind::Engine || entry.second.report.receivedAt != TimePoint();
+    });
+}
+
+namespace {
+
 void publish(Control::Impl &control)
 {
     auto next = std::make_shared<ControlSnapshot>();
@@ -76,7 +93,7 @@
         next->jobs.push_back(job.record);
     }
     next->leaseDeadline = control.lease.deadline;
-    next->ready = control.fleet != nullptr && control.targetsKnown;
+    next->ready = servesCallers(control);
     next->stopping = control.stopping;
     next->platformReachable = !control.gate.down;
     const auto previous = control.context.snapshot->current.load();
--- a/src/control/target_list.cpp
+++ b/src/control/target_list.cpp
@@ -93,6 +93,9 @@
     }
     control->targets = std::move(next);
     control->targetList = std::move(list);
+    if (!control->targetsKnown) {
+        control->targetsKnownAt = BootClock::now();
+    }
     control->targetsKnown = true;
     control->ownersOutdated = true;
     evaluateTargets(control);
