Fix: Concurrent online requests asked for the same batch slots twice; unloaded models failed callers

A yield asked of another host shows only in the next load report, so it is counted until then. A target answers 404 when the model was unloaded after its last report; the request did not run and goes to another target.

--- a/src/traffic/caller_server_base.h
+++ b/src/traffic/caller_server_base.h
@@ -23,6 +23,12 @@
     double serviceMs{2000}; ///< Moving average of the time that a stream holds its slot, in milliseconds.
 };
 
+/** Batch slots that this host has asked another host to release, until the next load report shows the effect. */
+struct PendingYield {
+    std::uint64_t reportSequence{0}; ///< Report on which the request was based.
+    unsigned slots{0}; ///< Slots asked for.
+};
+
 /** State of the callers' server. */
 struct CallerServer::Impl : std::enable_shared_from_this<CallerServer::Impl> {
     explicit Impl(HostContext &host)
@@ -40,6 +46,7 @@
     std::map<ModelId, ModelQueue> queues; ///< Waiting requests by model.
     std::unordered_map<TargetId, TimePoint> leavingSince; ///< Targets that this thread found to be leaving.
     std::unordered_map<TargetId, TimePoint> drainChecked; ///< Last check whether a refusing target is leaving.
+    std::unordered_map<TargetId, PendingYield> pendingYields; ///< Yields asked of other hosts.
     std::uint64_t seed{1}; ///< State of the random sequence.
 };
 
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -184,11 +184,16 @@
     co_return failure;
 }
 
-void askForSlots(CallerServer::Impl &impl, const RouteDecision &decision)
+void askForSlots(CallerServer::Impl &impl, const RouteDecision &decision, std::uint64_t reportSequence)
 {
     if (decision.yieldSlots == 0) {
         return;
     }
+    PendingYield &pending = impl.pendingYields[decision.target];
+    if (pending.reportSequence != reportSequence) {
+        pending = {reportSequence, 0};
+    }
+    pending.slots += decision.yieldSlots;
     addCounter(*impl.context.metrics, "skylark_yields_total", {}, decision.yieldSlots);
     if (impl.context.requestYield) {
         impl.context.requestYield(decision.target, decision.yieldSlots);
@@ -206,14 +211,23 @@
     rememberPrefixes(impl.affinity, context.generation->prefixes, target);
 }
 
-asio::awaitable<std::optional<Error>> attemptOnTarget(CallerServer::Impl &impl, RequestContext &context, TargetInfo target)
+/** A target that has unloaded the model since its last report answers 404 and has not run the request. */
+void recogniseUnloaded(std::optional<Error> &failure)
+{
+    if (failure && failure->code == ErrorCode::TargetRejected && failure->detail.starts_with("404")) {
+        failure->code = ErrorCode::TargetOverloaded;
+        failure->run = RunState::No;
+    }
+}
+
+asio::awaitable<std::optional<Error>> attemptOnTarget(CallerServer::Impl &impl, RequestContext &context, TargetInfo target, std::uint64_t reportSequence)
 {
     const RequestId attempt = attemptId(impl, context);
     const HttpTimeouts timeouts = timeoutsOf(context);
     const TimePoint startedAt = BootClock::now();
     AnswerTiming timing;
     std::optional<Error> failure;
-    askForSlots(impl, context.generation->decision);
+    askForSlots(impl, context.generation->decision, reportSequence);
     {
         const StreamCount count(*impl.context.loads, target.id);
         addCounter(*impl.context.metrics, "skylark_target_attempts_total");
@@ -223,6 +237,7 @@
             failure = co_await finishAttempt(impl, context, std::move(valueOf(started)), attempt, timeouts, timing);
         } else {
             failure = errorOf(started);
+            recogniseUnloaded(failure);
         }
     }
     wakeFirst(impl.queues[context.generation->model->name]);
@@ -277,7 +292,7 @@
     for (const TargetView &view : context.snapshot->targets) {
         if (view.info.id == decision.target) {
             SKY_INVARIANT(Promise::LeavingTarget, !isLeaving(impl, view, BootClock::now()));
-            co_return co_await attemptOnTarget(impl, context, view.info);
+            co_return co_await attemptOnTarget(impl, context, view.info, view.report.sequence);
         }
     }
     co_return makeError(ErrorCode::NoTarget, "chosen target is not listed");
--- a/src/traffic/target_view.cpp
+++ b/src/traffic/target_view.cpp
@@ -18,6 +18,15 @@
     return std::find(targets.begin(), targets.end(), target) != targets.end();
 }
 
+/** @return Slots of @p view that another host is releasing, so that concurrent requests do not ask for the same slots again. */
+unsigned pendingYield(const CallerServer::Impl &impl, const ControlSnapshot &snapshot, const TargetView &view)
+{
+    const auto found = impl.pendingYields.find(view.info.id);
+    // Own batch streams are counted exactly and need no correction.
+    const bool pending = found != impl.pendingYields.end() && found->second.reportSequence == view.report.sequence;
+    return pending && view.batchOwner != snapshot.self.id ? found->second.slots : 0;
+}
+
 RouteCandidate makeCandidate(CallerServer::Impl &impl, const RequestContext &context, const TargetView &view, TimePoint now)
 {
     const TargetLoad load = loadOf(*impl.context.loads, view.info.id);
@@ -31,6 +40,8 @@
         view.report.running, view.report.waiting, load.started - load.startedAtReport, load.ended - load.endedAtReport, load.online + load.batch);
     candidate.online = load.online + view.onlineElsewhere;
     candidate.ownBatch = load.batch;
+    const unsigned elsewhere = candidate.occupied - std::min(candidate.occupied, candidate.online + candidate.ownBatch);
+    candidate.occupied -= std::min(elsewhere, pendingYield(impl, *context.snapshot, view));
     candidate.declineFactor = view.declineFactor;
     candidate.tokenRatio = load.tokenMs;
     candidate.serviceTime = std::chrono::milliseconds(static_cast<long long>(impl.queues[context.generation->model->name].serviceMs));
--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -82,6 +82,11 @@
         co_await sendResponse(responder, std::move(response));
         co_return;
     }
+    if (this->mode == TargetMode::Unloaded) {
+        response.status = 404;
+        co_await sendResponse(responder, std::move(response));
+        co_return;
+    }
     if (request.target == "/v1/chat/completions") {
         ++this->generations;
         co_await this->generate(std::move(request), responder);
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -26,6 +26,7 @@
     Silent, ///< Takes the request and never answers.
     Stall, ///< Stops sending after cutAfter tokens.
     NotRun, ///< 503 that says "not run".
+    Unloaded, ///< 404, as after the model was unloaded.
 };
 
 /** A stand-in target on the loop of the test. */
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -260,6 +260,38 @@
     CHECK(requestsAtYield == 0);
 }
 
+// Guards against concurrent requests that ask for the same batch slot twice.
+TEST_CASE_METHOD(TrafficFixture, "chat_concurrentRequestsOverBatch_oneYieldEach")
+{
+    this->addTarget({}, 4, 4);
+    this->startServer();
+    int done = 0;
+    for (int i = 0; i < 3; ++i) {
+        HttpRequest request{"POST", "/v1/chat/completions", {{"authorization", "Bearer key"}}, R"({"model":"brief","messages":[{"role":"user"}]})"};
+        asio::co_spawn(this->context.online,
+                       httpCall(this->client, this->endpoint(), std::move(request), HttpTimeouts{1s, 1s, 15s, 15s}),
+                       [&done](const std::exception_ptr &, const Result<HttpResponse> &result) {
+                           done += isOk(result) && valueOf(result).status == 200 ? 1 : 0;
+                       });
+    }
+    for (int i = 0; i < 100 && done < 3; ++i) {
+        this->runFor(20ms);
+    }
+    CHECK(done == 3);
+    CHECK(this->yields == std::vector<std::pair<std::string, unsigned>>(3, {"t1", 1U}));
+}
+
+// Guards against an error for the caller when placement has just unloaded the model from one target.
+TEST_CASE_METHOD(TrafficFixture, "chat_modelUnloadedFromTarget_answeredElsewhere")
+{
+    StubTarget &unloaded = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    unloaded.mode = TargetMode::Unloaded;
+    this->startServer();
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(unloaded.requests.size() == 1);
+}
+
 // Guards against requests that fail although another failure domain has room, and against forwarding in circles.
 TEST_CASE_METHOD(TrafficFixture, "chat_noTargetHere_forwardedOnceAndContinuedAfterACut")
 {
