Change: The test of a yield before the first token sees the requests while they wait

With a step of 0.6 s the stream opened by itself within the limit, so the test passed without the cancellation of an opening stream. It fails now when that cancellation is removed (seen on a trial copy).

--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -451,10 +451,11 @@
 // Guards against a stream that cannot be cancelled before its first token.
 TEST_CASE_METHOD(BatchFixture, "yieldBatch_streamsBeforeFirstToken_areCancelledAtTheEngine")
 {
-    this->addEngine("e1", {"--slots=4", "--step_base_ms=600"});
+    this->addEngine("e1", {"--slots=4", "--step_base_ms=4500"});
     this->accepted("evening", jobBody(4));
     REQUIRE(this->until([this] {
-        return numberMember(this->engineStats("e1"), "running") == 4;
+        const json::object stats = this->engineStats("e1");
+        return numberMember(stats, "running") + numberMember(stats, "waiting") == 4;
     }));
     yieldBatch(*this->host().service, TargetId{"e1"}, 4);
     CHECK(this->host().streams() == 0);
