--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr double declineNamed = 1.3; // The slow-down of section 1.6 that must be named.
-
 json::string_view view(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -42,7 +40,7 @@
     return {{"id", control.self.id.value},
             {"domain", control.self.domain.value},
             {"state", control.stopping ? "leaving" : "live"},
-            {"ready", control.fleet != nullptr && control.targetsKnown && !control.stopping},
+            {"ready", servesCallers(control) && !control.stopping},
             {"session", control.session.value},
             {"config_revision", control.config.revision.value},
             {"heard_ms_ago", 0},
@@ -51,16 +49,16 @@
             {"admin", addressOf(control.self.admin)}};
 }
 
-json::object hostView(const HostEntry &host)
+json::object hostView(const HostEntry &host, const MemberRecord &member)
 {
     return {{"id", host.info.id.value},
             {"domain", host.info.domain.value},
-            {"state", view(hostStateName(host.state))},
-            {"ready", host.status.ready && host.state != HostState::Dead},
-            {"session", host.status.session.value},
-            {"config_revision", host.status.configRevision.value},
-            {"heard_ms_ago", millisecondsSince(host.heardAt)},
-            {"free_by_model", freeView(host.status.freeByModel)},
+            {"state", view(hostStateName(member.state))},
+            {"ready", member.status.ready && member.state != HostState::Dead},
+            {"session", member.status.session.value},
+            {"config_revision", member.status.configRevision.value},
+            {"heard_ms_ago", millisecondsSince(member.heardAt)},
+            {"free_by_model", freeView(member.status.freeByModel)},
             {"http", addressOf(host.info.http)},
             {"admin", addressOf(host.info.admin)}};
 }
@@ -125,7 +123,7 @@
     std::array<unsigned, 5> byState{};
     ++byState[static_cast<std::size_t>(control.stopping ? HostState::Leaving : HostState::Live)];
     for (const auto &[id, host] : control.hosts) {
-        ++byState[static_cast<std::size_t>(host.state)];
+        ++byState[static_cast<std::size_t>(memberOf(control, id).state)];
     }
     for (const HostState state : {HostState::Unknown, HostState::Live, HostState::Suspect, HostState::Dead, HostState::Leaving}) {
         setGauge(*control.context.metrics, "skylark_hosts", {{"state", hostStateName(state)}}, byState[static_cast<std::size_t>(state)]);
@@ -171,7 +169,7 @@
     json::array hosts;
     hosts.emplace_back(selfHostView(control));
     for (const auto &[id, host] : control.hosts) {
-        hosts.emplace_back(hostView(host));
+        hosts.emplace_back(hostView(host, memberOf(control, id)));
     }
     return {{"self", control.self.id.value}, {"platform_reachable", !control.gate.down}, {"hosts", std::move(hosts)}};
 }
@@ -191,7 +189,8 @@
     const HostState own = control.stopping ? HostState::Leaving : HostState::Live;
     hosts.emplace_back(inForceEntry(control.self, own, control.config.revision, wanted));
     for (const auto &[id, host] : control.hosts) {
-        hosts.emplace_back(inForceEntry(host.info, host.state, host.status.configRevision, wanted));
+        const MemberRecord &member = memberOf(control, id);
+        hosts.emplace_back(inForceEntry(host.info, member.state, member.status.configRevision, wanted));
     }
     return {{"self", control.self.id.value},
             {"config_revision", control.config.revision.value},
@@ -209,7 +208,7 @@
                                           {"baseline_step_ms", target.baselineStepMs},
                                           {"factor_to_peers", target.declineFactor},
                                           {"factor_to_baseline", ratio},
-                                          {"declined", target.declineFactor >= declineNamed || ratio >= declineNamed}});
+                                          {"declined", target.inDecline}});
     }
     return {{"domain", control.self.domain.value}, {"targets", std::move(targets)}};
 }
@@ -217,7 +216,7 @@
 void refreshMetrics(const Control::Impl &control)
 {
     MetricsRegistry &metrics = *control.context.metrics;
-    setGauge(metrics, "skylark_ready", {}, control.fleet && control.targetsKnown && !control.stopping ? 1 : 0);
+    setGauge(metrics, "skylark_ready", {}, servesCallers(control) && !control.stopping ? 1 : 0);
     setGauge(metrics, "skylark_config_revision", {}, static_cast<double>(control.config.revision.value));
     const double left = std::chrono::duration<double>(control.lease.deadline - BootClock::now()).count();
     setGauge(metrics, "skylark_lease_remaining_seconds", {}, std::max(0.0, left));
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -16,11 +16,11 @@
 std::unordered_map<TargetId, unsigned> onlineElsewhere(const Control::Impl &control)
 {
     std::unordered_map<TargetId, unsigned> streams;
-    for (const auto &[id, host] : control.hosts) {
-        if (host.info.domain != control.self.domain || host.state == HostState::Dead || host.state == HostState::Unknown) {
+    for (const auto &[id, member] : control.members.members) {
+        if (member.status.domain != control.self.domain || member.state == HostState::Dead || member.state == HostState::Unknown) {
             continue;
         }
-        for (const auto &[target, count] : host.status.onlineInFlight) {
+        for (const auto &[target, count] : member.status.onlineInFlight) {
             streams[target] += count;
         }
     }
@@ -54,15 +54,33 @@
                      .configRevision = control.config.revision,
                      .freeByModel = freeSlotsByModel(control)});
     for (const auto &[id, host] : control.hosts) {
+        const MemberRecord &member = memberOf(control, id);
         views.push_back({.info = host.info,
-                         .state = host.state,
-                         .session = host.status.session,
-                         .configRevision = host.status.configRevision,
-                         .freeByModel = host.status.freeByModel});
+                         .state = member.state,
+                         .session = member.status.session,
+                         .configRevision = member.status.configRevision,
+                         .freeByModel = member.status.freeByModel});
     }
     return views;
 }
 
+} // namespace
+
+bool servesCallers(const Control::Impl &control)
+{
+    // Without any load report no loaded model is known, and every request would be refused.
+    constexpr auto longestWait = std::chrono::seconds(3);
+    if (!control.fleet || !control.targetsKnown) {
+        return false;
+    }
+    const bool waited = BootClock::now() - control.targetsKnownAt > longestWait;
+    return waited || std::all_of(control.targets.begin(), control.targets.end(), [](const auto &entry) {
+        return entry.second.info.kind != TargetKind::Engine || entry.second.report.receivedAt != TimePoint();
+    });
+}
+
+namespace {
+
 void publish(Control::Impl &control)
 {
     auto next = std::make_shared<ControlSnapshot>();
@@ -75,7 +93,7 @@
         next->jobs.push_back(job.record);
     }
     next->leaseDeadline = control.lease.deadline;
-    next->ready = control.fleet != nullptr && control.targetsKnown;
+    next->ready = servesCallers(control);
     next->stopping = control.stopping;
     next->platformReachable = !control.gate.down;
     const auto previous = control.context.snapshot->current.load();
