--- a/src/batch/execution.cpp
+++ b/src/batch/execution.cpp
@@ -1,6 +1,7 @@
 /** @file execution.cpp Execution loop: lease, item starts, claims, completions. */
 #include "batch/batch_internal_func.h"
 #include "batch/batch_record_func.h"
+#include "batch/job_parse_func.h"
 #include "policy/item_attempt_func.h"
 
 #include <algorithm>
@@ -237,7 +238,8 @@
     }
     for (const auto &group : state.held) {
         if (group->model == model) {
-            supply.waiting += group->waiting.size();
+            // A group that is still loading will bring its items; counting none claimed a second group that idle hosts could run.
+            supply.waiting += group->phase == GroupPhase::Loading ? itemsPerGroup : group->waiting.size();
             supply.ahead += group->phase == GroupPhase::Loading || group->waiting.size() == group->items.size() ? 1 : 0;
         }
     }
--- a/src/batch/job_parse.cpp
+++ b/src/batch/job_parse.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint32_t itemsPerGroup = 256; ///< Two writes a group keep an item below 0.01 writes.
 constexpr std::size_t maxGroupBytes = 900000; ///< A blob stays below 1 MB with its transport frame.
 constexpr std::string_view chatUrl = "/v1/chat/completions";
 constexpr std::string_view servicePrefix = "/v1/services/";
--- a/src/batch/job_parse_func.h
+++ b/src/batch/job_parse_func.h
@@ -11,6 +11,8 @@
 
 namespace skylark {
 
+constexpr std::uint32_t itemsPerGroup = 256; ///< Two writes a group keep an item below 0.01 writes.
+
 /** Items of one group, as JSON lines. */
 struct GroupInput {
     std::size_t model{0}; ///< Index in ParsedJob::models; all items of a group call the same model, so that any host with that model can run it.
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -68,15 +68,16 @@
 
 bool servesCallers(const Control::Impl &control)
 {
-    // Without any load report no loaded model is known, and every request would be refused.
+    // Without any load report no loaded model is known, and every request would be refused. The list lags, so that an empty
+    // one says little about a fleet that has just started.
     constexpr auto longestWait = std::chrono::seconds(3);
     if (!control.fleet || !control.targetsKnown) {
         return false;
     }
     const bool waited = BootClock::now() - control.targetsKnownAt > longestWait;
-    return waited || std::all_of(control.targets.begin(), control.targets.end(), [](const auto &entry) {
-        return entry.second.info.kind != TargetKind::Engine || entry.second.report.receivedAt != TimePoint();
-    });
+    return waited || (!control.targets.empty() && std::all_of(control.targets.begin(), control.targets.end(), [](const auto &entry) {
+               return entry.second.info.kind != TargetKind::Engine || entry.second.report.receivedAt != TimePoint();
+           }));
 }
 
 namespace {
