--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -111,7 +111,7 @@
 {
     MetricsRegistry &metrics = *control.context.metrics;
     const KvCounts &counts = control.kv->counts;
-    setGauge(metrics, "skylark_platform_reachable", {}, control.gate.down ? 0 : 1);
+    setGauge(metrics, "skylark_platform_reachable", {}, control.gate.failingSince ? 0 : 1);
     setGauge(metrics, "skylark_platform_calls", {{"kind", "read"}}, static_cast<double>(counts.reads));
     setGauge(metrics, "skylark_platform_calls", {{"kind", "write"}}, static_cast<double>(counts.writes));
     setGauge(metrics, "skylark_platform_calls", {{"kind", "watch"}}, static_cast<double>(counts.watches));
@@ -171,7 +171,7 @@
     for (const auto &[id, host] : control.hosts) {
         hosts.emplace_back(hostView(host, memberOf(control, id)));
     }
-    return {{"self", control.self.id.value}, {"platform_reachable", !control.gate.down}, {"hosts", std::move(hosts)}};
+    return {{"self", control.self.id.value}, {"platform_reachable", !control.gate.failingSince}, {"hosts", std::move(hosts)}};
 }
 
 json::object targetsView(const Control::Impl &control)
--- a/src/control/config_controller.cpp
+++ b/src/control/config_controller.cpp
@@ -135,7 +135,7 @@
 
 asio::awaitable<void> runConfigWatch(ControlPtr control)
 {
-    while (!control->lease.ended) {
+    while (!control->ended) {
         // Every host asks the service once at its start; after that only watchers do.
         if (control->config.confirmed && !isWatcher(*control)) {
             co_await waitFor(control, control->watchWakeup, idleCheck);
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -6,6 +6,7 @@
 #include "http/http_server_func.h"
 #include "peer/status_exchange_func.h"
 #include "platform/kv_client_func.h"
+#include "policy/lease_type.h"
 #include "policy/membership_type.h"
 #include "policy/revision_type.h"
 
@@ -22,23 +23,6 @@
     bool signalled{false}; ///< Whether a signal is kept.
 };
 
-/** Outage state of the key-value service and the bucket of background calls. */
-struct PlatformGate {
-    bool down{false}; ///< Whether the last call had no answer.
-    TimePoint downSince{}; ///< Start of the outage.
-    TimePoint openAt{}; ///< Background calls wait until then after an outage.
-    double tokens{0}; ///< Background calls that may be made at once.
-    TimePoint refilledAt{}; ///< Time of the last refill.
-};
-
-/** Session lease of this host. */
-struct LeaseState {
-    LeaseId id; ///< Lease; empty when there is none.
-    TimePoint deadline{}; ///< Effects after it are not allowed.
-    bool lapsed{false}; ///< Whether the lapse was logged.
-    bool ended{false}; ///< Whether a planned stop has ended the session.
-};
-
 /** What this host keeps of another host beside its status. */
 struct HostEntry {
     HostInfo info; ///< From the settings.
@@ -85,6 +69,8 @@
     std::shared_ptr<const FleetConfig> fleet; ///< Configuration resolved; null until confirmed.
     PlatformGate gate; ///< Calls to the key-value service.
     LeaseState lease; ///< Session lease.
+    bool lapseNoted{false}; ///< Whether the present lapse of the lease was logged.
+    bool ended{false}; ///< Whether a planned stop has ended the session.
     std::map<HostId, HostEntry> hosts; ///< All other hosts.
     MembershipView members; ///< Statuses and liveness of other hosts.
     std::map<TargetId, TargetEntry> targets; ///< Targets of this failure domain.
--- a/src/control/control_util.cpp
+++ b/src/control/control_util.cpp
@@ -1,6 +1,7 @@
 /** @file control_util.cpp Timing, wake-ups and the gate to the key-value service. */
 #include "control/controller_func.h"
 #include "core/hash_func.h"
+#include "policy/lease_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -15,27 +16,14 @@
 namespace {
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::chrono::nanoseconds longestSpread = 10s; // Spreads 360 hosts over the service's 2,000 reads a second.
-constexpr std::chrono::nanoseconds shortOutage = 5s; // A single lost answer must not delay the configuration beyond the 5 s of P9.
-constexpr auto outagePoll = 100ms;
+constexpr auto gatePoll = 50ms; // Two calls in turn of the default rate are 200 ms apart.
 
-/** @return The time to wait before the next background call, zero when it may be made now. */
-std::chrono::nanoseconds gateDelay(PlatformGate &gate, double rate, TimePoint now)
+PlatformLimits limitsOf(const Control::Impl &control)
 {
-    if (gate.down) {
-        return outagePoll;
-    }
-    if (now < gate.openAt) {
-        return gate.openAt - now;
-    }
-    const double elapsed = std::chrono::duration<double>(now - gate.refilledAt).count();
-    gate.tokens = std::min(rate, gate.tokens + elapsed * rate);
-    gate.refilledAt = now;
-    if (gate.tokens >= 1.0) {
-        gate.tokens -= 1.0;
-        return 0ns;
-    }
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>((1.0 - gate.tokens) / rate)) + 1ms;
+    PlatformLimits limits;
+    limits.callsPerSecond = std::max(1U, control.context.settings->platformCallsPerSecond);
+    limits.burst = limits.callsPerSecond;
+    return limits;
 }
 
 } // namespace
@@ -69,31 +57,28 @@
 
 asio::awaitable<void> awaitPlatform(ControlPtr control)
 {
-    const double rate = std::max(1U, control->context.settings->platformCallsPerSecond);
-    for (;;) {
-        const auto delay = gateDelay(control->gate, rate, BootClock::now());
-        if (delay <= 0ns) {
-            co_return;
-        }
-        co_await pauseFor(control, delay);
+    const PlatformLimits limits = limitsOf(*control);
+    while (!takePlatformCall(control->gate, limits, BootClock::now())) {
+        co_await pauseFor(control, gatePoll);
     }
 }
 
 void notePlatform(Control::Impl &control)
 {
-    PlatformGate &gate = control.gate;
+    const bool failing = control.gate.failingSince.has_value();
     const TimePoint now = BootClock::now();
-    if (!control.kv->reachable && !gate.down) {
-        gate.down = true;
-        gate.downSince = now;
-        signal(control.leaseWakeup); // The lease controller makes the only calls during an outage.
+    if (control.kv->reachable) {
+        if (failing) {
+            const auto outage = std::chrono::duration_cast<std::chrono::milliseconds>(now - *control.gate.failingSince);
+            LOG(WARNING) << "[config] key-value service answers again after " << outage.count() << " ms";
+        }
+        platformAnswered(control.gate, limitsOf(control), now, control.random);
+        return;
+    }
+    if (!failing) {
         LOG(WARNING) << "[config] key-value service does not answer; configuration revision " << control.config.revision.value << " stays in force";
-    } else if (control.kv->reachable && gate.down) {
-        gate.down = false;
-        const auto outage = now - gate.downSince;
-        gate.openAt = outage < shortOutage ? now : now + randomBelow(control, std::min<std::chrono::nanoseconds>(longestSpread, outage));
-        LOG(WARNING) << "[config] key-value service answers again after " << std::chrono::duration_cast<std::chrono::seconds>(outage).count() << " s";
     }
+    platformFailed(control.gate, now);
 }
 
 } // namespace skylark
--- a/src/control/job_controller.cpp
+++ b/src/control/job_controller.cpp
@@ -185,7 +185,7 @@
 
 asio::awaitable<void> runJobWatch(ControlPtr control)
 {
-    while (!control->lease.ended) {
+    while (!control->ended) {
         if (!isWatcher(*control)) {
             co_await pauseFor(control, idleCheck);
             continue;
--- a/src/control/lease_controller.cpp
+++ b/src/control/lease_controller.cpp
@@ -1,6 +1,7 @@
 /** @file lease_controller.cpp Session lease and session key of this host. */
 #include "control/controller_func.h"
 #include "core/hash_func.h"
+#include "policy/lease_func.h"
 
 #include <algorithm>
 #include <glog/logging.h>
@@ -12,39 +13,36 @@
 
 namespace {
 
-/** @return The local deadline of a lease whose last successful call was sent at @p sentAt. */
-TimePoint leaseDeadline(TimePoint sentAt, std::chrono::milliseconds ttl, std::chrono::milliseconds margin)
-{
-    return sentAt + ttl - margin;
-}
-
 std::string sessionKey(const Control::Impl &control)
 {
     return "session/" + control.session.value;
 }
 
-void extendLease(const ControlPtr &control, TimePoint sentAt)
+LeaseTiming timingOf(const Settings &settings)
 {
-    const Settings &settings = *control->context.settings;
-    control->lease.deadline = std::max(control->lease.deadline, leaseDeadline(sentAt, settings.leaseTtl, settings.leaseMargin));
-    control->lease.lapsed = false;
-    markChanged(control);
+    LeaseTiming timing;
+    timing.ttl = settings.leaseTtl;
+    timing.renew = settings.leaseRenew;
+    timing.margin = settings.leaseMargin;
+    return timing;
 }
 
 /** Logs the first moment past the deadline; the traffic threads check the deadline themselves. */
 void noteLapse(const ControlPtr &control)
 {
-    if (control->lease.lapsed || control->lease.deadline == TimePoint() || BootClock::now() < control->lease.deadline) {
+    if (leaseAllows(control->lease, BootClock::now())) {
+        control->lapseNoted = false;
         return;
     }
-    control->lease.lapsed = true;
-    addCounter(*control->context.metrics, "skylark_lease_lapses_total");
-    LOG(WARNING) << "[member] session lease lapsed; batch is suspended until a new lease is granted";
-    markChanged(control);
+    if (!control->lapseNoted) {
+        control->lapseNoted = true;
+        addCounter(*control->context.metrics, "skylark_lease_lapses_total");
+        LOG(WARNING) << "[member] no valid session lease; batch is suspended until one is granted";
+    }
 }
 
-/** Writes the session key under the present lease, over a key that an earlier lease of this session has left. */
-asio::awaitable<Result<Done>> writeSessionKey(ControlPtr control)
+/** Writes the session key under @p lease, over a key that an earlier lease of this session has left. */
+asio::awaitable<Result<Done>> writeSessionKey(ControlPtr control, LeaseId lease)
 {
     auto present = co_await kvGet(*control->kv, sessionKey(*control));
     notePlatform(*control);
@@ -58,7 +56,7 @@
     value["domain"] = control->self.domain.value;
     value["startedUnixMs"] = control->incarnation;
     value["writeId"] = writeId.value;
-    const auto written = co_await kvPutRecognised(*control->kv, sessionKey(*control), json::serialize(value), writeId, version, control->lease.id);
+    const auto written = co_await kvPutRecognised(*control->kv, sessionKey(*control), json::serialize(value), writeId, version, std::move(lease));
     notePlatform(*control);
     if (!isOk(written)) {
         co_return errorOf(written);
@@ -67,76 +65,82 @@
 }
 
 /** Takes a lease and binds the session key to it. */
-asio::awaitable<bool> grantLease(ControlPtr control)
+asio::awaitable<Result<Done>> grantLease(ControlPtr control, TimePoint sentAt)
 {
-    const TimePoint sentAt = BootClock::now();
-    const auto lease = co_await kvGrantLease(*control->kv, control->context.settings->leaseTtl);
+    const Settings &settings = *control->context.settings;
+    const auto lease = co_await kvGrantLease(*control->kv, settings.leaseTtl);
     notePlatform(*control);
     if (!isOk(lease)) {
-        co_return false;
+        co_return errorOf(lease);
     }
-    control->lease.id = valueOf(lease);
-    const auto written = co_await writeSessionKey(control);
+    const auto written = co_await writeSessionKey(control, valueOf(lease));
     if (!isOk(written)) {
         // Without its key the session does not exist for others, so the lease must not be used.
         LOG(WARNING) << "[member] session key could not be written; " << errorOf(written).detail;
-        control->lease.id = {};
-        co_return false;
+        co_return errorOf(written);
     }
-    extendLease(control, sentAt);
-    LOG(INFO) << "[member] session " << control->session.value << " has lease " << control->lease.id.value;
-    co_return true;
+    leaseGranted(control->lease, valueOf(lease), sentAt, settings.leaseTtl, settings.leaseMargin);
+    LOG(INFO) << "[member] session " << control->session.value << " has lease " << valueOf(lease).value;
+    co_return Done{};
 }
 
-asio::awaitable<bool> renewLease(ControlPtr control)
+asio::awaitable<Result<Done>> renewLease(ControlPtr control, TimePoint sentAt)
 {
-    const TimePoint sentAt = BootClock::now();
-    const auto renewed = co_await kvRenewLease(*control->kv, control->lease.id);
+    const Settings &settings = *control->context.settings;
+    const LeaseId lease = control->lease.lease;
+    const auto renewed = co_await kvRenewLease(*control->kv, lease);
     notePlatform(*control);
     if (isOk(renewed)) {
-        extendLease(control, sentAt);
-        co_return true;
+        leaseRenewed(control->lease, lease, sentAt, settings.leaseTtl, settings.leaseMargin);
+    } else if (errorOf(renewed).code == ErrorCode::LeaseExpired) {
+        LOG(WARNING) << "[member] lease " << lease.value << " has expired; the session takes a new one";
+        leaseEnded(control->lease, lease);
     }
-    if (errorOf(renewed).code == ErrorCode::LeaseExpired) {
-        LOG(WARNING) << "[member] lease " << control->lease.id.value << " has expired; the session takes a new one";
-        control->lease.id = {};
+    co_return renewed;
+}
+
+/** Makes one attempt to keep or to get the lease. @return Whether another one must follow at once. */
+asio::awaitable<bool> attemptLease(ControlPtr control)
+{
+    const bool renewal = !control->lease.lease.empty();
+    const TimePoint sentAt = BootClock::now();
+    leaseAttempted(control->lease, sentAt);
+    const auto done = renewal ? co_await renewLease(control, sentAt) : co_await grantLease(control, sentAt);
+    addCounter(*control->context.metrics, "skylark_lease_calls_total", {{"kind", renewal ? "renew" : "grant"}, {"outcome", isOk(done) ? "ok" : "failed"}});
+    if (!isOk(done)) {
+        leaseAttemptFailed(control->lease);
     }
-    co_return false;
+    noteLapse(control);
+    markChanged(control);
+    co_return renewal && control->lease.lease.empty();
 }
 
 } // namespace
 
 asio::awaitable<void> runLease(ControlPtr control)
 {
-    const Settings &settings = *control->context.settings;
-    while (!control->lease.ended) {
-        const bool renewal = !control->lease.id.empty();
-        const bool done = renewal ? co_await renewLease(control) : co_await grantLease(control);
-        addCounter(*control->context.metrics, "skylark_lease_calls_total", {{"kind", renewal ? "renew" : "grant"}, {"outcome", done ? "ok" : "failed"}});
-        noteLapse(control);
-        if (renewal && !done && control->lease.id.empty()) {
+    const LeaseTiming timing = timingOf(*control->context.settings);
+    while (!control->ended) {
+        if (co_await attemptLease(control)) {
             continue;
         }
-        // Two failed renewals leave time for a third before the deadline; the spread keeps hosts from calling in step.
-        std::chrono::nanoseconds delay = settings.leaseRenew;
-        if (!done) {
-            delay = settings.leaseRenew / 3 + randomBelow(*control, settings.leaseRenew / 3);
-        }
-        co_await waitFor(control, control->leaseWakeup, delay);
+        const auto delay = leaseAttemptDue(control->lease, timing, control->random) - BootClock::now();
+        co_await waitFor(control, control->leaseWakeup, std::max<std::chrono::nanoseconds>(delay, std::chrono::nanoseconds(0)));
     }
 }
 
 asio::awaitable<void> endSession(Control &handle)
 {
     ControlPtr control = handle.impl;
-    control->lease.ended = true;
-    control->lease.deadline = {};
+    control->ended = true;
+    const LeaseId lease = control->lease.lease;
+    leaseEnded(control->lease, lease);
     signal(control->leaseWakeup);
     signal(control->watchWakeup);
     signal(control->pullWakeup);
     markChanged(control);
-    if (!control->lease.id.empty()) {
-        const auto revoked = co_await kvRevokeLease(*control->kv, control->lease.id);
+    if (!lease.empty()) {
+        const auto revoked = co_await kvRevokeLease(*control->kv, lease);
         LOG(INFO) << "[member] session ended, lease " << (isOk(revoked) ? "revoked" : "left to expire");
     }
 }
--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -168,7 +168,7 @@
 
 bool isWatcher(const Control::Impl &control)
 {
-    if (control.stopping || control.lease.ended) {
+    if (control.stopping || control.ended) {
         return false;
     }
     const auto watchers = configWatchers(control.self.domain, liveDomainHosts(control));
@@ -236,7 +236,7 @@
 asio::awaitable<void> runMembership(ControlPtr control)
 {
     TimePoint nextRemote = BootClock::now();
-    while (!control->lease.ended) {
+    while (!control->ended) {
         if (BootClock::now() >= nextRemote) {
             nextRemote = BootClock::now() + remoteInterval;
             sendRemoteRound(*control);
--- a/src/control/placement_controller.cpp
+++ b/src/control/placement_controller.cpp
@@ -97,7 +97,7 @@
     json::object value;
     value["session"] = control->session.value;
     value["writeId"] = writeId.value;
-    const LeaseId bound = control->lease.id;
+    const LeaseId bound = control->lease.lease;
     const auto written = co_await kvPutRecognised(*control->kv, leaseKey(*control), json::serialize(value), writeId, KvVersion{}, bound);
     notePlatform(*control);
     if (isOk(written)) {
@@ -156,7 +156,7 @@
     HttpTimeouts timeouts;
     const std::string text = order.model.value + " version " + order.version + (order.adapter.empty() ? "" : " adapter " + order.adapter);
     const auto gate = [control, info, lease]() -> Result<Done> {
-        if (control->lease.id != lease.boundTo) {
+        if (control->lease.lease != lease.boundTo) {
             return makeError(ErrorCode::LeaseExpired, "session lease was replaced");
         }
         return orderAllowed(control->lease.deadline, info.orderTimeout, BootClock::now());
@@ -191,7 +191,7 @@
     std::map<TargetId, TimePoint> pending;
     while (!control->stopping) {
         co_await pauseFor(control, lease.held ? std::chrono::nanoseconds(roundInterval) : std::chrono::nanoseconds(retryInterval));
-        if (lease.held && lease.boundTo != control->lease.id) {
+        if (lease.held && lease.boundTo != control->lease.lease) {
             lease.held = false; // The key went with the old session lease.
         }
         const bool alive = BootClock::now() < control->lease.deadline;
--- a/src/control/pull_controller.cpp
+++ b/src/control/pull_controller.cpp
@@ -110,7 +110,7 @@
 
 asio::awaitable<void> runPulls(ControlPtr control)
 {
-    while (!control->lease.ended) {
+    while (!control->ended) {
         std::set<HostId> failed;
         while (const HostEntry *peer = choosePeer(*control, failed)) {
             const HostId id = peer->info.id;
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -78,7 +78,7 @@
     next->leaseDeadline = control.lease.deadline;
     next->ready = control.fleet != nullptr && control.targetsKnown;
     next->stopping = control.stopping;
-    next->platformReachable = !control.gate.down;
+    next->platformReachable = !control.gate.failingSince;
     const auto previous = control.context.snapshot->current.load();
     if (previous->config) {
         SKY_INVARIANT(Promise::ConfigForward, next->config && next->config->revision >= previous->config->revision);
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -152,7 +152,7 @@
 
 asio::awaitable<void> runLoadPolls(ControlPtr control)
 {
-    while (!control->lease.ended) {
+    while (!control->ended) {
         evaluateTargets(control);
         for (auto &[id, target] : control->targets) {
             if (target.info.kind != TargetKind::Engine || target.owner != control->self.id || target.polling) {
--- a/src/control/target_list.cpp
+++ b/src/control/target_list.cpp
@@ -101,7 +101,7 @@
 
 asio::awaitable<void> runTargetList(ControlPtr control)
 {
-    while (!control->lease.ended) {
+    while (!control->ended) {
         co_await awaitPlatform(control);
         auto list = co_await platformTargets(*control->kv);
         notePlatform(*control);
