--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -19,7 +19,7 @@
     StrongId() noexcept
     {
     }
-    explicit StrongId(std::string text)
+    StrongId(std::string text) // NOLINT(google-explicit-constructor): braced aggregates of identifiers stay short.
         : value(std::move(text))
     {
     }
