--- a/src/control/lease_controller.cpp
+++ b/src/control/lease_controller.cpp
@@ -105,7 +105,9 @@
     const bool renewal = !control->lease.lease.empty();
     const TimePoint sentAt = BootClock::now();
     leaseAttempted(control->lease, sentAt);
-    const auto done = renewal ? co_await renewLease(control, sentAt) : co_await grantLease(control, sentAt);
+    // Chosen before the wait: g++ 12 frees the result of a co_await inside a conditional expression twice.
+    asio::awaitable<Result<Done>> attempt = renewal ? renewLease(control, sentAt) : grantLease(control, sentAt);
+    const auto done = co_await std::move(attempt);
     addCounter(*control->context.metrics, "skylark_lease_calls_total", {{"kind", renewal ? "renew" : "grant"}, {"outcome", isOk(done) ? "ok" : "failed"}});
     if (!isOk(done)) {
         leaseAttemptFailed(control->lease);
