--- a/src/ctl/command_fleet.cpp
+++ b/src/ctl/command_fleet.cpp
@@ -38,7 +38,7 @@
 
 std::optional<PendingHosts> findPending(const CtlOptions &options, ExitCode &code)
 {
-    const auto answer = readAdmin(options, "/admin/v1/config/in_force?revision=" + std::to_string(options.revision), code);
+    const auto answer = readAdmin(options, "/admin/v1/config/in_force?revision=" + std::to_string(options.revision), code, 1s);
     if (!answer) {
         return std::nullopt;
     }
--- a/src/ctl/ctl_http.cpp
+++ b/src/ctl/ctl_http.cpp
@@ -108,11 +108,11 @@
     return answer;
 }
 
-Result<CtlAnswer> callAny(const std::vector<Endpoint> &endpoints, const HttpRequest &request)
+Result<CtlAnswer> callAny(const std::vector<Endpoint> &endpoints, const HttpRequest &request, std::chrono::milliseconds limit)
 {
     Result<CtlAnswer> last = makeError(ErrorCode::ConnectFailed, "no host address is given");
     for (const Endpoint &endpoint : endpoints) {
-        Result<CtlAnswer> answer = callHost(endpoint, request);
+        Result<CtlAnswer> answer = callHost(endpoint, request, limit);
         if (isOk(answer) && valueOf(answer).status != statusUnavailable) {
             return answer;
         }
@@ -124,11 +124,11 @@
     return last;
 }
 
-std::optional<CtlAnswer> readAdmin(const CtlOptions &options, const std::string &target, ExitCode &code)
+std::optional<CtlAnswer> readAdmin(const CtlOptions &options, const std::string &target, ExitCode &code, std::chrono::milliseconds limit)
 {
     HttpRequest request;
     request.target = target;
-    Result<CtlAnswer> answer = callAny(options.admin, request);
+    Result<CtlAnswer> answer = callAny(options.admin, request, limit);
     code = reportAnswer(answer);
     if (code != ExitCode::Ok) {
         return std::nullopt;
--- a/src/ctl/ctl_http_func.h
+++ b/src/ctl/ctl_http_func.h
@@ -23,11 +23,17 @@
 /**
  * Sends one request to the first host that answers; a host that is unreachable or answers 503 is passed over.
  * @param request Must be safe to send twice: a read, or a write that the fleet recognises.
+ * @param limit Longest wait for one host.
  */
-[[nodiscard]] Result<CtlAnswer> callAny(const std::vector<Endpoint> &endpoints, const HttpRequest &request);
+[[nodiscard]] Result<CtlAnswer> callAny(const std::vector<Endpoint> &endpoints,
+                                        const HttpRequest &request,
+                                        std::chrono::milliseconds limit = std::chrono::seconds(15));
 
 /** Reads an admin path from any host; prints failures. @return Nothing after a failure, with the exit code in @p code. */
-[[nodiscard]] std::optional<CtlAnswer> readAdmin(const CtlOptions &options, const std::string &target, ExitCode &code);
+[[nodiscard]] std::optional<CtlAnswer> readAdmin(const CtlOptions &options,
+                                                 const std::string &target,
+                                                 ExitCode &code,
+                                                 std::chrono::milliseconds limit = std::chrono::seconds(3));
 
 /** Prints the failure of @p answer. @return The exit code that stands for it; Ok for a 2xx answer, without printing. */
 [[nodiscard]] ExitCode reportAnswer(const Result<CtlAnswer> &answer);
