--- a/src/control/placement_controller.cpp
+++ b/src/control/placement_controller.cpp
@@ -62,6 +62,7 @@
         }
     }
     std::vector<WantedModel> list;
+    list.reserve(wanted.size());
     for (auto &[key, model] : wanted) {
         list.push_back(std::move(model));
     }
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -75,8 +75,8 @@
     }
     const bool waited = BootClock::now() - control.targetsKnownAt > longestWait;
     return waited || std::all_of(control.targets.begin(), control.targets.end(), [](const auto &entry) {
-        return entry.second.info.kind != TargetKind::Engine || entry.second.report.receivedAt != TimePoint();
-    });
+               return entry.second.info.kind != TargetKind::Engine || entry.second.report.receivedAt != TimePoint();
+           });
 }
 
 namespace {
