--- a/src/platform/kv_client_func.h
+++ b/src/platform/kv_client_func.h
@@ -63,14 +63,14 @@
  * @return The new version; VersionConflict (detail holds the present value, if any); OutcomeUnknown when the answer was lost; PlatformUnavailable or
  * RateLimited when it was not run.
  */
-boost::asio::awaitable<Result<KvVersion>> kvPut(KvClient &client, std::string key, std::string value, KvVersion expected, LeaseId lease = {});
+boost::asio::awaitable<Result<KvVersion>> kvPut(KvClient &client, std::string key, std::string value, KvVersion expected, LeaseId lease = LeaseId());
 
 /**
  * Like kvPut(), but resolves a lost answer by reading the key back and comparing the member "writeId" of the JSON value.
  * @return As kvPut(); OutcomeUnknown only when reading back fails as well.
  */
 boost::asio::awaitable<Result<KvVersion>> kvPutRecognised(
-    KvClient &client, std::string key, std::string value, WriteId writeId, KvVersion expected, LeaseId lease = {});
+    KvClient &client, std::string key, std::string value, WriteId writeId, KvVersion expected, LeaseId lease = LeaseId());
 
 /** Deletes one key if its version is @p expected. */
 boost::asio::awaitable<Result<Done>> kvDelete(KvClient &client, std::string key, KvVersion expected);
