--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -32,6 +32,9 @@
 /** @return Whether callers can be served: configuration, target list and load reports are known, or the wait for reports is over. */
 [[nodiscard]] bool servesCallers(const Control::Impl &control);
 
+/** Publishes a new snapshot at once, before an effect that other threads must see coming. */
+void publishNow(const ControlPtr &control);
+
 /** Publishes a new snapshot soon, at most every 20 ms. */
 void markChanged(const ControlPtr &control);
 
--- a/src/control/lease_controller.cpp
+++ b/src/control/lease_controller.cpp
@@ -140,7 +140,8 @@
     signal(control->leaseWakeup);
     signal(control->watchWakeup);
     signal(control->pullWakeup);
-    markChanged(control);
+    // The other threads must see the end of the lease before another session can take over its claims.
+    publishNow(control);
     if (!lease.empty()) {
         const auto revoked = co_await kvRevokeLease(*control->kv, lease);
         LOG(INFO) << "[member] session ended, lease " << (isOk(revoked) ? "revoked" : "left to expire");
--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -107,6 +107,11 @@
 
 } // namespace
 
+void publishNow(const ControlPtr &control)
+{
+    publish(*control);
+}
+
 void markChanged(const ControlPtr &control)
 {
     if (control->publishPending) {
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -49,7 +49,7 @@
     std::size_t maxRequestBody{std::size_t{8} << 20U}; ///< Largest online request body in bytes.
     std::size_t maxJobBody{std::size_t{512} << 20U}; ///< Largest job submission in bytes.
     std::chrono::milliseconds declineWindow{10000}; ///< Window of the decline detection.
-    unsigned platformCallsPerSecond{50}; ///< Bound on background calls to the key-value service.
+    unsigned platformCallsPerSecond{5}; ///< Bound on background calls to the key-value service; 360 hosts then make at most 1,800 a second.
     std::uint64_t seed{0}; ///< Seed of random decisions; 0 takes one from the system.
 
     [[nodiscard]] const HostInfo *self() const
