Change: Control traffic no longer grows with hosts times targets

Every host read the whole target list every 2 s, every pull carried the list, and datagrams to other failure domains carried target reports that their receivers drop.

--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -1,5 +1,6 @@
 /** @file member_controller.cpp Status datagrams and liveness of hosts. */
 #include "control/controller_func.h"
+#include "policy/fleet_size_func.h"
 #include "policy/membership_func.h"
 
 #include <algorithm>
@@ -109,11 +110,12 @@
     return peers;
 }
 
-std::vector<Endpoint> domainPeers(const Control::Impl &control, bool allDomains)
+/** @return Hosts of this failure domain, or of all others. */
+std::vector<Endpoint> domainPeers(const Control::Impl &control, bool own)
 {
     std::vector<Endpoint> peers;
     for (const auto &[id, host] : control.hosts) {
-        if (allDomains || host.info.domain == control.self.domain) {
+        if (own == (host.info.domain == control.self.domain)) {
             peers.push_back(host.info.status);
         }
     }
@@ -122,7 +124,8 @@
 
 void sendRemoteRound(Control::Impl &control)
 {
-    sendStatus(*control.exchange, makeStatus(control), control.remoteRounds < fullRounds ? domainPeers(control, true) : remotePeers(control));
+    const auto peers = control.remoteRounds < fullRounds ? domainPeers(control, false) : remotePeers(control);
+    sendStatus(*control.exchange, statusAcrossDomains(makeStatus(control)), peers);
     ++control.remoteRounds;
 }
 
@@ -195,7 +198,9 @@
     if (effect == StatusEffect::Joined) {
         host.jobsSeen = 0;
         // The new process knows nothing of this host yet.
-        sendStatus(*control->exchange, makeStatus(*control), std::vector<Endpoint>{host.info.status});
+        HostStatus own = makeStatus(*control);
+        own = host.info.domain == control->self.domain ? statusWithinDomain(std::move(own)) : statusAcrossDomains(std::move(own));
+        sendStatus(*control->exchange, own, std::vector<Endpoint>{host.info.status});
     }
     takeTargetStatuses(*control, host, status);
     evaluateTargets(control);
@@ -208,13 +213,9 @@
 
 void sendStatusNow(Control::Impl &control, bool all)
 {
-    auto peers = domainPeers(control, all);
-    if (!all) {
-        const auto remote = remotePeers(control);
-        peers.insert(peers.end(), remote.begin(), remote.end());
-        ++control.remoteRounds;
-    }
-    sendStatus(*control.exchange, makeStatus(control), peers);
+    sendStatus(*control.exchange, statusWithinDomain(makeStatus(control)), domainPeers(control, true));
+    sendStatus(*control.exchange, statusAcrossDomains(makeStatus(control)), all ? domainPeers(control, false) : remotePeers(control));
+    control.remoteRounds += all ? 0 : 1;
 }
 
 void pushStatus(const ControlPtr &control)
@@ -241,7 +242,7 @@
             nextRemote = BootClock::now() + remoteInterval;
             sendRemoteRound(*control);
         }
-        sendStatus(*control->exchange, makeStatus(*control), domainPeers(*control, false));
+        sendStatus(*control->exchange, statusWithinDomain(makeStatus(*control)), domainPeers(*control, true));
         evaluateHosts(control);
         const std::chrono::nanoseconds interval =
             control->stopping ? std::min<std::chrono::milliseconds>(leavingTick, localInterval(*control)) : localInterval(*control);
--- a/src/control/pull_controller.cpp
+++ b/src/control/pull_controller.cpp
@@ -67,7 +67,9 @@
 {
     const HostEntry before = control->hosts.at(peer);
     const std::uint64_t incarnation = memberOf(*control, peer).status.incarnation;
-    auto pulled = co_await peerPullState(control->rpc, before.info.peerRpc, control->config.revision, before.jobsSeen, pullTimeout);
+    // Only a pull from revision 0 brings the target list.
+    const Revision known = control->targetsKnown ? control->config.revision : Revision{};
+    auto pulled = co_await peerPullState(control->rpc, before.info.peerRpc, known, before.jobsSeen, pullTimeout);
     addCounter(*control->context.metrics, "skylark_pulls_total", {{"outcome", isOk(pulled) ? "ok" : "failed"}});
     if (!isOk(pulled)) {
         VLOG(1) << "[peer] pull from " << peer.value << " failed; " << errorOf(pulled).detail;
@@ -100,7 +102,8 @@
     StateBundle bundle;
     bundle.revision = control.config.revision;
     bundle.documents = bundleToJson(bundleSince(control.config, known));
-    bundle.targets = control.targetsKnown ? targetsToJson(control.targetList) : std::string();
+    // The list of a large fleet is hundreds of kilobytes, and only a starting host takes it from a peer.
+    bundle.targets = control.targetsKnown && known.value == 0 ? targetsToJson(control.targetList) : std::string();
     bundle.jobs = jobsSince(control, jobsCursor);
     bundle.jobsCursor = control.jobSerial;
     return bundle;
--- a/src/control/target_list.cpp
+++ b/src/control/target_list.cpp
@@ -1,5 +1,6 @@
 /** @file target_list.cpp The platform's list of targets. */
 #include "control/controller_func.h"
+#include "policy/fleet_size_func.h"
 
 #include <exception>
 #include <glog/logging.h>
@@ -112,7 +113,7 @@
             takeTargetList(control, std::move(valueOf(list)));
         }
         // During an outage the last list is kept; targets that go away are found by refused connections.
-        const auto interval = control->context.settings->hostListInterval;
+        const std::chrono::nanoseconds interval = hostListInterval(control->targetList.size(), control->context.settings->hostListInterval);
         co_await pauseFor(control, interval - interval / 10 + randomBelow(*control, interval / 5));
     }
 }
--- /dev/null
+++ b/src/policy/fleet_size.cpp
@@ -0,0 +1,32 @@
+/** @file fleet_size.cpp Decisions that bound the control traffic of a host as the fleet grows. */
+#include "policy/fleet_size_func.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+constexpr std::chrono::milliseconds listIntervalPerTarget{50}; // About 150 bytes a target, so about 3 KB/s a host.
+
+} // namespace
+
+std::chrono::milliseconds hostListInterval(std::size_t listed, std::chrono::milliseconds shortest)
+{
+    return std::max(shortest, listIntervalPerTarget * static_cast<std::int64_t>(listed));
+}
+
+HostStatus statusWithinDomain(HostStatus status)
+{
+    status.freeByModel.clear();
+    return status;
+}
+
+HostStatus statusAcrossDomains(HostStatus status)
+{
+    status.targets.clear();
+    status.onlineInFlight.clear();
+    return status;
+}
+
+} // namespace skylark
