--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -206,6 +206,33 @@
     return cases;
 }
 
+/** Copies the targets, hosts and jobs of a snapshot, as its publication does; the publication also looks them up by id, which is not included. */
+json::array snapshotCases()
+{
+    struct Size {
+        std::size_t targets;
+        std::size_t hosts;
+        std::size_t models;
+        std::size_t jobs;
+    };
+    json::array cases;
+    for (const Size size : {Size{7, 7, 2, 0}, {155, 7, 2, 0}, {155, 33, 27, 0}, {155, 360, 0, 0}, {155, 360, 27, 0}, {155, 360, 27, 2200}}) {
+        ControlSnapshot snapshot;
+        const HostStatus status = makeStatus(size.targets, 0, size.models);
+        for (const TargetStatus &target : status.targets) {
+            snapshot.targets.push_back({.info = {.id = target.target, .domain = status.domain}, .report = target.report, .batchOwner = status.host});
+        }
+        snapshot.hosts.assign(size.hosts, {.info = {.id = status.host, .domain = status.domain}, .session = status.session, .freeByModel = status.freeByModel});
+        snapshot.jobs.assign(size.jobs, std::make_shared<const JobRecord>());
+        cases.emplace_back(json::object{{"targets", size.targets},
+                                        {"hosts", size.hosts},
+                                        {"models", size.models},
+                                        {"jobs", size.jobs},
+                                        {"copy", measureCpu(300, [&snapshot] { (void)std::make_shared<ControlSnapshot>(snapshot); })}});
+    }
+    return cases;
+}
+
 json::object batchCases()
 {
     const GroupContext context{SessionId{std::string(32, 'a')}, start, start + 8s, JobState::Active};
@@ -297,6 +324,7 @@
     all["status"] = statusCases();
     all["membership"] = membershipCases();
     all["routing"] = routingCases();
+    all["snapshot_copy"] = snapshotCases();
     all["batch"] = batchCases();
     all["decline_window"] = declineCases();
     all["blob_put"] = blobCases();
--- a/bench/capacity/sample.cpp
+++ b/bench/capacity/sample.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <ctime>
 #include <fstream>
+#include <malloc.h>
 #include <unistd.h>
 
 namespace skylark::capacity {
@@ -36,6 +37,7 @@
 
 double residentKib()
 {
+    malloc_trim(0); // Freed memory that the allocator keeps would hide the growth.
     std::ifstream file("/proc/self/statm");
     double total = 0;
     double resident = 0;
