--- a/src/batch/planning.cpp
+++ b/src/batch/planning.cpp
@@ -1,7 +1,9 @@
 /** @file planning.cpp Limits of the owned targets and order of the jobs. */
 #include "batch/batch_internal_func.h"
+#include "policy/baseline_func.h"
 #include "policy/batch_limit_func.h"
 #include "policy/batch_order_func.h"
+#include "traffic/target_view_func.h"
 
 #include <algorithm>
 
@@ -71,7 +73,7 @@
     return !leaving && now >= target.pausedUntil && now >= loadOf(*state.context.loads, view.info.id).blockedUntil;
 }
 
-void planTarget(BatchState &state, const ControlSnapshot &snapshot, const TargetView &view, TimePoint now)
+void planTarget(BatchState &state, const ControlSnapshot &snapshot, const TargetView &view, const std::vector<TargetId> &reserved, TimePoint now)
 {
     BatchTarget &target = state.targets[view.info.id];
     if (now - target.tailWeightAt > tailWeightRefresh && snapshot.config) {
@@ -79,6 +81,12 @@
         target.tailWeightAt = now;
     }
     const BatchLimitInput input = limitInput(state, view, target, now);
+    const PolicyMode mode = state.context.settings->policyMode;
+    if (mode != PolicyMode::Adaptive) {
+        const bool batchOnly = std::find(reserved.begin(), reserved.end(), view.info.id) != reserved.end();
+        target.limit = batchLimitByMode(mode, 0, input.slots, batchOnly);
+        return;
+    }
     const BatchLimit limit = decideBatchLimit(target.limitState, input);
     target.limitState = limit.state;
     target.limit = now < target.holdUntil ? std::min(limit.streams, target.holdAt) : limit.streams;
@@ -126,6 +134,7 @@
 {
     std::vector<const TargetView *> usable;
     const TimePoint now = BootClock::now();
+    const std::vector<TargetId> reserved = reservedForBatch(state.context.settings->policyMode, snapshot);
     for (const TargetView &view : snapshot.targets) {
         if (view.info.kind != TargetKind::Engine || view.report.slots == 0) {
             continue;
@@ -134,7 +143,7 @@
             leaveTarget(state, view);
             continue;
         }
-        planTarget(state, snapshot, view, now);
+        planTarget(state, snapshot, view, reserved, now);
         if (isUsable(state, view, state.targets[view.info.id], now)) {
             usable.push_back(&view);
         }
--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -34,6 +34,9 @@
     request.headers.push_back({"content-type", "application/json"});
     request.headers.push_back({"accept", "text/event-stream"});
     request.headers.push_back({"x-request-id", call.requestId.value});
+    if (call.online) {
+        request.headers.push_back({"x-skylark-kind", "online"});
+    }
     request.body = json::serialize(*body);
     return request;
 }
--- a/src/engine/engine_client_func.h
+++ b/src/engine/engine_client_func.h
@@ -19,6 +19,7 @@
     std::string body; ///< Caller's chat completion body (JSON); "stream" is forced on towards the engine.
     std::string continueFrom; ///< Text produced by an earlier attempt; the engine continues after it.
     unsigned tokensDone{0}; ///< Tokens in continueFrom.
+    bool online{false}; ///< Whether a caller waits; sent as "x-skylark-kind: online", which the stand-in counts by.
 };
 
 /** One piece of a generation stream. */
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -251,6 +251,18 @@
     settings.seed = readInteger(reader, "seed", 0, std::numeric_limits<std::uint64_t>::max()).value_or(settings.seed);
 }
 
+void readPolicyMode(ObjectReader &reader, Settings &settings)
+{
+    const std::string text = readString(reader, "policy_mode", Need::Optional);
+    if (text == "round_robin") {
+        settings.policyMode = PolicyMode::RoundRobin;
+    } else if (text == "static_split") {
+        settings.policyMode = PolicyMode::StaticSplit;
+    } else if (text != "adaptive" && reader.object.contains("policy_mode")) {
+        addMistake(reader, "policy_mode", "must be \"adaptive\", \"round_robin\" or \"static_split\"");
+    }
+}
+
 /** Checks rules that involve several values. */
 void checkTogether(const ObjectReader &reader, const Settings &settings)
 {
@@ -298,6 +310,7 @@
     settings.dataFolder = readString(reader, "data_folder", Need::Optional);
     settings.logFolder = readString(reader, "log_folder", Need::Optional);
     readNumbers(reader, settings);
+    readPolicyMode(reader, settings);
     reportUnknownKeys(reader);
     checkTogether(reader, settings);
     if (!mistakes.empty()) {
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -3,6 +3,7 @@
 
 #include "core/id_type.h"
 #include "http/http_type.h"
+#include "policy/baseline_type.h"
 
 #include <chrono>
 #include <optional>
@@ -50,6 +51,7 @@
     std::size_t maxJobBody{std::size_t{512} << 20U}; ///< Largest job submission in bytes.
     std::chrono::milliseconds declineWindow{10000}; ///< Window of the decline detection.
     unsigned platformCallsPerSecond{50}; ///< Bound on background calls to the key-value service.
+    PolicyMode policyMode{PolicyMode::Adaptive}; ///< Routing and batch policy; the others are baselines meant for measurements only.
     std::uint64_t seed{0}; ///< Seed of random decisions; 0 takes one from the system.
 
     [[nodiscard]] const HostInfo *self() const
--- a/src/traffic/answer_stream.cpp
+++ b/src/traffic/answer_stream.cpp
@@ -126,6 +126,7 @@
 {
     GenerateCall call;
     call.requestId = std::move(attempt);
+    call.online = true;
     call.body = boost::json::serialize(context.generation->chat.body);
     call.continueFrom = context.generation->text;
     call.tokensDone = context.generation->tokens;
--- a/src/traffic/caller_server_base.h
+++ b/src/traffic/caller_server_base.h
@@ -47,6 +47,7 @@
     std::unordered_map<TargetId, TimePoint> leavingSince; ///< Targets that this thread found to be leaving.
     std::unordered_map<TargetId, TimePoint> drainChecked; ///< Last check whether a refusing target is leaving.
     std::unordered_map<TargetId, PendingYield> pendingYields; ///< Yields asked of other hosts.
+    std::uint64_t turn{0}; ///< Routed requests, for the round-robin baseline.
     std::uint64_t seed{1}; ///< State of the random sequence.
 };
 
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -5,8 +5,8 @@
 #include "core/invariant_func.h"
 #include "core/table/error_table.h"
 #include "policy/admission_func.h"
+#include "policy/baseline_func.h"
 #include "policy/retry_func.h"
-#include "policy/routing_func.h"
 #include "traffic/answer_func.h"
 #include "traffic/answer_stream_func.h"
 #include "traffic/target_failure_func.h"
@@ -351,7 +351,7 @@
         context.snapshot = impl.context.snapshot->current.load();
         const TimePoint now = BootClock::now();
         const RouteQuestion question = makeQuestion(impl, context, now);
-        generation.decision = chooseTarget(question);
+        generation.decision = chooseByMode(impl.context.settings->policyMode, question, impl.turn++);
         if (generation.decision.kind == RouteKind::None) {
             if (awaitsBlocked(context, question, since, now)) {
                 co_await pause(context, place.timer, queuePoll);
--- a/src/traffic/target_view.cpp
+++ b/src/traffic/target_view.cpp
@@ -2,6 +2,7 @@
 #include "traffic/target_view_func.h"
 
 #include "core/hash_func.h"
+#include "policy/baseline_func.h"
 #include "policy/routing_func.h"
 
 #include <algorithm>
@@ -102,6 +103,20 @@
 
 } // namespace
 
+std::vector<TargetId> reservedForBatch(PolicyMode mode, const ControlSnapshot &snapshot)
+{
+    if (mode != PolicyMode::StaticSplit) {
+        return {};
+    }
+    std::vector<TargetId> engines;
+    for (const TargetView &view : snapshot.targets) {
+        if (view.info.kind == TargetKind::Engine) {
+            engines.push_back(view.info.id);
+        }
+    }
+    return batchOnlyTargets(std::move(engines));
+}
+
 bool hasModel(const TargetView &view, const ModelSpec &model, const std::string &adapter)
 {
     if (view.info.kind != TargetKind::Engine) {
@@ -128,8 +143,9 @@
     const Generation &generation = *context.generation;
     const AffinityMatch match = findAffinity(impl.affinity, generation.prefixes);
     RouteQuestion question;
+    const std::vector<TargetId> reserved = reservedForBatch(impl.context.settings->policyMode, *context.snapshot);
     for (const TargetView &view : context.snapshot->targets) {
-        if (!hasModel(view, *generation.model, generation.chat.adapter)) {
+        if (contains(reserved, view.info.id) || !hasModel(view, *generation.model, generation.chat.adapter)) {
             continue;
         }
         RouteCandidate candidate = makeCandidate(impl, context, view, now);
--- a/src/traffic/target_view_func.h
+++ b/src/traffic/target_view_func.h
@@ -6,6 +6,9 @@
 
 namespace skylark {
 
+/** @return Engines of this failure domain that take only batch under @p mode. */
+[[nodiscard]] std::vector<TargetId> reservedForBatch(PolicyMode mode, const ControlSnapshot &snapshot);
+
 /** @return Whether @p view has the model, its version and the adapter loaded. */
 [[nodiscard]] bool hasModel(const TargetView &view, const ModelSpec &model, const std::string &adapter);
 
--- a/standins/engine/control.cpp
+++ b/standins/engine/control.cpp
@@ -1,6 +1,9 @@
 /** @file control.cpp Faults and counters of the engine stand-in. */
 #include "engine_base.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace skylark::standin {
 
 namespace json = boost::json;
@@ -49,7 +52,29 @@
     return users;
 }
 
-HttpResponse stats(const Engine &engine, bool withUsers)
+/** @return The quantile by nearest rank; 0 without values. */
+double quantile(std::vector<double> values, double fraction)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto rank = static_cast<std::size_t>(std::ceil(fraction * static_cast<double>(values.size())));
+    return values[std::max<std::size_t>(rank, 1) - 1];
+}
+
+json::object waitStats(const std::vector<double> &values)
+{
+    json::object object;
+    object["count"] = values.size();
+    object["p50"] = quantile(values, 0.5);
+    object["p95"] = quantile(values, 0.95);
+    object["p99"] = quantile(values, 0.99);
+    object["max"] = quantile(values, 1);
+    return object;
+}
+
+HttpResponse stats(const Engine &engine, bool withUsers, bool withWaits)
 {
     const EngineCounts &counts = engine.counts;
     json::object body;
@@ -62,6 +87,13 @@
     body["prefill_tokens"] = counts.prefillTokens;
     body["cached_tokens"] = counts.cachedTokens;
     body["steps"] = counts.steps;
+    body["step_ms"] = engine.stepMs;
+    body["online_tokens"] = counts.onlineTokens;
+    body["online_wait_ms"] = waitStats(counts.onlineWaitMs);
+    body["yield_ms_p99"] = quantile(counts.onlineWaitMs, 0.99);
+    if (withWaits) {
+        body["online_waits"] = json::array(counts.onlineWaitMs.begin(), counts.onlineWaitMs.end());
+    }
     body["max_waiting"] = counts.maxWaiting;
     body["running"] = engine.running.size();
     body["waiting"] = engine.waiting.size();
@@ -83,7 +115,7 @@
         return setFaults(engine, request, responder);
     }
     if (path == "/stats") {
-        return stats(engine, queryParameter(request.target, "users") != "0");
+        return stats(engine, queryParameter(request.target, "users") != "0", queryParameter(request.target, "waits") == "1");
     }
     return std::nullopt;
 }
--- a/standins/engine/engine_base.h
+++ b/standins/engine/engine_base.h
@@ -50,6 +50,8 @@
     std::uint64_t cancelled{0}; ///< Sequences dropped before their end.
     std::uint64_t refused{0}; ///< Requests refused as not run.
     std::uint64_t tokens{0}; ///< Tokens generated.
+    std::uint64_t onlineTokens{0}; ///< Tokens generated for requests with the header "x-skylark-kind: online".
+    std::vector<double> onlineWaitMs; ///< Time in the queue of each online request that found no free slot.
     std::uint64_t tokensRegenerated{0}; ///< Tokens that an earlier sequence of the same user and prompt had generated.
     std::uint64_t prefillTokens{0}; ///< Prompt tokens computed.
     std::uint64_t cachedTokens{0}; ///< Prompt tokens found in the prefix cache.
@@ -68,6 +70,8 @@
     }
 
     std::string id; ///< x-request-id.
+    bool online{false}; ///< Whether the header "x-skylark-kind" says online.
+    std::optional<SteadyTime> blockedSince; ///< Arrival, when an online request found no free slot.
     std::string user; ///< Body member "user".
     std::string prompt; ///< Prompt text.
     std::uint64_t promptHash{0}; ///< hash64() of the prompt.
--- a/standins/engine/server.cpp
+++ b/standins/engine/server.cpp
@@ -214,6 +214,7 @@
         co_return;
     }
     const SequencePtr sequence = std::get<SequencePtr>(made);
+    sequence->online = headerValue(request.headers, "x-skylark-kind") == "online";
     onCallerGone(responder, [&engine, sequence] {
         cancel(engine, sequence);
     });
--- a/standins/engine/steps.cpp
+++ b/standins/engine/steps.cpp
@@ -31,6 +31,9 @@
     sequence->cachedTokens = static_cast<unsigned>(blocks * blockBytes / promptBytesPerToken);
     engine.running.push_back(sequence);
     ++engine.counts.started;
+    if (sequence->blockedSince) {
+        engine.counts.onlineWaitMs.push_back(std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - *sequence->blockedSince).count());
+    }
     if (!sequence->user.empty()) {
         ++engine.counts.users[sequence->user].started;
     }
@@ -54,6 +57,7 @@
 void countToken(Engine &engine, const Sequence &sequence)
 {
     ++engine.counts.tokens;
+    engine.counts.onlineTokens += sequence.online ? 1 : 0;
     if (sequence.user.empty()) {
         return;
     }
@@ -132,6 +136,9 @@
     const auto occupied = engine.running.size() + engine.waiting.size();
     const auto waiting = occupied > engine.options.slots ? static_cast<unsigned>(occupied - engine.options.slots) : 0U;
     engine.counts.maxWaiting = std::max(engine.counts.maxWaiting, waiting);
+    if (sequence->online && waiting > 0) {
+        sequence->blockedSince = std::chrono::steady_clock::now();
+    }
     sampleLoad(engine);
     engine.wake.cancel();
 }
--- /dev/null
+++ b/tests/test_baseline.cpp
@@ -0,0 +1,111 @@
+/** @file test_baseline.cpp Decisions of the baseline policies. */
+#include "policy/baseline_func.h"
+#include "policy/routing_func.h"
+
+#include "core/hash_func.h"
+#include "support/property_seed.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace skylark;
+
+namespace {
+
+struct BaselineFixture {
+    BaselineFixture()
+    {
+        seedRapidCheck();
+    }
+
+    static RouteCandidate candidate(std::string name, unsigned slots, unsigned occupied, unsigned online)
+    {
+        RouteCandidate made;
+        made.id.value = std::move(name);
+        made.slots = slots;
+        made.occupied = occupied;
+        made.online = online;
+        return made;
+    }
+};
+
+} // namespace
+
+// Guards against a baseline that routes by load and so measures the policy against itself.
+TEST_CASE_METHOD(BaselineFixture, "roundRobin_unequalLoad_targetsInTurn")
+{
+    RouteQuestion question;
+    question.candidates = {candidate("a", 4, 4, 0), candidate("b", 4, 0, 0), candidate("c", 4, 9, 9)};
+    for (std::uint64_t turn = 0; turn < 6; ++turn) {
+        const RouteDecision decision = chooseByMode(PolicyMode::RoundRobin, question, turn);
+        CHECK(decision.kind == RouteKind::Target);
+        CHECK(decision.target == question.candidates[turn % 3].id);
+        CHECK(decision.yieldSlots == 0);
+    }
+}
+
+// Guards against a baseline that sends work to targets that cannot take it.
+TEST_CASE_METHOD(BaselineFixture, "roundRobin_someUnusable_skipsThem")
+{
+    RouteQuestion question;
+    question.candidates = {candidate("a", 4, 0, 0), candidate("b", 4, 0, 0), candidate("c", 4, 0, 0), candidate("d", 0, 0, 0)};
+    question.candidates[0].leaving = true;
+    question.candidates[1].blocked = true;
+    for (std::uint64_t turn = 0; turn < 4; ++turn) {
+        CHECK(chooseByMode(PolicyMode::RoundRobin, question, turn).target.value == "c");
+    }
+    question.candidates[2].leaving = true;
+    CHECK(chooseByMode(PolicyMode::RoundRobin, question, 0).kind == RouteKind::None);
+}
+
+// Guards against a change of the default policy by the baselines' hooks.
+TEST_CASE_METHOD(BaselineFixture, "adaptive_anyLoad_decidesAsBefore")
+{
+    rc::prop("the adaptive mode is chooseTarget() and the adaptive limit", [](std::uint64_t seed) {
+        RouteQuestion question;
+        question.seed = seed;
+        for (unsigned i = 0; i < 4; ++i) {
+            question.candidates.push_back(candidate("t" + std::to_string(i), 4, nextRandom(seed) % 8, nextRandom(seed) % 4));
+        }
+        const RouteDecision expected = chooseTarget(question);
+        const RouteDecision decision = chooseByMode(PolicyMode::Adaptive, question, seed);
+        RC_ASSERT(decision.target == expected.target);
+        RC_ASSERT(decision.yieldSlots == expected.yieldSlots);
+        RC_ASSERT(batchLimitByMode(PolicyMode::Adaptive, seed % 9, 8, true) == seed % 9);
+    });
+}
+
+// Guards against a split that gives a target to both kinds or leaves one kind without any.
+TEST_CASE_METHOD(BaselineFixture, "staticSplit_anyEngines_lastThirdServesBatch")
+{
+    rc::prop("a third of the engines, those with the last ids", [](std::uint8_t size) {
+        const std::size_t count = 2 + size % 30;
+        std::vector<TargetId> engines;
+        for (std::size_t i = 0; i < count; ++i) {
+            engines.push_back(TargetId{"engine-" + std::to_string(i * 7 % count)});
+        }
+        const auto batch = batchOnlyTargets(engines);
+        RC_ASSERT(batch.size() == std::max<std::size_t>(1, count / 3));
+        RC_ASSERT(batch.size() < count);
+        RC_ASSERT(batch.back() == *std::max_element(engines.begin(), engines.end()));
+    });
+    CHECK(batchOnlyTargets({TargetId{"only"}}).empty());
+}
+
+// Guards against batch on the online side of a split, and against a round robin with headroom.
+TEST_CASE_METHOD(BaselineFixture, "batchLimit_baselines_allSlotsOrNone")
+{
+    CHECK(batchLimitByMode(PolicyMode::RoundRobin, 2, 8, false) == 8);
+    CHECK(batchLimitByMode(PolicyMode::StaticSplit, 2, 8, true) == 8);
+    CHECK(batchLimitByMode(PolicyMode::StaticSplit, 2, 8, false) == 0);
+}
+
+// Guards against a split whose online requests cancel batch streams.
+TEST_CASE_METHOD(BaselineFixture, "staticSplit_fullTarget_doesNotYield")
+{
+    RouteQuestion question;
+    question.candidates = {candidate("a", 4, 4, 0)};
+    CHECK(chooseByMode(PolicyMode::Adaptive, question, 0).yieldSlots == 1);
+    CHECK(chooseByMode(PolicyMode::StaticSplit, question, 0).yieldSlots == 0);
+}
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -65,6 +65,20 @@
     CHECK(settings.seed == 42);
 }
 
+// Guards against a baseline that runs by default, and an unknown mode that falls back silently.
+TEST_CASE_METHOD(SettingsFixture, "settings_policyMode_knownNamesOnly")
+{
+    CHECK(valueOf(parseSettings(this->valid)).policyMode == PolicyMode::Adaptive);
+    const auto mode = [this](const std::string &name) {
+        return this->with("\"seed\": 42", "\"seed\": 42, \"policy_mode\": \"" + name + "\"");
+    };
+    CHECK(valueOf(parseSettings(mode("adaptive"))).policyMode == PolicyMode::Adaptive);
+    CHECK(valueOf(parseSettings(mode("round_robin"))).policyMode == PolicyMode::RoundRobin);
+    CHECK(valueOf(parseSettings(mode("static_split"))).policyMode == PolicyMode::StaticSplit);
+    CHECK(mistakesOf(mode("random")).starts_with("policy_mode: "));
+    CHECK(mistakesOf(mode("")).starts_with("policy_mode: "));
+}
+
 // Guards against a mistake that is accepted silently, or reported without its path.
 TEST_CASE_METHOD(SettingsFixture, "settings_oneMistake_namedWithPath")
 {
