--- a/tests/test_baseline.cpp
+++ b/tests/test_baseline.cpp
@@ -62,7 +62,7 @@
 // Guards against a change of the default policy by the baselines' hooks.
 TEST_CASE_METHOD(BaselineFixture, "adaptive_anyLoad_decidesAsBefore")
 {
-    rc::prop("the adaptive mode is chooseTarget() and the adaptive limit", [](std::uint64_t seed) {
+    REQUIRE(rc::check("the adaptive mode is chooseTarget() and the adaptive limit", [](std::uint64_t seed) {
         RouteQuestion question;
         question.seed = seed;
         for (unsigned i = 0; i < 4; ++i) {
@@ -73,13 +73,13 @@
         RC_ASSERT(decision.target == expected.target);
         RC_ASSERT(decision.yieldSlots == expected.yieldSlots);
         RC_ASSERT(batchLimitByMode(PolicyMode::Adaptive, seed % 9, 8, true) == seed % 9);
-    });
+    }));
 }
 
 // Guards against a split that gives a target to both kinds or leaves one kind without any.
 TEST_CASE_METHOD(BaselineFixture, "staticSplit_anyEngines_lastThirdServesBatch")
 {
-    rc::prop("a third of the engines, those with the last ids", [](std::uint8_t size) {
+    REQUIRE(rc::check("a third of the engines, those with the last ids", [](std::uint8_t size) {
         const std::size_t count = 2 + size % 30;
         std::vector<TargetId> engines;
         for (std::size_t i = 0; i < count; ++i) {
@@ -89,7 +89,7 @@
         RC_ASSERT(batch.size() == std::max<std::size_t>(1, count / 3));
         RC_ASSERT(batch.size() < count);
         RC_ASSERT(batch.back() == *std::max_element(engines.begin(), engines.end()));
-    });
+    }));
     CHECK(batchOnlyTargets({TargetId{"only"}}).empty());
 }
 
