--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -79,10 +79,14 @@
 /** Executes an order; not repeatable, so a second execution of the same order counts as a second one. */
 HttpResponse executeOrder(Service &service, const HttpRequest &request)
 {
-    const std::string_view key = headerValue(request.headers, "idempotency-key");
+    std::string key(headerValue(request.headers, "idempotency-key"));
+    const auto order = parseJsonObject(request.body);
+    if (key.empty() && order) {
+        key = stringMember(*order, "order_id");
+    }
     ++service.ordersExecuted;
     json::object body;
-    body["execution"] = ++service.orders[key.empty() ? "body-" + hash128Hex(request.body) : std::string(key)];
+    body["execution"] = ++service.orders[key.empty() ? "body-" + hash128Hex(request.body) : key];
     body["order"] = service.ordersExecuted;
     return jsonAnswer(201, body);
 }
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -211,5 +211,6 @@
     lines = []
     for i in range(count):
         body = chat_body(model, f"Describe catalogue entry {prefix}-{i}.", False, max_tokens)
+        body["user"] = prefix
         lines.append(json.dumps({"custom_id": f"{prefix}-{i}", "method": "POST", "url": "/v1/chat/completions", "body": body}))
     return "\n".join(lines) + "\n"
--- a/tools/lib/prove.py
+++ b/tools/lib/prove.py
@@ -182,7 +182,7 @@
             for _ in range(self.random.choice((1, 1, 2, 3))):
                 host = self.pick_host()
                 try:
-                    status, _, text = request(host["http"], "POST", "/v1/services/shop/orders", json.dumps({"dial": key}), {"Idempotency-Key": key}, timeout=10)
+                    status, _, text = request(host["http"], "POST", "/v1/services/shop/orders", json.dumps({"order_id": key}), {"Idempotency-Key": key}, timeout=10)
                     run = "yes" if status < 300 else json.loads(text).get("error", {}).get("run", "maybe")
                 except NETWORK_ERRORS:
                     run = "maybe"
@@ -256,7 +256,7 @@
             if status != 200:
                 return
             document = json.loads(text)
-            body = document["body"]
+            body = document["body"] if isinstance(document["body"], dict) else json.loads(document["body"])
             body["batch"]["share"] = 1.0 + (number % 50) / 100
             edit = {"kind": "template", "name": "atelier", "expected_doc_revision": document["doc_revision"], "body": body, "by": operator}
             status, _, text = request(host["admin"], "POST", "/admin/v1/config/apply", json.dumps(edit), timeout=8)
@@ -380,12 +380,18 @@
         self.report.fault("target_leaving")
         fleetlib.call_json("POST", engine["port"], "/faults", {"draining": True})
         time.sleep(LEAVING_S)
-        before = fleetlib.call_json("GET", engine["port"], "/stats")[1]["offered"]
+        before = self.offered(engine)
         time.sleep(1.5)
-        after = fleetlib.call_json("GET", engine["port"], "/stats")[1]["offered"]
+        after = self.offered(engine)
         self.report.check("leaving_target", after == before, f"{engine['id']} was offered {after - before} requests more than {LEAVING_S} s after it began to drain")
         fleetlib.call_json("POST", engine["port"], "/faults", {"draining": False})
 
+    @staticmethod
+    def offered(engine):
+        """Counts the requests that reached a target, refused ones included."""
+        stats = fleetlib.call_json("GET", engine["port"], "/stats?users=0")[1]
+        return stats["started"] + stats["refused"]
+
     def fault_planned_stop(self):
         if len(self.fleet.live_hosts()) < 6:
             return
@@ -466,7 +472,7 @@
             for key, job in list(waiting.items()):
                 try:
                     _, _, text = request(self.pick_host()["http"], "GET", f"/v1/jobs/{job['id']}")
-                    if json.loads(text).get("status") == "done":
+                    if json.loads(text).get("state") == "done":
                         del waiting[key]
                 except NETWORK_ERRORS:
                     pass
@@ -498,11 +504,11 @@
             after = self.executions(key)
             self.report.check("cancel_stops", after == before, f"{key}: {after - before} items started more than {CANCEL_S} s after the cancel")
             _, _, text = request(self.pick_host()["http"], "GET", f"/v1/jobs/{job['id']}")
-            self.report.check("cancel_stops", json.loads(text).get("status") in ("cancelled", "done"), f"{key}: {text}")
+            self.report.check("cancel_stops", json.loads(text).get("state") in ("cancelled", "done"), f"{key}: {text}")
 
     def executions(self, key):
-        """Counts starts of the job's items on all engines, by the prompt's prefix."""
-        return sum(fleetlib.call_json("GET", e["port"], f"/stats?prompt={key}-")[1].get("matching", 0) for e in self.fleet.engines)
+        """Counts starts of the job's items on all engines; every item carries the job key as its user."""
+        return sum(fleetlib.call_json("GET", e["port"], "/stats")[1]["users"].get(key, {}).get("started", 0) for e in self.fleet.engines)
 
     def execute(self, seconds):
         loops = [self.balancer_loop, self.order_loop, self.job_loop, self.config_loop, self.revision_loop]
@@ -538,7 +544,7 @@
     programs = sorted(name for name in os.listdir(options.build) if name.startswith("test_") and name in DECISION_TESTS)
     for name in programs:
         with tempfile.NamedTemporaryFile() as checks:
-            environment = {**os.environ, "SKYLARK_PROPERTY_SEED": str(options.seed), "SKYLARK_PROPERTY_RUNS": str(options.property_runs), "SKYLARK_CHECK_REPORT": checks.name}
+            environment = {**os.environ, "SKYLARK_PROPERTY_SEED": str(options.seed), "SKYLARK_PROPERTY_RUNS": str(options.property_runs), "SKYLARK_CHECK_REPORT": checks.name, "RC_PARAMS": f"seed={options.seed} max_success={options.property_runs}"}
             done = subprocess.run([os.path.join(options.build, name)], env=environment, capture_output=True, text=True, timeout=600, check=False)
             for line in checks.read().decode().splitlines():
                 promise, count = line.split()
--- a/tools/lib/relay.py
+++ b/tools/lib/relay.py
@@ -26,9 +26,15 @@
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
-        self.writers = {}
 
     def stop(self):
+        async def cancel_all():
+            tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+        self._run(cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join()
 
