--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -50,12 +50,8 @@
     std::size_t maxRequestBody{std::size_t{8} << 20U}; ///< Largest online request body in bytes.
     std::size_t maxJobBody{std::size_t{512} << 20U}; ///< Largest job submission in bytes.
     std::chrono::milliseconds declineWindow{10000}; ///< Window of the decline detection.
-<<<<<<< HEAD
     unsigned platformCallsPerSecond{5}; ///< Bound on background calls to the key-value service; 360 hosts then make at most 1,800 a second.
-=======
-    unsigned platformCallsPerSecond{50}; ///< Bound on background calls to the key-value service.
     PolicyMode policyMode{PolicyMode::Adaptive}; ///< Routing and batch policy; the others are baselines meant for measurements only.
->>>>>>> helper-a
     std::uint64_t seed{0}; ///< Seed of random decisions; 0 takes one from the system.
 
     [[nodiscard]] const HostInfo *self() const
