--- a/src/batch/batch_state_base.h
+++ b/src/batch/batch_state_base.h
@@ -95,6 +95,8 @@
 struct JobWork {
     std::shared_ptr<const JobRecord> record; ///< Record; its input blobs are complete.
     std::vector<std::uint32_t> walk; ///< Order of groups.
+    bool claimNeedsScan{false}; ///< Whether the groups must be read before the next claim.
+    std::size_t ownGroups{0}; ///< Groups at the front of the walk that no other host claims first.
     std::size_t next{0}; ///< Next position in the walk.
     std::vector<GroupMark> marks; ///< By group.
     unsigned conflicts{0}; ///< Claims lost since the last scan.
--- a/src/batch/claims.cpp
+++ b/src/batch/claims.cpp
@@ -154,9 +154,16 @@
     while (work.next < work.walk.size() && work.marks[work.walk[work.next]] != GroupMark::Unknown) {
         ++work.next;
     }
+    work.claimNeedsScan = false;
     if (work.next == work.walk.size()) {
         return std::nullopt;
     }
+    // Another host claims these groups first, and a lost claim counts as a write: a recent read tells which are still free.
+    constexpr auto freshScan = std::chrono::seconds(1);
+    work.claimNeedsScan = work.next >= work.ownGroups && BootClock::now() - work.scannedAt > freshScan;
+    if (work.claimNeedsScan) {
+        return std::nullopt;
+    }
     return work.walk[work.next];
 }
 
--- a/src/batch/execution.cpp
+++ b/src/batch/execution.cpp
@@ -276,8 +276,8 @@
     if (claimable || now < work.blockedUntil) {
         return false;
     }
-    const bool conflicted = work.next < work.walk.size();
-    if (work.scanWanted || conflicted) {
+    const bool conflicted = work.next < work.walk.size() && !work.claimNeedsScan;
+    if (work.scanWanted || conflicted || (work.claimNeedsScan && wanted)) {
         return now - work.scannedAt >= finalScanInterval;
     }
     return wanted && now - work.scannedAt >= scanInterval && now >= state.nextIdleScan;
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -144,7 +144,13 @@
     }
     JobWork work;
     work.record = record;
-    work.walk = walkOrder(snapshotOf(state)->self.id, record->id, record->groupCount);
+    const auto snapshot = snapshotOf(state);
+    std::vector<HostId> hosts;
+    for (const HostView &host : snapshot->hosts) {
+        hosts.push_back(host.info.id);
+    }
+    work.walk = walkOrder(snapshot->self.id, record->id, record->groupCount);
+    work.ownGroups = moveOwnGroupsFirst(work.walk, snapshot->self.id, hosts, record->id);
     work.marks.assign(record->groupCount, GroupMark::Unknown);
     state.jobs.emplace(record->id, std::move(work));
     state.jobOrderAt = {};
--- a/src/policy/batch_order.cpp
+++ b/src/policy/batch_order.cpp
@@ -59,6 +59,19 @@
     return order;
 }
 
+std::size_t moveOwnGroupsFirst(std::vector<std::uint32_t> &walk, const HostId &host, const std::vector<HostId> &hosts, const JobId &job)
+{
+    const auto isOwn = [&](std::uint32_t group) {
+        const std::string subject = job.value + "/" + std::to_string(group);
+        const std::uint64_t own = rendezvousScore(subject, host.value);
+        return std::none_of(hosts.begin(), hosts.end(), [&](const HostId &other) {
+            return other != host && rendezvousScore(subject, other.value) >= own;
+        });
+    };
+    const auto end = std::stable_partition(walk.begin(), walk.end(), isOwn);
+    return static_cast<std::size_t>(end - walk.begin());
+}
+
 bool isDueAtRisk(UnixTime due, UnixTime now, std::uint64_t itemsLeft, double itemsPerSecond)
 {
     return itemsLeft > 0 && slackOf(due, now, itemsLeft, itemsPerSecond) < std::chrono::milliseconds(0);
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -85,8 +85,10 @@
         if (!target.usable || target.orderPending) {
             continue;
         }
-        for (const auto &[name, version] : target.models) {
-            const auto sameName = [&name = name](const WantedModel &model) {
+        for (const auto &loaded : target.models) {
+            const ModelId &name = loaded.first;
+            const std::string &version = loaded.second;
+            const auto sameName = [&name](const WantedModel &model) {
                 return model.name == name && model.replicas > 0;
             };
             const bool versionWanted = std::any_of(wanted.begin(), wanted.end(), [&](const WantedModel &model) {
--- a/tests/test_items.cpp
+++ b/tests/test_items.cpp
@@ -147,3 +147,19 @@
     }));
     CHECK(walkOrder(HostId{"a"}, JobId{"j"}, 100) != walkOrder(HostId{"b"}, JobId{"j"}, 100));
 }
+
+// Guards against claims that collide, each of which costs a write of the key-value service.
+TEST_CASE("moveOwnGroupsFirst_allHosts_eachGroupIsFirstOnExactlyOne")
+{
+    const std::vector<HostId> hosts{HostId{"a"}, HostId{"b"}, HostId{"c"}, HostId{"d"}};
+    const JobId job{"j"};
+    std::multiset<std::uint32_t> first;
+    for (const HostId &host : hosts) {
+        auto walk = walkOrder(host, job, 200);
+        const std::size_t own = moveOwnGroupsFirst(walk, host, hosts, job);
+        first.insert(walk.begin(), walk.begin() + static_cast<std::ptrdiff_t>(own));
+        CHECK(std::set<std::uint32_t>(walk.begin(), walk.end()).size() == 200);
+    }
+    CHECK(first.size() == 200);
+    CHECK(std::set<std::uint32_t>(first.begin(), first.end()).size() == 200);
+}
