Change: Every online stream is announced to the target's batch owner, which decides about yields

The owner knows its batch streams exactly. Ruled out as sole remedy: more headroom, which costs batch share.

--- a/src/batch/batch_internal_func.h
+++ b/src/batch/batch_internal_func.h
@@ -96,6 +96,9 @@
 /** Cancels up to @p count streams of a target, newest first. @return Streams cancelled. */
 unsigned yieldStreams(BatchState &state, const TargetId &target, unsigned count);
 
+/** Counts online streams that are being sent to @p target and makes room for them. */
+void noteOnlineArrival(BatchState &state, const TargetId &target, unsigned streams, bool byPeer);
+
 // Execution (execution.cpp, planning.cpp).
 
 /** Execution loop. */
--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -54,6 +54,11 @@
     yieldStreams(*service.impl, target, slots);
 }
 
+void announceOnline(BatchService &service, const TargetId &target, unsigned streams, bool byPeer)
+{
+    noteOnlineArrival(*service.impl, target, streams, byPeer);
+}
+
 std::string batchStatusJson(const BatchService &service)
 {
     const std::scoped_lock lock(service.impl->statusMutex);
--- a/src/batch/batch_service_func.h
+++ b/src/batch/batch_service_func.h
@@ -25,6 +25,12 @@
 /** Cancels up to @p slots batch streams on @p target, newest first; their items resume later. Call on the batch thread. */
 void yieldBatch(BatchService &service, const TargetId &target, unsigned slots);
 
+/**
+ * Takes the news that online streams are being sent to @p target, and cancels as many batch streams as they need slots.
+ * @param byPeer Whether another host sends them; this host's own streams are counted in the load table.
+ */
+void announceOnline(BatchService &service, const TargetId &target, unsigned streams, bool byPeer);
+
 /** Planned stop: cancels streams and releases the groups with their partial results. Runs on the batch thread. */
 boost::asio::awaitable<void> drainBatch(BatchService &service);
 
--- a/src/batch/batch_state_base.h
+++ b/src/batch/batch_state_base.h
@@ -78,6 +78,7 @@
     TimePoint holdUntil{}; ///< After a yield no more than holdAt streams run before this time.
     unsigned holdAt{0}; ///< See holdUntil.
     TimePoint pausedUntil{}; ///< Nothing is started before; set when the target refuses work.
+    std::vector<TimePoint> announced; ///< Arrival times of online streams that other hosts have announced lately.
     bool reserved{false}; ///< Whether it is being emptied for a suspect item.
     double tailWeight{0.5}; ///< Largest weight of the online tail of its workspaces.
     TimePoint tailWeightAt{}; ///< Time of that value.
--- a/src/batch/planning.cpp
+++ b/src/batch/planning.cpp
@@ -46,6 +46,12 @@
     return settings.loadPollInterval * 4 + std::chrono::seconds(1);
 }
 
+/** @return Time after which an announced stream appears in its sender's status. */
+std::chrono::nanoseconds announcementMemory(const Settings &settings)
+{
+    return settings.statusInterval;
+}
+
 BatchLimitInput limitInput(const BatchState &state, const TargetView &view, const BatchTarget &target, TimePoint now)
 {
     const TargetLoad load = loadOf(*state.context.loads, view.info.id);
@@ -58,7 +64,10 @@
     input.ownOnline = load.online;
     input.ownBatch = static_cast<unsigned>(target.running.size());
     input.ownAtReport = load.startedAtReport > load.endedAtReport ? static_cast<unsigned>(load.startedAtReport - load.endedAtReport) : 0;
-    input.onlineElsewhere = view.onlineElsewhere;
+    const auto announced = std::count_if(target.announced.begin(), target.announced.end(), [&](TimePoint at) {
+        return now - at < announcementMemory(*state.context.settings);
+    });
+    input.onlineElsewhere = view.onlineElsewhere + static_cast<unsigned>(announced);
     input.onlineMean = load.onlineMean;
     input.onlinePeak = load.onlinePeak;
     input.firstTokenMs = load.firstTokenMs;
@@ -130,6 +139,29 @@
 
 } // namespace
 
+void noteOnlineArrival(BatchState &state, const TargetId &id, unsigned streams, bool byPeer)
+{
+    const auto snapshot = snapshotOf(state);
+    const auto view = std::find_if(snapshot->targets.begin(), snapshot->targets.end(), [&id](const TargetView &known) {
+        return known.info.id == id;
+    });
+    if (state.context.settings->policyMode != PolicyMode::Adaptive || view == snapshot->targets.end() || view->report.slots == 0) {
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    BatchTarget &target = state.targets[id];
+    std::erase_if(target.announced, [&](TimePoint at) {
+        return now - at >= announcementMemory(*state.context.settings);
+    });
+    if (byPeer) {
+        target.announced.insert(target.announced.end(), streams, now);
+    }
+    const unsigned count = yieldForArrivals(limitInput(state, *view, target, now), byPeer ? 0 : streams);
+    if (count > 0) {
+        yieldStreams(state, id, count);
+    }
+}
+
 std::vector<const TargetView *> planTargets(BatchState &state, const ControlSnapshot &snapshot)
 {
     std::vector<const TargetView *> usable;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -40,7 +40,7 @@
         if (control && control->batch) {
             addCounter(*control->context.metrics, "skylark_yield_messages_total", {{"direction", "received"}});
             asio::post(control->context.batch, [batch = control->batch, message = std::move(message)] {
-                yieldBatch(*batch, message.target, message.slots);
+                announceOnline(*batch, message.target, message.slots, true);
             });
         }
     };
@@ -152,7 +152,7 @@
     if (snapshotOwner(*snapshot, target) == control->self.id) {
         if (control->batch) {
             asio::post(control->context.batch, [batch = control->batch, target, slots] {
-                yieldBatch(*batch, target, slots);
+                announceOnline(*batch, target, slots, false);
             });
         }
         return;
--- a/src/policy/batch_limit.cpp
+++ b/src/policy/batch_limit.cpp
@@ -87,6 +87,12 @@
     return tailWeight > onlineWeighsMore ? std::max(1U, burst) : burst;
 }
 
+unsigned yieldForArrivals(const BatchLimitInput &input, unsigned arriving)
+{
+    const unsigned wanted = input.ownBatch + input.ownOnline + input.onlineElsewhere + arriving;
+    return std::min(input.ownBatch, lessOrZero(wanted, input.slots));
+}
+
 BatchLimit decideBatchLimit(BatchLimitState state, const BatchLimitInput &input)
 {
     adapt(state, input);
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -186,6 +186,11 @@
 
 void askForSlots(CallerServer::Impl &impl, const RouteDecision &decision, std::uint64_t reportSequence)
 {
+    // The owner alone knows how many batch streams run now, so it hears of every online stream, also when the last report showed a
+    // free slot: with reports of 500 ms most waits behind batch were on targets that seemed to have one.
+    if (impl.context.requestYield) {
+        impl.context.requestYield(decision.target, std::max(1U, decision.yieldSlots));
+    }
     if (decision.yieldSlots == 0) {
         return;
     }
@@ -195,9 +200,6 @@
     }
     pending.slots += decision.yieldSlots;
     addCounter(*impl.context.metrics, "skylark_yields_total", {}, decision.yieldSlots);
-    if (impl.context.requestYield) {
-        impl.context.requestYield(decision.target, decision.yieldSlots);
-    }
 }
 
 void noteServed(CallerServer::Impl &impl, const RequestContext &context, const TargetId &target, TimePoint startedAt, const AnswerTiming &timing)
