--- a/src/batch/batch_internal_func.h
+++ b/src/batch/batch_internal_func.h
@@ -94,9 +94,6 @@
 unsigned abortRuns(BatchState &state, const HeldGroup *group);
 
 /** Cancels up to @p count streams of a target, newest first. @return Streams cancelled. */
-unsigned cancelNewest(BatchState &state, const TargetId &target, unsigned count);
-
-/** Like cancelNewest(), and keeps the number of streams at what remains until the online streams show in a status. @return Streams cancelled. */
 unsigned yieldStreams(BatchState &state, const TargetId &target, unsigned count);
 
 /** Counts online streams that are being sent to @p target and makes room for them. */
--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -268,7 +268,7 @@
     return static_cast<unsigned>(runs.size());
 }
 
-unsigned cancelNewest(BatchState &state, const TargetId &id, unsigned count)
+unsigned yieldStreams(BatchState &state, const TargetId &id, unsigned count)
 {
     BatchTarget &target = state.targets[id];
     const std::size_t before = target.running.size();
@@ -279,6 +279,8 @@
         abortRun(state, newest);
     }
     SKY_INVARIANT(Promise::OnlineFirst, target.running.size() <= allowed && loadOf(*state.context.loads, id).batch <= allowed);
+    target.holdUntil = BootClock::now() + holdAfterYield;
+    target.holdAt = static_cast<unsigned>(allowed);
     if (yielded > 0) {
         addCounter(*state.context.metrics, "skylark_batch_items_yielded_total", {}, static_cast<double>(yielded));
         logBatch(state, "yielded " + std::to_string(yielded) + " streams on target " + id.value + ", " + std::to_string(allowed) + " remain");
@@ -286,13 +288,4 @@
     return static_cast<unsigned>(yielded);
 }
 
-unsigned yieldStreams(BatchState &state, const TargetId &id, unsigned count)
-{
-    const unsigned yielded = cancelNewest(state, id, count);
-    BatchTarget &target = state.targets[id];
-    target.holdUntil = BootClock::now() + holdAfterYield;
-    target.holdAt = static_cast<unsigned>(target.running.size());
-    return yielded;
-}
-
 } // namespace skylark
--- a/src/batch/planning.cpp
+++ b/src/batch/planning.cpp
@@ -158,7 +158,7 @@
     }
     const unsigned count = yieldForArrivals(limitInput(state, *view, target, now), byPeer ? 0 : streams);
     if (count > 0) {
-        cancelNewest(state, id, count);
+        yieldStreams(state, id, count);
     }
 }
 
--- a/src/policy/batch_limit.cpp
+++ b/src/policy/batch_limit.cpp
@@ -11,7 +11,6 @@
 constexpr double decreaseFactor = 0.5; ///< Halving frees room within one report when online requests wait.
 constexpr unsigned increaseSteps = 8; ///< The bound recovers from zero to all slots within this many reports.
 constexpr double latencyTolerance = 1.10; ///< The largest online harm that the users accept (online_p99_ratio).
-constexpr double batchTolerance = 0.4; ///< Further increase where only batch counts. A full engine steps some 12 % slower than one with a single stream.
 constexpr double referenceWeight = 0.2; ///< Weight of a new sample in the reference averages.
 constexpr double onlineWeighsMore = 0.5; ///< Above this weight at least one slot stays free.
 
@@ -28,9 +27,9 @@
     reference = reference <= 0 ? sample : reference + referenceWeight * (sample - reference);
 }
 
-bool exceeds(double value, double reference, double tolerance)
+bool exceeds(double value, double reference)
 {
-    return reference > 0 && value > reference * tolerance;
+    return reference > 0 && value > reference * latencyTolerance;
 }
 
 /** @return Whether the last report shows that batch harms online requests. */
@@ -42,10 +41,8 @@
     if (input.waiting > 0) {
         return true;
     }
-    const double tokenTolerance = latencyTolerance + batchTolerance * (1 - input.tailWeight);
     const bool hasOnline = input.ownOnline + input.onlineElsewhere > 0;
-    return hasOnline
-           && (exceeds(input.firstTokenMs, state.firstTokenReferenceMs, latencyTolerance) || exceeds(input.tokenMs, state.tokenReferenceMs, tokenTolerance));
+    return hasOnline && (exceeds(input.firstTokenMs, state.firstTokenReferenceMs) || exceeds(input.tokenMs, state.tokenReferenceMs));
 }
 
 void adapt(BatchLimitState &state, const BatchLimitInput &input)
