Fix: tools/prove took a cancel with a lost answer for a job that never finished

Such a job must be done or cancelled; a job whose cancel was refused as not run, or never asked for, must still be done.

--- a/tools/lib/prove.py
+++ b/tools/lib/prove.py
@@ -123,6 +123,7 @@
         self.orders = {}
         self.jobs = {}
         self.cancelled = {}
+        self.cancel_unanswered = set()  # The cancel may have taken effect although its answer was lost.
         self.stopping_hosts = set()
         self.paused_hosts = set()
         self.ready = {}
@@ -222,12 +223,15 @@
 
     def cancel(self, key):
         host = self.pick_host()
+        self.cancel_unanswered.add(key)
         try:
-            status, _, _ = request(host["http"], "POST", f"/v1/jobs/{self.jobs[key]['id']}/cancel", timeout=10)
+            status, _, text = request(host["http"], "POST", f"/v1/jobs/{self.jobs[key]['id']}/cancel", timeout=10)
         except NETWORK_ERRORS:
             return
         if status < 300:
             self.cancelled[key] = time.monotonic()
+        if status < 300 or json.loads(text).get("error", {}).get("run") == "no":
+            self.cancel_unanswered.discard(key)
 
     def config_loop(self):
         """Two operators race on one template; one wins, the other gets a conflict."""
@@ -472,8 +476,11 @@
             for key, job in list(waiting.items()):
                 try:
                     _, _, text = request(self.pick_host()["http"], "GET", f"/v1/jobs/{job['id']}")
-                    if json.loads(text).get("state") == "done":
+                    state = json.loads(text).get("state")
+                    if state == "done" or (state == "cancelled" and key in self.cancel_unanswered):
                         del waiting[key]
+                    if state == "cancelled" and key in self.cancel_unanswered:
+                        del live[key]
                 except NETWORK_ERRORS:
                     pass
             time.sleep(0.3)
