--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,15 +18,19 @@
 
 
 def free_ports(count):
-    """Returns ports that are free for TCP and UDP at the time of the call."""
-    sockets = []
-    while len(sockets) < count:
-        tcp = socket.socket()
-        tcp.bind((ADDRESS, 0))
-        sockets.append(tcp)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns ports that are free for TCP and UDP, below the range that the kernel gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(20000, 32000)
+        if port in ports:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((ADDRESS, port))
+        except OSError:
+            continue
+        ports.append(port)
     return ports
 
 
