--- a/tests/support/batch_property.h
+++ b/tests/support/batch_property.h
@@ -1,6 +1,8 @@
 /** @file batch_property.h RapidCheck properties with a fixed seed inside Catch2 tests. */
 #pragma once
 
+#include "support/property_seed.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <sstream>
@@ -13,8 +15,8 @@
 bool propertyHolds(const std::string &name, int successes, Property property)
 {
     rc::detail::TestParams params;
-    params.seed = 20261204;
-    params.maxSuccess = successes;
+    params.seed = movedSeed(20261204);
+    params.maxSuccess = propertyCases(successes);
     const rc::detail::TestMetadata metadata{name, name};
     const rc::detail::TestResult result = rc::detail::checkTestable(std::move(property), metadata, params);
     std::ostringstream message;
--- a/tests/support/property_seed.h
+++ b/tests/support/property_seed.h
@@ -22,6 +22,18 @@
     return text == nullptr ? usual : std::max<std::uint64_t>(std::strtoull(text, nullptr, 10), 1);
 }
 
+/** @return @p fixed, moved by the seed that tools/prove sets; @p fixed itself without one. */
+inline std::uint64_t movedSeed(std::uint64_t fixed)
+{
+    return fixed + propertySeed() - 1;
+}
+
+/** @return Cases of one property: at least @p usual, which the checks of a property's own coverage need. */
+inline int propertyCases(int usual)
+{
+    return std::max(usual, static_cast<int>(propertyRuns(static_cast<std::uint64_t>(usual))));
+}
+
 /** Gives RapidCheck the same seed; call before the first rc::check(). */
 inline void seedRapidCheck()
 {
--- a/tests/support/seeded_property_func.h
+++ b/tests/support/seeded_property_func.h
@@ -1,6 +1,8 @@
 /** @file seeded_property_func.h RapidCheck properties with a fixed seed as Catch2 checks. */
 #pragma once
 
+#include "support/property_seed.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/detail/TestListenerAdapter.h>
@@ -13,8 +15,8 @@
 void requireProperty(std::uint64_t seed, int cases, Property property)
 {
     rc::detail::TestParams params;
-    params.seed = seed;
-    params.maxSuccess = cases;
+    params.seed = movedSeed(seed);
+    params.maxSuccess = propertyCases(cases);
     // A listener and an empty list of reproductions, because the defaults come from the environment.
     rc::detail::TestListenerAdapter listener;
     const std::unordered_map<std::string, rc::detail::Reproduce> reproductions;
--- a/tests/test_revision.cpp
+++ b/tests/test_revision.cpp
@@ -3,6 +3,7 @@
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
 #include "policy/revision_func.h"
+#include "support/property_seed.h"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -17,8 +18,8 @@
 bool holds(std::uint64_t seed, Property property)
 {
     rc::detail::TestParams params;
-    params.seed = seed;
-    params.maxSuccess = 300;
+    params.seed = movedSeed(seed);
+    params.maxSuccess = propertyCases(300);
     params.maxSize = 200;
     const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{}, params);
     if (!result.template is<rc::detail::SuccessResult>()) {
