--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -3,7 +3,7 @@
 #include "schedule_func.h"
 
 #include "../../standins/engine_text_func.h"
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
--- a/bench/load/request.cpp
+++ b/bench/load/request.cpp
@@ -3,7 +3,7 @@
 
 #include "../../standins/engine_text_func.h"
 #include "core/table/error_table.h"
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 
 namespace skylark::load {
 
--- a/src/batch/batch_state_base.h
+++ b/src/batch/batch_state_base.h
@@ -3,7 +3,7 @@
 
 #include "batch/batch_service_func.h"
 #include "engine/engine_client_func.h"
-#include "platform/kv_client_func.h"
+#include "keyvalue/kv_client_func.h"
 #include "policy/batch_limit_type.h"
 #include "policy/claim_type.h"
 #include "policy/item_attempt_type.h"
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -5,7 +5,7 @@
 #include "http/http_client_func.h"
 #include "http/http_server_func.h"
 #include "peer/status_exchange_func.h"
-#include "platform/kv_client_func.h"
+#include "keyvalue/kv_client_func.h"
 #include "policy/lease_type.h"
 #include "policy/membership_type.h"
 #include "policy/revision_type.h"
--- a/src/platform/json_member.cpp
+++ b/src/core/json_member.cpp
@@ -1,5 +1,5 @@
 /** @file json_member.cpp Reading of optional members of JSON objects. */
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 
 namespace skylark {
 
--- /dev/null
+++ b/src/core/table/event_table.h
@@ -0,0 +1,53 @@
+/** @file event_table.h Events of the structured log and their fields; docs/OPERATIONS.md is checked against it. */
+#pragma once
+
+#include "core/event_log_func.h"
+
+#include <array>
+#include <string_view>
+
+namespace skylark {
+
+/** Name, part and fields of one kind of event. */
+struct EventInfo {
+    EventKind kind; ///< Kind described.
+    std::string_view part; ///< Part of the program.
+    std::string_view name; ///< Value of the field "event".
+    std::string_view fields; ///< Names of the fields besides ts, host, part, event and id, separated by spaces.
+};
+
+/** One row for each kind, in the order of the enumeration. */
+inline constexpr std::array eventTable{
+    EventInfo{EventKind::Start, "host", "start", "version role domain memory_mb"},
+    EventInfo{EventKind::Stop, "host", "stop", "active"},
+    EventInfo{EventKind::Stopped, "host", "stopped", "active waited_ms"},
+    EventInfo{EventKind::Reload, "host", "reload", "changed"},
+    EventInfo{EventKind::Settings, "host", "settings_refused", "detail"},
+    EventInfo{EventKind::Ready, "host", "ready", "ready config targets"},
+    EventInfo{EventKind::DependencyLost, "store", "dependency_lost", "dependency error detail"},
+    EventInfo{EventKind::DependencyBack, "store", "dependency_back", "dependency down_ms"},
+    EventInfo{EventKind::ConfigAdopted, "config", "config_adopted", "version before source routes"},
+    EventInfo{EventKind::ConfigRefused, "config", "config_refused", "in_force detail"},
+    EventInfo{EventKind::TargetChanged, "targets", "target_changed", "state service domain address"},
+    EventInfo{EventKind::TargetRefused, "targets", "target_refused", "detail"},
+    EventInfo{EventKind::PeerChanged, "peers", "peer_changed", "state domain address"},
+    EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
+    EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms events"},
+    EventInfo{EventKind::Resumed, "route", "resumed", "after"},
+    EventInfo{EventKind::Refused, "admit", "refused", "route reason online slots retry_after_ms config left_ms"},
+    EventInfo{EventKind::Answered, "route", "answered", "route status outcome took_ms first_ms attempts events"},
+    EventInfo{EventKind::JobAccepted, "job", "job_accepted", "route items tokens waiting took_ms"},
+    EventInfo{EventKind::JobRefused, "job", "job_refused", "route reason tokens waiting limit detail"},
+    EventInfo{EventKind::JobClaimed, "job", "job_claimed", "from listed total"},
+    EventInfo{EventKind::JobDropped, "job", "job_dropped", "owner"},
+    EventInfo{EventKind::JobEnded, "job", "job_ended", "listed total"},
+    EventInfo{EventKind::ItemStarted, "batch", "item_started", "job target after online batch slack_ms"},
+    EventInfo{EventKind::ItemYielded, "batch", "item_yielded", "job target events online"},
+    EventInfo{EventKind::ItemFailed, "batch", "item_failed", "job target error detail failures events"},
+    EventInfo{EventKind::ItemFinished, "batch", "item_finished", "job state events took_ms"},
+    EventInfo{EventKind::ResultsListed, "job", "results_listed", "listed total revision slack_ms"},
+    EventInfo{EventKind::Dropped, "host", "lines_dropped", "lines"},
+};
+static_assert(eventTable.size() == static_cast<std::size_t>(EventKind::Count));
+
+} // namespace skylark
--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -2,7 +2,7 @@
 #include "engine/engine_client_func.h"
 
 #include "engine/engine_answer_func.h"
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/src/entry/storage_host.cpp
@@ -0,0 +1,73 @@
+/** @file storage_host.cpp A host with a disk that keeps no data. */
+#include "entry/storage_host_func.h"
+
+#include "core/event_log_func.h"
+#include "core/hash_func.h"
+#include "store/key_mirror_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <cstdlib>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds reportRetry{300}; ///< Delay before a report is repeated.
+constexpr std::chrono::milliseconds logFlush{200}; ///< Time for the last log lines.
+
+/** Reports that the host holds nothing, until the service has taken it. */
+asio::awaitable<void> reportEmpty(std::shared_ptr<const KvStore> store, StorageSettings settings)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;) {
+        KvTransaction transaction;
+        transaction.writes.push_back({settings.retireStatusKey, settings.retireDone, 0});
+        const auto outcome = co_await store->commit(std::move(transaction));
+        if (isOk(outcome) && valueOf(outcome).applied) {
+            logEvent(EventKind::Stop, {}, {{"active", 0}});
+            co_return;
+        }
+        timer.expires_after(reportRetry);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace
+
+int runStorageHost(StorageSettings settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    openEventLog(settings.host.value);
+    logEvent(EventKind::Start, {}, {{"version", "0.2"}, {"role", settings.role}, {"domain", ""}, {"memory_mb", 0}});
+    asio::io_context loop{1};
+    const auto store = settings.makeStore(loop.get_executor(), MetricsRegistry::create());
+    const auto mirror = KeyMirror::create(store, {.prefix = settings.retireKey}, hash64(settings.host.value));
+    mirror->onUpdate = [&loop, store, settings](const KeyMirrorUpdate &update) {
+        for (const KvItem &item : update.changed) {
+            if (!item.deleted && item.key == settings.retireKey) {
+                asio::co_spawn(loop, reportEmpty(store, settings), asio::detached);
+            }
+        }
+    };
+    asio::co_spawn(loop, runKeyMirror(mirror), asio::detached);
+    asio::signal_set signals(loop, SIGTERM, SIGINT);
+    signals.async_wait([&loop](const boost::system::error_code & /*error*/, int /*signal*/) {
+        loop.stop();
+    });
+    // The settings that may change concern the store's address and the limits; both come with a restart.
+    std::signal(SIGHUP, SIG_IGN);
+    loop.run();
+    logEvent(EventKind::Stopped, {}, {{"active", 0}, {"waited_ms", 0}});
+    closeEventLog(logFlush);
+    std::_Exit(EXIT_SUCCESS);
+}
+
+} // namespace skylark
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -22,6 +23,8 @@
     beast::flat_buffer buffer; ///< Bytes read ahead.
     std::optional<http::response_parser<http::buffer_body>> parser; ///< Parser of the present response.
     TimePoint openedAt; ///< Time at which the connection was opened.
+    TimePoint usableUntil{}; ///< When idle: time after which the peer may have closed it.
+    bool aborted{false}; ///< Whether the exchange was cut.
 };
 
 void HttpConnectionDeleter::operator()(HttpConnection *connection) const
@@ -65,15 +68,33 @@
     while (!found->second.empty()) {
         HttpConnectionPtr connection = std::move(found->second.back());
         found->second.pop_back();
-        if (isReusable(*connection)) {
+        if (BootClock::now() < connection->usableUntil && isReusable(*connection)) {
             return connection;
         }
     }
     return nullptr;
 }
 
+/** @return How long the peer keeps the connection by its Keep-Alive header, less a margin for the way; at most @p limit. */
+std::chrono::milliseconds idleTime(const HttpHeaders &headers, std::chrono::milliseconds limit)
+{
+    constexpr std::string_view parameter = "timeout=";
+    constexpr std::chrono::milliseconds margin{500}; // A request must not cross the peer's close.
+    const std::string_view value = headerValue(headers, "Keep-Alive");
+    const std::size_t at = value.find(parameter);
+    unsigned seconds = 0;
+    if (at == std::string_view::npos || std::from_chars(value.data() + at + parameter.size(), value.data() + value.size(), seconds).ec != std::errc()) {
+        return limit;
+    }
+    return std::min(limit, std::max(std::chrono::milliseconds(0), std::chrono::milliseconds(std::chrono::seconds(seconds)) - margin));
+}
+
 void returnIdle(HttpExchange &exchange)
 {
+    exchange.connection->usableUntil = BootClock::now();
+    if (const auto owner = exchange.client.lock()) {
+        exchange.connection->usableUntil += idleTime(exchange.headers, owner->maxIdleTime);
+    }
     const auto client = exchange.client.lock();
     const bool keep = exchange.connection->parser->keep_alive() && exchange.connection->buffer.size() == 0;
     exchange.connection->parser.reset();
@@ -88,6 +109,22 @@
     exchange.connection.reset();
 }
 
+/** Makes the kernel end a connection whose peer or path has gone silent, also while nothing is being sent. */
+void detectSilence(tcp::socket &socket)
+{
+    constexpr int probeAfterSeconds = 1; // With the two below: a silent path ends within 3 s.
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probes = 2;
+    constexpr int userTimeoutMs = 3000;
+    const int handle = socket.native_handle();
+    const int enabled = 1;
+    ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probeAfterSeconds, sizeof probeAfterSeconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof probeIntervalSeconds);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+}
+
 asio::awaitable<Result<HttpConnectionPtr>> connect(const HttpClient &client, Endpoint endpoint, std::chrono::milliseconds timeout)
 {
     beast::error_code error;
@@ -102,6 +139,7 @@
         co_return transportError(connectError, ErrorCode::ConnectTimeout, ErrorCode::ConnectFailed, RunState::No, endpoint);
     }
     connection->stream.socket().set_option(tcp::no_delay(true), error);
+    detectSilence(connection->stream.socket());
     co_return connection;
 }
 
@@ -112,9 +150,11 @@
     message.target(request.target);
     message.version(11);
     for (const HttpHeader &header : request.headers) {
-        message.set(header.name, header.value);
+        message.insert(header.name, header.value);
+    }
+    if (message.count(http::field::host) == 0) {
+        message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
     }
-    message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
     message.keep_alive(true);
     message.body() = std::move(request.body);
     message.prepare_payload();
@@ -136,6 +176,27 @@
     co_return Done{};
 }
 
+/** Names the connection in an abort handle as long as it is being opened. */
+struct OpeningEntry {
+    std::shared_ptr<HttpAbortHandle> handle; ///< Handle; may be null.
+
+    OpeningEntry(std::shared_ptr<HttpAbortHandle> abort, HttpConnection *connection)
+        : handle(std::move(abort))
+    {
+        if (this->handle) {
+            this->handle->opening = connection;
+        }
+    }
+    OpeningEntry(const OpeningEntry &) = delete;
+    OpeningEntry &operator=(const OpeningEntry &) = delete;
+    ~OpeningEntry()
+    {
+        if (this->handle) {
+            this->handle->opening = nullptr;
+        }
+    }
+};
+
 HttpExchange makeExchange(const std::shared_ptr<HttpClient> &client, Endpoint endpoint, HttpConnectionPtr connection)
 {
     HttpExchange exchange;
@@ -178,8 +239,21 @@
     return client;
 }
 
-asio::awaitable<Result<HttpExchange>> httpOpen(
-    std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, ConnectionUse use)
+void httpAbortOpening(HttpAbortHandle &handle)
+{
+    handle.aborted = true;
+    if (handle.opening != nullptr) {
+        handle.opening->aborted = true;
+        handle.opening->stream.close();
+    }
+}
+
+asio::awaitable<Result<HttpExchange>> httpOpen(std::shared_ptr<HttpClient> client,
+                                               Endpoint endpoint,
+                                               HttpRequest request,
+                                               HttpTimeouts timeouts,
+                                               ConnectionUse use,
+                                               std::shared_ptr<HttpAbortHandle> abort)
 {
     HttpConnectionPtr connection = use == ConnectionUse::Pooled ? takeIdle(*client, endpoint) : nullptr;
     if (!connection) {
@@ -189,6 +263,10 @@
         }
         connection = std::move(valueOf(opened));
     }
+    if (abort && abort->aborted) {
+        co_return makeError(ErrorCode::Cancelled, "before the request was sent");
+    }
+    const OpeningEntry entry(abort, connection.get());
     auto message = makeMessage(endpoint, std::move(request));
     connection->stream.expires_after(timeouts.send);
     const auto [error, sent] = co_await http::async_write(connection->stream, message, awaitTuple);
@@ -198,6 +276,9 @@
         co_return transportError(error, code, code, run, endpoint);
     }
     const auto head = co_await readHead(*connection, endpoint, timeouts.firstByte);
+    if (connection->aborted) {
+        co_return makeError(ErrorCode::Cancelled, "while waiting for the answer", RunState::Maybe);
+    }
     if (!isOk(head)) {
         co_return errorOf(head);
     }
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -29,11 +29,21 @@
     boost::asio::any_io_executor executor; ///< Executor of the thread that owns the client.
     std::map<Endpoint, std::vector<HttpConnectionPtr>> idle; ///< Reusable connections.
     std::size_t maxIdlePerEndpoint{64}; ///< Connections kept for each endpoint.
+    std::chrono::milliseconds maxIdleTime{30000}; ///< Idle connections older than this are not used again.
 
     /** Creates a client for the thread of @p executor. */
     static std::shared_ptr<HttpClient> create(boost::asio::any_io_executor executor);
 };
 
+/** Lets another coroutine of the same thread cut an exchange while it is being opened. */
+struct HttpAbortHandle {
+    HttpConnection *opening{nullptr}; ///< Connection in use by httpOpen(); null otherwise.
+    bool aborted{false}; ///< Whether the exchange was cut.
+};
+
+/** Cuts the exchange that @p handle was given to; httpOpen() ends with ErrorCode::Cancelled. */
+void httpAbortOpening(HttpAbortHandle &handle);
+
 /** One exchange whose body is being read. Destroying it before the end closes the connection. */
 struct HttpExchange {
     int status{0}; ///< Status code.
@@ -48,7 +58,12 @@
  * @return The exchange, or an error whose run state says whether a byte of the request was sent.
  */
 boost::asio::awaitable<Result<HttpExchange>> httpOpen(
-    std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, ConnectionUse use = ConnectionUse::Pooled);
+    std::shared_ptr<HttpClient> client,
+    Endpoint endpoint,
+    HttpRequest request,
+    HttpTimeouts timeouts,
+    ConnectionUse use = ConnectionUse::Pooled,
+    std::shared_ptr<HttpAbortHandle> abort = nullptr);
 
 /** Reads the next piece of the body; an empty optional is the end, after which the connection may be reused. */
 boost::asio::awaitable<Result<std::optional<std::string>>> httpRead(HttpExchange &exchange, std::chrono::milliseconds idleTimeout);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -124,6 +124,7 @@
     connection->busy = true;
     http::request_parser<http::string_body> parser;
     parser.body_limit(options.maxBody);
+    parser.header_limit(options.maxHeader);
     connection->stream.expires_after(options.headTimeout);
     const auto [headError, headBytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
     if (headError == beast::error::timeout) {
@@ -332,6 +333,15 @@
     }
 }
 
+void updateLimits(HttpServer &server, std::uint32_t maxHeader, std::size_t maxBody, std::chrono::milliseconds headTimeout, std::chrono::milliseconds keepAlive)
+{
+    HttpServerOptions &options = server.impl->options;
+    options.maxHeader = maxHeader;
+    options.maxBody = maxBody;
+    options.headTimeout = headTimeout;
+    options.keepAlive = keepAlive;
+}
+
 std::uint16_t listenPort(const HttpServer &server)
 {
     beast::error_code ignored;
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -15,6 +15,7 @@
 struct HttpServerOptions {
     Endpoint listen; ///< Address to listen on; port 0 takes any free port.
     std::size_t maxBody{std::size_t{8} << 20U}; ///< Largest request body in bytes.
+    std::uint32_t maxHeader{8192}; ///< Largest request head in bytes.
     std::chrono::milliseconds headTimeout{5000}; ///< Time to receive a request head once its first byte arrived.
     std::chrono::milliseconds bodyTimeout{30000}; ///< Time to receive a request body.
     std::chrono::milliseconds keepAlive{60000}; ///< Time that an idle connection is kept.
@@ -62,6 +63,9 @@
     ~HttpServer();
 };
 
+/** Changes the limits on requests; a request that is being read keeps the former ones. The listening address stays. */
+void updateLimits(HttpServer &server, std::uint32_t maxHeader, std::size_t maxBody, std::chrono::milliseconds headTimeout, std::chrono::milliseconds keepAlive);
+
 /** @return The port that @p server listens on. */
 [[nodiscard]] std::uint16_t listenPort(const HttpServer &server);
 
--- /dev/null
+++ b/src/job/job_book.cpp
@@ -0,0 +1,275 @@
+/** @file job_book.cpp Jobs as this host knows them: following the service, claims, results. */
+#include "job/job_book_base.h"
+
+#include "core/event_log_func.h"
+#include "core/hash_func.h"
+#include "core/table/error_table.h"
+#include "job/job_record_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds mirrorPause{400}; ///< Time between two watch calls for jobs: readers may lag by a second.
+constexpr std::size_t cacheLimit = std::size_t{6} << 20U; ///< Bytes of texts and bodies held in memory.
+constexpr std::size_t resultsPerWrite = kvTransactionEntries - 2; ///< A condition and the record take two entries of a transaction.
+constexpr std::size_t bytesPerWrite = std::size_t{700} << 10U; ///< Bytes of results in one transaction.
+constexpr unsigned writeAttempts = 6; ///< Attempts of one write before the results wait for the next round.
+constexpr milliseconds writeRetry{250}; ///< First delay after a failed write; doubled.
+
+asio::awaitable<void> sleepFor(milliseconds delay)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(delay);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+void wakeReaders(JobBook &book)
+{
+    for (const auto &timer : book.readers) {
+        timer->cancel();
+    }
+}
+
+void dropJob(JobBook &book, const JobId &id)
+{
+    const auto found = book.jobs.find(id);
+    if (found != book.jobs.end()) {
+        for (const auto &[position, result] : found->second.results) {
+            book.cachedBytes -= result.text.size();
+        }
+        book.jobs.erase(found);
+    }
+}
+
+void onMirror(const std::shared_ptr<JobBook> &book, const KeyMirrorUpdate &update)
+{
+    for (const KvItem &item : update.changed) {
+        if (!isJobRecordKey(item.key)) {
+            continue;
+        }
+        if (item.deleted) {
+            const JobId id{item.key.substr(jobRecordKey({}).size())};
+            dropJob(*book, id);
+            if (book->onJobChanged) {
+                book->onJobChanged(id);
+            }
+        } else {
+            noteJobItem(book, item);
+        }
+    }
+    wakeReaders(*book);
+}
+
+/** Reads the present record after a write whose outcome matters. */
+asio::awaitable<Result<Done>> refreshJob(std::shared_ptr<JobBook> book, JobId job)
+{
+    auto item = co_await book->store->get(jobRecordKey(job), KvFreshness::Linearizable);
+    if (!isOk(item)) {
+        co_return errorOf(item);
+    }
+    if (!valueOf(item)) {
+        co_return makeError(ErrorCode::NotFound, "job record is gone");
+    }
+    noteJobItem(book, *valueOf(item));
+    co_return Done{};
+}
+
+/** Chooses the results of one transaction. */
+KvTransaction planListing(const KnownJob &known, ListDecision &decision, const std::map<std::uint32_t, JobResult> &finished)
+{
+    KvTransaction transaction;
+    transaction.conditions.push_back({jobRecordKey(known.record.id), known.revision});
+    std::size_t bytes = 0;
+    std::uint64_t position = known.record.listed.size();
+    std::size_t used = 0;
+    for (const std::uint32_t index : decision.added) {
+        std::string value = encodeJobResult(finished.at(index));
+        if (used == resultsPerWrite || (used > 0 && bytes + value.size() > bytesPerWrite)) {
+            break;
+        }
+        bytes += value.size();
+        transaction.writes.push_back({jobResultKey(known.record.id, position++), std::move(value), 0});
+        ++used;
+    }
+    decision.added.resize(used);
+    decision.record.listed.resize(known.record.listed.size() + used);
+    transaction.writes.push_back({jobRecordKey(known.record.id), encodeStoredJob(decision.record), 0});
+    return transaction;
+}
+
+std::map<std::uint32_t, ItemState> statesOf(const std::map<std::uint32_t, JobResult> &finished)
+{
+    std::map<std::uint32_t, ItemState> states;
+    for (const auto &[index, result] : finished) {
+        states[index] = result.state;
+    }
+    return states;
+}
+
+/** Keeps results in memory for readers. */
+void cacheResults(JobBook &book, KnownJob &known, const ListDecision &decision, const std::map<std::uint32_t, JobResult> &finished)
+{
+    std::uint64_t position = decision.record.listed.size() - decision.added.size();
+    for (const std::uint32_t index : decision.added) {
+        const JobResult &result = finished.at(index);
+        if (book.cachedBytes + result.text.size() <= cacheLimit) {
+            book.cachedBytes += result.text.size();
+            known.results[position] = result;
+        }
+        ++position;
+    }
+}
+
+/** Takes a record that this host wrote. */
+void noteWritten(const std::shared_ptr<JobBook> &book, const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    const KvItem item{key, value, revision, false};
+    mirrorItem(*book->mirror, item);
+    noteJobItem(book, item);
+}
+
+} // namespace
+
+std::shared_ptr<JobBook> JobBook::create(const asio::any_io_executor &executor,
+                                         std::shared_ptr<const KvStore> store,
+                                         std::shared_ptr<MetricsRegistry> metrics,
+                                         SessionId session,
+                                         std::function<Result<JobSubmission>(const ProxyCall &call)> decodeSubmission)
+{
+    auto book = std::make_shared<JobBook>();
+    book->executor = executor;
+    book->store = std::move(store);
+    book->metrics = std::move(metrics);
+    book->session = std::move(session);
+    book->decodeSubmission = std::move(decodeSubmission);
+    book->mirror = KeyMirror::create(book->store, {.prefix = std::string(jobPrefix), .pause = mirrorPause}, hash64(book->session.value));
+    return book;
+}
+
+void startJobBook(const std::shared_ptr<JobBook> &book)
+{
+    const std::weak_ptr<JobBook> weak = book;
+    book->mirror->onUpdate = [weak](const KeyMirrorUpdate &update) {
+        if (const auto strong = weak.lock()) {
+            onMirror(strong, update);
+        }
+    };
+    asio::co_spawn(book->executor, runKeyMirror(book->mirror), asio::detached);
+}
+
+void noteJobItem(const std::shared_ptr<JobBook> &book, const KvItem &item)
+{
+    auto record = decodeStoredJob(item.value);
+    if (!isOk(record)) {
+        addCounter(*book->metrics, "skylark_job_records_refused_total");
+        logEvent(EventKind::ConfigRefused, item.key, {{"in_force", 0}, {"detail", errorOf(record).detail}});
+        return;
+    }
+    const JobId id = valueOf(record).id;
+    KnownJob &known = book->jobs[id];
+    if (known.revision >= item.revision) {
+        return;
+    }
+    known.revision = item.revision;
+    known.record = std::move(valueOf(record));
+    if (book->onJobChanged) {
+        book->onJobChanged(id);
+    }
+    wakeReaders(*book);
+}
+
+asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job)
+{
+    const auto found = book->jobs.find(job);
+    if (found == book->jobs.end()) {
+        co_return false;
+    }
+    StoredJob record = found->second.record;
+    const SessionId former = record.owner;
+    record.owner = book->session;
+    const std::string key = jobRecordKey(job);
+    const std::string value = encodeStoredJob(record);
+    KvTransaction transaction;
+    transaction.conditions.push_back({key, found->second.revision});
+    transaction.writes.push_back({key, value, 0});
+    auto decision = co_await book->store->commit(std::move(transaction));
+    if (!isOk(decision)) {
+        if (errorOf(decision).code == ErrorCode::OutcomeUnknown) {
+            co_await refreshJob(book, job);
+        }
+        co_return false;
+    }
+    if (!valueOf(decision).applied) {
+        for (const KvItem &item : valueOf(decision).present) {
+            noteJobItem(book, item);
+        }
+        co_return false;
+    }
+    logEvent(EventKind::JobClaimed, job.value, {{"from", former.value}, {"listed", record.listed.size()}, {"total", record.items.size()}});
+    noteWritten(book, key, value, valueOf(decision).revision);
+    co_return true;
+}
+
+asio::awaitable<Result<Done>> listResults(std::shared_ptr<JobBook> book, JobId job, std::map<std::uint32_t, JobResult> finished)
+{
+    const auto states = statesOf(finished);
+    milliseconds delay = writeRetry;
+    Error last = makeError(ErrorCode::PlatformUnavailable, "no attempt");
+    for (unsigned attempt = 0; attempt < writeAttempts;) {
+        const auto found = book->jobs.find(job);
+        if (found == book->jobs.end()) {
+            co_return makeError(ErrorCode::NotFound, "job is unknown");
+        }
+        ListDecision decision = appendResults(found->second.record, book->session, states);
+        if (decision.verdict == ListVerdict::NotOwner) {
+            co_return makeError(ErrorCode::LeaseExpired, "owned by " + found->second.record.owner.value);
+        }
+        if (decision.verdict == ListVerdict::Nothing) {
+            co_return Done{};
+        }
+        KvTransaction transaction = planListing(found->second, decision, finished);
+        const std::string key = transaction.writes.back().key;
+        const std::string value = transaction.writes.back().value;
+        auto outcome = co_await book->store->commit(std::move(transaction));
+        const auto again = book->jobs.find(job);
+        if (again == book->jobs.end()) {
+            co_return makeError(ErrorCode::NotFound, "job is unknown");
+        }
+        if (isOk(outcome) && valueOf(outcome).applied) {
+            cacheResults(*book, again->second, decision, finished);
+            logEvent(EventKind::ResultsListed,
+                     job.value,
+                     {{"listed", decision.record.listed.size()}, {"total", decision.record.items.size()}, {"revision", valueOf(outcome).revision}});
+            noteWritten(book, key, value, valueOf(outcome).revision);
+            continue;
+        }
+        ++attempt;
+        if (isOk(outcome)) {
+            for (const KvItem &item : valueOf(outcome).present) {
+                noteJobItem(book, item);
+            }
+            if (valueOf(outcome).present.empty()) {
+                co_return makeError(ErrorCode::NotFound, "job record is gone");
+            }
+            continue;
+        }
+        last = errorOf(outcome);
+        addCounter(*book->metrics, "skylark_job_write_failures_total", {{"error", errorInfo(last.code).name}});
+        co_await sleepFor(delay);
+        delay = std::min(delay * 2, milliseconds(2000));
+        if (last.code == ErrorCode::OutcomeUnknown) {
+            co_await refreshJob(book, job);
+        }
+    }
+    co_return last;
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/job/job_book_base.h
@@ -0,0 +1,83 @@
+/** @file job_book_base.h Jobs as this host knows them, and the calls of callers about them; belongs to the traffic thread. */
+#pragma once
+
+#include "fleet/fleet_type.h"
+#include "job/job_policy_func.h"
+#include "job/job_type.h"
+#include "metrics/metrics_func.h"
+#include "proxy/call_type.h"
+#include "store/key_mirror_func.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace skylark {
+
+/** A job with the revision of its record. */
+struct KnownJob {
+    StoredJob record; ///< Record.
+    std::uint64_t revision{0}; ///< Revision of its key.
+    std::map<std::uint64_t, JobResult> results; ///< Results held in memory, by position.
+    std::vector<JobItem> items; ///< Items, when this host has loaded them.
+};
+
+/** Book. */
+struct JobBook {
+    boost::asio::any_io_executor executor; ///< Traffic thread.
+    std::shared_ptr<const KvStore> store; ///< Service.
+    std::shared_ptr<KeyMirror> mirror; ///< Keys under the prefix of jobs.
+    std::shared_ptr<MetricsRegistry> metrics; ///< Metrics.
+    SessionId session; ///< This run of the process.
+    std::map<JobId, KnownJob> jobs; ///< Known jobs.
+    std::set<std::shared_ptr<boost::asio::steady_timer>> readers; ///< Reads that wait for a result.
+    std::function<Result<JobSubmission>(const ProxyCall &call)> decodeSubmission; ///< Reads a stored submission.
+    std::function<void(const JobId &job)> onJobChanged; ///< Called when a record or its owner may have changed.
+    std::size_t cachedBytes{0}; ///< Bytes of texts and bodies held in memory.
+
+    static std::shared_ptr<JobBook> create(const boost::asio::any_io_executor &executor,
+                                           std::shared_ptr<const KvStore> store,
+                                           std::shared_ptr<MetricsRegistry> metrics,
+                                           SessionId session,
+                                           std::function<Result<JobSubmission>(const ProxyCall &call)> decodeSubmission);
+};
+
+/** Begins to follow the service. */
+void startJobBook(const std::shared_ptr<JobBook> &book);
+
+/** Answer to a call about a job. */
+struct JobAnswer {
+    int status{503}; ///< HTTP status.
+    std::optional<std::chrono::milliseconds> retryAfter; ///< When to come back.
+    std::string_view reason; ///< Reason of a failure.
+    JobPage page; ///< Results, for a read.
+    std::string body; ///< Body, for an item.
+};
+
+/** Accepts a job once: 202 also when it comes again. */
+boost::asio::awaitable<JobAnswer> acceptJob(std::shared_ptr<JobBook> book, const RouteRule &route, ProxyCall call, JobSubmission submission);
+
+/** Reads results. */
+boost::asio::awaitable<JobAnswer> readJob(std::shared_ptr<JobBook> book, JobReadCall call);
+
+/** Reads the body of an item. */
+boost::asio::awaitable<JobAnswer> readJobItem(std::shared_ptr<JobBook> book, JobItemCall call);
+
+/** Ends a job. */
+boost::asio::awaitable<JobAnswer> endJob(std::shared_ptr<JobBook> book, JobEndCall call);
+
+/** Loads the items of a job into the book. */
+boost::asio::awaitable<Result<Done>> loadJobItems(std::shared_ptr<JobBook> book, JobId job);
+
+/** Stores results of items that this host finished, at the next positions. NotOwner is reported as LeaseExpired. */
+boost::asio::awaitable<Result<Done>> listResults(std::shared_ptr<JobBook> book, JobId job, std::map<std::uint32_t, JobResult> finished);
+
+/** Makes this host the owner of a job if the record is still at the known revision. @return Whether it is. */
+boost::asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job);
+
+/** Takes a record into the book if it is newer than what the book holds. */
+void noteJobItem(const std::shared_ptr<JobBook> &book, const KvItem &item);
+
+} // namespace skylark
--- /dev/null
+++ b/src/job/job_item_run.cpp
@@ -0,0 +1,212 @@
+/** @file job_item_run.cpp One run of a batch item on a target. */
+#include "core/event_log_func.h"
+#include "core/table/error_table.h"
+#include "fleet/route_match_func.h"
+#include "job/job_runner_base.h"
+
+#include <algorithm>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds connectTimeout{400}; ///< Opening a connection to a target.
+constexpr milliseconds sendTimeout{2000}; ///< Sending an item.
+constexpr milliseconds firstAnswerTimeout{3000}; ///< First answer: items are started on free slots, but online requests may come first.
+constexpr milliseconds gapTimeout{2000}; ///< Pause between events after which another target goes on.
+constexpr milliseconds leastBackoff{150}; ///< Delay of the next run after a failure; grows with each.
+constexpr milliseconds runBudget{60000}; ///< Time that a target may work on an item.
+constexpr int statusNeverPossible = 422; ///< The target says that the item can never be done.
+constexpr std::size_t avoidedTargets = 2; ///< Targets of the last failures that are avoided.
+
+Error runCut(const ItemRun &run)
+{
+    return makeError(ErrorCode::Cancelled, run.yielded ? "yielded" : "cancelled", RunState::Maybe);
+}
+
+/** Takes the events of an answer into the item. @return Done when the output is whole. */
+asio::awaitable<Result<Done>> takeOutput(ItemRun &run, HttpExchange &exchange)
+{
+    run.splitter.partial.clear();
+    for (;;) {
+        auto piece = co_await httpRead(exchange, gapTimeout);
+        if (run.yielded || run.cancelled) {
+            co_return runCut(run);
+        }
+        if (!isOk(piece)) {
+            co_return errorOf(piece);
+        }
+        if (!valueOf(piece)) {
+            break;
+        }
+        auto events = splitEvents(run.splitter, *valueOf(piece));
+        if (!isOk(events)) {
+            co_return errorOf(events);
+        }
+        for (const StreamEvent &event : valueOf(events)) {
+            run.text += run.events > 0 ? "\n" : "";
+            run.text += event.data;
+            ++run.events;
+        }
+    }
+    if (!endsWhole(run.splitter) || run.events == 0) {
+        co_return makeError(ErrorCode::StreamBroken, "ended within an event", RunState::Maybe);
+    }
+    co_return Done{};
+}
+
+ProxyCall callOf(const KnownJob &known, const JobItem &item)
+{
+    ProxyCall call;
+    call.id.value = item.id;
+    call.method = "POST";
+    call.target = item.path;
+    call.host = known.record.host;
+    call.headers = item.headers;
+    call.body = item.body;
+    return call;
+}
+
+/** Reads the rest of an answer that is not used, so that its connection may be used again. */
+asio::awaitable<void> discardRest(HttpExchange &exchange)
+{
+    for (;;) {
+        auto piece = co_await httpRead(exchange, gapTimeout);
+        if (!isOk(piece) || !valueOf(piece)) {
+            co_return;
+        }
+    }
+}
+
+/** Sends the item and reads the output. */
+asio::awaitable<Result<Done>> runOnTarget(RunnerPtr runner, std::shared_ptr<ItemRun> run, ProxyCall call, TargetEntry target)
+{
+    Proxy &proxy = *runner->proxy;
+    const SendDetails details{target.id, runBudget, run->splitter.last};
+    HttpRequest request = proxy.wire.encode(call, details);
+    const HttpTimeouts timeouts{connectTimeout, sendTimeout, firstAnswerTimeout, gapTimeout};
+    run->abort = std::make_shared<HttpAbortHandle>();
+    auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, ConnectionUse::Pooled, run->abort);
+    if (run->yielded || run->cancelled) {
+        co_return runCut(*run);
+    }
+    if (!isOk(opened)) {
+        co_return errorOf(opened);
+    }
+    HttpExchange &exchange = valueOf(opened);
+    const AnswerFacts facts = proxy.wire.readAnswer(exchange.status, exchange.headers);
+    const int status = exchange.status;
+    if (facts.notRun) {
+        co_await discardRest(exchange);
+        co_return makeError(ErrorCode::TargetOverloaded, std::to_string(status), RunState::No);
+    }
+    if (facts.requestId != call.id.value) {
+        httpAbort(exchange);
+        co_return makeError(ErrorCode::ResponseMismatch, facts.requestId, RunState::Maybe);
+    }
+    if (status != 200) {
+        co_await discardRest(exchange);
+        const ErrorCode code = status == statusNeverPossible ? ErrorCode::TargetRejected : ErrorCode::TargetFailed;
+        co_return makeError(code, std::to_string(status), RunState::Maybe);
+    }
+    run->reading = &exchange;
+    auto outcome = co_await takeOutput(*run, exchange);
+    run->reading = nullptr;
+    co_return outcome;
+}
+
+void finish(OwnedJob &owned, ItemRun &run, ItemState state)
+{
+    run.phase = ItemPhase::Finished;
+    run.state = state;
+    if (state == ItemState::Failed) {
+        run.text.clear();
+    }
+    if (owned.firstFinished == TimePoint{}) {
+        owned.firstFinished = BootClock::now();
+    }
+}
+
+/** Decides what follows a failed run. */
+void settleFailure(JobRunner::Impl &runner, const JobId &job, OwnedJob &owned, ItemRun &run, const TargetEntry &target, const Error &error)
+{
+    const KnownJob &known = runner.book->jobs.at(job);
+    const auto &config = runner.proxy->fleet->config;
+    const RouteRule *route = config ? matchRoute(*config, known.record.host, known.record.path) : nullptr;
+    const unsigned maxAttempts = route != nullptr ? std::max(1U, route->maxAttempts) : 1;
+    run.failures += error.code == ErrorCode::TargetFailed ? 1 : 0;
+    if (error.code == ErrorCode::TargetRejected || run.failures >= maxAttempts) {
+        finish(owned, run, ItemState::Failed);
+        return;
+    }
+    run.phase = ItemPhase::Pending;
+    run.notBefore = BootClock::now() + leastBackoff * (1U + std::min(run.failures, 4U));
+    run.avoided.push_back(target.id);
+    if (run.avoided.size() > avoidedTargets) {
+        run.avoided.erase(run.avoided.begin());
+    }
+    if (error.code != ErrorCode::TargetFailed) {
+        noteTargetFailure(*runner.proxy, target);
+    }
+}
+
+} // namespace
+
+void cutRun(ItemRun &run)
+{
+    if (run.abort) {
+        httpAbortOpening(*run.abort);
+    }
+    if (run.reading != nullptr) {
+        httpAbort(*run.reading);
+    }
+}
+
+asio::awaitable<void> runItem(
+    RunnerPtr runner, JobId job, std::uint32_t index, std::shared_ptr<ItemRun> run, TargetEntry target, std::shared_ptr<const LoadTicket> ticket)
+{
+    const auto known = runner->book->jobs.find(job);
+    if (known == runner->book->jobs.end() || index >= known->second.items.size()) {
+        run->phase = ItemPhase::Pending;
+        co_return;
+    }
+    const std::string item = known->second.items[index].id;
+    ProxyCall call = callOf(known->second, known->second.items[index]);
+    const Result<Done> outcome = co_await runOnTarget(runner, run, std::move(call), target);
+    ticket.reset();
+    run->abort.reset();
+    run->reading = nullptr;
+    const auto owned = runner->owned.find(job);
+    if (run->cancelled || owned == runner->owned.end() || run->phase != ItemPhase::Running) {
+        co_return;
+    }
+    const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() - run->startedAt).count();
+    if (isOk(outcome)) {
+        noteTargetSuccess(*runner->proxy, target.id, {});
+        finish(owned->second, *run, ItemState::Completed);
+        logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "completed"}, {"events", run->events}, {"took_ms", took}});
+        addCounter(*runner->proxy->metrics, "skylark_items_total", {{"outcome", "completed"}});
+        co_return;
+    }
+    if (run->yielded) {
+        run->yielded = false;
+        run->phase = ItemPhase::Pending;
+        addCounter(*runner->proxy->metrics, "skylark_items_yielded_total");
+        co_return;
+    }
+    const Error &error = errorOf(outcome);
+    settleFailure(*runner, job, owned->second, *run, target, error);
+    logEvent(EventKind::ItemFailed,
+             item,
+             {{"job", job.value}, {"target", target.id.value}, {"error", errorInfo(error.code).name}, {"detail", error.detail}, {"failures", run->failures}, {"events", run->events}});
+    if (run->phase == ItemPhase::Finished) {
+        logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "failed"}, {"events", run->events}, {"took_ms", took}});
+        addCounter(*runner->proxy->metrics, "skylark_items_total", {{"outcome", "failed"}});
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/job/job_record.cpp
@@ -0,0 +1,145 @@
+/** @file job_record.cpp Stored form of jobs and results, and the keys under which they are kept. */
+#include "job/job_record_func.h"
+
+#include "core/hash_func.h"
+#include "core/json_member_func.h"
+
+#include <cstdio>
+
+namespace skylark {
+
+namespace {
+
+constexpr std::string_view recordPrefix = "jobs/record/";
+constexpr std::string_view quotaPrefix = "jobs/quota/";
+
+std::string numbered(std::string prefix, std::uint64_t number)
+{
+    std::array<char, 24> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%06llu", static_cast<unsigned long long>(number));
+    return prefix.append(text.data(), static_cast<std::size_t>(length));
+}
+
+std::string_view stateName(ItemState state)
+{
+    return state == ItemState::Completed ? "completed" : "failed";
+}
+
+ItemState stateOf(std::string_view name)
+{
+    return name == "completed" ? ItemState::Completed : ItemState::Failed;
+}
+
+Error invalidRecord(std::string_view what)
+{
+    return makeError(ErrorCode::InvalidDocument, "job record: " + std::string(what));
+}
+
+} // namespace
+
+std::string jobRecordKey(const JobId &job)
+{
+    return std::string(recordPrefix) + job.value;
+}
+
+bool isJobRecordKey(std::string_view key)
+{
+    return key.starts_with(recordPrefix);
+}
+
+std::string jobQuotaKey(std::string_view host, std::string_view prefix)
+{
+    return std::string(quotaPrefix) + hash128Hex(std::string(host) + ' ' + std::string(prefix));
+}
+
+std::string jobBodyKey(const JobId &job, std::uint32_t part)
+{
+    return numbered("bodies/" + job.value + '/', part);
+}
+
+std::string jobResultPrefix(const JobId &job)
+{
+    return "results/" + job.value + '/';
+}
+
+std::string jobResultKey(const JobId &job, std::uint64_t position)
+{
+    return numbered(jobResultPrefix(job), position);
+}
+
+std::string encodeStoredJob(const StoredJob &record)
+{
+    boost::json::array items;
+    for (const ItemHead &item : record.items) {
+        items.push_back(boost::json::array{item.id, item.tokens});
+    }
+    boost::json::array listed;
+    for (const ListedItem &entry : record.listed) {
+        listed.push_back(boost::json::array{entry.index, entry.state == ItemState::Completed ? 1 : 0});
+    }
+    return boost::json::serialize(boost::json::object{{"id", record.id.value},
+                                                      {"host", record.host},
+                                                      {"path", record.path},
+                                                      {"digest", record.digest},
+                                                      {"created_ms", record.created.time_since_epoch().count()},
+                                                      {"owner", record.owner.value},
+                                                      {"ended", record.ended},
+                                                      {"body_parts", record.bodyParts},
+                                                      {"items", std::move(items)},
+                                                      {"listed", std::move(listed)}});
+}
+
+Result<StoredJob> decodeStoredJob(std::string_view value)
+{
+    const auto object = parseJsonObject(value);
+    if (!object) {
+        return invalidRecord("not an object");
+    }
+    StoredJob record;
+    record.id.value = stringMember(*object, "id");
+    record.host = stringMember(*object, "host");
+    record.path = stringMember(*object, "path");
+    record.digest = stringMember(*object, "digest");
+    record.created = UnixTime(std::chrono::milliseconds(numberMember(*object, "created_ms")));
+    record.owner.value = stringMember(*object, "owner");
+    record.ended = boolMember(*object, "ended");
+    record.bodyParts = static_cast<std::uint32_t>(numberMember(*object, "body_parts"));
+    for (const auto &entry : arrayMember(*object, "items")) {
+        const auto *pair = entry.if_array();
+        if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string()) {
+            return invalidRecord("item without identifier");
+        }
+        record.items.push_back({std::string((*pair)[0].get_string()), (*pair)[1].to_number<std::uint64_t>()});
+    }
+    for (const auto &entry : arrayMember(*object, "listed")) {
+        const auto *pair = entry.if_array();
+        if (pair == nullptr || pair->size() != 2) {
+            return invalidRecord("result without state");
+        }
+        const auto index = (*pair)[0].to_number<std::uint32_t>();
+        if (index >= record.items.size()) {
+            return invalidRecord("result of an unknown item");
+        }
+        record.listed.push_back({index, (*pair)[1].to_number<int>() == 1 ? ItemState::Completed : ItemState::Failed});
+    }
+    if (record.id.empty() || record.items.empty()) {
+        return invalidRecord("no identifier or items");
+    }
+    return record;
+}
+
+std::string encodeJobResult(const JobResult &result)
+{
+    return boost::json::serialize(boost::json::object{{"item", result.item}, {"state", stateName(result.state)}, {"text", result.text}});
+}
+
+Result<JobResult> decodeJobResult(std::string_view value)
+{
+    const auto object = parseJsonObject(value);
+    if (!object) {
+        return invalidRecord("result is not an object");
+    }
+    return JobResult{stringMember(*object, "item"), stateOf(stringMember(*object, "state")), stringMember(*object, "text")};
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/job/job_runner_base.h
@@ -0,0 +1,76 @@
+/** @file job_runner_base.h State of the runner of batch items. */
+#pragma once
+
+#include "job/job_runner_func.h"
+#include "proxy/event_splitter_base.h"
+
+#include <set>
+
+namespace skylark {
+
+/** How far an item has come on this host. */
+enum class ItemPhase : std::uint8_t {
+    Pending, ///< Waits for a slot.
+    Running, ///< Is at a target.
+    Finished, ///< Has a result that is not stored yet.
+};
+
+/** One item that has no position yet. */
+struct ItemRun {
+    ItemPhase phase{ItemPhase::Pending}; ///< Phase.
+    EventSplitter splitter; ///< Events received so far, over all runs.
+    std::string text; ///< Data of these events.
+    std::uint64_t events{0}; ///< Number of these events.
+    unsigned failures{0}; ///< Runs that the target itself reported as failed.
+    TimePoint notBefore{}; ///< Earliest next start after a failure.
+    TimePoint startedAt{}; ///< Begin of the present run.
+    TargetId target; ///< Target of the present run.
+    std::vector<TargetId> avoided; ///< Targets on which the last runs failed.
+    std::shared_ptr<HttpAbortHandle> abort; ///< Cuts the exchange being opened.
+    HttpExchange *reading{nullptr}; ///< Exchange being read.
+    bool yielded{false}; ///< Whether the present run was cancelled for online requests.
+    bool cancelled{false}; ///< Whether the job is no longer this host's to run.
+    ItemState state{ItemState::Completed}; ///< Result, once finished.
+};
+
+/** A job that this host owns. */
+struct OwnedJob {
+    std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs; ///< Items without a position, by index.
+    bool loading{false}; ///< Whether the items are being loaded.
+    bool listing{false}; ///< Whether results are being stored.
+    TimePoint firstFinished{}; ///< When the oldest result that is not stored yet was made.
+};
+
+/** When the owner of a job was first found to be missing. */
+struct MissingOwner {
+    SessionId owner; ///< Owner.
+    TimePoint missingSince{}; ///< Neither registered nor heard of since then.
+    TimePoint unregisteredSince{}; ///< Not registered since then.
+};
+
+struct JobRunner::Impl {
+    std::shared_ptr<Proxy> proxy; ///< Targets.
+    std::shared_ptr<JobBook> book; ///< Jobs.
+    HostId host; ///< This host.
+    std::map<JobId, OwnedJob> owned; ///< Jobs that this host runs.
+    std::map<JobId, MissingOwner> missing; ///< Jobs whose owner is missing.
+    std::set<JobId> claiming; ///< Claims under way.
+    bool starting{true}; ///< Whether items may be started.
+    bool stopped{false}; ///< Ends the loop.
+    unsigned round{0}; ///< Counts the rounds of the loop.
+    TimePoint begunAt{}; ///< Start of the runner.
+};
+
+using RunnerPtr = std::shared_ptr<JobRunner::Impl>;
+
+/** Runs one item on @p target until it has a result, fails or is cancelled. @param ticket Counts the item on the target. */
+boost::asio::awaitable<void> runItem(
+    RunnerPtr runner, JobId job, std::uint32_t index, std::shared_ptr<ItemRun> run, TargetEntry target, std::shared_ptr<const LoadTicket> ticket);
+
+/** Cuts the present run of an item. */
+void cutRun(ItemRun &run);
+
+/** @return What is known of @p target for decisions about this host's batch items there. */
+[[nodiscard]] ValleyInput valleyInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
+
+} // namespace skylark
--- a/src/platform/kv_client.cpp
+++ b/src/keyvalue/kv_client.cpp
@@ -1,7 +1,7 @@
 /** @file kv_client.cpp Wire form of the key-value service and the host list. */
-#include "platform/kv_client_func.h"
+#include "keyvalue/kv_client_func.h"
 
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -46,6 +46,7 @@
   targets @9 :List(TargetStatus);
   onlineInFlight @10 :List(NamedCount);
   freeByModel @11 :List(NamedCount);
+  batchInFlight @12 :List(NamedCount);
 }
 
 struct YieldRequest {
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -131,6 +131,7 @@
         writeTarget(targets[i], status.targets[(first + i) % status.targets.size()], now);
     }
     writeCounts(out.initOnlineInFlight(static_cast<unsigned>(status.onlineInFlight.size())), status.onlineInFlight);
+    writeCounts(out.initBatchInFlight(static_cast<unsigned>(status.batchInFlight.size())), status.batchInFlight);
     writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
     return pack(message);
 }
@@ -151,6 +152,7 @@
         status.targets.push_back(readTarget(target, now));
     }
     status.onlineInFlight = readCounts<TargetId>(in.getOnlineInFlight());
+    status.batchInFlight = readCounts<TargetId>(in.getBatchInFlight());
     status.freeByModel = readCounts<ModelId>(in.getFreeByModel());
     return status;
 }
--- /dev/null
+++ b/src/policy/spread.cpp
@@ -0,0 +1,115 @@
+/** @file spread.cpp Placement of one request on targets that several hosts share. */
+#include "policy/spread_func.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+
+namespace skylark {
+
+namespace {
+
+constexpr double batchWeight = 0.15; ///< Load of a batch item in slots: it gives way, but costs a cancellation.
+constexpr double otherDomainCost = 0.08; ///< Load that crossing failure domains is worth: a round trip of 7 ms beside an answer of 100 ms.
+constexpr double suspectCost = 4.0; ///< Load of a recent failure; a suspect is used only when all others are full.
+constexpr double tieSpread = 0.02; ///< Random share of a score.
+constexpr std::chrono::milliseconds leastDelay{200}; ///< Shortest return: one step of the targets and the way back.
+constexpr unsigned percent = 100;
+
+unsigned queueBound(const SpreadCandidate &candidate, const SpreadLimits &limits)
+{
+    return candidate.slots + std::max(1U, candidate.slots * limits.queuePerSlotPercent / percent);
+}
+
+double score(const SpreadCandidate &candidate, std::uint64_t &random)
+{
+    const double slots = std::max(1U, candidate.slots);
+    const double free = std::max(0.0, slots - candidate.online);
+    const double blocked = std::max(0.0, candidate.batch + 1.0 - free);
+    double value = (candidate.online + batchWeight * std::min<double>(candidate.batch, blocked)) / slots * candidate.slowness;
+    value += candidate.sameDomain ? 0.0 : otherDomainCost;
+    value += candidate.suspect ? suspectCost : 0.0;
+    return value + tieSpread * static_cast<double>(nextRandom(random) >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
+SpreadReason reasonOf(const SpreadCandidate &candidate)
+{
+    if (candidate.online >= candidate.slots) {
+        return SpreadReason::Queued;
+    }
+    return candidate.online + candidate.batch >= candidate.slots ? SpreadReason::BatchYields : SpreadReason::FreeSlot;
+}
+
+} // namespace
+
+std::string_view spreadReasonName(SpreadReason reason)
+{
+    switch (reason) {
+    case SpreadReason::FreeSlot:
+        return "free_slot";
+    case SpreadReason::BatchYields:
+        return "batch_yields";
+    case SpreadReason::Queued:
+        return "queued";
+    case SpreadReason::Full:
+        return "full";
+    case SpreadReason::NoTarget:
+        return "no_target";
+    }
+    return "unknown";
+}
+
+SpreadChoice spreadRequest(const std::vector<SpreadCandidate> &candidates, const SpreadLimits &limits, std::uint64_t draw)
+{
+    SpreadChoice choice;
+    const SpreadCandidate *best = nullptr;
+    double bestScore = 0;
+    std::uint64_t random = draw;
+    for (const SpreadCandidate &candidate : candidates) {
+        if (candidate.tried) {
+            continue;
+        }
+        if (candidate.online >= queueBound(candidate, limits)) {
+            choice.reason = SpreadReason::Full;
+            continue;
+        }
+        const double value = score(candidate, random);
+        if (best == nullptr || value < bestScore) {
+            best = &candidate;
+            bestScore = value;
+        }
+    }
+    if (best == nullptr) {
+        return choice;
+    }
+    return {reasonOf(*best), best->id, best->online, best->batch};
+}
+
+unsigned valleyYield(const ValleyInput &input)
+{
+    const unsigned total = input.online + input.ownBatch + input.batchBefore + input.batchAfter;
+    if (total <= input.slots) {
+        return 0;
+    }
+    const unsigned excess = total - input.slots;
+    return excess <= input.batchBefore ? 0 : std::min(input.ownBatch, excess - input.batchBefore);
+}
+
+unsigned valleyFree(const ValleyInput &input)
+{
+    const unsigned taken = input.online + input.ownBatch + input.batchBefore + input.batchAfter + (input.preferred ? 0U : 1U);
+    return taken >= input.slots ? 0 : input.slots - taken;
+}
+
+std::chrono::milliseconds refusalDelay(const RefusalInput &input)
+{
+    const double slots = std::max(1U, input.slots);
+    const double excess = std::max(0.0, input.online + 1.0 - slots);
+    const double wait = static_cast<double>(input.serviceTime.count()) * excess / slots;
+    const double base = std::max(wait, static_cast<double>(leastDelay.count()));
+    const double spread = base * static_cast<double>(input.draw % 1000U) / 1000.0;
+    const auto delay = std::chrono::milliseconds(static_cast<std::int64_t>(base + spread));
+    return std::min(delay, std::max(leastDelay, input.remaining / 3));
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/proxy/target_health.cpp
@@ -0,0 +1,113 @@
+/** @file target_health.cpp What the host has seen of each target, and the candidates of a request. */
+#include "proxy/proxy_base.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+
+namespace skylark {
+
+namespace {
+
+constexpr std::chrono::milliseconds firstSuspicion{400}; ///< Time that a target is avoided after one failure: most broken answers are single ones.
+constexpr unsigned maxDoublings = 3; ///< Longest time is 3.2 s, after which one request tries the target again.
+constexpr double averageShare = 0.2; ///< Weight of a new sample in an average.
+constexpr double leastSlowness = 1.2; ///< Smaller differences between targets are noise.
+constexpr double mostSlowness = 8.0; ///< Bound on what one average may say.
+
+double medianFirstAnswer(const Proxy &proxy, const ServiceId &service)
+{
+    std::vector<double> values;
+    for (const auto &[id, entry] : *proxy.fleet->targets) {
+        const auto found = proxy.health.find(id);
+        if (entry.service == service && found != proxy.health.end() && found->second.firstAnswerMs > 0) {
+            values.push_back(found->second.firstAnswerMs);
+        }
+    }
+    if (values.size() < 3) {
+        return 0;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+double slownessOf(const TargetHealth &health, double median)
+{
+    if (median <= 0 || health.firstAnswerMs <= 0) {
+        return 1.0;
+    }
+    const double ratio = health.firstAnswerMs / median;
+    return ratio < leastSlowness ? 1.0 : std::min(ratio, mostSlowness);
+}
+
+} // namespace
+
+void noteTargetSuccess(Proxy &proxy, const TargetId &target, std::optional<std::chrono::milliseconds> firstAnswer)
+{
+    TargetHealth &health = proxy.health[target];
+    health.failures = 0;
+    health.suspectUntil = TimePoint{};
+    if (firstAnswer) {
+        const auto sample = std::max(1.0, static_cast<double>(firstAnswer->count()));
+        health.firstAnswerMs = health.firstAnswerMs <= 0 ? sample : health.firstAnswerMs + averageShare * (sample - health.firstAnswerMs);
+    }
+}
+
+void noteTargetFailure(Proxy &proxy, const TargetEntry &target)
+{
+    TargetHealth &health = proxy.health[target.id];
+    const TimePoint now = BootClock::now();
+    health.suspectUntil = now + firstSuspicion * (1U << std::min(health.failures, maxDoublings));
+    ++health.failures;
+    // Other connections to the same address may have gone silent as well.
+    httpCloseIdle(*proxy.http, target.endpoint, now);
+    addCounter(*proxy.metrics, "skylark_target_failures_total", {{"target", target.id.value}});
+}
+
+std::vector<SpreadCandidate> candidatesOf(const Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain)
+{
+    std::vector<SpreadCandidate> candidates;
+    if (!proxy.fleet->targets) {
+        return candidates;
+    }
+    const TimePoint now = BootClock::now();
+    const double median = medianFirstAnswer(proxy, service);
+    for (const auto &[id, entry] : *proxy.fleet->targets) {
+        if (entry.service != service || entry.leaving) {
+            continue;
+        }
+        const TargetCounts counts = countsOf(proxy.board, id, now);
+        SpreadCandidate candidate{.id = id, .slots = entry.slots, .online = counts.online, .batch = counts.batch, .sameDomain = entry.domain == domain};
+        candidate.tried = std::find(tried.begin(), tried.end(), id) != tried.end();
+        if (const auto found = proxy.health.find(id); found != proxy.health.end()) {
+            candidate.suspect = now < found->second.suspectUntil;
+            candidate.slowness = slownessOf(found->second, median);
+        }
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+bool isReady(const Proxy &proxy)
+{
+    return !proxy.stopping && proxy.fleet->config && proxy.fleet->targets;
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    static constexpr std::array hopHeaders{
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE", "Trailer", "Upgrade", "Expect"};
+    const std::string_view named = headerValue(headers, "Connection");
+    HttpHeaders kept;
+    for (const HttpHeader &header : headers) {
+        const bool hop = std::any_of(hopHeaders.begin(), hopHeaders.end(), [&header](const char *name) {
+            return boost::algorithm::iequals(header.name, name);
+        });
+        if (!hop && (named.empty() || !boost::algorithm::icontains(named, header.name))) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+} // namespace skylark
--- a/src/traffic/caller_server_base.h
+++ b/src/traffic/caller_server_base.h
@@ -3,7 +3,7 @@
 
 #include "http/http_client_func.h"
 #include "http/http_server_func.h"
-#include "platform/kv_client_func.h"
+#include "keyvalue/kv_client_func.h"
 #include "policy/admission_type.h"
 #include "policy/affinity_base.h"
 #include "policy/retry_type.h"
--- a/standins/standin_func.h
+++ b/standins/standin_func.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "http/http_server_func.h"
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/tests/support/batch_host.h
+++ b/tests/support/batch_host.h
@@ -4,7 +4,7 @@
 #include "../standins/engine_text_func.h"
 #include "batch/batch_service_func.h"
 #include "batch/batch_state_base.h"
-#include "platform/json_member_func.h"
+#include "core/json_member_func.h"
 #include "support/process_func.h"
 
 #include <boost/asio/detached.hpp>
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -1,6 +1,6 @@
 /** @file test_platform.cpp Client of the key-value service against the platform stand-in. */
-#include "platform/json_member_func.h"
-#include "platform/kv_client_func.h"
+#include "core/json_member_func.h"
+#include "keyvalue/kv_client_func.h"
 #include "support/process_func.h"
 
 #include <boost/asio/detached.hpp>
