--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -245,7 +245,8 @@
         if (valueOf(events).empty()) {
             continue;
         }
-        if (!isOk(co_await passEvents(forwarding, exchange, std::move(valueOf(events))))) {
+        const auto passed = co_await passEvents(forwarding, exchange, std::move(valueOf(events)));
+        if (!isOk(passed)) {
             co_return Attempt{AttemptEnd::CallerGone, makeError(ErrorCode::CallerGone, "while sending events"), {}};
         }
     }
@@ -285,7 +286,13 @@
     }
     forwarding.reading = &exchange;
     const bool stream = forwarding.route->kind == CallKind::Stream && exchange.status == 200;
-    Attempt attempt = stream ? co_await takeStream(forwarding, exchange) : co_await takeWhole(forwarding, exchange);
+    // g++ 12 destroys the temporaries of a co_await within a conditional expression twice.
+    Attempt attempt;
+    if (stream) {
+        attempt = co_await takeStream(forwarding, exchange);
+    } else {
+        attempt = co_await takeWhole(forwarding, exchange);
+    }
     forwarding.reading = nullptr;
     co_return attempt;
 }
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -157,7 +157,12 @@
     std::chrono::milliseconds delay = mirror->options.retryMin;
     while (!mirror->stopped) {
         const TimePoint begun = BootClock::now();
-        const auto outcome = mirror->revision == 0 ? co_await readWhole(mirror) : co_await followOnce(mirror);
+        Result<Done> outcome = Done{};
+        if (mirror->revision == 0) {
+            outcome = co_await readWhole(mirror);
+        } else {
+            outcome = co_await followOnce(mirror);
+        }
         if (mirror->stopped) {
             co_return;
         }
