Fix: A watch that was cut reads its prefix again

A watch that was reset while the store forgot its history was issued again from the same revision and neither heard of the change nor got 410 (trace: op/config after=9 pending for 6 s beside a jobs watch that got 410). Ruled out: a lost answer (no failure counted), the decoder (no config_refused).

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -233,17 +233,22 @@
     announceSoon(*host.peers);
     asio::steady_timer timer(host.traffic);
     const TimePoint limit = begun + host.settings.stopLimit - stopMargin;
+    bool closed = false;
     for (;;) {
         timer.expires_after(stopPoll);
         co_await timer.async_wait(asio::use_awaitable);
         const TimePoint now = BootClock::now();
+        if (!closed && now - begun >= rotationTime) {
+            // A request that came on a kept connection near the limit would be cut.
+            closed = true;
+            stopAccepting(*host.callerServer);
+            closeIdleConnections(*host.callerServer);
+        }
         const bool idle = activeRequests(*host.callerServer) == 0 && unfinishedItems(*host.runner) == 0;
-        if (now >= limit || (idle && now - begun >= rotationTime)) {
+        if (now >= limit || (idle && closed)) {
             break;
         }
     }
-    stopAccepting(*host.callerServer);
-    closeIdleConnections(*host.callerServer);
     bool ended = false;
     asio::post(host.control, [&host, &ended] {
         endHostEntry(*host.fleet, [&host, &ended] {
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -176,6 +176,8 @@
             continue;
         }
         mirror->synced = false;
+        // A watch that was cut may have missed changes that the service forgets: only a read of the whole prefix is certain.
+        mirror->revision = 0;
         if (mirror->onFailure) {
             mirror->onFailure(errorOf(outcome));
         }
