Fix: A watch that hears nothing no longer leaves a host behind

Ruled out: the mirror's revision filter (counter-3, which had read the prefix again, was current), a partition (commits of the same hosts succeeded). Change: a stale read a second (a tenth of the price) shows what a watch missed; an empty watch answer does not move the mirror on; a reader with nothing to get is answered from a read of the record unless the watch answered within 600 ms.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -37,6 +37,7 @@
     JobClaimed, ///< This host runs the items of a job.
     JobDropped, ///< Another host runs the items of a job.
     JobEnded, ///< A caller ended a job.
+    JobRead, ///< A caller read results.
     ItemStarted, ///< An item was sent to a target.
     ItemYielded, ///< An item gave up its slot to online requests.
     ItemFailed, ///< A run of an item failed.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -41,6 +41,7 @@
     EventInfo{EventKind::JobClaimed, "job", "job_claimed", "from listed total"},
     EventInfo{EventKind::JobDropped, "job", "job_dropped", "owner"},
     EventInfo{EventKind::JobEnded, "job", "job_ended", "listed total"},
+    EventInfo{EventKind::JobRead, "job", "job_read", "after results listed total revision followed_age_ms status"},
     EventInfo{EventKind::ItemStarted, "batch", "item_started", "job target after online batch slack_ms"},
     EventInfo{EventKind::ItemYielded, "batch", "item_yielded", "job target events online"},
     EventInfo{EventKind::ItemFailed, "batch", "item_failed", "job target error detail failures events"},
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -44,6 +44,7 @@
 
 using ImplPtr = std::shared_ptr<FleetController::Impl>;
 
+constexpr std::chrono::milliseconds checkInterval{1000}; ///< Together with a read of the whole prefix it stays below the 2 s in which changes have to be in force.
 constexpr std::chrono::milliseconds pullConnect{300}; ///< Connecting to a peer: a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswer{1000}; ///< Answer of a peer: a document of at most 1 MB.
 
@@ -235,6 +236,9 @@
         }
     };
     asio::co_spawn(impl->executor, runKeyMirror(mirror), asio::detached);
+    if (mirror->options.check.count() > 0) {
+        asio::co_spawn(impl->executor, checkKeyMirror(mirror), asio::detached);
+    }
     return mirror;
 }
 
@@ -306,8 +310,8 @@
     impl->publish = std::move(publish);
     impl->peerHttp = HttpClient::create(executor);
     impl->random = hash64(impl->options.session.value);
-    impl->config = follow(impl, {.prefix = impl->wire.configKey}, onConfig);
-    impl->targets = follow(impl, {.prefix = impl->wire.targetPrefix, .pause = impl->options.targetPause}, onTargets);
+    impl->config = follow(impl, {.prefix = impl->wire.configKey, .check = checkInterval}, onConfig);
+    impl->targets = follow(impl, {.prefix = impl->wire.targetPrefix, .pause = impl->options.targetPause, .check = checkInterval}, onTargets);
     impl->hosts = follow(impl, {.prefix = std::string(hostEntryPrefix)}, onHosts);
     asio::co_spawn(executor, runHostEntry(impl), asio::detached);
     auto controller = std::make_unique<FleetController>();
--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr milliseconds mirrorPause{400}; ///< Time between two watch calls for jobs: readers may lag by a second.
+constexpr milliseconds mirrorCheck{1000}; ///< An end has to reach the owner of a job within 3 s, also when the watch hears nothing.
 constexpr std::size_t cacheLimit = std::size_t{6} << 20U; ///< Bytes of texts and bodies held in memory.
 constexpr std::size_t resultsPerWrite = kvTransactionEntries - 2; ///< A condition and the record take two entries of a transaction.
 constexpr std::size_t bytesPerWrite = std::size_t{700} << 10U; ///< Bytes of results in one transaction.
@@ -150,7 +151,7 @@
     book->metrics = std::move(metrics);
     book->session = std::move(session);
     book->decodeSubmission = std::move(decodeSubmission);
-    book->mirror = KeyMirror::create(book->store, {.prefix = std::string(jobPrefix), .pause = mirrorPause}, hash64(book->session.value));
+    book->mirror = KeyMirror::create(book->store, {.prefix = std::string(jobPrefix), .pause = mirrorPause, .check = mirrorCheck}, hash64(book->session.value));
     return book;
 }
 
@@ -163,6 +164,7 @@
         }
     };
     asio::co_spawn(book->executor, runKeyMirror(book->mirror), asio::detached);
+    asio::co_spawn(book->executor, checkKeyMirror(book->mirror), asio::detached);
 }
 
 void noteJobItem(const std::shared_ptr<JobBook> &book, const KvItem &item)
--- a/src/job/job_book_base.h
+++ b/src/job/job_book_base.h
@@ -20,6 +20,7 @@
 struct KnownJob {
     StoredJob record; ///< Record.
     std::uint64_t revision{0}; ///< Revision of its key.
+    TimePoint confirmedAt{}; ///< Begin of the last read of this record alone.
     std::map<std::uint64_t, JobResult> results; ///< Results held in memory, by position.
     std::vector<JobItem> items; ///< Items, when this host has loaded them.
 };
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -24,7 +24,7 @@
 constexpr unsigned endAttempts = 6; ///< Writes of one end; results may be stored meanwhile.
 constexpr milliseconds storeRetryAfter{700}; ///< Return of a caller while the service cannot be reached.
 constexpr milliseconds quotaRetryAfter{1000}; ///< Return of a caller whose job does not fit: items finish several times a second.
-constexpr milliseconds mirrorTrust{1500}; ///< A mirror whose watch failed is believed for so long after its last answer.
+constexpr milliseconds mirrorTrust{600}; ///< Nothing new is believed for so long after the last answer of the watch; readers may lag by a second.
 constexpr milliseconds shortWait{150}; ///< Delay before a write is repeated.
 constexpr std::size_t pageBytes = std::size_t{1000} << 10U; ///< Bytes of results in one read.
 
@@ -81,6 +81,7 @@
 /** Reads one record into the book. @return Whether it exists. */
 asio::awaitable<Result<bool>> fetchJob(std::shared_ptr<JobBook> book, JobId job)
 {
+    const TimePoint begun = BootClock::now();
     auto item = co_await book->store->get(jobRecordKey(job), KvFreshness::Linearizable);
     if (!isOk(item)) {
         co_return errorOf(item);
@@ -89,7 +90,11 @@
         co_return false;
     }
     noteJobItem(book, *valueOf(item));
-    co_return book->jobs.contains(job);
+    const auto found = book->jobs.find(job);
+    if (found != book->jobs.end()) {
+        found->second.confirmedAt = begun;
+    }
+    co_return found != book->jobs.end();
 }
 
 /** Reads all records again, after another host accepted a job. */
@@ -134,9 +139,10 @@
     noteJobItem(book, item);
 }
 
-bool isTrusted(const JobBook &book)
+/** @return Whether a record is recent enough to say that there is no further result. */
+bool isTrusted(const JobBook &book, const KnownJob &known)
 {
-    return book.mirror->synced || BootClock::now() - book.mirror->confirmedAt < mirrorTrust;
+    return BootClock::now() - std::max(book.mirror->confirmedAt, known.confirmedAt) < mirrorTrust;
 }
 
 /** Waits until the book changes or @p wait is over. */
@@ -248,7 +254,29 @@
     co_return mayBeStored ? failure(504, "outcome_unknown") : failure(503, "store_unavailable", storeRetryAfter);
 }
 
-asio::awaitable<JobAnswer> readJob(std::shared_ptr<JobBook> book, JobReadCall call)
+namespace {
+
+/** Logs what a reader gets, and how old the host's knowledge of the job is. */
+JobAnswer logRead(const JobBook &book, const JobReadCall &call, JobAnswer answer)
+{
+    const auto known = book.jobs.find(call.job);
+    const bool exists = known != book.jobs.end();
+    const auto age = std::chrono::duration_cast<milliseconds>(BootClock::now() - book.mirror->confirmedAt);
+    const auto write = answer.status == 200 ? logSampled : logEvent;
+    write(EventKind::JobRead,
+          call.job.value,
+          {{"after", call.after},
+           {"results", answer.page.results.size()},
+           {"listed", exists ? known->second.record.listed.size() : 0},
+           {"total", exists ? known->second.record.items.size() : 0},
+           {"revision", exists ? known->second.revision : 0},
+           {"followed_age_ms", age.count()},
+           {"status", answer.status}});
+    return answer;
+}
+
+/** Reads results; the public function adds the log line. */
+asio::awaitable<JobAnswer> readJobNow(std::shared_ptr<JobBook> book, JobReadCall call)
 {
     const TimePoint until = BootClock::now() + call.wait;
     for (;;) {
@@ -270,17 +298,28 @@
             co_return some ? answer : failure(503, "store_unavailable", storeRetryAfter);
         }
         answer.page.next = call.after;
-        const bool over = isComplete(record) || BootClock::now() >= until;
-        if (over && isTrusted(*book)) {
+        if (isComplete(record) || (BootClock::now() >= until && isTrusted(*book, found->second))) {
             co_return answer;
         }
-        if (over) {
-            co_return failure(503, "not_current", storeRetryAfter);
+        if (BootClock::now() >= until) {
+            auto exists = co_await fetchJob(book, call.job);
+            if (!isOk(exists)) {
+                co_return failure(503, "not_current", storeRetryAfter);
+            }
+            continue;
         }
         co_await waitForChange(book, std::chrono::duration_cast<milliseconds>(until - BootClock::now()) + milliseconds(1));
     }
 }
 
+} // namespace
+
+asio::awaitable<JobAnswer> readJob(std::shared_ptr<JobBook> book, JobReadCall call)
+{
+    JobAnswer answer = co_await readJobNow(book, call);
+    co_return logRead(*book, call, std::move(answer));
+}
+
 asio::awaitable<Result<Done>> loadJobItems(std::shared_ptr<JobBook> book, JobId job)
 {
     const auto found = book->jobs.find(job);
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds checkSettle{100}; ///< Time for the watch to report a change that a check has seen first.
+
 asio::awaitable<void> sleepFor(std::chrono::nanoseconds delay)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -68,7 +70,10 @@
             update.changed.push_back(std::move(item));
         }
     }
-    mirror->revision = std::max(mirror->revision, valueOf(changes).storeRevision);
+    // An empty answer does not move the mirror on: a watch that heard nothing of a change answers in the same way.
+    if (!valueOf(changes).items.empty()) {
+        mirror->revision = std::max(mirror->revision, valueOf(changes).storeRevision);
+    }
     report(mirror, update);
     co_return Done{};
 }
@@ -152,6 +157,37 @@
     }
 }
 
+bool showsMissedChange(const KeyMirror &mirror, const KvItemPage &page)
+{
+    std::size_t found = 0;
+    for (const KvItem &item : page.items) {
+        const auto known = mirror.items.find(item.key);
+        if (known == mirror.items.end() ? item.revision > mirror.revision : item.revision > known->second.revision) {
+            return true;
+        }
+        found += known != mirror.items.end() ? 1 : 0;
+    }
+    // Keys that are missing were removed, unless the page is older than the mirror.
+    return found < mirror.items.size() && page.storeRevision > mirror.revision;
+}
+
+asio::awaitable<void> checkKeyMirror(std::shared_ptr<KeyMirror> mirror)
+{
+    while (!mirror->stopped) {
+        co_await sleepFor(spread(mirror->options.check, mirror->random));
+        if (mirror->stopped || !mirror->synced) {
+            continue;
+        }
+        const auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, KvFreshness::Stale);
+        if (isOk(page) && mirror->synced && showsMissedChange(*mirror, valueOf(page))) {
+            co_await sleepFor(checkSettle);
+            if (showsMissedChange(*mirror, valueOf(page))) {
+                co_await readWhole(mirror);
+            }
+        }
+    }
+}
+
 asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror)
 {
     std::chrono::milliseconds delay = mirror->options.retryMin;
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -16,6 +16,7 @@
     std::string prefix; ///< Keys that are copied.
     std::chrono::milliseconds pause{0}; ///< Least time between two watch calls; bundles changes, because each call is paid for.
     std::chrono::milliseconds wait{25000}; ///< Longest wait of one watch call.
+    std::chrono::milliseconds check{0}; ///< Interval of cheap reads that notice a watch that hears nothing; 0 for none.
     std::chrono::milliseconds retryMin{200}; ///< First delay after a failed call; doubled up to retryMax.
     std::chrono::milliseconds retryMax{1000}; ///< Longest delay after a failed call.
 };
@@ -51,7 +52,13 @@
 /** Reads all keys under @p prefix. */
 boost::asio::awaitable<Result<KvItemPage>> readAllKeys(std::shared_ptr<const KvStore> store, std::string prefix, KvFreshness freshness);
 
+/** @return Whether @p page, which may be stale, shows a change that the mirror does not have. */
+[[nodiscard]] bool showsMissedChange(const KeyMirror &mirror, const KvItemPage &page);
+
 /** Follows the service until the mirror is stopped. */
 boost::asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror);
 
+/** Reads the prefix at the interval of the options, and as a whole when a change was missed, until the mirror is stopped. */
+boost::asio::awaitable<void> checkKeyMirror(std::shared_ptr<KeyMirror> mirror);
+
 } // namespace skylark
