--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -35,7 +35,7 @@
     EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms events"},
     EventInfo{EventKind::Resumed, "route", "resumed", "after"},
     EventInfo{EventKind::Refused, "admit", "refused", "route reason online slots retry_after_ms config left_ms"},
-    EventInfo{EventKind::Answered, "route", "answered", "route status outcome took_ms first_ms attempts events"},
+    EventInfo{EventKind::Answered, "route", "answered", "route status outcome took_ms first_ms attempts events longest_gap_ms target"},
     EventInfo{EventKind::JobAccepted, "job", "job_accepted", "route items tokens waiting took_ms"},
     EventInfo{EventKind::JobRefused, "job", "job_refused", "route reason tokens waiting limit detail"},
     EventInfo{EventKind::JobClaimed, "job", "job_claimed", "from listed total"},
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -42,11 +42,14 @@
     ServiceId service; ///< Chosen service.
     TimePoint arrivedAt{}; ///< Time of arrival.
     TimePoint limit{}; ///< Time at which it gets its final answer.
+    TargetId target; ///< Target of the present or last attempt.
     std::vector<TargetId> tried; ///< Targets that did not serve it.
     unsigned runs{0}; ///< Targets on which it may have run.
     unsigned refusals{0}; ///< Targets that said that they did not run it.
     EventSplitter splitter; ///< Events passed on so far.
     std::uint64_t events{0}; ///< Number of events passed on.
+    TimePoint lastEventAt{}; ///< Time of the last event.
+    milliseconds longestGap{0}; ///< Longest time between two events.
     bool started{false}; ///< Whether a part of the answer was sent to the caller.
     std::optional<TimePoint> firstAt; ///< Time of the first event or of the answer.
     std::shared_ptr<HttpAbortHandle> abort; ///< Cuts the exchange being opened.
@@ -104,7 +107,9 @@
            {"took_ms", took.count()},
            {"first_ms", first},
            {"attempts", forwarding.runs},
-           {"events", forwarding.events}});
+           {"events", forwarding.events},
+           {"longest_gap_ms", forwarding.longestGap.count()},
+           {"target", forwarding.target.value}});
 }
 
 /** Refuses a request that no target can have run. */
@@ -213,6 +218,11 @@
     for (const StreamEvent &event : events) {
         bytes += event.raw;
     }
+    const TimePoint now = BootClock::now();
+    if (forwarding.events > 0) {
+        forwarding.longestGap = std::max(forwarding.longestGap, std::chrono::duration_cast<milliseconds>(now - forwarding.lastEventAt));
+    }
+    forwarding.lastEventAt = now;
     forwarding.events += events.size();
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
@@ -388,6 +398,7 @@
         }
         const TargetEntry target = proxy.fleet->targets->at(choice.target);
         const TimePoint begun = BootClock::now();
+        forwarding.target = target.id;
         {
             const LoadTicket ticket(proxy.board, target.id, false);
             if (choice.reason != SpreadReason::FreeSlot) {
