Feature: Outputs of unfinished batch items are kept in the store, and a stopping host hands its jobs over

Change: the owner keeps the outputs of a job every 2 s and with each list of results; the next owner resumes after the last event; a planned stop keeps them at once and gives the job up; hosts of a later rank wait 0.4 s instead of 0.7 s, a host's entry lapses after 3 s instead of 6 s.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -229,8 +229,8 @@
     logEvent(EventKind::Stop, {}, {{"active", activeRequests(*host.callerServer)}});
     logReadiness(host);
     announceClose(*host.callerServer);
-    stopStartingItems(*host.runner);
     announceSoon(*host.peers);
+    co_await handOverJobs(*host.runner);
     asio::steady_timer timer(host.traffic);
     const TimePoint limit = begun + host.settings.stopLimit - stopMargin;
     bool closed = false;
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -29,8 +29,8 @@
     Endpoint endpoint; ///< Address for status datagrams and state pulls.
     std::chrono::milliseconds targetPause{700}; ///< Least time between two reads of the target list; with the call it stays below the 2 s of the users' bound.
     std::chrono::milliseconds lapseGrace{2000}; ///< Time after an outage of the service in which entries that lapsed meanwhile come back.
-    std::chrono::milliseconds leaseTtl{6000}; ///< Lifetime of the host's entry without renewal.
-    std::chrono::milliseconds leaseRenewal{2000}; ///< Renewal interval: two renewals may fail.
+    std::chrono::milliseconds leaseTtl{3000}; ///< Lifetime of the host's entry without renewal.
+    std::chrono::milliseconds leaseRenewal{1000}; ///< Renewal interval: one renewal may fail.
 };
 
 using SnapshotPtr = std::shared_ptr<const FleetSnapshot>;
--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -20,7 +20,8 @@
 constexpr milliseconds mirrorPause{400}; ///< Time between two watch calls for jobs: readers may lag by a second.
 constexpr milliseconds mirrorCheck{1000}; ///< An end has to reach the owner of a job within 3 s, also when the watch hears nothing.
 constexpr std::size_t cacheLimit = std::size_t{6} << 20U; ///< Bytes of texts and bodies held in memory.
-constexpr std::size_t resultsPerWrite = kvTransactionEntries - 2; ///< A condition and the record take two entries of a transaction.
+constexpr std::size_t resultsPerWrite = kvTransactionEntries - 3; ///< A condition, the record and the kept outputs take three entries of a transaction.
+constexpr std::size_t outputBytes = std::size_t{500} << 10U; ///< Text in the kept outputs of a job; escaping enlarges it a little.
 constexpr std::size_t bytesPerWrite = std::size_t{700} << 10U; ///< Bytes of results in one transaction.
 constexpr unsigned writeAttempts = 6; ///< Attempts of one write before the results wait for the next round.
 constexpr milliseconds writeRetry{250}; ///< First delay after a failed write; doubled.
@@ -84,9 +85,12 @@
 }
 
 /** Chooses the results of one transaction. */
-KvTransaction planListing(const KnownJob &known, ListDecision &decision, const std::map<std::uint32_t, JobResult> &finished)
+KvTransaction planListing(const KnownJob &known, ListDecision &decision, const std::map<std::uint32_t, JobResult> &finished, const SavedOutputs &outputs)
 {
     KvTransaction transaction;
+    if (!outputs.empty()) {
+        transaction.writes.push_back({jobOutputsKey(known.record.id), encodeSavedOutputs(outputs, outputBytes), 0});
+    }
     transaction.conditions.push_back({jobRecordKey(known.record.id), known.revision});
     std::size_t bytes = 0;
     std::uint64_t position = known.record.listed.size();
@@ -216,11 +220,60 @@
         co_return false;
     }
     logEvent(EventKind::JobClaimed, job.value, {{"from", former.value}, {"listed", record.listed.size()}, {"total", record.items.size()}});
+    if (const auto again = book->jobs.find(job); again != book->jobs.end()) {
+        again->second.claimed = true;
+    }
     noteWritten(book, key, value, valueOf(decision).revision);
     co_return true;
 }
 
-asio::awaitable<Result<Done>> listResults(std::shared_ptr<JobBook> book, JobId job, std::map<std::uint32_t, JobResult> finished)
+asio::awaitable<Result<Done>> saveOutputs(std::shared_ptr<JobBook> book, JobId job, SavedOutputs outputs, bool release)
+{
+    const auto found = book->jobs.find(job);
+    if (found == book->jobs.end() || found->second.record.owner != book->session) {
+        co_return makeError(ErrorCode::LeaseExpired, "not the owner");
+    }
+    StoredJob record = found->second.record;
+    if (release) {
+        record.owner = SessionId();
+    }
+    const std::string key = jobRecordKey(job);
+    const std::string value = encodeStoredJob(record);
+    KvTransaction transaction;
+    transaction.conditions.push_back({key, found->second.revision});
+    transaction.writes.push_back({jobOutputsKey(job), encodeSavedOutputs(outputs, outputBytes), 0});
+    if (release) {
+        transaction.writes.push_back({key, value, 0});
+    }
+    auto outcome = co_await book->store->commit(std::move(transaction));
+    if (!isOk(outcome)) {
+        co_return errorOf(outcome);
+    }
+    if (!valueOf(outcome).applied) {
+        for (const KvItem &item : valueOf(outcome).present) {
+            noteJobItem(book, item);
+        }
+        co_return makeError(ErrorCode::VersionConflict, "the record has changed");
+    }
+    if (release) {
+        noteWritten(book, key, value, valueOf(outcome).revision);
+    }
+    co_return Done{};
+}
+
+asio::awaitable<Result<SavedOutputs>> loadOutputs(std::shared_ptr<JobBook> book, JobId job)
+{
+    auto item = co_await book->store->get(jobOutputsKey(job), KvFreshness::Linearizable);
+    if (!isOk(item)) {
+        co_return errorOf(item);
+    }
+    if (!valueOf(item)) {
+        co_return SavedOutputs();
+    }
+    co_return decodeSavedOutputs(valueOf(item)->value);
+}
+
+asio::awaitable<Result<Done>> listResults(std::shared_ptr<JobBook> book, JobId job, std::map<std::uint32_t, JobResult> finished, SavedOutputs outputs)
 {
     const auto states = statesOf(finished);
     milliseconds delay = writeRetry;
@@ -237,7 +290,7 @@
         if (decision.verdict == ListVerdict::Nothing) {
             co_return Done{};
         }
-        KvTransaction transaction = planListing(found->second, decision, finished);
+        KvTransaction transaction = planListing(found->second, decision, finished, outputs);
         const std::string key = transaction.writes.back().key;
         const std::string value = transaction.writes.back().value;
         auto outcome = co_await book->store->commit(std::move(transaction));
--- a/src/job/job_book_base.h
+++ b/src/job/job_book_base.h
@@ -20,6 +20,7 @@
 struct KnownJob {
     StoredJob record; ///< Record.
     std::uint64_t revision{0}; ///< Revision of its key.
+    bool claimed{false}; ///< Whether this host took the job over.
     TimePoint confirmedAt{}; ///< Begin of the last read of this record alone.
     std::map<std::uint64_t, JobResult> results; ///< Results held in memory, by position.
     std::vector<JobItem> items; ///< Items, when this host has loaded them.
@@ -72,8 +73,20 @@
 /** Loads the items of a job into the book. */
 boost::asio::awaitable<Result<Done>> loadJobItems(std::shared_ptr<JobBook> book, JobId job);
 
-/** Stores results of items that this host finished, at the next positions. NotOwner is reported as LeaseExpired. */
-boost::asio::awaitable<Result<Done>> listResults(std::shared_ptr<JobBook> book, JobId job, std::map<std::uint32_t, JobResult> finished);
+/**
+ * Stores results of items that this host finished, at the next positions. NotOwner is reported as LeaseExpired.
+ * @param outputs Outputs of unfinished items, kept by the same write.
+ */
+boost::asio::awaitable<Result<Done>> listResults(std::shared_ptr<JobBook> book, JobId job, std::map<std::uint32_t, JobResult> finished, SavedOutputs outputs);
+
+/**
+ * Keeps the outputs of unfinished items while this host owns the job.
+ * @param release Whether the host gives the job up, so that another one goes on at once.
+ */
+boost::asio::awaitable<Result<Done>> saveOutputs(std::shared_ptr<JobBook> book, JobId job, SavedOutputs outputs, bool release);
+
+/** @return The kept outputs; none when there are none. */
+boost::asio::awaitable<Result<SavedOutputs>> loadOutputs(std::shared_ptr<JobBook> book, JobId job);
 
 /** Makes this host the owner of a job if the record is still at the known revision. @return Whether it is. */
 boost::asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job);
--- a/src/job/job_policy.cpp
+++ b/src/job/job_policy.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds missingBound{500}; ///< Time for a moved status datagram or entry to arrive.
-constexpr std::chrono::milliseconds rankStep{700}; ///< Delay of each later rank: a claim and its way to the others.
+constexpr std::chrono::milliseconds missingBound{300}; ///< Time for a status datagram or an entry that is on its way to arrive.
+constexpr std::chrono::milliseconds rankStep{400}; ///< Delay of each later rank: a claim and its way to the others.
 constexpr std::chrono::milliseconds unregisteredBound{5000}; ///< An owner that is heard of but cannot write for so long does not get results into the service.
 
 std::set<std::uint32_t> listedIndexes(const StoredJob &record)
@@ -75,6 +75,9 @@
         return false;
     }
     const auto rankDelay = rankStep * input.rank;
+    if (input.released) {
+        return input.missingFor >= rankDelay;
+    }
     if (!input.ownerRegistered && !input.ownerHeard) {
         return input.missingFor >= missingBound + rankDelay;
     }
--- a/src/job/job_policy_func.h
+++ b/src/job/job_policy_func.h
@@ -50,6 +50,7 @@
 struct ClaimInput {
     bool open{false}; ///< Whether items have no result and the job was not ended.
     bool ownerIsOwn{false}; ///< Whether this host owns it.
+    bool released{false}; ///< Whether the last owner gave it up.
     bool ownerRegistered{false}; ///< Whether the owner's entry is in the service.
     bool ownerHeard{false}; ///< Whether the owner was heard of lately.
     std::chrono::milliseconds missingFor{0}; ///< Time since the owner was first found to be neither registered nor heard.
--- a/src/job/job_record.cpp
+++ b/src/job/job_record.cpp
@@ -67,6 +67,49 @@
     return numbered(jobResultPrefix(job), position);
 }
 
+std::string jobOutputsKey(const JobId &job)
+{
+    return "outputs/" + job.value;
+}
+
+std::string encodeSavedOutputs(const SavedOutputs &outputs, std::size_t maxBytes)
+{
+    boost::json::array items;
+    std::size_t bytes = 0;
+    for (const auto &[index, output] : outputs) {
+        bytes += output.text.size();
+        if (bytes > maxBytes) {
+            break;
+        }
+        items.push_back(boost::json::array{index, output.lastEventId, output.events, output.failures, output.text});
+    }
+    return boost::json::serialize(items);
+}
+
+Result<SavedOutputs> decodeSavedOutputs(std::string_view value)
+{
+    constexpr std::size_t fields = 5;
+    boost::system::error_code error;
+    const auto parsed = boost::json::parse(boost::json::string_view(value.data(), value.size()), error);
+    if (error || !parsed.is_array()) {
+        return invalidRecord("outputs are not an array");
+    }
+    SavedOutputs outputs;
+    for (const auto &entry : parsed.get_array()) {
+        const auto *item = entry.if_array();
+        if (item == nullptr || item->size() != fields || !(*item)[4].is_string()) {
+            return invalidRecord("output without text");
+        }
+        SavedOutput output;
+        output.lastEventId = (*item)[1].to_number<std::uint64_t>();
+        output.events = (*item)[2].to_number<std::uint64_t>();
+        output.failures = (*item)[3].to_number<unsigned>();
+        output.text = std::string((*item)[4].get_string());
+        outputs[(*item)[0].to_number<std::uint32_t>()] = std::move(output);
+    }
+    return outputs;
+}
+
 std::string encodeStoredJob(const StoredJob &record)
 {
     boost::json::array items;
--- a/src/job/job_record_func.h
+++ b/src/job/job_record_func.h
@@ -30,6 +30,15 @@
 /** @return Key of the result at @p position; keys sort by position. */
 [[nodiscard]] std::string jobResultKey(const JobId &job, std::uint64_t position);
 
+/** @return Key of the kept outputs of @p job. */
+[[nodiscard]] std::string jobOutputsKey(const JobId &job);
+
+/** @return Stored form of @p outputs; outputs beyond @p maxBytes of text are left out. */
+[[nodiscard]] std::string encodeSavedOutputs(const SavedOutputs &outputs, std::size_t maxBytes);
+
+/** @return The outputs in @p value, or InvalidDocument. */
+[[nodiscard]] Result<SavedOutputs> decodeSavedOutputs(std::string_view value);
+
 /** @return Stored form of @p record. */
 [[nodiscard]] std::string encodeStoredJob(const StoredJob &record);
 
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -21,8 +21,10 @@
 constexpr unsigned claimRounds = 10; ///< Rounds between two looks for jobs without an owner.
 constexpr unsigned lastSlotRounds = 8; ///< A host that is not preferred on a target takes the last slot in one round of so many.
 constexpr milliseconds listDelay{200}; ///< Results of a job are stored together for so long.
+constexpr milliseconds saveInterval{2000}; ///< Outputs of a job are kept so often: half of an item's time at most is lost with its host.
+constexpr std::uint64_t leastNewEvents = 20; ///< Fewer new events are not worth a write.
 constexpr milliseconds keepAfterClose{150000}; ///< Time after submission after which a closed job is removed; readers may come for 120 s.
-constexpr milliseconds settleAfterStart{1500}; ///< Claims begin after so long, when the status of every live host has arrived.
+constexpr milliseconds settleAfterStart{700}; ///< Claims begin after so long, when the status of every live host has arrived.
 constexpr std::size_t removalsPerWrite = kvTransactionEntries - 1; ///< A condition takes one entry of a transaction.
 
 /** A candidate for a start. */
@@ -73,6 +75,8 @@
     }
     OwnedJob &entry = runner.owned[job];
     if (owned == runner.owned.end()) {
+        entry.fresh = !known->second.items.empty() && !known->second.claimed;
+        entry.savedAt = BootClock::now();
         for (std::uint32_t i = 0; i < known->second.record.items.size(); ++i) {
             entry.runs[i] = std::make_shared<ItemRun>();
         }
@@ -87,16 +91,70 @@
     }
 }
 
+/** Takes kept outputs into items that have not run here. */
+void takeOutputs(OwnedJob &owned, const SavedOutputs &outputs)
+{
+    for (const auto &[index, output] : outputs) {
+        const auto found = owned.runs.find(index);
+        if (found == owned.runs.end() || found->second->phase != ItemPhase::Pending || found->second->events > 0) {
+            continue;
+        }
+        ItemRun &run = *found->second;
+        run.splitter.last = output.lastEventId;
+        run.events = output.events;
+        run.failures = output.failures;
+        run.text = output.text;
+    }
+}
+
 asio::awaitable<void> loadOwned(RunnerPtr runner, JobId job)
 {
-    const auto loaded = co_await loadJobItems(runner->book, job);
+    Result<SavedOutputs> outputs = SavedOutputs();
+    const auto begun = runner->owned.find(job);
+    if (begun != runner->owned.end() && !begun->second.fresh) {
+        outputs = co_await loadOutputs(runner->book, job);
+    }
+    Result<Done> loaded = Done{};
+    if (isOk(outputs)) {
+        loaded = co_await loadJobItems(runner->book, job);
+    }
     const auto owned = runner->owned.find(job);
     if (owned != runner->owned.end()) {
         owned->second.loading = false;
     }
-    if (!isOk(loaded)) {
-        logEvent(EventKind::ItemFailed, {}, {{"job", job.value}, {"error", "load"}, {"detail", errorOf(loaded).detail}});
+    if (!isOk(outputs) || !isOk(loaded)) {
+        const Error &error = isOk(outputs) ? errorOf(loaded) : errorOf(outputs);
+        logEvent(EventKind::ItemFailed, {}, {{"job", job.value}, {"error", "load"}, {"detail", error.detail}});
+    } else if (owned != runner->owned.end()) {
+        takeOutputs(owned->second, valueOf(outputs));
+    }
+}
+
+/** @return Outputs of the items of a job that have made some and are not finished. */
+SavedOutputs outputsOf(const OwnedJob &owned)
+{
+    SavedOutputs outputs;
+    for (const auto &[index, run] : owned.runs) {
+        if (run->phase != ItemPhase::Finished && (run->events > 0 || run->failures > 0)) {
+            outputs[index] = {run->splitter.last, run->events, run->failures, run->text};
+        }
+    }
+    return outputs;
+}
+
+std::uint64_t eventsOf(const OwnedJob &owned)
+{
+    std::uint64_t events = 0;
+    for (const auto &[index, run] : owned.runs) {
+        events += run->phase == ItemPhase::Finished ? 0 : run->events;
     }
+    return events;
+}
+
+void noteSaved(OwnedJob &owned)
+{
+    owned.savedAt = BootClock::now();
+    owned.savedEvents = eventsOf(owned);
 }
 
 asio::awaitable<void> listOwned(RunnerPtr runner, JobId job)
@@ -112,10 +170,12 @@
             finished[index] = JobResult{known->second.record.items[index].id, run->state, run->text};
         }
     }
-    co_await listResults(runner->book, job, std::move(finished));
+    SavedOutputs outputs = outputsOf(owned->second);
+    noteSaved(owned->second);
+    co_await listResults(runner->book, job, std::move(finished), std::move(outputs));
     const auto again = runner->owned.find(job);
     if (again != runner->owned.end()) {
-        again->second.listing = false;
+        again->second.writing = false;
         followRecord(*runner, job);
     }
     if (const auto rest = runner->owned.find(job); rest != runner->owned.end()) {
@@ -126,6 +186,23 @@
     }
 }
 
+/** Keeps the outputs of unfinished items in the service. */
+asio::awaitable<void> saveOwned(RunnerPtr runner, JobId job, bool release)
+{
+    const auto owned = runner->owned.find(job);
+    if (owned == runner->owned.end()) {
+        co_return;
+    }
+    SavedOutputs outputs = outputsOf(owned->second);
+    noteSaved(owned->second);
+    const auto saved = co_await saveOutputs(runner->book, job, std::move(outputs), release);
+    addCounter(*runner->proxy->metrics, "skylark_job_saves_total", {{"outcome", isOk(saved) ? "stored" : "failed"}});
+    if (const auto again = runner->owned.find(job); again != runner->owned.end()) {
+        again->second.writing = false;
+        followRecord(*runner, job);
+    }
+}
+
 /** Gives up items whose time is over or whose route is gone. */
 void giveUpItems(JobRunner::Impl &runner, const StoredJob &record, OwnedJob &owned)
 {
@@ -157,13 +234,17 @@
     for (auto &[job, owned] : runner->owned) {
         const KnownJob &known = runner->book->jobs.at(job);
         giveUpItems(*runner, known.record, owned);
+        const bool saving = eventsOf(owned) > owned.savedEvents + leastNewEvents && now - owned.savedAt >= saveInterval;
         if (known.items.empty() && !owned.loading) {
             owned.loading = true;
             asio::co_spawn(runner->book->executor, loadOwned(runner, job), asio::detached);
         }
-        if (owned.firstFinished != TimePoint{} && !owned.listing && now - owned.firstFinished >= listDelay) {
-            owned.listing = true;
+        if (owned.firstFinished != TimePoint{} && !owned.writing && now - owned.firstFinished >= listDelay) {
+            owned.writing = true;
             asio::co_spawn(runner->book->executor, listOwned(runner, job), asio::detached);
+        } else if (saving && !owned.writing) {
+            owned.writing = true;
+            asio::co_spawn(runner->book->executor, saveOwned(runner, job, false), asio::detached);
         }
     }
 }
@@ -295,6 +376,7 @@
             runner->missing.erase(job);
             continue;
         }
+        input.released = owner.empty();
         input.ownerRegistered = isRegistered(*runner, owner);
         input.ownerHeard = heardLately(runner->proxy->board, owner, now);
         if (input.ownerRegistered) {
@@ -321,6 +403,7 @@
     KvTransaction transaction;
     transaction.conditions.push_back({jobRecordKey(job), revision});
     transaction.removals.push_back(jobRecordKey(job));
+    transaction.removals.push_back(jobOutputsKey(job));
     for (std::uint32_t part = 0; part < record.bodyParts && transaction.removals.size() < removalsPerWrite; ++part) {
         transaction.removals.push_back(jobBodyKey(job, part));
     }
@@ -457,9 +540,22 @@
     }
 }
 
-void stopStartingItems(JobRunner &runner)
+asio::awaitable<void> handOverJobs(JobRunner &runner)
 {
-    runner.impl->starting = false;
+    const RunnerPtr impl = runner.impl;
+    impl->starting = false;
+    std::vector<JobId> jobs;
+    for (auto &[job, owned] : impl->owned) {
+        jobs.push_back(job);
+        for (auto &[index, run] : owned.runs) {
+            run->yielded = run->phase == ItemPhase::Running;
+            cutRun(*run);
+        }
+    }
+    for (const JobId &job : jobs) {
+        co_await listOwned(impl, job);
+        co_await saveOwned(impl, job, true);
+    }
 }
 
 std::size_t unfinishedItems(const JobRunner &runner)
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -37,7 +37,10 @@
 struct OwnedJob {
     std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs; ///< Items without a position, by index.
     bool loading{false}; ///< Whether the items are being loaded.
-    bool listing{false}; ///< Whether results are being stored.
+    bool fresh{true}; ///< Whether this host accepted the job itself, so that no outputs are kept.
+    bool writing{false}; ///< Whether results or outputs are being stored.
+    TimePoint savedAt{}; ///< When outputs were last stored.
+    std::uint64_t savedEvents{0}; ///< Events in the outputs that were stored.
     TimePoint firstFinished{}; ///< When the oldest result that is not stored yet was made.
 };
 
--- a/src/job/job_runner_func.h
+++ b/src/job/job_runner_func.h
@@ -21,8 +21,8 @@
 /** Cancels batch items that are in the way of online requests. Called when the counts of other hosts or of this one change. */
 void yieldToOnline(JobRunner &runner);
 
-/** Starts no further items; running ones go on. */
-void stopStartingItems(JobRunner &runner);
+/** Stops running items, keeps their outputs and gives up the jobs of this host, so that others go on with them. */
+boost::asio::awaitable<void> handOverJobs(JobRunner &runner);
 
 /** @return Items that run on targets now, and results that are not stored yet. */
 [[nodiscard]] std::size_t unfinishedItems(const JobRunner &runner);
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -6,6 +6,7 @@
 #include "http/http_type.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,17 @@
     std::string text; ///< Data of all events, separated by line feeds; empty for a failed item.
 };
 
+/** Output of an unfinished item that is kept, so that another host goes on from there. */
+struct SavedOutput {
+    std::uint64_t lastEventId{0}; ///< Last event in the text.
+    std::uint64_t events{0}; ///< Number of events in the text.
+    unsigned failures{0}; ///< Runs that a target itself reported as failed.
+    std::string text; ///< Data of these events.
+};
+
+/** Kept outputs of a job by the index of the item. */
+using SavedOutputs = std::map<std::uint32_t, SavedOutput>;
+
 /** One read of results. */
 struct JobPage {
     std::uint64_t total{0}; ///< Items of the job.
