--- a/src/policy/spread.cpp
+++ b/src/policy/spread.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr double batchWeight = 0.15; ///< Load of a batch item in slots: it gives way, but costs a cancellation.
+constexpr double yieldCost = 1.0; ///< Load that a cancelled batch item is worth: any target with a free slot is better.
+constexpr double queueCost = 2.0; ///< Load that waiting is worth: a target where batch gives way is better.
 constexpr double otherDomainCost = 0.08; ///< Load that crossing failure domains is worth: a round trip of 7 ms beside an answer of 100 ms.
 constexpr double suspectCost = 4.0; ///< Load of a recent failure; a suspect is used only when all others are full.
 constexpr double tieSpread = 0.02; ///< Random share of a score.
@@ -21,17 +22,6 @@
     return candidate.slots + std::max(1U, candidate.slots * limits.queuePerSlotPercent / percent);
 }
 
-double score(const SpreadCandidate &candidate, std::uint64_t &random)
-{
-    const double slots = std::max(1U, candidate.slots);
-    const double free = std::max(0.0, slots - candidate.online);
-    const double blocked = std::max(0.0, candidate.batch + 1.0 - free);
-    double value = (candidate.online + batchWeight * std::min<double>(candidate.batch, blocked)) / slots * candidate.slowness;
-    value += candidate.sameDomain ? 0.0 : otherDomainCost;
-    value += candidate.suspect ? suspectCost : 0.0;
-    return value + tieSpread * static_cast<double>(nextRandom(random) >> 11U) / static_cast<double>(1ULL << 53U);
-}
-
 SpreadReason reasonOf(const SpreadCandidate &candidate)
 {
     if (candidate.online >= candidate.slots) {
@@ -40,6 +30,18 @@
     return candidate.online + candidate.batch >= candidate.slots ? SpreadReason::BatchYields : SpreadReason::FreeSlot;
 }
 
+double score(const SpreadCandidate &candidate, std::uint64_t &random)
+{
+    const double slots = std::max(1U, candidate.slots);
+    const SpreadReason reason = reasonOf(candidate);
+    double value = (reason == SpreadReason::FreeSlot ? candidate.online + candidate.batch : candidate.online) / slots * candidate.slowness;
+    value += reason == SpreadReason::BatchYields ? yieldCost : 0.0;
+    value += reason == SpreadReason::Queued ? queueCost : 0.0;
+    value += candidate.sameDomain ? 0.0 : otherDomainCost;
+    value += candidate.suspect ? suspectCost : 0.0;
+    return value + tieSpread * static_cast<double>(nextRandom(random) >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
 } // namespace
 
 std::string_view spreadReasonName(SpreadReason reason)
