--- a/src/fleet/load_board.cpp
+++ b/src/fleet/load_board.cpp
@@ -84,8 +84,8 @@
     }
 }
 
-LoadTicket::LoadTicket(LoadBoard &where, TargetId id, bool isBatch)
-    : board(&where)
+LoadTicket::LoadTicket(std::shared_ptr<LoadBoard> where, TargetId id, bool isBatch)
+    : board(std::move(where))
     , target(std::move(id))
     , batch(isBatch)
 {
--- a/src/fleet/load_board_base.h
+++ b/src/fleet/load_board_base.h
@@ -5,6 +5,7 @@
 #include "peer/status_type.h"
 
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace skylark {
@@ -50,11 +51,11 @@
 
 /** Counts one request on a target of this host as long as it exists. */
 struct LoadTicket {
-    LoadBoard *board{nullptr}; ///< Board; null for a moved-from ticket.
+    std::shared_ptr<LoadBoard> board; ///< Board.
     TargetId target; ///< Target.
     bool batch{false}; ///< Whether it is a batch item.
 
-    LoadTicket(LoadBoard &where, TargetId id, bool isBatch);
+    LoadTicket(std::shared_ptr<LoadBoard> where, TargetId id, bool isBatch);
     LoadTicket(const LoadTicket &) = delete;
     LoadTicket &operator=(const LoadTicket &) = delete;
     ~LoadTicket();
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -208,6 +208,7 @@
         return sum + item.tokens;
     });
     bool mayBeStored = false;
+    bool refreshed = false;
     Error last = makeError(ErrorCode::PlatformUnavailable, "no attempt");
     for (unsigned attempt = 0; attempt < acceptAttempts; ++attempt) {
         if (const auto found = book->jobs.find(record.id); found != book->jobs.end() && found->second.revision > 0) {
@@ -215,15 +216,18 @@
         }
         const std::uint64_t waiting = waitingOn(*book, rule);
         const AcceptVerdict verdict = decideAccept(waiting, tokens, rule.maxWaitingTokens);
+        if (verdict == AcceptVerdict::Refuse && !mayBeStored && !refreshed) {
+            // Items may have finished elsewhere, and the job itself may be stored, without this host having heard of it yet.
+            const auto current = co_await refreshJobs(book);
+            refreshed = isOk(current);
+            last = isOk(current) ? last : errorOf(current);
+            continue;
+        }
         if (verdict == AcceptVerdict::Refuse && !mayBeStored) {
-            auto stored = co_await fetchJob(book, record.id);
-            if (isOk(stored) && valueOf(stored)) {
-                continue;
-            }
             logEvent(EventKind::JobRefused,
                      record.id.value,
                      {{"route", rule.name}, {"reason", "limit"}, {"tokens", tokens}, {"waiting", waiting}, {"limit", rule.maxWaitingTokens}});
-            co_return isOk(stored) ? failure(429, "token_limit", quotaRetryAfter) : failure(503, "store_unavailable", storeRetryAfter);
+            co_return failure(429, "token_limit", quotaRetryAfter);
         }
         KvTransaction transaction = acceptTransaction(*book, record, call, quotaKey, verdict != AcceptVerdict::Accept);
         auto outcome = co_await book->store->commit(std::move(transaction));
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace skylark {
@@ -27,6 +28,14 @@
 constexpr milliseconds settleAfterStart{700}; ///< Claims begin after so long, when the status of every live host has arrived.
 constexpr std::size_t removalsPerWrite = kvTransactionEntries - 1; ///< A condition takes one entry of a transaction.
 
+/** Begins @p task after the present handler, so that what it changes is not being iterated over. */
+void spawnLater(const RunnerPtr &runner, std::function<asio::awaitable<void>()> task)
+{
+    asio::post(runner->book->executor, [runner, task = std::move(task)] {
+        asio::co_spawn(runner->book->executor, task(), asio::detached);
+    });
+}
+
 /** A candidate for a start. */
 struct PendingItem {
     JobId job; ///< Job.
@@ -237,14 +246,20 @@
         const bool saving = eventsOf(owned) > owned.savedEvents + leastNewEvents && now - owned.savedAt >= saveInterval;
         if (known.items.empty() && !owned.loading) {
             owned.loading = true;
-            asio::co_spawn(runner->book->executor, loadOwned(runner, job), asio::detached);
+            spawnLater(runner, [runner, id = job] {
+                return loadOwned(runner, id);
+            });
         }
         if (owned.firstFinished != TimePoint{} && !owned.writing && now - owned.firstFinished >= listDelay) {
             owned.writing = true;
-            asio::co_spawn(runner->book->executor, listOwned(runner, job), asio::detached);
+            spawnLater(runner, [runner, id = job] {
+                return listOwned(runner, id);
+            });
         } else if (saving && !owned.writing) {
             owned.writing = true;
-            asio::co_spawn(runner->book->executor, saveOwned(runner, job, false), asio::detached);
+            spawnLater(runner, [runner, id = job] {
+                return saveOwned(runner, id, false);
+            });
         }
     }
 }
@@ -326,8 +341,10 @@
                     {"batch", counts.batch},
                     {"slack_ms", (item.due - unixNow()).count()}});
         // The item counts from now on, not from the first step of its coroutine.
-        auto ticket = std::make_shared<const LoadTicket>(runner->proxy->board, target->id, true);
-        asio::co_spawn(runner->book->executor, runItem(runner, item.job, item.index, run, *target, std::move(ticket)), asio::detached);
+        auto ticket = std::make_shared<const LoadTicket>(boardOf(runner->proxy), target->id, true);
+        spawnLater(runner, [runner, item, run, entry = *target, ticket = std::move(ticket)] {
+            return runItem(runner, item.job, item.index, run, entry, ticket);
+        });
         started = true;
     }
     if (started) {
@@ -392,14 +409,17 @@
         input.unregisteredFor = std::chrono::duration_cast<milliseconds>(now - missing.unregisteredSince);
         input.rank = rankFor(*runner, job, now);
         if (mayClaim(input) && runner->claiming.insert(job).second) {
-            asio::co_spawn(runner->book->executor, claimOrphan(runner, job), asio::detached);
+            spawnLater(runner, [runner, id = job] {
+                return claimOrphan(runner, id);
+            });
         }
     }
 }
 
 /** Removes one closed job that nobody may ask for any more. */
-asio::awaitable<void> removeJob(RunnerPtr runner, JobId job, StoredJob record, std::uint64_t revision)
+asio::awaitable<void> removeJob(RunnerPtr runner, StoredJob record, std::uint64_t revision)
 {
+    const JobId job = record.id;
     KvTransaction transaction;
     transaction.conditions.push_back({jobRecordKey(job), revision});
     transaction.removals.push_back(jobRecordKey(job));
@@ -420,7 +440,9 @@
     for (const auto &[job, known] : runner->book->jobs) {
         const bool own = known.record.owner == runner->book->session && known.revision > 0;
         if (own && !isOpen(known.record) && now > known.record.created + keepAfterClose && runner->claiming.insert(job).second) {
-            asio::co_spawn(runner->book->executor, removeJob(runner, job, known.record, known.revision), asio::detached);
+            spawnLater(runner, [runner, record = known.record, revision = known.revision] {
+                return removeJob(runner, record, revision);
+            });
         }
     }
 }
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -400,7 +400,7 @@
         const TimePoint begun = BootClock::now();
         forwarding.target = target.id;
         {
-            const LoadTicket ticket(proxy.board, target.id, false);
+            const LoadTicket ticket(boardOf(forwarding.proxy), target.id, false);
             if (choice.reason != SpreadReason::FreeSlot) {
                 proxy.announceLoad();
             }
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -37,6 +37,12 @@
     bool stopping{false}; ///< Whether a planned stop has begun.
 };
 
+/** @return The board of @p proxy, for tickets that may outlive other users of the proxy. */
+[[nodiscard]] inline std::shared_ptr<LoadBoard> boardOf(const std::shared_ptr<Proxy> &proxy)
+{
+    return {proxy, &proxy->board};
+}
+
 /** Notes that a target answered as expected. @param firstAnswer Time to the first answer, if the request found a free slot. */
 void noteTargetSuccess(Proxy &proxy, const TargetId &target, std::optional<std::chrono::milliseconds> firstAnswer);
 
--- /dev/null
+++ b/standins/memory_store.cpp
@@ -0,0 +1,327 @@
+/** @file memory_store.cpp Key-value service in memory with faults that tests switch on. */
+#include "memory_store_base.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace skylark::standin {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+using StorePtr = std::shared_ptr<MemoryStore>;
+
+constexpr std::size_t pageItems = 500;
+constexpr std::size_t pageBytes = std::size_t{1} << 20U;
+
+Error unavailable()
+{
+    return makeError(ErrorCode::PlatformUnavailable, "the stand-in is down");
+}
+
+void wake(MemoryStore &store)
+{
+    for (const auto &timer : store.waiters) {
+        timer->cancel();
+    }
+}
+
+void change(MemoryStore &store, const std::string &key, const std::string &value, std::uint64_t lease, bool deleted)
+{
+    KvItem item{key, value, store.revision, deleted};
+    store.history.push_back(item);
+    if (deleted) {
+        store.items.erase(key);
+    } else {
+        store.items[key] = {std::move(item), lease};
+    }
+}
+
+void removeExpired(MemoryStore &store)
+{
+    const TimePoint now = BootClock::now();
+    std::vector<std::uint64_t> ended;
+    for (const auto &[lease, end] : store.leases) {
+        if (end <= now) {
+            ended.push_back(lease);
+        }
+    }
+    for (const std::uint64_t lease : ended) {
+        expireLease(store, lease);
+    }
+}
+
+/** @return The keys under @p prefix as of revision @p revision. */
+std::map<std::string, KvItem> stateAt(const MemoryStore &store, const std::string &prefix, std::uint64_t revision)
+{
+    std::map<std::string, KvItem> state;
+    for (const KvItem &item : store.history) {
+        if (item.revision > revision || !item.key.starts_with(prefix)) {
+            continue;
+        }
+        if (item.deleted) {
+            state.erase(item.key);
+        } else {
+            state[item.key] = item;
+        }
+    }
+    return state;
+}
+
+asio::awaitable<Result<std::optional<KvItem>>> getKey(StorePtr store, std::string key)
+{
+    ++store->counts.gets;
+    removeExpired(*store);
+    if (store->faults.down) {
+        co_return unavailable();
+    }
+    const auto found = store->items.find(key);
+    co_return found == store->items.end() ? std::optional<KvItem>() : std::optional<KvItem>(found->second.item);
+}
+
+asio::awaitable<Result<KvItemPage>> getRange(StorePtr store, std::string prefix, std::string after, KvFreshness freshness)
+{
+    ++store->counts.ranges;
+    removeExpired(*store);
+    if (store->faults.down) {
+        co_return unavailable();
+    }
+    const bool stale = freshness == KvFreshness::Stale && store->faults.staleBefore > 0;
+    KvItemPage page;
+    page.storeRevision = stale ? store->faults.staleBefore : store->revision;
+    std::size_t bytes = 0;
+    for (auto &[key, item] : stateAt(*store, prefix, page.storeRevision)) {
+        if (key <= after) {
+            continue;
+        }
+        if (page.items.size() == pageItems || (bytes > 0 && bytes + item.value.size() > pageBytes)) {
+            page.more = true;
+            break;
+        }
+        bytes += item.value.size();
+        page.items.push_back(item);
+    }
+    co_return page;
+}
+
+KvChanges changesSince(const MemoryStore &store, const std::string &prefix, std::uint64_t after)
+{
+    KvChanges changes;
+    changes.storeRevision = store.revision;
+    for (const KvItem &item : store.history) {
+        if (item.revision > after && item.key.starts_with(prefix)) {
+            changes.items.push_back(item);
+        }
+    }
+    return changes;
+}
+
+asio::awaitable<Result<KvChanges>> watch(StorePtr store, std::string prefix, std::uint64_t after, milliseconds wait)
+{
+    ++store->counts.watches;
+    const TimePoint until = BootClock::now() + wait;
+    for (;;) {
+        removeExpired(*store);
+        if (store->faults.down || store->cutWatches) {
+            co_return unavailable();
+        }
+        KvChanges changes = store->faults.deafWatches ? KvChanges{{}, store->revision, false} : changesSince(*store, prefix, after);
+        changes.compacted = after < store->compactedTo && !store->faults.deafWatches;
+        if (changes.compacted || !changes.items.empty() || BootClock::now() >= until) {
+            co_return changes;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(store->executor);
+        timer->expires_after(std::min<std::chrono::nanoseconds>(until - BootClock::now(), milliseconds(50)));
+        store->waiters.insert(timer);
+        boost::system::error_code ignored;
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        store->waiters.erase(timer);
+    }
+}
+
+/** Decides and applies a transaction. */
+KvDecision apply(MemoryStore &store, const KvTransaction &transaction)
+{
+    KvDecision decision;
+    bool holds = true;
+    for (const KvCondition &condition : transaction.conditions) {
+        const auto found = store.items.find(condition.key);
+        const std::uint64_t present = found == store.items.end() ? 0 : found->second.item.revision;
+        holds = holds && present == condition.revision;
+        if (found != store.items.end()) {
+            decision.present.push_back(found->second.item);
+        }
+    }
+    if (!holds) {
+        return decision;
+    }
+    decision.present.clear();
+    decision.applied = true;
+    decision.revision = ++store.revision;
+    for (const KvWrite &write : transaction.writes) {
+        change(store, write.key, write.value, write.lease, false);
+    }
+    for (const std::string &key : transaction.removals) {
+        change(store, key, {}, 0, true);
+    }
+    wake(store);
+    return decision;
+}
+
+asio::awaitable<void> applyLater(StorePtr store, KvTransaction transaction, milliseconds delay)
+{
+    asio::steady_timer timer(store->executor);
+    timer.expires_after(delay);
+    co_await timer.async_wait(asio::use_awaitable);
+    apply(*store, transaction);
+}
+
+asio::awaitable<Result<KvDecision>> commit(StorePtr store, KvTransaction transaction)
+{
+    ++store->counts.commits;
+    removeExpired(*store);
+    if (store->faults.down) {
+        co_return unavailable();
+    }
+    for (const KvWrite &write : transaction.writes) {
+        if (write.lease != 0 && !store->leases.contains(write.lease)) {
+            co_return makeError(ErrorCode::LeaseExpired, "no such lease");
+        }
+    }
+    const Error lost = makeError(ErrorCode::OutcomeUnknown, "the answer was lost", RunState::Maybe);
+    if (store->faults.lateWrites.count() > 0) {
+        asio::co_spawn(store->executor, applyLater(store, std::move(transaction), store->faults.lateWrites), asio::detached);
+        co_return lost;
+    }
+    if (store->faults.dropsWrites) {
+        co_return lost;
+    }
+    const KvDecision decision = apply(*store, transaction);
+    if (store->faults.losesWriteAnswers) {
+        co_return lost;
+    }
+    co_return decision;
+}
+
+asio::awaitable<Result<std::uint64_t>> grantLease(StorePtr store, milliseconds ttl)
+{
+    if (store->faults.down) {
+        co_return unavailable();
+    }
+    const std::uint64_t lease = store->nextLease++;
+    store->leases[lease] = BootClock::now() + ttl;
+    co_return lease;
+}
+
+asio::awaitable<Result<Done>> renewLease(StorePtr store, std::uint64_t lease)
+{
+    removeExpired(*store);
+    if (store->faults.down) {
+        co_return unavailable();
+    }
+    const auto found = store->leases.find(lease);
+    if (found == store->leases.end()) {
+        co_return makeError(ErrorCode::LeaseExpired, "no such lease");
+    }
+    found->second = BootClock::now() + milliseconds(3000);
+    co_return Done{};
+}
+
+asio::awaitable<Result<Done>> endLease(StorePtr store, std::uint64_t lease)
+{
+    if (store->faults.down) {
+        co_return unavailable();
+    }
+    expireLease(*store, lease);
+    co_return Done{};
+}
+
+} // namespace
+
+std::shared_ptr<MemoryStore> MemoryStore::create(asio::any_io_executor executor)
+{
+    auto store = std::make_shared<MemoryStore>();
+    store->executor = std::move(executor);
+    return store;
+}
+
+std::shared_ptr<const KvStore> storeInterface(const StorePtr &store)
+{
+    auto operations = std::make_shared<KvStore>();
+    operations->get = [store](std::string key, KvFreshness /*freshness*/) {
+        return getKey(store, std::move(key));
+    };
+    operations->range = [store](std::string prefix, std::string after, KvFreshness freshness) {
+        return getRange(store, std::move(prefix), std::move(after), freshness);
+    };
+    operations->watch = [store](std::string prefix, std::uint64_t after, milliseconds wait) {
+        return watch(store, std::move(prefix), after, wait);
+    };
+    operations->commit = [store](KvTransaction transaction) {
+        return commit(store, std::move(transaction));
+    };
+    operations->grantLease = [store](milliseconds ttl) {
+        return grantLease(store, ttl);
+    };
+    operations->renewLease = [store](std::uint64_t lease) {
+        return renewLease(store, lease);
+    };
+    operations->endLease = [store](std::uint64_t lease) {
+        return endLease(store, lease);
+    };
+    return operations;
+}
+
+void putKey(MemoryStore &store, const std::string &key, const std::string &value)
+{
+    ++store.revision;
+    change(store, key, value, 0, false);
+    wake(store);
+}
+
+void removeKey(MemoryStore &store, const std::string &key)
+{
+    ++store.revision;
+    change(store, key, {}, 0, true);
+    wake(store);
+}
+
+void expireLease(MemoryStore &store, std::uint64_t lease)
+{
+    store.leases.erase(lease);
+    std::vector<std::string> keys;
+    for (const auto &[key, stored] : store.items) {
+        if (stored.lease == lease) {
+            keys.push_back(key);
+        }
+    }
+    for (const std::string &key : keys) {
+        removeKey(store, key);
+    }
+}
+
+void compact(MemoryStore &store)
+{
+    store.compactedTo = store.revision;
+    std::erase_if(store.history, [&store](const KvItem &item) {
+        const auto found = store.items.find(item.key);
+        return found == store.items.end() || found->second.item.revision != item.revision;
+    });
+    store.cutWatches = true;
+    wake(store);
+    asio::co_spawn(
+        store.executor,
+        [](MemoryStore &cut) -> asio::awaitable<void> {
+            asio::steady_timer timer(cut.executor);
+            timer.expires_after(milliseconds(60));
+            co_await timer.async_wait(asio::use_awaitable);
+            cut.cutWatches = false;
+        }(store),
+        asio::detached);
+}
+
+} // namespace skylark::standin
--- /dev/null
+++ b/standins/replica.cpp
@@ -0,0 +1,180 @@
+/** @file replica.cpp Replica of the platform in memory. */
+#include "replica_base.h"
+
+#include "core/hash_func.h"
+#include "names.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+
+namespace skylark::standin {
+
+namespace asio = boost::asio;
+using namespace skylark::platform;
+
+namespace {
+
+std::uint64_t numberHeader(const HttpRequest &request, std::string_view name)
+{
+    const std::string_view text = headerValue(request.headers, name);
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+asio::awaitable<void> pause(std::chrono::milliseconds delay)
+{
+    if (delay.count() == 0) {
+        co_return;
+    }
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(delay);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+HttpHeaders answerHeaders(const ReplicaPlan &plan, const std::string &id)
+{
+    HttpHeaders headers{{std::string(headerRequestId), plan.wrongId ? "another-request" : id}};
+    if (!plan.unsignedAnswer) {
+        headers.push_back({std::string(headerSignature), "signature-of-" + id});
+    }
+    headers.push_back({"Content-Type", plan.stream ? "text/event-stream" : "text/plain"});
+    return headers;
+}
+
+asio::awaitable<void> refuse(HttpResponder &responder, int status, const std::string &id)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers = {{std::string(headerRequestId), id}, {std::string(headerNotExecuted), "1"}};
+    co_await sendResponse(responder, std::move(response));
+}
+
+std::string rawEvent(const std::string &id, unsigned number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + eventData(id, number) + "\n\n";
+}
+
+asio::awaitable<void> sendEvents(HttpResponder &responder, ReplicaPlan plan, std::shared_ptr<ReplicaRun> run)
+{
+    HttpHeaders headers = answerHeaders(plan, run->id);
+    co_await startStream(responder, plan.status, std::move(headers));
+    for (unsigned number = static_cast<unsigned>(run->after) + 1; number <= plan.events; ++number) {
+        co_await pause(plan.step);
+        if (run->callerClosed) {
+            co_return;
+        }
+        std::string bytes = rawEvent(run->id, number);
+        if (plan.skipsEvent && number == 3) {
+            bytes.clear();
+        }
+        if (plan.repeatsEvent && number == 3) {
+            bytes += bytes;
+        }
+        const auto sent = co_await writeChunk(responder, std::move(bytes));
+        if (!isOk(sent)) {
+            run->callerClosed = true;
+            co_return;
+        }
+        ++run->events;
+        if (plan.breakAfter == number) {
+            if (plan.breakInsideEvent) {
+                co_await writeChunk(responder, rawEvent(run->id, number + 1).substr(0, 9));
+            }
+            abortConnection(responder);
+            co_return;
+        }
+    }
+    co_await finishStream(responder);
+    run->finished = true;
+}
+
+asio::awaitable<void> sendWhole(HttpResponder &responder, ReplicaPlan plan, std::shared_ptr<ReplicaRun> run)
+{
+    HttpResponse response;
+    response.status = plan.status;
+    response.headers = answerHeaders(plan, run->id);
+    response.body = wholeText(run->id, plan.events);
+    if (plan.breakAfter > 0) {
+        abortConnection(responder);
+        co_return;
+    }
+    co_await sendResponse(responder, std::move(response));
+    run->finished = true;
+}
+
+asio::awaitable<void> handle(std::shared_ptr<Replica> replica, HttpRequest request, HttpResponder &responder)
+{
+    const std::string id(headerValue(request.headers, headerRequestId));
+    const unsigned number = replica->arrivals++;
+    const std::string_view expected = headerValue(request.headers, headerExpectInstance);
+    if (!expected.empty() && expected != replica->id) {
+        co_await refuse(responder, 421, id);
+        co_return;
+    }
+    const ReplicaPlan plan = replica->plan ? replica->plan(request, number) : ReplicaPlan{};
+    if (plan.status == 503 || plan.status == 429) {
+        co_await refuse(responder, plan.status, id);
+        co_return;
+    }
+    auto run = std::make_shared<ReplicaRun>();
+    run->id = id;
+    run->target = request.target;
+    run->body = request.body;
+    run->after = numberHeader(request, headerLastEvent);
+    run->budgetMs = numberHeader(request, headerDeadline);
+    replica->runs.push_back(run);
+    replica->mostActive = std::max(replica->mostActive, ++replica->active);
+    onCallerGone(responder, [run] {
+        run->callerClosed = true;
+    });
+    co_await pause(plan.firstDelay);
+    if (!run->callerClosed) {
+        if (plan.stream && plan.status == 200) {
+            co_await sendEvents(responder, plan, run);
+        } else {
+            co_await sendWhole(responder, plan, run);
+        }
+    }
+    --replica->active;
+}
+
+} // namespace
+
+std::shared_ptr<Replica> Replica::create(const asio::any_io_executor &executor, std::string id, std::uint16_t port)
+{
+    auto replica = std::make_shared<Replica>();
+    replica->id = std::move(id);
+    HttpServerOptions options;
+    options.listen = {"127.0.0.1", port};
+    options.maxHeader = 65536;
+    const std::weak_ptr<Replica> weak = replica;
+    auto server = HttpServer::create(executor, options, [weak](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+        if (const auto strong = weak.lock()) {
+            co_await handle(strong, std::move(request), responder);
+        }
+    });
+    if (!isOk(server)) {
+        return nullptr;
+    }
+    replica->server = std::move(valueOf(server));
+    return replica;
+}
+
+std::string eventData(const std::string &id, unsigned number)
+{
+    return hash128Hex(id + ':' + std::to_string(number));
+}
+
+std::string wholeText(const std::string &id, unsigned events)
+{
+    std::string text;
+    for (unsigned number = 1; number <= events; ++number) {
+        text += number > 1 ? "\n" : "";
+        text += eventData(id, number);
+    }
+    return text;
+}
+
+} // namespace skylark::standin
--- /dev/null
+++ b/tests/support/entry_fixture.h
@@ -0,0 +1,164 @@
+/** @file entry_fixture.h The traffic part of an entry host on the test's own event loop, with replicas and a store in memory. */
+#pragma once
+
+#include "call_wire_func.h"
+#include "entry/caller_service_func.h"
+#include "job/job_runner_func.h"
+#include "memory_store_base.h"
+#include "names.h"
+#include "replica_base.h"
+#include "support/process_func.h"
+
+#include <set>
+
+namespace skylark::test {
+
+/** What the hosts of a test share. */
+struct EntrySite : TestLoop {
+    std::shared_ptr<standin::MemoryStore> store{standin::MemoryStore::create(loop.get_executor())}; ///< Service.
+    std::vector<std::shared_ptr<standin::Replica>> replicas; ///< Replicas.
+    std::shared_ptr<RoutingConfig> config{std::make_shared<RoutingConfig>()}; ///< Configuration of all hosts.
+    std::shared_ptr<TargetMap> targets{std::make_shared<TargetMap>()}; ///< Targets of all hosts.
+
+    EntrySite()
+    {
+        this->config->version.value = 1;
+        this->addRoute("chat", "/chat/", CallKind::Stream);
+        this->config->routes.back().resumable = true;
+        this->addRoute("order", "/order/", CallKind::Unsafe);
+        this->addRoute("lookup", "/lookup/", CallKind::Safe);
+        this->addRoute("once", "/once/", CallKind::Stream);
+        this->addRoute("batch", "/batch/", CallKind::Batch);
+        this->config->routes.back().completionTarget = std::chrono::seconds(18);
+        this->config->routes.back().retention = std::chrono::seconds(60);
+    }
+
+    void addRoute(const std::string &name, const std::string &prefix, CallKind kind)
+    {
+        RouteRule rule;
+        rule.name = name;
+        rule.host = "h.example";
+        rule.prefix = prefix;
+        rule.kind = kind;
+        rule.services = {{ServiceId{"llm"}, 1}};
+        rule.timeout = std::chrono::seconds(3);
+        rule.maxAttempts = 2;
+        this->config->routes.push_back(rule);
+    }
+
+    RouteRule &routeNamed(const std::string &name)
+    {
+        for (RouteRule &rule : this->config->routes) {
+            if (rule.name == name) {
+                return rule;
+            }
+        }
+        FAIL("no route " << name);
+        return this->config->routes.front();
+    }
+
+    standin::Replica &addReplica(const std::string &id, unsigned slots = 4)
+    {
+        auto replica = standin::Replica::create(this->loop.get_executor(), id);
+        REQUIRE(replica);
+        TargetEntry entry;
+        entry.id.value = id;
+        entry.service.value = "llm";
+        entry.endpoint = {"127.0.0.1", listenPort(*replica->server)};
+        entry.domain.value = "north";
+        entry.slots = slots;
+        (*this->targets)[entry.id] = entry;
+        this->replicas.push_back(std::move(replica));
+        return *this->replicas.back();
+    }
+
+    [[nodiscard]] std::size_t runsOf(const std::string &id) const
+    {
+        std::size_t count = 0;
+        for (const auto &replica : this->replicas) {
+            for (const auto &run : replica->runs) {
+                count += run->id == id ? 1 : 0;
+            }
+        }
+        return count;
+    }
+};
+
+/** One host. */
+struct EntryNode {
+    EntrySite &site; ///< Surroundings.
+    std::shared_ptr<Proxy> proxy{std::make_shared<Proxy>()}; ///< Passes requests on.
+    std::shared_ptr<JobBook> jobs; ///< Jobs.
+    std::unique_ptr<JobRunner> runner; ///< Runs items.
+    std::unique_ptr<HttpServer> server; ///< Listens for callers.
+    Endpoint endpoint; ///< Address for callers.
+
+    EntryNode(EntrySite &where, const std::string &name, bool runsItems = true)
+        : site(where)
+    {
+        const auto executor = this->site.loop.get_executor();
+        this->proxy->executor = executor;
+        this->proxy->wire = platform::makeCallWire();
+        this->proxy->http = HttpClient::create(executor);
+        this->proxy->metrics = MetricsRegistry::create();
+        this->proxy->announceLoad = [this] {
+            if (this->runner) {
+                yieldToOnline(*this->runner);
+            }
+        };
+        this->jobs = JobBook::create(
+            executor, standin::storeInterface(this->site.store), this->proxy->metrics, SessionId{"session-" + name}, this->proxy->wire.decodeSubmission);
+        this->publish({SessionId{"session-" + name}});
+        if (runsItems) {
+            this->runner = JobRunner::create(this->proxy, this->jobs, HostId{name});
+        }
+        startJobBook(this->jobs);
+        HttpServerOptions options;
+        options.listen = {"127.0.0.1", 0};
+        auto created = HttpServer::create(executor, options, makeCallerHandler({this->proxy, this->jobs, DomainId{"north"}}));
+        REQUIRE(isOk(created));
+        this->server = std::move(valueOf(created));
+        this->endpoint = {"127.0.0.1", listenPort(*this->server)};
+    }
+    EntryNode(const EntryNode &) = delete;
+    EntryNode &operator=(const EntryNode &) = delete;
+    ~EntryNode()
+    {
+        this->jobs->mirror->stopped = true;
+    }
+
+    /** Publishes the site's configuration and targets, and which sessions have an entry in the service. */
+    void publish(const std::set<SessionId> &registered)
+    {
+        auto snapshot = std::make_shared<FleetSnapshot>();
+        snapshot->config = std::make_shared<const RoutingConfig>(*this->site.config);
+        snapshot->targets = std::make_shared<const TargetMap>(*this->site.targets);
+        snapshot->storeReachable = true;
+        for (const SessionId &session : registered) {
+            snapshot->peers.push_back({HostId{"of-" + session.value}, session, DomainId{"north"}, {"127.0.0.1", 1}});
+        }
+        this->proxy->fleet = std::move(snapshot);
+    }
+
+    /** @return A request with the platform's headers. */
+    [[nodiscard]] static HttpRequest request(const std::string &id, const std::string &path, std::chrono::milliseconds patience = std::chrono::seconds(3))
+    {
+        HttpRequest made;
+        made.method = "POST";
+        made.target = path;
+        made.headers = {{"Host", "h.example"},
+                        {std::string(platform::headerRequestId), id},
+                        {std::string(platform::headerDeadline), std::to_string(patience.count())}};
+        made.body = "body of " + id;
+        return made;
+    }
+
+    HttpResponse send(HttpRequest made)
+    {
+        auto answer = this->site.call(this->endpoint, std::move(made));
+        REQUIRE(isOk(answer));
+        return std::move(valueOf(answer));
+    }
+};
+
+} // namespace skylark::test
--- /dev/null
+++ b/tests/test_fleet.cpp
@@ -0,0 +1,381 @@
+/** @file test_fleet.cpp Route choice, load board, mirror of keys and the controller of routes, targets and hosts. */
+#include "documents_func.h"
+#include "fleet/fleet_controller_func.h"
+#include "fleet/host_entry_func.h"
+#include "fleet/load_board_base.h"
+#include "fleet/route_match_func.h"
+#include "memory_store_base.h"
+#include "store/key_mirror_func.h"
+#include "support/process_func.h"
+
+#include <boost/asio/detached.hpp>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+RouteRule route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    RouteRule rule;
+    rule.name = name;
+    rule.host = host;
+    rule.prefix = prefix;
+    rule.services = {{ServiceId{"s"}, 1}};
+    return rule;
+}
+
+/** A mirror of the prefix "k/". */
+struct MirrorFixture : TestLoop {
+    std::shared_ptr<MemoryStore> store{MemoryStore::create(loop.get_executor())}; ///< Service.
+    std::shared_ptr<KeyMirror> mirror; ///< Mirror.
+    unsigned failures{0}; ///< Failed calls.
+
+    void start(KeyMirrorOptions options)
+    {
+        options.prefix = "k/";
+        this->mirror = KeyMirror::create(storeInterface(this->store), options, 1);
+        this->mirror->onFailure = [this](const Error & /*error*/) {
+            ++this->failures;
+        };
+        boost::asio::co_spawn(this->loop, runKeyMirror(this->mirror), boost::asio::detached);
+        if (options.check.count() > 0) {
+            boost::asio::co_spawn(this->loop, checkKeyMirror(this->mirror), boost::asio::detached);
+        }
+    }
+
+    ~MirrorFixture()
+    {
+        this->mirror->stopped = true;
+    }
+
+    [[nodiscard]] std::string valueOfKey(const std::string &key) const
+    {
+        const auto found = this->mirror->items.find(key);
+        return found == this->mirror->items.end() ? "" : found->second.value;
+    }
+
+    [[nodiscard]] bool becomes(const std::string &key, const std::string &value, std::chrono::milliseconds limit = 3s)
+    {
+        return this->runUntil(
+            [&] {
+                return this->valueOfKey(key) == value;
+            },
+            limit);
+    }
+};
+
+/** A controller with the platform's documents. */
+struct ControllerFixture : TestLoop {
+    std::shared_ptr<MemoryStore> store{MemoryStore::create(loop.get_executor())}; ///< Service.
+    std::shared_ptr<const FleetSnapshot> snapshot{std::make_shared<const FleetSnapshot>()}; ///< Last snapshot.
+    std::unique_ptr<FleetController> controller; ///< Controller.
+
+    void start(std::chrono::milliseconds lapseGrace = 400ms)
+    {
+        FleetOptions options;
+        options.host.value = "front-1";
+        options.session.value = "session-1";
+        options.domain.value = "north";
+        options.endpoint = {"127.0.0.1", 7000};
+        options.targetPause = 20ms;
+        options.lapseGrace = lapseGrace;
+        this->controller = FleetController::create(
+            this->loop.get_executor(), storeInterface(this->store), platform::makeFleetWire(), options, MetricsRegistry::create(), [this](SnapshotPtr published) {
+                this->snapshot = std::move(published);
+            });
+    }
+
+    void putConfig(unsigned version)
+    {
+        putKey(*this->store,
+               "op/config",
+               R"({"version":)" + std::to_string(version)
+                   + R"(,"routes":[{"name":"r","host":"h.example","prefix":"/a/","kind":"safe","service":"s","timeout_ms":1000}],"services":[]})");
+    }
+
+    void putTarget(const std::string &id, const std::string &state)
+    {
+        putKey(*this->store, "servers/" + id, R"({"service":"s","address":"127.0.0.1:9000","zone":"north","slots":4,"state":")" + state + R"("})");
+    }
+
+    [[nodiscard]] std::uint64_t version() const
+    {
+        return this->snapshot->config ? this->snapshot->config->version.value : 0;
+    }
+
+    [[nodiscard]] bool hasTarget(const std::string &id, bool leaving) const
+    {
+        if (!this->snapshot->targets) {
+            return false;
+        }
+        const auto found = this->snapshot->targets->find(TargetId{id});
+        return found != this->snapshot->targets->end() && found->second.leaving == leaving;
+    }
+};
+
+} // namespace
+
+TEST_CASE("matchRoute_nestedPrefixes_longestWins", "[route]")
+{
+    RoutingConfig config;
+    config.routes = {route("outer", "h.example", "/a/"), route("inner", "h.example", "/a/b/"), route("other", "x.example", "/a/b/c/")};
+    CHECK(matchRoute(config, "h.example", "/a/b/c/d")->name == "inner");
+    CHECK(matchRoute(config, "H.EXAMPLE:8080", "/a/x")->name == "outer");
+    CHECK(matchRoute(config, "h.example", "/b/") == nullptr);
+    CHECK(matchRoute(config, "h.example", "/a") == nullptr);
+}
+
+TEST_CASE("chooseService_weights_shareByWeight", "[route]")
+{
+    RouteRule rule = route("r", "h", "/");
+    rule.services = {{ServiceId{"a"}, 90}, {ServiceId{"b"}, 10}, {ServiceId{"c"}, 0}};
+    std::map<std::string, unsigned> counts;
+    for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+        ++counts[chooseService(rule, draw).value];
+    }
+    CHECK(counts["a"] == 900);
+    CHECK(counts["b"] == 100);
+    CHECK(counts.count("c") == 0);
+}
+
+TEST_CASE("loadBoard_statusOutOfOrder_keepsNewest", "[board]")
+{
+    LoadBoard board;
+    const TimePoint now = BootClock::now();
+    HostStatus status;
+    status.host.value = "h";
+    status.incarnation = 5;
+    status.sequence = 2;
+    status.onlineInFlight = {{TargetId{"t"}, 3}};
+    status.batchInFlight = {{TargetId{"t"}, 2}};
+    CHECK(takeStatus(board, status, now));
+    status.sequence = 1;
+    status.onlineInFlight = {{TargetId{"t"}, 9}};
+    CHECK_FALSE(takeStatus(board, status, now));
+    CHECK(countsOf(board, TargetId{"t"}, now).online == 3);
+    CHECK(countsOf(board, TargetId{"t"}, now).batch == 2);
+    CHECK(countsOf(board, TargetId{"t"}, now + 2s).online == 0);
+}
+
+// Guards against a host whose wall clock was set back before its restart: its status would be ignored for ever.
+TEST_CASE("loadBoard_restartWithEarlierClock_isHeardAfterSilence", "[board]")
+{
+    LoadBoard board;
+    const TimePoint now = BootClock::now();
+    HostStatus status;
+    status.host.value = "h";
+    status.session.value = "first";
+    status.incarnation = 5000;
+    status.sequence = 100;
+    CHECK(takeStatus(board, status, now));
+    status.session.value = "second";
+    status.incarnation = 2000;
+    status.sequence = 1;
+    CHECK_FALSE(takeStatus(board, status, now + 100ms));
+    CHECK(takeStatus(board, status, now + 2s));
+    CHECK(heardLately(board, SessionId{"second"}, now + 2s));
+    CHECK_FALSE(heardLately(board, SessionId{"first"}, now + 2s));
+}
+
+TEST_CASE("loadTicket_lastOneEnds_removesTarget", "[board]")
+{
+    const auto board = std::make_shared<LoadBoard>();
+    {
+        const LoadTicket online(board, TargetId{"t"}, false);
+        const LoadTicket batch(board, TargetId{"t"}, true);
+        CHECK(board->own.at(TargetId{"t"}).online == 1);
+        CHECK(board->own.at(TargetId{"t"}).batch == 1);
+    }
+    CHECK(board->own.empty());
+}
+
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_changes_areFollowed")
+{
+    putKey(*this->store, "k/a", "1");
+    this->start({});
+    CHECK(this->becomes("k/a", "1"));
+    putKey(*this->store, "k/a", "2");
+    CHECK(this->becomes("k/a", "2"));
+    removeKey(*this->store, "k/a");
+    CHECK(this->becomes("k/a", ""));
+}
+
+// Guards against hunt-758c-35 of odb-gnomon: watches stayed open for 25 s and heard nothing (LOST 19).
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_watchHearsNothing_checkFindsChange")
+{
+    putKey(*this->store, "k/a", "1");
+    this->start({.check = 100ms});
+    REQUIRE(this->becomes("k/a", "1"));
+    this->store->faults.deafWatches = true;
+    putKey(*this->store, "k/a", "2");
+    putKey(*this->store, "k/b", "1");
+    CHECK(this->becomes("k/a", "2"));
+    CHECK(this->becomes("k/b", "1"));
+    removeKey(*this->store, "k/a");
+    CHECK(this->becomes("k/a", ""));
+}
+
+// Guards against scale-2 of dodo-masks: a watch that was cut while history was dropped missed a configuration (CONFIG 4).
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_watchCutWhileHistoryIsDropped_readsPrefixAgain")
+{
+    putKey(*this->store, "k/a", "1");
+    this->start({});
+    REQUIRE(this->becomes("k/a", "1"));
+    this->runFor(30ms);
+    this->store->faults.deafWatches = true;
+    putKey(*this->store, "k/a", "2");
+    compact(*this->store);
+    CHECK(this->becomes("k/a", "2"));
+    CHECK(this->failures > 0);
+}
+
+// A watch that heard nothing answers like one that had nothing to hear; the mirror must not move past the change.
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_emptyAnswerAfterMissedChange_changeIsFoundByNextWatch")
+{
+    putKey(*this->store, "k/a", "1");
+    this->start({.wait = 100ms});
+    REQUIRE(this->becomes("k/a", "1"));
+    this->store->faults.deafWatches = true;
+    putKey(*this->store, "k/a", "2");
+    this->runFor(250ms);
+    this->store->faults.deafWatches = false;
+    CHECK(this->becomes("k/a", "2"));
+}
+
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_staleCheck_doesNotRevert")
+{
+    putKey(*this->store, "k/a", "1");
+    const std::uint64_t old = this->store->revision;
+    this->start({.check = 50ms});
+    REQUIRE(this->becomes("k/a", "1"));
+    putKey(*this->store, "k/a", "2");
+    REQUIRE(this->becomes("k/a", "2"));
+    this->store->faults.staleBefore = old;
+    this->runFor(400ms);
+    CHECK(this->valueOfKey("k/a") == "2");
+}
+
+TEST_CASE("readAllKeys_manyPages_continueFromFirstRevision", "[mirror]")
+{
+    TestLoop test;
+    const auto store = MemoryStore::create(test.loop.get_executor());
+    for (unsigned i = 0; i < 1203; ++i) {
+        putKey(*store, "k/" + std::to_string(10000 + i), "v");
+    }
+    auto page = test.run(readAllKeys(storeInterface(store), "k/", KvFreshness::Linearizable));
+    REQUIRE(isOk(page));
+    CHECK(valueOf(page).items.size() == 1203);
+    CHECK(valueOf(page).storeRevision == store->revision);
+}
+
+TEST_CASE_METHOD(ControllerFixture, "fleetController_configurations_onlyNewerOnesAreAdopted")
+{
+    this->putConfig(7);
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return this->version() == 7;
+    }));
+    this->putConfig(5);
+    this->runFor(150ms);
+    CHECK(this->version() == 7);
+    this->putConfig(12);
+    CHECK(this->runUntil([this] {
+        return this->version() == 12;
+    }));
+}
+
+TEST_CASE_METHOD(ControllerFixture, "fleetController_unusableConfiguration_keepsTheOneInForce")
+{
+    this->putConfig(7);
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return this->version() == 7;
+    }));
+    putKey(*this->store, "op/config", R"({"version":9,"routes":[{"name":"r","host":"","prefix":"x","kind":"?"}]})");
+    this->runFor(150ms);
+    CHECK(this->version() == 7);
+    putKey(*this->store, "op/config", "garbage");
+    this->runFor(150ms);
+    CHECK(this->version() == 7);
+}
+
+TEST_CASE_METHOD(ControllerFixture, "fleetController_targets_leaveAndGoAtOnce")
+{
+    this->putTarget("i-1", "ready");
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("i-1", false);
+    }));
+    this->putTarget("i-1", "draining");
+    CHECK(this->runUntil([this] {
+        return this->hasTarget("i-1", true);
+    }));
+    removeKey(*this->store, "servers/i-1");
+    CHECK(this->runUntil([this] {
+        return this->snapshot->targets->empty();
+    }));
+}
+
+TEST_CASE_METHOD(ControllerFixture, "fleetController_entriesOfOtherWriters_areLeftAside")
+{
+    this->start();
+    putKey(*this->store, "servers/odd-1", "not json");
+    putKey(*this->store, "servers/odd-2", R"({"service":7,"address":"127.0.0.1:1","slots":4,"state":"ready"})");
+    putKey(*this->store, "servers/odd-3", R"({"service":"s","address":"nowhere","slots":4,"state":"ready"})");
+    putKey(*this->store, "servers/odd-4", R"({"service":"s","address":"127.0.0.1:1","slots":4,"state":"asleep"})");
+    this->putTarget("i-1", "ready");
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("i-1", false);
+    }));
+    CHECK(this->snapshot->targets->size() == 1);
+}
+
+// Entries lapse while the service is down although the targets live; requests must go on to them.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_entryLapsedDuringOutage_isKeptUntilItCouldBeBack")
+{
+    this->putTarget("i-1", "ready");
+    this->putTarget("i-2", "ready");
+    this->start(600ms);
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("i-2", false);
+    }));
+    this->store->faults.down = true;
+    removeKey(*this->store, "servers/i-1");
+    removeKey(*this->store, "servers/i-2");
+    this->runFor(500ms);
+    this->store->faults.down = false;
+    this->runFor(250ms);
+    CHECK(this->hasTarget("i-1", false));
+    this->putTarget("i-1", "ready");
+    CHECK(this->runUntil([this] {
+        return !this->hasTarget("i-2", false);
+    }));
+    CHECK(this->hasTarget("i-1", false));
+}
+
+TEST_CASE_METHOD(ControllerFixture, "fleetController_hostEntry_isWrittenAgainAfterItLapsed")
+{
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return this->store->items.contains("hosts/front-1");
+    }));
+    expireLease(*this->store, this->store->items.at("hosts/front-1").lease);
+    CHECK_FALSE(this->store->items.contains("hosts/front-1"));
+    CHECK(this->runUntil([this] {
+        return this->store->items.contains("hosts/front-1");
+    }));
+}
+
+TEST_CASE("hostEntry_roundTripAndGarbage_areTold", "[host]")
+{
+    const PeerEntry entry{HostId{"h"}, SessionId{"s"}, DomainId{"d"}, {"10.0.0.1", 7660}};
+    auto decoded = decodeHostEntry(hostEntryKey(entry.host), encodeHostEntry(entry));
+    REQUIRE(isOk(decoded));
+    CHECK(valueOf(decoded).session == entry.session);
+    CHECK(valueOf(decoded).endpoint == entry.endpoint);
+    CHECK_FALSE(isOk(decodeHostEntry("hosts/h", "[]")));
+    CHECK_FALSE(isOk(decodeHostEntry("hosts/h", R"({"session":"s","address":"a","port":70000})")));
+}
--- /dev/null
+++ b/tests/test_forward.cpp
@@ -0,0 +1,324 @@
+/** @file test_forward.cpp Requests and streams passed on to replicas that fail in every way. */
+#include "core/hash_func.h"
+#include "proxy/event_splitter_base.h"
+#include "support/entry_fixture.h"
+#include "support/property_seed.h"
+
+#include <boost/asio/detached.hpp>
+#include <rapidcheck.h>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two replicas and one host. */
+struct ForwardFixture : EntrySite {
+    Replica &first{this->addReplica("i-1")}; ///< Replica.
+    Replica &second{this->addReplica("i-2")}; ///< Replica.
+    EntryNode node{*this, "front-1", false}; ///< Host.
+
+    /** Gives both replicas one plan for the first request that arrives at either, and another for later ones. */
+    void planOnce(ReplicaPlan firstPlan, ReplicaPlan laterPlan)
+    {
+        const auto seen = std::make_shared<unsigned>(0);
+        for (Replica *replica : {&this->first, &this->second}) {
+            replica->plan = [seen, firstPlan, laterPlan](const HttpRequest & /*request*/, unsigned /*number*/) {
+                return (*seen)++ == 0 ? firstPlan : laterPlan;
+            };
+        }
+    }
+
+    void planAll(const ReplicaPlan &plan)
+    {
+        this->planOnce(plan, plan);
+    }
+
+    /** @return The data of the events of @p answer, joined. */
+    [[nodiscard]] static std::string textOf(const HttpResponse &answer)
+    {
+        EventSplitter splitter;
+        auto events = splitEvents(splitter, answer.body);
+        REQUIRE(isOk(events));
+        CHECK(endsWhole(splitter));
+        std::string text;
+        for (const StreamEvent &event : valueOf(events)) {
+            text += (text.empty() ? "" : "\n") + event.data;
+        }
+        return text;
+    }
+
+    [[nodiscard]] static std::string signatureOf(const HttpResponse &answer)
+    {
+        return std::string(headerValue(answer.headers, platform::headerSignature));
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ForwardFixture, "forward_plainRequest_isPassedOnUnchanged")
+{
+    this->planAll({.stream = false});
+    const HttpResponse answer = this->node.send(EntryNode::request("q1", "/lookup/x?y=1"));
+    CHECK(answer.status == 200);
+    CHECK(answer.body == wholeText("q1", 10));
+    CHECK(signatureOf(answer) == "signature-of-q1");
+    REQUIRE(this->runsOf("q1") == 1);
+    const Replica &used = this->first.runs.empty() ? this->second : this->first;
+    CHECK(used.runs[0]->target == "/lookup/x?y=1");
+    CHECK(used.runs[0]->body == "body of q1");
+    CHECK(used.runs[0]->budgetMs <= 3000);
+    CHECK(used.runs[0]->budgetMs > 2500);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_stream_arrivesWholeAndInOrder")
+{
+    const HttpResponse answer = this->node.send(EntryNode::request("s1", "/chat/x"));
+    CHECK(answer.status == 200);
+    CHECK(textOf(answer) == wholeText("s1", 10));
+    CHECK(signatureOf(answer) == "signature-of-s1");
+}
+
+// A replica that breaks off in the middle of an event: no event may be missing or come twice.
+TEST_CASE_METHOD(ForwardFixture, "forward_resumableStreamBroken_goesOnInTheSameAnswer")
+{
+    for (unsigned after = 1; after < 10; ++after) {
+        this->planOnce({.breakAfter = after, .breakInsideEvent = after % 2 == 0}, {});
+        const std::string id = "s" + std::to_string(after);
+        const HttpResponse answer = this->node.send(EntryNode::request(id, "/chat/x"));
+        CHECK(textOf(answer) == wholeText(id, 10));
+        CHECK(this->runsOf(id) == 2);
+    }
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_streamResumedByCaller_beginsAfterItsLastEvent")
+{
+    HttpRequest request = EntryNode::request("s1", "/chat/x");
+    request.headers.push_back({"Last-Event-Id", "4"});
+    const HttpResponse answer = this->node.send(std::move(request));
+    EventSplitter splitter{.last = 4, .partial = {}};
+    auto events = splitEvents(splitter, answer.body);
+    REQUIRE(isOk(events));
+    CHECK(valueOf(events).size() == 6);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_repeatedOrMissingEvent_neverReachesTheCallerTwiceOrWithAGap")
+{
+    this->planOnce({.repeatsEvent = true}, {});
+    CHECK(textOf(this->node.send(EntryNode::request("s1", "/chat/x"))) == wholeText("s1", 10));
+    this->planOnce({.skipsEvent = true}, {});
+    CHECK(textOf(this->node.send(EntryNode::request("s2", "/chat/x"))) == wholeText("s2", 10));
+}
+
+// A stream that may not be resumed, and an order, are never sent twice.
+TEST_CASE_METHOD(ForwardFixture, "forward_notRepeatableRequestBroken_isSentOnceAndNotCalledRefused")
+{
+    this->planOnce({.stream = false, .breakAfter = 1}, {.stream = false});
+    const HttpResponse order = this->node.send(EntryNode::request("o1", "/order/x"));
+    CHECK(order.status == 502);
+    CHECK(this->runsOf("o1") == 1);
+    this->planOnce({.breakAfter = 3}, {});
+    const auto broken = this->call(this->node.endpoint, EntryNode::request("o2", "/once/x"));
+    CHECK_FALSE(isOk(broken));
+    CHECK(this->runsOf("o2") == 1);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_safeRequestBroken_isSentToAnotherReplica")
+{
+    this->planOnce({.stream = false, .breakAfter = 1}, {.stream = false});
+    const HttpResponse answer = this->node.send(EntryNode::request("q1", "/lookup/x"));
+    CHECK(answer.status == 200);
+    CHECK(this->runsOf("q1") == 2);
+}
+
+// Attempts of one request run on at most max_attempts replicas.
+TEST_CASE_METHOD(ForwardFixture, "forward_everyRunFails_stopsAtTheAttemptsOfTheRoute")
+{
+    this->addReplica("i-3").plan = [](const HttpRequest & /*request*/, unsigned /*number*/) {
+        return ReplicaPlan{.stream = false, .breakAfter = 1};
+    };
+    this->node.publish({});
+    this->planAll({.stream = false, .breakAfter = 1});
+    const HttpResponse answer = this->node.send(EntryNode::request("q1", "/lookup/x"));
+    CHECK(answer.status == 502);
+    CHECK(this->runsOf("q1") == 2);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_replicaDidNotRun_isTriedElsewhereAlsoForOrders")
+{
+    this->planOnce({.status = 503}, {.stream = false});
+    CHECK(this->node.send(EntryNode::request("o1", "/order/x")).status == 200);
+    CHECK(this->runsOf("o1") == 1);
+    this->planAll({.status = 503});
+    const HttpResponse refused = this->node.send(EntryNode::request("o2", "/order/x"));
+    CHECK(refused.status == 503);
+    CHECK_FALSE(headerValue(refused.headers, "Retry-After").empty());
+    CHECK(this->runsOf("o2") == 0);
+}
+
+// An address that another replica has taken over answers 421 and runs nothing.
+TEST_CASE_METHOD(ForwardFixture, "forward_addressOfAnotherReplica_isNotRunThere")
+{
+    this->targets->at(TargetId{"i-1"}).endpoint = this->targets->at(TargetId{"i-2"}).endpoint;
+    this->node.publish({});
+    for (unsigned i = 0; i < 5; ++i) {
+        CHECK(this->node.send(EntryNode::request("s" + std::to_string(i), "/chat/x")).status == 200);
+    }
+    CHECK(this->first.runs.empty());
+    CHECK(this->second.runs.size() == 5);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_answerOfAnotherRequest_neverReachesTheCaller")
+{
+    this->planOnce({.stream = false, .wrongId = true}, {.stream = false});
+    const HttpResponse answer = this->node.send(EntryNode::request("q1", "/lookup/x"));
+    CHECK(answer.body == wholeText("q1", 10));
+    this->planOnce({.wrongId = true}, {});
+    CHECK(textOf(this->node.send(EntryNode::request("s1", "/chat/x"))) == wholeText("s1", 10));
+    this->planAll({.stream = false, .wrongId = true});
+    CHECK(this->node.send(EntryNode::request("o1", "/order/x")).status == 502);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_failureOfTheReplica_isPassedOnAsItIs")
+{
+    this->planAll({.status = 500, .stream = false});
+    const HttpResponse answer = this->node.send(EntryNode::request("o1", "/order/x"));
+    CHECK(answer.status == 500);
+    CHECK(signatureOf(answer) == "signature-of-o1");
+    CHECK(this->runsOf("o1") == 1);
+}
+
+// Guards against work for callers that have left: the replica has to see the close within half a second.
+TEST_CASE_METHOD(ForwardFixture, "forward_callerLeaves_replicaSeesTheCloseSoon")
+{
+    for (const auto delay : {0ms, 900ms}) {
+        this->planAll({.events = 400, .step = 5ms, .firstDelay = delay});
+        const std::string id = "s" + std::to_string(delay.count());
+        auto client = HttpClient::create(this->loop.get_executor());
+        auto abort = std::make_shared<HttpAbortHandle>();
+        auto task = [&]() -> boost::asio::awaitable<void> {
+            HttpRequest request = EntryNode::request(id, "/chat/x");
+            const HttpTimeouts timeouts;
+            auto opened = co_await httpOpen(client, this->node.endpoint, std::move(request), timeouts, ConnectionUse::Fresh, abort);
+            if (isOk(opened)) {
+                httpAbort(valueOf(opened));
+            }
+        };
+        boost::asio::co_spawn(this->loop, task(), boost::asio::detached);
+        REQUIRE(this->runUntil([&] {
+            return this->runsOf(id) == 1;
+        }));
+        this->runFor(50ms);
+        httpAbortOpening(*abort);
+        CHECK(this->runUntil(
+            [&] {
+                const auto &runs = this->first.runs.empty() || this->first.runs.back()->id != id ? this->second.runs : this->first.runs;
+                return !runs.empty() && runs.back()->callerClosed;
+            },
+            1500ms)); // The stream would go on for 2 s; the bench measures the time itself.
+        CHECK(this->runsOf(id) == 1);
+    }
+}
+
+// Guards against requests that are kept waiting beyond their route's timeout.
+TEST_CASE_METHOD(ForwardFixture, "forward_timeoutOfTheRoute_endsTheRequest")
+{
+    this->routeNamed("order").timeout = 300ms;
+    this->node.publish({});
+    this->planAll({.stream = false, .firstDelay = 2000ms});
+    const TimePoint begun = BootClock::now();
+    const HttpResponse answer = this->node.send(EntryNode::request("o1", "/order/x"));
+    CHECK(answer.status == 504);
+    CHECK(BootClock::now() - begun < 1500ms);
+    CHECK(this->runsOf("o1") == 1);
+}
+
+// A replica that hangs must not cost a repeatable request its time.
+TEST_CASE_METHOD(ForwardFixture, "forward_replicaHangs_repeatableRequestMovesOn")
+{
+    this->planOnce({.firstDelay = 5000ms}, {});
+    const TimePoint begun = BootClock::now();
+    const HttpResponse answer = this->node.send(EntryNode::request("s1", "/chat/x", 4s));
+    CHECK(textOf(answer) == wholeText("s1", 10));
+    CHECK(BootClock::now() - begun < 3s);
+}
+
+// The next request does not go the way on which the last one got no answer.
+TEST_CASE_METHOD(ForwardFixture, "forward_afterTimeout_targetIsAvoidedForAWhile")
+{
+    this->planOnce({.stream = false, .firstDelay = 5000ms}, {.stream = false});
+    REQUIRE(this->node.send(EntryNode::request("q1", "/lookup/x")).status == 200);
+    const std::size_t slowRuns = this->first.runs.size();
+    const std::size_t otherRuns = this->second.runs.size();
+    for (unsigned i = 0; i < 4; ++i) {
+        REQUIRE(this->node.send(EntryNode::request("r" + std::to_string(i), "/lookup/x")).status == 200);
+    }
+    CHECK((this->first.runs.size() == slowRuns || this->second.runs.size() == otherRuns));
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_allPlacesTaken_refusesAtOnceWithTimeToReturn")
+{
+    for (const char *id : {"i-1", "i-2"}) {
+        this->node.proxy->board.own[TargetId{id}].online = 8;
+    }
+    const TimePoint begun = BootClock::now();
+    const HttpResponse answer = this->node.send(EntryNode::request("s1", "/chat/x"));
+    CHECK(answer.status == 503);
+    CHECK(BootClock::now() - begun < 1s);
+    const double delay = std::stod(std::string(headerValue(answer.headers, "Retry-After")));
+    CHECK(delay >= 0.2);
+    CHECK(delay <= 1.0);
+    CHECK(this->runsOf("s1") == 0);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_unknownRouteOrNoConfiguration_isToldApart")
+{
+    CHECK(this->node.send(EntryNode::request("x1", "/nowhere/x")).status == 404);
+    this->node.proxy->fleet = std::make_shared<const FleetSnapshot>();
+    const HttpResponse answer = this->node.send(EntryNode::request("x2", "/chat/x"));
+    CHECK(answer.status == 503);
+    CHECK_FALSE(headerValue(answer.headers, "Retry-After").empty());
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_requestWithoutIdentifier_isRefusedAsInvalid")
+{
+    HttpRequest request = EntryNode::request("x", "/chat/x");
+    std::erase_if(request.headers, [](const HttpHeader &header) {
+        return header.name == platform::headerRequestId;
+    });
+    CHECK(this->node.send(std::move(request)).status == 400);
+}
+
+TEST_CASE("eventSplitter_anyCut_givesTheSameEvents", "[events]")
+{
+    seedRapidCheck();
+    CHECK(rc::check("bytes cut at any place give the same events", [] {
+        std::string bytes;
+        const auto count = *rc::gen::inRange(1U, 20U);
+        for (unsigned i = 1; i <= count; ++i) {
+            bytes += "id: " + std::to_string(i) + "\ndata: " + eventData("x", i) + (i % 3 == 0 ? "\r\n\r\n" : "\n\n");
+        }
+        EventSplitter splitter;
+        std::string text;
+        std::size_t at = 0;
+        while (at < bytes.size()) {
+            const std::size_t length = *rc::gen::inRange<std::size_t>(1, 40);
+            auto events = splitEvents(splitter, std::string_view(bytes).substr(at, length));
+            RC_ASSERT(isOk(events));
+            for (const StreamEvent &event : valueOf(events)) {
+                text += (text.empty() ? "" : "\n") + event.data;
+            }
+            at += length;
+        }
+        RC_ASSERT(text == wholeText("x", count));
+        RC_ASSERT(endsWhole(splitter));
+    }));
+}
+
+TEST_CASE("eventSplitter_endlessEvent_isRefused", "[events]")
+{
+    EventSplitter splitter;
+    CHECK_FALSE(isOk(splitEvents(splitter, std::string(maxEventBytes + 1, 'x'))));
+}
--- /dev/null
+++ b/tests/test_job_policy.cpp
@@ -0,0 +1,200 @@
+/** @file test_job_policy.cpp Decisions about stored jobs and their stored form. */
+#include "core/hash_func.h"
+#include "job/job_policy_func.h"
+#include "job/job_record_func.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A job with ten items owned by "own". */
+struct JobPolicyFixture {
+    StoredJob job; ///< Record.
+
+    JobPolicyFixture()
+    {
+        this->job.id.value = "j";
+        this->job.host = "h.example";
+        this->job.path = "/batch/j";
+        this->job.digest = "d";
+        this->job.owner.value = "own";
+        this->job.created = UnixTime(1000ms);
+        this->job.bodyParts = 1;
+        for (unsigned i = 0; i < 10; ++i) {
+            this->job.items.push_back({"item-" + std::to_string(i), 100});
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(JobPolicyFixture, "appendResults_notOwner_writesNothing")
+{
+    CHECK(appendResults(this->job, SessionId{"other"}, {{0, ItemState::Completed}}).verdict == ListVerdict::NotOwner);
+}
+
+TEST_CASE_METHOD(JobPolicyFixture, "appendResults_listedItem_keepsItsPosition")
+{
+    this->job.listed = {{4, ItemState::Completed}};
+    const ListDecision again = appendResults(this->job, SessionId{"own"}, {{4, ItemState::Failed}});
+    CHECK(again.verdict == ListVerdict::Nothing);
+    const ListDecision more = appendResults(this->job, SessionId{"own"}, {{4, ItemState::Failed}, {1, ItemState::Failed}});
+    REQUIRE(more.verdict == ListVerdict::Write);
+    REQUIRE(more.record.listed.size() == 2);
+    CHECK(more.record.listed[0].index == 4);
+    CHECK(more.record.listed[0].state == ItemState::Completed);
+    CHECK(more.record.listed[1].index == 1);
+}
+
+// A property over many hosts with stale records that write by compare-and-swap: an item never has two positions, and a position never changes.
+TEST_CASE_METHOD(JobPolicyFixture, "appendResults_racingHosts_positionsAreFinal")
+{
+    std::uint64_t random = 21;
+    for (unsigned round = 0; round < 400; ++round) {
+        struct View {
+            StoredJob record;
+            std::uint64_t revision{0};
+        };
+        View truth{this->job, 1};
+        std::vector<View> hosts(3, truth);
+        std::vector<std::uint32_t> positions;
+        for (unsigned step = 0; step < 60; ++step) {
+            View &host = hosts[nextRandom(random) % hosts.size()];
+            const SessionId session{"s" + std::to_string(&host - hosts.data())};
+            const std::uint64_t action = nextRandom(random) % 4;
+            if (action == 0) {
+                host = truth;
+                continue;
+            }
+            StoredJob write = host.record;
+            if (action == 1) {
+                write.owner = session;
+            } else {
+                const auto index = static_cast<std::uint32_t>(nextRandom(random) % 10);
+                const ListDecision decision = appendResults(host.record, session, {{index, ItemState::Completed}});
+                if (decision.verdict != ListVerdict::Write) {
+                    continue;
+                }
+                write = decision.record;
+            }
+            if (host.revision == truth.revision) {
+                truth = {write, truth.revision + 1};
+                host = truth;
+            }
+            REQUIRE(truth.record.listed.size() >= positions.size());
+            std::set<std::uint32_t> seen;
+            for (std::size_t i = 0; i < truth.record.listed.size(); ++i) {
+                REQUIRE(seen.insert(truth.record.listed[i].index).second);
+                REQUIRE((i >= positions.size() || positions[i] == truth.record.listed[i].index));
+            }
+            positions.clear();
+            for (const ListedItem &entry : truth.record.listed) {
+                positions.push_back(entry.index);
+            }
+        }
+    }
+}
+
+TEST_CASE_METHOD(JobPolicyFixture, "waitingTokens_listedOrEnded_doNotCount")
+{
+    CHECK(waitingTokens(this->job) == 1000);
+    this->job.listed = {{0, ItemState::Failed}, {3, ItemState::Completed}};
+    CHECK(waitingTokens(this->job) == 800);
+    this->job.ended = true;
+    CHECK(waitingTokens(this->job) == 0);
+}
+
+TEST_CASE("decideAccept_limit_isNeverExceeded", "[accept]")
+{
+    CHECK(decideAccept(0, 5000, 0) == AcceptVerdict::Accept);
+    CHECK(decideAccept(0, 400, 1000) == AcceptVerdict::Accept);
+    CHECK(decideAccept(200, 400, 1000) == AcceptVerdict::AcceptInTurn);
+    CHECK(decideAccept(600, 400, 1000) == AcceptVerdict::AcceptInTurn);
+    CHECK(decideAccept(601, 400, 1000) == AcceptVerdict::Refuse);
+}
+
+TEST_CASE("mayClaim_owner_decides", "[claim]")
+{
+    ClaimInput input{.open = true, .ownerRegistered = true};
+    input.missingFor = 10s;
+    input.unregisteredFor = 10s;
+    CHECK_FALSE(mayClaim(input));
+    input.ownerRegistered = false;
+    CHECK(mayClaim(input));
+    input.missingFor = 100ms;
+    CHECK_FALSE(mayClaim(input));
+    SECTION("an owner that is heard of but cannot write keeps its job for a while only")
+    {
+        input.ownerHeard = true;
+        input.missingFor = 0ms;
+        CHECK(mayClaim(input));
+        input.unregisteredFor = 2s;
+        CHECK_FALSE(mayClaim(input));
+    }
+    SECTION("a job that was given up is claimed at once by the host of the first rank")
+    {
+        input.released = true;
+        input.missingFor = 0ms;
+        CHECK(mayClaim(input));
+        input.rank = 2;
+        CHECK_FALSE(mayClaim(input));
+    }
+    SECTION("a closed job and an own job are not claimed")
+    {
+        input.missingFor = 10s;
+        input.ownerIsOwn = true;
+        CHECK_FALSE(mayClaim(input));
+        input.ownerIsOwn = false;
+        input.open = false;
+        CHECK_FALSE(mayClaim(input));
+    }
+}
+
+TEST_CASE_METHOD(JobPolicyFixture, "storedJob_roundTrip_isEqual")
+{
+    this->job.listed = {{7, ItemState::Completed}, {2, ItemState::Failed}};
+    this->job.ended = true;
+    auto decoded = decodeStoredJob(encodeStoredJob(this->job));
+    REQUIRE(isOk(decoded));
+    const StoredJob &read = valueOf(decoded);
+    CHECK(read.owner == this->job.owner);
+    CHECK(read.created == this->job.created);
+    CHECK(read.ended);
+    REQUIRE(read.listed.size() == 2);
+    CHECK(read.listed[1].index == 2);
+    CHECK(read.listed[1].state == ItemState::Failed);
+    CHECK(read.items[9].tokens == 100);
+}
+
+TEST_CASE("storedJob_garbage_isRefused", "[record]")
+{
+    for (const char *value : {"", "[]", "{}", R"({"id":"j","items":[]})", R"({"id":"j","items":[["a"]]})", R"({"id":"j","items":[["a",1]],"listed":[[5,1]]})"}) {
+        CHECK_FALSE(isOk(decodeStoredJob(value)));
+    }
+    CHECK_FALSE(isOk(decodeSavedOutputs("{}")));
+    CHECK_FALSE(isOk(decodeSavedOutputs("[[1,2]]")));
+}
+
+TEST_CASE("savedOutputs_overTheLimit_leaveOutTheRest", "[record]")
+{
+    SavedOutputs outputs;
+    outputs[1] = {4, 4, 1, std::string(100, 'a')};
+    outputs[2] = {9, 9, 0, std::string(100, 'b')};
+    auto all = decodeSavedOutputs(encodeSavedOutputs(outputs, 1000));
+    REQUIRE(isOk(all));
+    CHECK(valueOf(all).at(2).text == outputs[2].text);
+    CHECK(valueOf(all).at(1).failures == 1);
+    auto some = decodeSavedOutputs(encodeSavedOutputs(outputs, 150));
+    REQUIRE(isOk(some));
+    CHECK(valueOf(some).size() == 1);
+}
+
+TEST_CASE("jobResultKey_positions_sortInOrder", "[record]")
+{
+    CHECK(jobResultKey(JobId{"j"}, 9) < jobResultKey(JobId{"j"}, 10));
+    CHECK(jobResultKey(JobId{"j"}, 99) < jobResultKey(JobId{"j"}, 100));
+}
--- /dev/null
+++ b/tests/test_jobs.cpp
@@ -0,0 +1,448 @@
+/** @file test_jobs.cpp Batch jobs over several hosts: acceptance, results, ends, owners that go, and items that fail. */
+#include "job/job_record_func.h"
+#include "support/entry_fixture.h"
+
+#include <boost/asio/detached.hpp>
+#include <kj/encoding.h>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two hosts and two replicas. */
+struct JobsFixture : EntrySite {
+    Replica &first{this->addReplica("i-1")}; ///< Replica.
+    Replica &second{this->addReplica("i-2")}; ///< Replica.
+    std::unique_ptr<EntryNode> a{std::make_unique<EntryNode>(*this, "front-1")}; ///< Host.
+    std::unique_ptr<EntryNode> b{std::make_unique<EntryNode>(*this, "front-2")}; ///< Host.
+
+    JobsFixture()
+    {
+        this->publishAll();
+    }
+
+    void publishAll()
+    {
+        std::set<SessionId> sessions;
+        for (const auto &node : {&this->a, &this->b}) {
+            if (*node) {
+                sessions.insert((*node)->jobs->session);
+            }
+        }
+        for (const auto &node : {&this->a, &this->b}) {
+            if (*node) {
+                (*node)->publish(sessions);
+            }
+        }
+    }
+
+    void planAll(const ReplicaPlan &plan)
+    {
+        for (Replica *replica : {&this->first, &this->second}) {
+            replica->plan = [plan](const HttpRequest & /*request*/, unsigned /*number*/) {
+                return plan;
+            };
+        }
+    }
+
+    [[nodiscard]] static std::string bodyOf(const std::string &job, unsigned items, std::uint64_t tokens = 100)
+    {
+        std::string body = R"({"items":[)";
+        for (unsigned i = 0; i < items; ++i) {
+            const std::string id = job + "-" + std::to_string(i);
+            body += (i > 0 ? "," : "") + std::string(R"({"id":")") + id + R"(","path":"/batch/)" + id + R"(","headers":{"X-Mark":"m"},"body":"cXdlcnQ=","tokens":)"
+                    + std::to_string(tokens) + "}";
+        }
+        return body + "]}";
+    }
+
+    HttpResponse submit(EntryNode &node, const std::string &job, unsigned items, std::uint64_t tokens = 100)
+    {
+        HttpRequest request = EntryNode::request(job, "/batch/" + job);
+        request.body = bodyOf(job, items, tokens);
+        return node.send(std::move(request));
+    }
+
+    HttpResponse get(EntryNode &node, const std::string &target, std::chrono::milliseconds wait = 0ms)
+    {
+        HttpRequest request;
+        request.target = target;
+        request.headers = {{"Host", "h.example"}, {std::string(platform::headerWait), std::to_string(wait.count())}};
+        return node.send(std::move(request));
+    }
+
+    HttpResponse end(EntryNode &node, const std::string &job)
+    {
+        HttpRequest request;
+        request.method = "DELETE";
+        request.target = "/-/lots/" + job;
+        request.headers = {{"Host", "h.example"}};
+        return node.send(std::move(request));
+    }
+
+    boost::json::object page(EntryNode &node, const std::string &job, unsigned after = 0, std::chrono::milliseconds wait = 0ms)
+    {
+        const HttpResponse answer = this->get(node, "/-/lots/" + job + "?after=" + std::to_string(after), wait);
+        REQUIRE(answer.status == 200);
+        return boost::json::parse(answer.body).get_object();
+    }
+
+    /** @return All results once there are @p count. */
+    boost::json::array results(EntryNode &node, const std::string &job, std::size_t count, std::chrono::milliseconds limit = 10s)
+    {
+        const TimePoint until = BootClock::now() + limit;
+        for (;;) {
+            boost::json::object read = this->page(node, job, 0, 300ms);
+            if (read.at("results").get_array().size() >= count || BootClock::now() > until) {
+                return read.at("results").get_array();
+            }
+        }
+    }
+
+    [[nodiscard]] bool running(std::size_t items) const
+    {
+        return this->first.active + this->second.active >= items;
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(JobsFixture, "job_submitted_isRunOnceAndReadableAtEveryHost")
+{
+    CHECK(this->submit(*this->a, "j1", 6).status == 202);
+    for (EntryNode *node : {this->b.get(), this->a.get()}) {
+        const auto read = this->results(*node, "j1", 6);
+        REQUIRE(read.size() == 6);
+        std::set<std::string> seen;
+        for (const auto &entry : read) {
+            const std::string id(entry.at("id").get_string());
+            CHECK(seen.insert(id).second);
+            CHECK(entry.at("state") == "completed");
+            CHECK(std::string(entry.at("text").get_string()) == wholeText(id, 10));
+        }
+    }
+    CHECK(this->runsOf("j1-0") == 1);
+    CHECK(this->page(*this->a, "j1", 6).at("next") == 6);
+    CHECK(this->page(*this->b, "j1", 4).at("results").get_array().size() == 2);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_positions_areTheSameAtEveryHostAndAtEveryRead")
+{
+    this->submit(*this->a, "j1", 8);
+    const auto once = this->results(*this->a, "j1", 8);
+    CHECK(this->results(*this->b, "j1", 8) == once);
+    CHECK(this->results(*this->a, "j1", 8) == once);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_comesAgainAtAnotherHost_isAcceptedOnce")
+{
+    CHECK(this->submit(*this->a, "j1", 3).status == 202);
+    CHECK(this->submit(*this->b, "j1", 3).status == 202);
+    CHECK(this->submit(*this->a, "j1", 3).status == 202);
+    CHECK(this->results(*this->b, "j1", 3).size() == 3);
+    this->runFor(200ms);
+    CHECK(this->runsOf("j1-1") == 1);
+    SECTION("other content under the same identifier is refused")
+    {
+        CHECK(this->submit(*this->b, "j1", 4).status == 409);
+    }
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_brokenItem_nothingIsAcceptedAndTheItemIsNamed")
+{
+    HttpRequest request = EntryNode::request("j1", "/batch/j1");
+    request.body = R"({"items":[{"id":"ok","path":"/batch/1","body":"","tokens":1},{"id":"","path":"/batch/2"}]})";
+    const HttpResponse answer = this->a->send(std::move(request));
+    CHECK(answer.status == 400);
+    CHECK(answer.body.find("items[1]") != std::string::npos);
+    CHECK(this->get(*this->b, "/-/lots/j1").status == 404);
+    CHECK(this->runsOf("ok") == 0);
+}
+
+// A write whose answer was lost may have taken effect: no refusal may say that the job does not run.
+TEST_CASE_METHOD(JobsFixture, "job_answerOfTheStoreLost_isAcceptedAndNotRunTwice")
+{
+    this->store->faults.losesWriteAnswers = true;
+    const HttpResponse answer = this->submit(*this->a, "j1", 2);
+    CHECK(answer.status == 202);
+    this->store->faults.losesWriteAnswers = false;
+    CHECK(this->results(*this->b, "j1", 2).size() == 2);
+    CHECK(this->runsOf("j1-0") == 1);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_writeTakesEffectLate_isNotCalledRefused")
+{
+    this->store->faults.lateWrites = 1500ms;
+    const int status = this->submit(*this->a, "j1", 2).status;
+    CHECK(status != 429);
+    CHECK(status != 503);
+    this->store->faults.lateWrites = 0ms;
+    REQUIRE(this->runUntil([this] {
+        return this->b->jobs->jobs.contains(JobId{"j1"});
+    }));
+    CHECK(this->results(*this->b, "j1", 2).size() == 2);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_storeDown_isRefusedAsNotRun")
+{
+    this->store->faults.down = true;
+    const HttpResponse answer = this->submit(*this->a, "j1", 2);
+    CHECK(answer.status == 503);
+    CHECK_FALSE(headerValue(answer.headers, "Retry-After").empty());
+    this->store->faults.down = false;
+    this->runFor(500ms);
+    CHECK(this->runsOf("j1-0") == 0);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_overTheLimitOfTheRoute_isRefusedUntilItemsAreDone")
+{
+    this->routeNamed("batch").maxWaitingTokens = 1000;
+    this->publishAll();
+    this->planAll({.events = 40, .step = 10ms});
+    CHECK(this->submit(*this->a, "j1", 4, 150).status == 202);
+    CHECK(this->submit(*this->b, "j2", 4, 150).status == 429);
+    CHECK(this->submit(*this->b, "j1", 4, 150).status == 202);
+    CHECK(this->results(*this->a, "j1", 4).size() == 4);
+    CHECK(this->submit(*this->b, "j2", 4, 150).status == 202);
+}
+
+// Two hosts that accept at the same moment must not exceed the limit together.
+TEST_CASE_METHOD(JobsFixture, "job_twoHostsAcceptAtOnce_limitHolds")
+{
+    this->routeNamed("batch").maxWaitingTokens = 1000;
+    this->publishAll();
+    this->planAll({.events = 2000, .step = 10ms});
+    int accepted = 0;
+    unsigned answered = 0;
+    const auto send = [&](EntryNode &node, std::string job) -> boost::asio::awaitable<void> {
+        HttpRequest request = EntryNode::request(job, "/batch/" + job);
+        request.body = bodyOf(job, 6, 100);
+        auto answer = co_await httpCall(this->http, node.endpoint, std::move(request), {}, ConnectionUse::Fresh);
+        accepted += isOk(answer) && valueOf(answer).status == 202 ? 1 : 0;
+        ++answered;
+    };
+    boost::asio::co_spawn(this->loop, send(*this->a, "j1"), boost::asio::detached);
+    boost::asio::co_spawn(this->loop, send(*this->b, "j2"), boost::asio::detached);
+    REQUIRE(this->runUntil([&] {
+        return answered == 2;
+    }));
+    CHECK(accepted == 1);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_ended_stopsAndKeepsWhatIsListed")
+{
+    this->planAll({.events = 2000, .step = 5ms});
+    this->submit(*this->a, "j1", 4);
+    REQUIRE(this->runUntil([this] {
+        return this->running(4);
+    }));
+    CHECK(this->end(*this->b, "j1").status == 200);
+    CHECK(this->end(*this->a, "j1").status == 200);
+    CHECK(this->runUntil([this] {
+        return this->first.active + this->second.active == 0;
+    }));
+    CHECK(this->end(*this->a, "unknown").status == 404);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_bodiesAndUnknownJobs_areAnswered")
+{
+    this->planAll({.events = 2000, .step = 5ms});
+    this->submit(*this->a, "j1", 2);
+    const HttpResponse body = this->get(*this->b, "/-/items/j1?id=j1-1");
+    CHECK(body.status == 200);
+    CHECK(body.body == "qwert");
+    CHECK(this->get(*this->b, "/-/items/j1?id=other").status == 404);
+    CHECK(this->get(*this->b, "/-/lots/none").status == 404);
+    this->store->faults.down = true;
+    CHECK(this->get(*this->b, "/-/lots/none").status == 503);
+}
+
+// Guards against hunt-758c-35: a host whose watch heard nothing answered "no result" for a position that had been read elsewhere.
+TEST_CASE_METHOD(JobsFixture, "job_watchHearsNothing_readerStillGetsTheResults")
+{
+    this->planAll({.events = 20, .step = 20ms});
+    this->submit(*this->a, "j1", 2);
+    REQUIRE(this->runUntil([this] {
+        return this->b->jobs->jobs.contains(JobId{"j1"});
+    }));
+    this->store->faults.deafWatches = true;
+    CHECK(this->results(*this->a, "j1", 2).size() == 2);
+    CHECK(this->page(*this->b, "j1", 0, 1000ms).at("results").get_array().size() == 2);
+}
+
+TEST_CASE_METHOD(JobsFixture, "item_streamBroken_goesOnAfterTheLastEvent")
+{
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [](const HttpRequest &request, unsigned /*number*/) {
+            const bool resumed = !headerValue(request.headers, platform::headerLastEvent).empty();
+            return resumed ? ReplicaPlan{} : ReplicaPlan{.breakAfter = 4, .breakInsideEvent = true};
+        };
+    }
+    this->submit(*this->a, "j1", 2);
+    const auto read = this->results(*this->a, "j1", 2);
+    REQUIRE(read.size() == 2);
+    for (const auto &entry : read) {
+        CHECK(std::string(entry.at("text").get_string()) == wholeText(std::string(entry.at("id").get_string()), 10));
+    }
+    CHECK(this->runsOf("j1-0") == 2);
+}
+
+TEST_CASE_METHOD(JobsFixture, "item_canNeverBeDone_endsAsFailedAfterBoundedRuns")
+{
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [](const HttpRequest &request, unsigned /*number*/) {
+            const std::string id(headerValue(request.headers, platform::headerRequestId));
+            return id == "j1-0" ? ReplicaPlan{.status = 500} : id == "j1-1" ? ReplicaPlan{.status = 422} : ReplicaPlan{};
+        };
+    }
+    this->submit(*this->a, "j1", 3);
+    const auto read = this->results(*this->a, "j1", 3);
+    REQUIRE(read.size() == 3);
+    std::map<std::string, std::string> states;
+    for (const auto &entry : read) {
+        states[std::string(entry.at("id").get_string())] = std::string(entry.at("state").get_string());
+    }
+    CHECK(states["j1-0"] == "dead_letter");
+    CHECK(states["j1-1"] == "dead_letter");
+    CHECK(states["j1-2"] == "completed");
+    CHECK(this->runsOf("j1-0") == 2);
+    CHECK(this->runsOf("j1-1") == 1);
+}
+
+TEST_CASE_METHOD(JobsFixture, "item_refusedOrAnsweredForAnother_isNotCountedAsFailed")
+{
+    const auto seen = std::make_shared<unsigned>(0);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [seen](const HttpRequest & /*request*/, unsigned /*number*/) {
+            const unsigned number = (*seen)++;
+            return number < 4 ? ReplicaPlan{.status = 503} : number < 8 ? ReplicaPlan{.wrongId = true} : ReplicaPlan{};
+        };
+    }
+    this->submit(*this->a, "j1", 1);
+    const auto read = this->results(*this->a, "j1", 1, 20s);
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].at("state") == "completed");
+}
+
+TEST_CASE_METHOD(JobsFixture, "item_retentionOver_isGivenUp")
+{
+    this->routeNamed("batch").retention = 500ms;
+    this->publishAll();
+    this->planAll({.events = 2000, .step = 20ms});
+    this->submit(*this->a, "j1", 2);
+    const auto read = this->results(*this->a, "j1", 2);
+    REQUIRE(read.size() == 2);
+    CHECK(read[0].at("state") == "dead_letter");
+}
+
+// Batch on an engine is bounded by its slots, and gives way when online requests come.
+TEST_CASE_METHOD(JobsFixture, "items_besideOnlineRequests_leaveTheirSlotsAndGoOnLater")
+{
+    this->planAll({.events = 60, .step = 10ms});
+    this->submit(*this->a, "j1", 12);
+    REQUIRE(this->runUntil([this] {
+        return this->running(6);
+    }));
+    CHECK(this->first.mostActive <= 4);
+    CHECK(this->second.mostActive <= 4);
+    {
+        std::vector<std::unique_ptr<LoadTicket>> online;
+        for (unsigned i = 0; i < 4; ++i) {
+            online.push_back(std::make_unique<LoadTicket>(boardOf(this->a->proxy), TargetId{"i-1"}, false));
+        }
+        yieldToOnline(*this->a->runner);
+        CHECK(this->runUntil([this] {
+            return this->first.active == 0;
+        }));
+        this->runFor(100ms);
+        CHECK(this->first.active == 0);
+    }
+    const auto read = this->results(*this->a, "j1", 12, 20s);
+    REQUIRE(read.size() == 12);
+    for (const auto &entry : read) {
+        CHECK(std::string(entry.at("text").get_string()) == wholeText(std::string(entry.at("id").get_string()), 60));
+    }
+}
+
+// The owner is gone: another host goes on from the outputs that were kept, and nothing is lost.
+TEST_CASE_METHOD(JobsFixture, "job_ownerGone_anotherHostGoesOnFromKeptOutputs")
+{
+    this->planAll({.events = 400, .step = 10ms});
+    this->submit(*this->a, "j1", 3);
+    REQUIRE(this->runUntil(
+        [this] {
+            return this->store->items.contains(jobOutputsKey(JobId{"j1"}));
+        },
+        6s));
+    this->a->runner.reset();
+    this->a.reset();
+    this->planAll({.events = 400, .step = 1ms});
+    this->publishAll();
+    const auto read = this->results(*this->b, "j1", 3, 20s);
+    REQUIRE(read.size() == 3);
+    for (const auto &entry : read) {
+        CHECK(std::string(entry.at("text").get_string()) == wholeText(std::string(entry.at("id").get_string()), 400));
+    }
+    bool resumed = false;
+    for (const auto &replica : this->replicas) {
+        for (const auto &run : replica->runs) {
+            resumed = resumed || run->after > 20;
+        }
+    }
+    CHECK(resumed);
+}
+
+TEST_CASE_METHOD(JobsFixture, "job_hostStops_handsItsJobsOver")
+{
+    this->planAll({.events = 300, .step = 10ms});
+    this->submit(*this->a, "j1", 3);
+    REQUIRE(this->runUntil([this] {
+        return this->running(3);
+    }));
+    this->runFor(300ms);
+    auto handOver = [this]() -> boost::asio::awaitable<bool> {
+        co_await handOverJobs(*this->a->runner);
+        co_return true;
+    };
+    CHECK(this->run(handOver()));
+    CHECK(this->runUntil([this] {
+        const auto &record = this->b->jobs->jobs.at(JobId{"j1"}).record;
+        return record.owner == this->b->jobs->session;
+    }));
+    CHECK(this->results(*this->b, "j1", 3, 20s).size() == 3);
+}
+
+// An owner that was paused and wakes finds another owner: its results must not be listed.
+TEST_CASE_METHOD(JobsFixture, "job_formerOwner_cannotListResults")
+{
+    this->planAll({.events = 2000, .step = 10ms});
+    this->submit(*this->a, "j1", 2);
+    REQUIRE(this->runUntil([this] {
+        return this->b->jobs->jobs.contains(JobId{"j1"});
+    }));
+    CHECK(this->run(claimJob(this->b->jobs, JobId{"j1"})));
+    std::map<std::uint32_t, JobResult> finished;
+    finished[0] = {"j1-0", ItemState::Completed, "stale"};
+    const auto listed = this->run(listResults(this->a->jobs, JobId{"j1"}, finished, {}));
+    REQUIRE_FALSE(isOk(listed));
+    CHECK(errorOf(listed).code == ErrorCode::LeaseExpired);
+    CHECK(this->page(*this->b, "j1").at("results").get_array().empty());
+}
+
+TEST_CASE_METHOD(JobsFixture, "listResults_answerLost_isNotListedTwice")
+{
+    this->planAll({.events = 2000, .step = 10ms});
+    this->submit(*this->a, "j1", 2);
+    this->store->faults.losesWriteAnswers = true;
+    std::map<std::uint32_t, JobResult> finished;
+    finished[1] = {"j1-1", ItemState::Completed, "text"};
+    const auto listed = this->run(listResults(this->a->jobs, JobId{"j1"}, finished, {}));
+    CHECK(isOk(listed));
+    this->store->faults.losesWriteAnswers = false;
+    const auto read = this->page(*this->b, "j1").at("results").get_array();
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].at("id") == "j1-1");
+}
--- /dev/null
+++ b/tests/test_site_wire.cpp
@@ -0,0 +1,296 @@
+/** @file test_site_wire.cpp The platform's wire forms: settings, documents, calls, jobs and the client of its store. */
+#include "call_wire_func.h"
+#include "documents_func.h"
+#include "names.h"
+#include "settings_func.h"
+#include "store_client_func.h"
+#include "store_server_func.h"
+#include "support/process_func.h"
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char *validSettings = R"(
+node = "front-north-1"
+role = "entry"
+serves = ["front","control"]
+ip = "10.1.0.35"
+zone = "north"
+internal_ports = [7660,7675]
+unknown = { a = 1 }
+[listen]
+front = "10.1.0.35:8144"
+readiness = "10.1.0.35:8140"
+[limits]
+memory_mb = 260
+fds = 4200
+[bounds]
+grace_s = 8
+[platform]
+address = "10.200.1.7:8142"
+)";
+
+/** The store's client against a server of its wire form. */
+struct StoreClientFixture : TestLoop {
+    std::shared_ptr<MemoryStore> memory{MemoryStore::create(loop.get_executor())}; ///< Service.
+    std::unique_ptr<HttpServer> server; ///< Its wire form.
+    std::shared_ptr<const KvStore> store; ///< Client.
+
+    StoreClientFixture()
+    {
+        auto served = serveStore(this->memory);
+        REQUIRE(isOk(served));
+        this->server = std::move(valueOf(served));
+        this->store = platform::makeStoreClient(this->http, {"127.0.0.1", listenPort(*this->server)}, MetricsRegistry::create());
+    }
+
+    Result<KvDecision> commit(const KvTransaction &transaction)
+    {
+        return this->run(this->store->commit(transaction));
+    }
+};
+
+std::string textWithout(std::string text, const std::string &line)
+{
+    const std::size_t at = text.find(line);
+    REQUIRE(at != std::string::npos);
+    return text.erase(at, text.find('\n', at) - at);
+}
+
+} // namespace
+
+TEST_CASE("settings_ofAnEntryHost_areRead", "[settings]")
+{
+    auto settings = platform::decodeSettings(validSettings);
+    REQUIRE(isOk(settings));
+    const auto &read = valueOf(settings);
+    CHECK(read.servesCallers);
+    CHECK(read.entry.host.value == "front-north-1");
+    CHECK(read.entry.domain.value == "north");
+    CHECK(read.entry.callers == Endpoint{"10.1.0.35", 8144});
+    CHECK(read.entry.readiness == Endpoint{"10.1.0.35", 8140});
+    CHECK(read.entry.peers == Endpoint{"10.1.0.35", 7660});
+    CHECK(read.entry.stopLimit == 8s);
+    CHECK(read.store == Endpoint{"10.200.1.7", 8142});
+}
+
+TEST_CASE("settings_withMistakes_nameEachByItsKey", "[settings]")
+{
+    std::string text = textWithout(textWithout(validSettings, "zone ="), "readiness =");
+    text = textWithout(text, "fds =") + "\n";
+    text.replace(text.find("memory_mb = 260"), 15, "memory_mb = \"x\"");
+    const auto refused = platform::decodeSettings(text);
+    REQUIRE_FALSE(isOk(refused));
+    for (const char *key : {"zone:", "listen.readiness:", "limits.memory_mb:"}) {
+        CHECK(errorOf(refused).detail.find(key) != std::string::npos);
+    }
+    CHECK_FALSE(isOk(platform::decodeSettings("node = ")));
+    CHECK_FALSE(isOk(platform::readSettings("/nowhere/settings.toml")));
+}
+
+TEST_CASE("config_withAllKindsOfRoutes_isRead", "[documents]")
+{
+    const auto decoded = platform::decodeConfig(R"({"version":7,"routes":[
+        {"name":"r1","host":"h","prefix":"/a/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,"service":"s","max_attempts":2,"resumable":true},
+        {"name":"r2","host":"h","prefix":"/b/","kind":"safe","timeout_ms":1000,"weighted_services":[{"service":"s","weight":90},{"service":"t","weight":10}]},
+        {"name":"r3","host":"h","prefix":"/c/","kind":"batch","service":"s","completion_target_ms":18000,"retention_s":60.5,"max_count":1600000}],
+        "services":[],"limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+    REQUIRE(isOk(decoded));
+    const RoutingConfig &config = valueOf(decoded);
+    CHECK(config.version.value == 7);
+    REQUIRE(config.routes.size() == 3);
+    CHECK(config.routes[0].resumable);
+    CHECK(config.routes[0].timeout == 5s);
+    CHECK(config.routes[1].services.size() == 2);
+    CHECK(config.routes[1].maxAttempts == 1);
+    CHECK(config.routes[2].retention == 60500ms);
+    CHECK(config.routes[2].maxWaitingTokens == 1600000);
+    CHECK(config.limits.maxBodyBytes == 1000);
+}
+
+TEST_CASE("config_unusable_isRefusedWhole", "[documents]")
+{
+    for (const char *document : {"", "7", "{}", R"({"version":1,"routes":[7]})", R"({"version":1,"routes":[{"host":"h","prefix":"/a/","kind":"odd","service":"s"}]})",
+                                 R"({"version":1,"routes":[{"host":"h","prefix":"/a","kind":"safe","service":"s"}]})",
+                                 R"({"version":1,"routes":[{"host":"h","prefix":"/a/","kind":"safe"}]})"}) {
+        CHECK_FALSE(isOk(platform::decodeConfig(document)));
+    }
+}
+
+TEST_CASE("call_toATarget_carriesWhatTheSystemAddsAndNothingOfTheHop", "[calls]")
+{
+    const CallWire wire = platform::makeCallWire();
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b?c=d";
+    request.headers = {{"Host", "h.example"}, {"X-Skylarkstage-Request-Id", "q1"}, {"X-Skylarkstage-Deadline-Ms", "5000"}, {"Last-Event-Id", "12"},
+                       {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"X-Custom", "v"}, {"X-Skylarkstage-Expect-Instance", "forged"}};
+    auto decoded = wire.decode(request);
+    REQUIRE(isOk(decoded));
+    const auto &call = std::get<ProxyCall>(valueOf(decoded));
+    CHECK(call.patience == 5000ms);
+    CHECK(call.lastEventId == 12);
+    const HttpRequest sent = wire.encode(call, {TargetId{"i-1"}, 4200ms, 15});
+    CHECK(headerValue(sent.headers, "Host") == "h.example");
+    CHECK(headerValue(sent.headers, "X-Skylarkstage-Expect-Instance") == "i-1");
+    CHECK(headerValue(sent.headers, "X-Skylarkstage-Deadline-Ms") == "4200");
+    CHECK(headerValue(sent.headers, "Last-Event-Id") == "15");
+    CHECK(headerValue(sent.headers, "X-Custom") == "v");
+    CHECK(headerValue(sent.headers, "X-Hop").empty());
+    CHECK(headerValue(sent.headers, "Connection").empty());
+    CHECK(sent.target == "/a/b?c=d");
+}
+
+TEST_CASE("answer_statesWhetherItRan", "[calls]")
+{
+    const CallWire wire = platform::makeCallWire();
+    CHECK(wire.readAnswer(503, {{"X-Skylarkstage-Not-Executed", "1"}}).notRun);
+    CHECK(wire.readAnswer(421, {}).notRun);
+    CHECK_FALSE(wire.readAnswer(503, {}).notRun);
+    CHECK_FALSE(wire.readAnswer(500, {{"X-Skylarkstage-Request-Id", "q"}}).notRun);
+}
+
+TEST_CASE("submission_items_areDecodedOrNamed", "[jobs]")
+{
+    const CallWire wire = platform::makeCallWire();
+    ProxyCall call;
+    call.body = R"({"items":[{"id":"e5","path":"/p/3","headers":{"X-Skylarkstage-Model":"m"},"body":"q83vEjRWeJA=","tokens":940}]})";
+    auto submission = wire.decodeSubmission(call);
+    REQUIRE(isOk(submission));
+    const JobItem &item = valueOf(submission).items.at(0);
+    CHECK(item.body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    CHECK(item.tokens == 940);
+    CHECK(headerValue(item.headers, "X-Skylarkstage-Model") == "m");
+    for (const char *body : {"", "{}", R"({"items":[]})", R"({"items":[7]})", R"({"items":[{"id":"a","path":"no slash"}]})", R"({"items":[{"id":"a","path":"/p","body":"*"}]})"}) {
+        call.body = body;
+        CHECK_FALSE(isOk(wire.decodeSubmission(call)));
+    }
+}
+
+TEST_CASE("page_ofResults_hasThePlatformsForm", "[jobs]")
+{
+    JobPage page{40, 14, {{"a", ItemState::Completed, "x\ny"}, {"b", ItemState::Failed, ""}}};
+    CHECK(platform::makeCallWire().encodePage(page)
+          == R"({"total":40,"next":14,"results":[{"id":"a","state":"completed","text":"x\ny"},{"id":"b","state":"dead_letter","text":""}]})");
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "storeClient_keysAndRanges_keepAnyBytes")
+{
+    const std::string bytes("\0\xff\n\"x", 5);
+    KvTransaction write;
+    write.conditions = {{"p/a", 0}};
+    write.writes = {{"p/a", bytes, 0}, {"p/b", "2", 0}};
+    auto made = this->commit(write);
+    REQUIRE(isOk(made));
+    CHECK(valueOf(made).applied);
+    auto item = this->run(this->store->get("p/a", KvFreshness::Linearizable));
+    REQUIRE(isOk(item));
+    REQUIRE(valueOf(item));
+    CHECK(valueOf(item)->value == bytes);
+    CHECK(valueOf(item)->revision == valueOf(made).revision);
+    auto none = this->run(this->store->get("p/none", KvFreshness::Stale));
+    REQUIRE(isOk(none));
+    CHECK_FALSE(valueOf(none));
+    auto page = this->run(this->store->range("p/", "p/a", KvFreshness::Linearizable));
+    REQUIRE(isOk(page));
+    CHECK(valueOf(page).items.size() == 1);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "storeClient_conditionFails_tellsThePresentItems")
+{
+    putKey(*this->memory, "p/a", "1");
+    KvTransaction write;
+    write.conditions = {{"p/a", 0}, {"p/absent", 0}};
+    write.writes = {{"p/a", "2", 0}};
+    auto refused = this->commit(write);
+    REQUIRE(isOk(refused));
+    CHECK_FALSE(valueOf(refused).applied);
+    REQUIRE(valueOf(refused).present.size() == 1);
+    CHECK(valueOf(refused).present[0].value == "1");
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "storeClient_watch_hearsChangesAndCompaction")
+{
+    putKey(*this->memory, "p/a", "1");
+    auto changes = this->run(this->store->watch("p/", 0, 1s));
+    REQUIRE(isOk(changes));
+    REQUIRE(valueOf(changes).items.size() == 1);
+    const std::uint64_t seen = valueOf(changes).storeRevision;
+    auto nothing = this->run(this->store->watch("p/", seen, 100ms));
+    REQUIRE(isOk(nothing));
+    CHECK(valueOf(nothing).items.empty());
+    removeKey(*this->memory, "p/a");
+    auto removed = this->run(this->store->watch("p/", seen, 1s));
+    REQUIRE(isOk(removed));
+    CHECK(valueOf(removed).items.at(0).deleted);
+    this->memory->compactedTo = this->memory->revision;
+    auto gone = this->run(this->store->watch("p/", seen, 1s));
+    REQUIRE(isOk(gone));
+    CHECK(valueOf(gone).compacted);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "storeClient_leases_endWithTheirKeys")
+{
+    auto lease = this->run(this->store->grantLease(5s));
+    REQUIRE(isOk(lease));
+    KvTransaction write;
+    write.writes = {{"p/a", "1", valueOf(lease)}};
+    REQUIRE(isOk(this->commit(write)));
+    CHECK(isOk(this->run(this->store->renewLease(valueOf(lease)))));
+    CHECK(isOk(this->run(this->store->endLease(valueOf(lease)))));
+    const auto renewed = this->run(this->store->renewLease(valueOf(lease)));
+    REQUIRE_FALSE(isOk(renewed));
+    CHECK(errorOf(renewed).code == ErrorCode::LeaseExpired);
+    const auto late = this->commit(write);
+    REQUIRE_FALSE(isOk(late));
+    CHECK(errorOf(late).code == ErrorCode::LeaseExpired);
+}
+
+// What the service does not do, and what it may have done, are told apart.
+TEST_CASE_METHOD(StoreClientFixture, "storeClient_failures_sayWhetherAWriteMayHaveTakenEffect")
+{
+    KvTransaction write;
+    write.writes = {{"p/a", "1", 0}};
+    this->memory->faults.down = true;
+    const auto refused = this->commit(write);
+    REQUIRE_FALSE(isOk(refused));
+    CHECK(errorOf(refused).code == ErrorCode::PlatformUnavailable);
+    this->memory->faults.down = false;
+    const auto cut = HttpServer::create(this->loop.get_executor(), {.listen = {"127.0.0.1", 0}}, [](HttpRequest, HttpResponder &responder) -> boost::asio::awaitable<void> {
+        abortConnection(responder);
+        co_return;
+    });
+    REQUIRE(isOk(cut));
+    const auto other = platform::makeStoreClient(this->http, {"127.0.0.1", listenPort(*valueOf(cut))}, MetricsRegistry::create());
+    const auto unknown = this->run(other->commit(write));
+    REQUIRE_FALSE(isOk(unknown));
+    CHECK(errorOf(unknown).code == ErrorCode::OutcomeUnknown);
+    const auto read = this->run(other->get("p/a", KvFreshness::Linearizable));
+    REQUIRE_FALSE(isOk(read));
+    CHECK(errorOf(read).code == ErrorCode::PlatformUnavailable);
+}
+
+TEST_CASE_METHOD(StoreClientFixture, "storeClient_garbage_isAnErrorAndNotAnEmptyAnswer")
+{
+    const auto odd = HttpServer::create(this->loop.get_executor(), {.listen = {"127.0.0.1", 0}}, [](HttpRequest, HttpResponder &responder) -> boost::asio::awaitable<void> {
+        HttpResponse response;
+        response.body = "garbage";
+        co_await sendResponse(responder, std::move(response));
+    });
+    REQUIRE(isOk(odd));
+    const auto other = platform::makeStoreClient(this->http, {"127.0.0.1", listenPort(*valueOf(odd))}, MetricsRegistry::create());
+    CHECK_FALSE(isOk(this->run(other->get("k", KvFreshness::Linearizable))));
+    CHECK_FALSE(isOk(this->run(other->range("k", "", KvFreshness::Stale))));
+    CHECK_FALSE(isOk(this->run(other->watch("k", 1, 100ms))));
+    KvTransaction write;
+    write.writes = {{"p/a", "1", 0}};
+    const auto made = this->commit(write);
+    CHECK(isOk(made));
+    const auto unknown = this->run(other->commit(write));
+    REQUIRE_FALSE(isOk(unknown));
+    CHECK(errorOf(unknown).code == ErrorCode::OutcomeUnknown);
+}
--- /dev/null
+++ b/tests/test_spread.cpp
@@ -0,0 +1,193 @@
+/** @file test_spread.cpp Placement on shared targets, batch beside online requests, and refusals. */
+#include "core/hash_func.h"
+#include "policy/spread_func.h"
+
+#include <catch2/catch.hpp>
+#include <numeric>
+
+using namespace skylark;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two targets with eight slots. */
+struct SpreadFixture {
+    std::vector<SpreadCandidate> candidates{{.id = TargetId{"a"}, .slots = 8}, {.id = TargetId{"b"}, .slots = 8}}; ///< Candidates.
+    SpreadLimits limits; ///< Limits.
+    std::uint64_t draw{7}; ///< Random number.
+
+    [[nodiscard]] SpreadChoice choose() const
+    {
+        return spreadRequest(this->candidates, this->limits, this->draw);
+    }
+};
+
+/** A target that several hosts see alike. */
+struct ValleyFixture {
+    unsigned slots{8}; ///< Slots.
+    unsigned online{0}; ///< Online requests.
+    std::vector<unsigned> batch; ///< Batch items of each host, in the order in which they give way.
+
+    /** @return What host @p index knows. */
+    [[nodiscard]] ValleyInput inputOf(std::size_t index) const
+    {
+        const auto at = this->batch.begin() + static_cast<std::ptrdiff_t>(index);
+        ValleyInput input{.slots = this->slots, .online = this->online, .ownBatch = *at};
+        input.batchBefore = std::accumulate(this->batch.begin(), at, 0U);
+        input.batchAfter = std::accumulate(at + 1, this->batch.end(), 0U);
+        return input;
+    }
+};
+
+} // namespace
+
+// Guards against cancelled batch runs while another target has room (1,000 runs a day were cut).
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_oneTargetFullOfBatch_choosesFreeSlotElsewhere")
+{
+    this->candidates[0].online = 1;
+    this->candidates[0].batch = 7;
+    this->candidates[1].online = 5;
+    const SpreadChoice choice = this->choose();
+    CHECK(choice.target.value == "b");
+    CHECK(choice.reason == SpreadReason::FreeSlot);
+}
+
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_allSlotsTakenWithBatch_takesSlotFromBatch")
+{
+    this->candidates[0].online = 8;
+    this->candidates[1].online = 6;
+    this->candidates[1].batch = 2;
+    const SpreadChoice choice = this->choose();
+    CHECK(choice.target.value == "b");
+    CHECK(choice.reason == SpreadReason::BatchYields);
+}
+
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_allSlotsTakenByOnline_queuesAtShorterQueue")
+{
+    this->candidates[0].online = 10;
+    this->candidates[1].online = 9;
+    const SpreadChoice choice = this->choose();
+    CHECK(choice.target.value == "b");
+    CHECK(choice.reason == SpreadReason::Queued);
+}
+
+// Guards against requests that wait until their deadline although it is known that they cannot be served.
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_queuesFull_refusesAtOnce")
+{
+    this->candidates[0].online = 12;
+    this->candidates[1].online = 12;
+    CHECK(this->choose().reason == SpreadReason::Full);
+}
+
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_noCandidates_namesNoTarget")
+{
+    this->candidates.clear();
+    CHECK(this->choose().reason == SpreadReason::NoTarget);
+}
+
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_suspectTarget_isUsedOnlyWhenOthersAreTried")
+{
+    this->candidates[0].suspect = true;
+    this->candidates[1].online = 7;
+    CHECK(this->choose().target.value == "b");
+    this->candidates[1].tried = true;
+    CHECK(this->choose().target.value == "a");
+}
+
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_equalLoad_prefersOwnFailureDomain")
+{
+    this->candidates[0].sameDomain = false;
+    for (this->draw = 0; this->draw < 50; ++this->draw) {
+        CHECK(this->choose().target.value == "b");
+    }
+}
+
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_slowTarget_getsLessThanItsPeers")
+{
+    this->candidates[0].online = 2;
+    this->candidates[0].slowness = 4.0;
+    this->candidates[1].online = 4;
+    CHECK(this->choose().target.value == "b");
+}
+
+// A property: whatever the loads, the choice is neither tried nor over its queue bound.
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_randomLoads_neverChoosesTriedOrFullTarget")
+{
+    std::uint64_t random = 11;
+    for (unsigned round = 0; round < 20000; ++round) {
+        this->candidates.assign(1 + nextRandom(random) % 12, SpreadCandidate{.slots = 8});
+        for (std::size_t i = 0; i < this->candidates.size(); ++i) {
+            SpreadCandidate &candidate = this->candidates[i];
+            candidate.id.value = std::to_string(i);
+            candidate.online = static_cast<unsigned>(nextRandom(random) % 16);
+            candidate.batch = static_cast<unsigned>(nextRandom(random) % 9);
+            candidate.tried = nextRandom(random) % 4 == 0;
+            candidate.suspect = nextRandom(random) % 4 == 0;
+        }
+        this->draw = nextRandom(random);
+        const SpreadChoice choice = this->choose();
+        const bool placed = choice.reason != SpreadReason::Full && choice.reason != SpreadReason::NoTarget;
+        const bool possible = std::any_of(this->candidates.begin(), this->candidates.end(), [](const SpreadCandidate &candidate) {
+            return !candidate.tried && candidate.online < 12;
+        });
+        REQUIRE(placed == possible);
+        if (placed) {
+            const SpreadCandidate &chosen = this->candidates[std::stoul(choice.target.value)];
+            REQUIRE_FALSE(chosen.tried);
+            REQUIRE(chosen.online < 12);
+        }
+    }
+}
+
+// A property: hosts that see the same counts cancel together exactly what is in the way, no more and no less.
+TEST_CASE_METHOD(ValleyFixture, "valleyYield_hostsWithSameView_cancelTogetherTheExcess")
+{
+    std::uint64_t random = 5;
+    for (unsigned round = 0; round < 20000; ++round) {
+        this->online = static_cast<unsigned>(nextRandom(random) % 12);
+        this->batch.assign(1 + nextRandom(random) % 7, 0);
+        unsigned all = 0;
+        for (unsigned &count : this->batch) {
+            count = static_cast<unsigned>(nextRandom(random) % 4);
+            all += count;
+        }
+        unsigned cancelled = 0;
+        for (std::size_t i = 0; i < this->batch.size(); ++i) {
+            cancelled += valleyYield(this->inputOf(i));
+        }
+        const unsigned excess = this->online + all > this->slots ? this->online + all - this->slots : 0;
+        REQUIRE(cancelled == std::min(excess, all));
+    }
+}
+
+TEST_CASE_METHOD(ValleyFixture, "valleyFree_hostNotPreferred_leavesLastSlot")
+{
+    this->batch = {2, 3};
+    this->online = 2;
+    ValleyInput input = this->inputOf(0);
+    CHECK(valleyFree(input) == 1);
+    input.preferred = false;
+    CHECK(valleyFree(input) == 0);
+}
+
+TEST_CASE("refusalDelay_longerQueue_sendsCallersBackLater", "[refusal]")
+{
+    const RefusalInput small{.online = 100, .slots = 96, .remaining = 5000ms, .draw = 0};
+    const RefusalInput large{.online = 190, .slots = 96, .remaining = 5000ms, .draw = 0};
+    CHECK(refusalDelay(small) <= refusalDelay(large));
+}
+
+// Guards against callers that are sent back when their time is over or all at the same moment.
+TEST_CASE("refusalDelay_randomInput_staysWithinThirdOfRemainingTime", "[refusal]")
+{
+    std::uint64_t random = 3;
+    for (unsigned round = 0; round < 10000; ++round) {
+        const RefusalInput input{.online = static_cast<unsigned>(nextRandom(random) % 400),
+                                 .slots = static_cast<unsigned>(nextRandom(random) % 100),
+                                 .remaining = std::chrono::milliseconds(nextRandom(random) % 6000),
+                                 .draw = nextRandom(random)};
+        const auto delay = refusalDelay(input);
+        REQUIRE(delay >= 200ms);
+        REQUIRE(delay <= std::max(200ms, input.remaining / 3));
+    }
+}
