--- a/bench/load/request.cpp
+++ b/bench/load/request.cpp
@@ -2,8 +2,8 @@
 #include "request_func.h"
 
 #include "../../standins/engine_text_func.h"
-#include "core/table/error_table.h"
 #include "core/json_member_func.h"
+#include "core/table/error_table.h"
 
 namespace skylark::load {
 
--- a/src/engine/engine_call.cpp
+++ b/src/engine/engine_call.cpp
@@ -1,7 +1,7 @@
 /** @file engine_call.cpp Calls to engines and plain services that have one answer. */
+#include "core/json_member_func.h"
 #include "engine/engine_answer_func.h"
 #include "engine/engine_client_func.h"
-#include "core/json_member_func.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -1,8 +1,8 @@
 /** @file engine_client.cpp Generation streams of model engines. */
 #include "engine/engine_client_func.h"
 
-#include "engine/engine_answer_func.h"
 #include "core/json_member_func.h"
+#include "engine/engine_answer_func.h"
 
 #include <algorithm>
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -55,7 +55,8 @@
 
 std::int64_t modificationTime(const std::string &path)
 {
-    struct stat info {};
+    struct stat info {
+    };
     return ::stat(path.c_str(), &info) == 0 ? static_cast<std::int64_t>(info.st_mtim.tv_sec) * 1000000000 + info.st_mtim.tv_nsec : 0;
 }
 
@@ -94,10 +95,11 @@
 {
     HttpServerOptions options;
     options.listen = listen;
-    return HttpServer::create(host.traffic.get_executor(), options, [answer = std::move(answer)](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
-        HttpResponse response = answer(request);
-        co_await sendResponse(responder, std::move(response));
-    });
+    return HttpServer::create(
+        host.traffic.get_executor(), options, [answer = std::move(answer)](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+            HttpResponse response = answer(request);
+            co_await sendResponse(responder, std::move(response));
+        });
 }
 
 HttpResponse answerReadiness(const EntryHost &host, const HttpRequest &request)
--- a/src/entry/entry_host_func.h
+++ b/src/entry/entry_host_func.h
@@ -29,7 +29,8 @@
 struct EntryAdapters {
     FleetWire fleet; ///< Wire forms of configuration and target entries.
     CallWire calls; ///< Wire forms of callers and targets.
-    std::function<std::shared_ptr<const KvStore>(const boost::asio::any_io_executor &executor, std::shared_ptr<MetricsRegistry> metrics)> makeStore; ///< Client of the service.
+    std::function<std::shared_ptr<const KvStore>(const boost::asio::any_io_executor &executor, std::shared_ptr<MetricsRegistry> metrics)>
+        makeStore; ///< Client of the service.
     std::function<Result<EntrySettings>()> readSettings; ///< Reads the settings again.
     std::function<bool(std::string_view target)> isReadinessProbe; ///< Whether a request on the readiness address asks for readiness.
     std::string settingsPath; ///< File whose change leads to a reload.
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -56,7 +56,9 @@
     std::erase_if(link.peers, [now](const auto &entry) {
         const bool gone = now - entry.second.lastSeen > forgetAfter;
         if (gone) {
-            logEvent(EventKind::PeerChanged, entry.first.value, {{"state", "gone"}, {"domain", entry.second.domain.value}, {"address", entry.second.endpoint.address}});
+            logEvent(EventKind::PeerChanged,
+                     entry.first.value,
+                     {{"state", "gone"}, {"domain", entry.second.domain.value}, {"address", entry.second.endpoint.address}});
         }
         return gone;
     });
--- a/src/entry/storage_host_func.h
+++ b/src/entry/storage_host_func.h
@@ -19,7 +19,8 @@
     std::string retireKey; ///< Key by which operators ask for the host to be emptied.
     std::string retireStatusKey; ///< Key at which the host reports.
     std::string retireDone; ///< Report that the host holds nothing.
-    std::function<std::shared_ptr<const KvStore>(const boost::asio::any_io_executor &executor, std::shared_ptr<MetricsRegistry> metrics)> makeStore; ///< Client of the service.
+    std::function<std::shared_ptr<const KvStore>(const boost::asio::any_io_executor &executor, std::shared_ptr<MetricsRegistry> metrics)>
+        makeStore; ///< Client of the service.
 };
 
 /** Runs the host until SIGTERM or SIGINT. @return Exit code. */
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -44,7 +44,8 @@
 
 using ImplPtr = std::shared_ptr<FleetController::Impl>;
 
-constexpr std::chrono::milliseconds checkInterval{1000}; ///< Together with a read of the whole prefix it stays below the 2 s in which changes have to be in force.
+constexpr std::chrono::milliseconds checkInterval{
+    1000}; ///< Together with a read of the whole prefix it stays below the 2 s in which changes have to be in force.
 constexpr std::chrono::milliseconds pullConnect{300}; ///< Connecting to a peer: a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswer{1000}; ///< Answer of a peer: a document of at most 1 MB.
 
@@ -110,7 +111,10 @@
 {
     logEvent(EventKind::TargetChanged,
              entry.id.value,
-             {{"state", state}, {"service", entry.service.value}, {"domain", entry.domain.value}, {"address", entry.endpoint.address + ":" + std::to_string(entry.endpoint.port)}});
+             {{"state", state},
+              {"service", entry.service.value},
+              {"domain", entry.domain.value},
+              {"address", entry.endpoint.address + ":" + std::to_string(entry.endpoint.port)}});
 }
 
 /** Takes a target's entry. @return Whether what callers of the snapshot see has changed. */
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -57,13 +57,12 @@
  * Sends @p request and reads the response head.
  * @return The exchange, or an error whose run state says whether a byte of the request was sent.
  */
-boost::asio::awaitable<Result<HttpExchange>> httpOpen(
-    std::shared_ptr<HttpClient> client,
-    Endpoint endpoint,
-    HttpRequest request,
-    HttpTimeouts timeouts,
-    ConnectionUse use = ConnectionUse::Pooled,
-    std::shared_ptr<HttpAbortHandle> abort = nullptr);
+boost::asio::awaitable<Result<HttpExchange>> httpOpen(std::shared_ptr<HttpClient> client,
+                                                      Endpoint endpoint,
+                                                      HttpRequest request,
+                                                      HttpTimeouts timeouts,
+                                                      ConnectionUse use = ConnectionUse::Pooled,
+                                                      std::shared_ptr<HttpAbortHandle> abort = nullptr);
 
 /** Reads the next piece of the body; an empty optional is the end, after which the connection may be reused. */
 boost::asio::awaitable<Result<std::optional<std::string>>> httpRead(HttpExchange &exchange, std::chrono::milliseconds idleTimeout);
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -254,7 +254,8 @@
         mayBeStored = mayBeStored || last.code == ErrorCode::OutcomeUnknown;
         co_await sleepFor(shortWait);
     }
-    logEvent(EventKind::JobRefused, record.id.value, {{"route", rule.name}, {"reason", errorInfo(last.code).name}, {"tokens", tokens}, {"detail", last.detail}});
+    logEvent(
+        EventKind::JobRefused, record.id.value, {{"route", rule.name}, {"reason", errorInfo(last.code).name}, {"tokens", tokens}, {"detail", last.detail}});
     co_return mayBeStored ? failure(504, "outcome_unknown") : failure(503, "store_unavailable", storeRetryAfter);
 }
 
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -202,7 +202,12 @@
     settleFailure(*runner, job, owned->second, *run, target, error);
     logEvent(EventKind::ItemFailed,
              item,
-             {{"job", job.value}, {"target", target.id.value}, {"error", errorInfo(error.code).name}, {"detail", error.detail}, {"failures", run->failures}, {"events", run->events}});
+             {{"job", job.value},
+              {"target", target.id.value},
+              {"error", errorInfo(error.code).name},
+              {"detail", error.detail},
+              {"failures", run->failures},
+              {"events", run->events}});
     if (run->phase == ItemPhase::Finished) {
         logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "failed"}, {"events", run->events}, {"took_ms", took}});
         addCounter(*runner->proxy->metrics, "skylark_items_total", {{"outcome", "failed"}});
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -556,7 +556,8 @@
             }
             --excess;
             run->yielded = true;
-            logSampled(EventKind::ItemYielded, {}, {{"target", target.value}, {"events", run->events}, {"online", countsOf(impl.proxy->board, target, now).online}});
+            logSampled(
+                EventKind::ItemYielded, {}, {{"target", target.value}, {"events", run->events}, {"online", countsOf(impl.proxy->board, target, now).online}});
             cutRun(*run);
         }
     }
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -28,8 +28,8 @@
     std::uint64_t jobsCursor{0}; ///< Event cursor of the job list.
     std::vector<TargetStatus> targets; ///< Owned targets.
     std::vector<std::pair<TargetId, unsigned>> onlineInFlight; ///< Online streams by target.
-    std::vector<std::pair<TargetId, unsigned>> batchInFlight; ///< Batch items by target.
     std::vector<std::pair<ModelId, unsigned>> freeByModel; ///< Free slots of the domain by model.
+    std::vector<std::pair<TargetId, unsigned>> batchInFlight; ///< Batch items by target.
 };
 
 /** Asks a target's batch owner to release slots. */
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -321,7 +321,11 @@
     }
     const bool late = leftOf(forwarding).count() <= 0;
     if (forwarding.runs == 0) {
-        co_await refuse(forwarding, late ? "deadline" : "targets_refused", refusalDelay({.remaining = leftOf(forwarding), .draw = nextRandom(forwarding.proxy->random)}), 0, 0);
+        co_await refuse(forwarding,
+                        late ? "deadline" : "targets_refused",
+                        refusalDelay({.remaining = leftOf(forwarding), .draw = nextRandom(forwarding.proxy->random)}),
+                        0,
+                        0);
         logAnswered(forwarding, 503, "refused");
         co_return;
     }
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -50,7 +50,10 @@
 void noteTargetFailure(Proxy &proxy, const TargetEntry &target);
 
 /** @return The targets of @p service that take new work, with what is known of their load. */
-[[nodiscard]] std::vector<SpreadCandidate> candidatesOf(const Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
+[[nodiscard]] std::vector<SpreadCandidate> candidatesOf(const Proxy &proxy,
+                                                        const ServiceId &service,
+                                                        const std::vector<TargetId> &tried,
+                                                        const DomainId &domain);
 
 /** @return Whether the host can serve: it knows the configuration and the targets, and is not stopping. */
 [[nodiscard]] bool isReady(const Proxy &proxy);
@@ -62,6 +65,7 @@
 boost::asio::awaitable<void> forwardCall(std::shared_ptr<Proxy> proxy, HttpResponder &responder, ProxyCall call, DomainId domain);
 
 /** Answers @p responder with a failure of our own; the body names the reason. */
-boost::asio::awaitable<void> sendFailure(Proxy &proxy, HttpResponder &responder, int status, std::string_view reason, std::optional<std::chrono::milliseconds> retryAfter);
+boost::asio::awaitable<void> sendFailure(
+    Proxy &proxy, HttpResponder &responder, int status, std::string_view reason, std::optional<std::chrono::milliseconds> retryAfter);
 
 } // namespace skylark
--- a/standins/standin_func.h
+++ b/standins/standin_func.h
@@ -1,8 +1,8 @@
 /** @file standin_func.h Helpers that the stand-in programs share. */
 #pragma once
 
-#include "http/http_server_func.h"
 #include "core/json_member_func.h"
+#include "http/http_server_func.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -146,9 +146,8 @@
         HttpRequest made;
         made.method = "POST";
         made.target = path;
-        made.headers = {{"Host", "h.example"},
-                        {std::string(platform::headerRequestId), id},
-                        {std::string(platform::headerDeadline), std::to_string(patience.count())}};
+        made.headers = {
+            {"Host", "h.example"}, {std::string(platform::headerRequestId), id}, {std::string(platform::headerDeadline), std::to_string(patience.count())}};
         made.body = "body of " + id;
         return made;
     }
--- a/tests/test_engine.cpp
+++ b/tests/test_engine.cpp
@@ -1,7 +1,7 @@
 /** @file test_engine.cpp Engine client against the engine stand-in. */
 #include "../standins/engine_text_func.h"
-#include "engine/engine_client_func.h"
 #include "core/json_member_func.h"
+#include "engine/engine_client_func.h"
 #include "support/process_func.h"
 
 #include <boost/asio/steady_timer.hpp>
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -82,10 +82,14 @@
         options.endpoint = {"127.0.0.1", 7000};
         options.targetPause = 20ms;
         options.lapseGrace = lapseGrace;
-        this->controller = FleetController::create(
-            this->loop.get_executor(), storeInterface(this->store), platform::makeFleetWire(), options, MetricsRegistry::create(), [this](SnapshotPtr published) {
-                this->snapshot = std::move(published);
-            });
+        this->controller = FleetController::create(this->loop.get_executor(),
+                                                   storeInterface(this->store),
+                                                   platform::makeFleetWire(),
+                                                   options,
+                                                   MetricsRegistry::create(),
+                                                   [this](SnapshotPtr published) {
+                                                       this->snapshot = std::move(published);
+                                                   });
     }
 
     void putConfig(unsigned version)
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -199,9 +199,8 @@
         auto client = HttpClient::create(this->loop.get_executor());
         auto abort = std::make_shared<HttpAbortHandle>();
         auto task = [&]() -> boost::asio::awaitable<void> {
-            HttpRequest request = EntryNode::request(id, "/chat/x");
             const HttpTimeouts timeouts;
-            auto opened = co_await httpOpen(client, this->node.endpoint, std::move(request), timeouts, ConnectionUse::Fresh, abort);
+            auto opened = co_await httpOpen(client, this->node.endpoint, EntryNode::request(id, "/chat/x"), timeouts, ConnectionUse::Fresh, abort);
             if (isOk(opened)) {
                 httpAbort(valueOf(opened));
             }
--- a/tests/test_job_policy.cpp
+++ b/tests/test_job_policy.cpp
@@ -172,7 +172,8 @@
 
 TEST_CASE("storedJob_garbage_isRefused", "[record]")
 {
-    for (const char *value : {"", "[]", "{}", R"({"id":"j","items":[]})", R"({"id":"j","items":[["a"]]})", R"({"id":"j","items":[["a",1]],"listed":[[5,1]]})"}) {
+    for (const char *value :
+         {"", "[]", "{}", R"({"id":"j","items":[]})", R"({"id":"j","items":[["a"]]})", R"({"id":"j","items":[["a",1]],"listed":[[5,1]]})"}) {
         CHECK_FALSE(isOk(decodeStoredJob(value)));
     }
     CHECK_FALSE(isOk(decodeSavedOutputs("{}")));
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -114,7 +114,11 @@
 
 TEST_CASE("config_unusable_isRefusedWhole", "[documents]")
 {
-    for (const char *document : {"", "7", "{}", R"({"version":1,"routes":[7]})", R"({"version":1,"routes":[{"host":"h","prefix":"/a/","kind":"odd","service":"s"}]})",
+    for (const char *document : {"",
+                                 "7",
+                                 "{}",
+                                 R"({"version":1,"routes":[7]})",
+                                 R"({"version":1,"routes":[{"host":"h","prefix":"/a/","kind":"odd","service":"s"}]})",
                                  R"({"version":1,"routes":[{"host":"h","prefix":"/a","kind":"safe","service":"s"}]})",
                                  R"({"version":1,"routes":[{"host":"h","prefix":"/a/","kind":"safe"}]})"}) {
         CHECK_FALSE(isOk(platform::decodeConfig(document)));
@@ -127,8 +131,14 @@
     HttpRequest request;
     request.method = "POST";
     request.target = "/a/b?c=d";
-    request.headers = {{"Host", "h.example"}, {"X-Skylarkstage-Request-Id", "q1"}, {"X-Skylarkstage-Deadline-Ms", "5000"}, {"Last-Event-Id", "12"},
-                       {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "1"}, {"X-Custom", "v"}, {"X-Skylarkstage-Expect-Instance", "forged"}};
+    request.headers = {{"Host", "h.example"},
+                       {"X-Skylarkstage-Request-Id", "q1"},
+                       {"X-Skylarkstage-Deadline-Ms", "5000"},
+                       {"Last-Event-Id", "12"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"},
+                       {"X-Custom", "v"},
+                       {"X-Skylarkstage-Expect-Instance", "forged"}};
     auto decoded = wire.decode(request);
     REQUIRE(isOk(decoded));
     const auto &call = std::get<ProxyCall>(valueOf(decoded));
@@ -165,7 +175,8 @@
     CHECK(item.body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
     CHECK(item.tokens == 940);
     CHECK(headerValue(item.headers, "X-Skylarkstage-Model") == "m");
-    for (const char *body : {"", "{}", R"({"items":[]})", R"({"items":[7]})", R"({"items":[{"id":"a","path":"no slash"}]})", R"({"items":[{"id":"a","path":"/p","body":"*"}]})"}) {
+    for (const char *body :
+         {"", "{}", R"({"items":[]})", R"({"items":[7]})", R"({"items":[{"id":"a","path":"no slash"}]})", R"({"items":[{"id":"a","path":"/p","body":"*"}]})"}) {
         call.body = body;
         CHECK_FALSE(isOk(wire.decodeSubmission(call)));
     }
@@ -260,10 +271,11 @@
     REQUIRE_FALSE(isOk(refused));
     CHECK(errorOf(refused).code == ErrorCode::PlatformUnavailable);
     this->memory->faults.down = false;
-    const auto cut = HttpServer::create(this->loop.get_executor(), {.listen = {"127.0.0.1", 0}}, [](HttpRequest, HttpResponder &responder) -> boost::asio::awaitable<void> {
-        abortConnection(responder);
-        co_return;
-    });
+    const auto cut =
+        HttpServer::create(this->loop.get_executor(), {.listen = {"127.0.0.1", 0}}, [](HttpRequest, HttpResponder &responder) -> boost::asio::awaitable<void> {
+            abortConnection(responder);
+            co_return;
+        });
     REQUIRE(isOk(cut));
     const auto other = platform::makeStoreClient(this->http, {"127.0.0.1", listenPort(*valueOf(cut))}, MetricsRegistry::create());
     const auto unknown = this->run(other->commit(write));
@@ -276,11 +288,12 @@
 
 TEST_CASE_METHOD(StoreClientFixture, "storeClient_garbage_isAnErrorAndNotAnEmptyAnswer")
 {
-    const auto odd = HttpServer::create(this->loop.get_executor(), {.listen = {"127.0.0.1", 0}}, [](HttpRequest, HttpResponder &responder) -> boost::asio::awaitable<void> {
-        HttpResponse response;
-        response.body = "garbage";
-        co_await sendResponse(responder, std::move(response));
-    });
+    const auto odd =
+        HttpServer::create(this->loop.get_executor(), {.listen = {"127.0.0.1", 0}}, [](HttpRequest, HttpResponder &responder) -> boost::asio::awaitable<void> {
+            HttpResponse response;
+            response.body = "garbage";
+            co_await sendResponse(responder, std::move(response));
+        });
     REQUIRE(isOk(odd));
     const auto other = platform::makeStoreClient(this->http, {"127.0.0.1", listenPort(*valueOf(odd))}, MetricsRegistry::create());
     CHECK_FALSE(isOk(this->run(other->get("k", KvFreshness::Linearizable))));
