--- a/src/ctl/command_func.h
+++ b/src/ctl/command_func.h
@@ -21,6 +21,9 @@
 ExitCode whyCommand(const CtlOptions &options);
 ExitCode declineCommand(const CtlOptions &options);
 
+// Structured logs (command_explain.cpp).
+ExitCode explainCommand(const CtlOptions &options);
+
 // Jobs (command_job.cpp).
 ExitCode jobsCommand(const CtlOptions &options);
 ExitCode jobSubmitCommand(const CtlOptions &options);
--- /dev/null
+++ b/tests/test_entry_host.cpp
@@ -0,0 +1,237 @@
+/** @file test_entry_host.cpp Entry hosts as processes beside the stand-in of the platform: requests, jobs, stops, kills and their log lines. */
+#include "call_wire_func.h"
+#include "explain/explain_func.h"
+#include "names.h"
+#include "replica_base.h"
+#include "support/process_func.h"
+
+#include <boost/asio/detached.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** One host process. */
+struct HostProcess {
+    std::unique_ptr<ChildProcess> process; ///< Process.
+    Endpoint callers; ///< Address for callers.
+    Endpoint readiness; ///< Address for readiness probes.
+    std::string settings; ///< Settings file.
+    std::string output; ///< What it writes.
+};
+
+/** The platform's stand-in and two hosts, each with a loopback address of its own. */
+struct SiteFixture : TestLoop {
+    std::filesystem::path folder{std::filesystem::temp_directory_path() / ("skylark-site-" + std::to_string(::getpid()))}; ///< Files of the test.
+    RunningProgram site{RunningProgram::create("standin-site", {"--events=60", "--step_ms=10"})}; ///< Platform.
+    std::vector<HostProcess> hosts; ///< Hosts.
+
+    SiteFixture()
+    {
+        std::filesystem::remove_all(this->folder);
+        std::filesystem::create_directories(this->folder);
+        this->addHost("front-1", "127.0.0.2");
+        this->addHost("front-2", "127.0.0.3");
+        for (HostProcess &host : this->hosts) {
+            REQUIRE(this->waitReady(host));
+        }
+    }
+    SiteFixture(const SiteFixture &) = delete;
+    SiteFixture &operator=(const SiteFixture &) = delete;
+    ~SiteFixture()
+    {
+        for (HostProcess &host : this->hosts) {
+            killProcess(*host.process);
+        }
+        std::filesystem::remove_all(this->folder);
+    }
+
+    void addHost(const std::string &name, const std::string &address)
+    {
+        HostProcess host;
+        host.callers = {address, freePort()};
+        host.readiness = {address, freePort()};
+        host.settings = (this->folder / (name + ".toml")).string();
+        host.output = (this->folder / (name + ".log")).string();
+        std::ofstream(host.settings) << "node = \"" << name << "\"\nrole = \"entry\"\nserves = [\"front\"]\nip = \"" << address << "\"\nzone = \"north\"\n"
+                                     << "internal_ports = [" << freePort() << "]\n[listen]\nfront = \"" << address << ':' << host.callers.port
+                                     << "\"\nreadiness = \"" << address << ':' << host.readiness.port << "\"\n[bounds]\ngrace_s = 8\n[platform]\naddress = \""
+                                     << this->site.endpoint.address << ':' << this->site.endpoint.port << "\"\n";
+        auto started = ChildProcess::create({"skylark-host", {"--settings=" + host.settings}, host.output});
+        REQUIRE(isOk(started));
+        host.process = std::move(valueOf(started));
+        this->hosts.push_back(std::move(host));
+    }
+
+    bool waitReady(const HostProcess &host)
+    {
+        for (unsigned attempt = 0; attempt < 200; ++attempt) {
+            if (this->ready(host)) {
+                return true;
+            }
+            this->runFor(50ms);
+        }
+        return false;
+    }
+
+    bool ready(const HostProcess &host)
+    {
+        HttpRequest request;
+        request.target = "/-/ready";
+        auto answer = this->call(host.readiness, request);
+        return isOk(answer) && valueOf(answer).status == 200;
+    }
+
+    [[nodiscard]] static HttpRequest request(const std::string &id, const std::string &target, std::string body = "x")
+    {
+        HttpRequest made;
+        made.method = "POST";
+        made.target = target;
+        made.headers = {{"Host", "h.example"}, {std::string(platform::headerRequestId), id}, {std::string(platform::headerDeadline), "9000"}};
+        made.body = std::move(body);
+        return made;
+    }
+
+    [[nodiscard]] static std::string jobBody(unsigned items)
+    {
+        boost::json::array list;
+        for (unsigned i = 0; i < items; ++i) {
+            list.push_back(boost::json::object{{"id", "item-" + std::to_string(i)}, {"path", "/batch/x"}, {"body", ""}, {"tokens", 10}});
+        }
+        return boost::json::serialize(boost::json::object{{"items", list}});
+    }
+
+    /** @return Results of job "j1" once there are @p count, or what there is after @p limit. */
+    boost::json::array results(const HostProcess &host, std::size_t count, std::chrono::milliseconds limit)
+    {
+        const TimePoint until = BootClock::now() + limit;
+        boost::json::array read;
+        while (read.size() < count && BootClock::now() < until) {
+            HttpRequest get;
+            get.target = "/-/lots/j1?after=0";
+            get.headers = {{"Host", "h.example"}};
+            auto answer = this->call(host.callers, get);
+            if (isOk(answer) && valueOf(answer).status == 200) {
+                read = boost::json::parse(valueOf(answer).body).at("results").get_array();
+            }
+            this->runFor(100ms);
+        }
+        return read;
+    }
+
+    [[nodiscard]] std::vector<LogLine> logs() const
+    {
+        std::vector<LogLine> lines;
+        for (const HostProcess &host : this->hosts) {
+            std::ifstream file(host.output);
+            readLogLines(file, lines);
+        }
+        return lines;
+    }
+
+    [[nodiscard]] bool logged(const std::string &id, const std::string &event) const
+    {
+        const auto lines = this->logs();
+        return std::any_of(lines.begin(), lines.end(), [&](const LogLine &line) {
+            return line.event == event && (id.empty() || line.id == id);
+        });
+    }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(SiteFixture, "hosts_requestsAndJobs_areServedAndExplained")
+{
+    auto order = this->call(this->hosts[0].callers, request("o1", "/order/x"));
+    REQUIRE(isOk(order));
+    CHECK(valueOf(order).status == 200);
+    CHECK(valueOf(order).body == wholeText("o1", 60));
+    auto missing = this->call(this->hosts[1].callers, request("m1", "/none/x"));
+    REQUIRE(isOk(missing));
+    CHECK(valueOf(missing).status == 404);
+    auto job = this->call(this->hosts[0].callers, request("j1", "/batch/j1", jobBody(3)));
+    REQUIRE(isOk(job));
+    CHECK(valueOf(job).status == 202);
+    CHECK(this->results(this->hosts[1], 3, 15s).size() == 3);
+    this->runFor(500ms);
+    CHECK(this->logged("o1", "placed"));
+    CHECK(this->logged("o1", "answered"));
+    const Story story = explain(this->logs(), "j1");
+    CHECK(std::any_of(story.lines.begin(), story.lines.end(), [](const LogLine &line) {
+        return line.event == "item_finished" && line.id == "item-1";
+    }));
+    CHECK(explain(this->logs(), "m1").cause.find("no route") != std::string::npos);
+}
+
+// A planned stop must not cut a stream that is under way, and the process ends by itself with success.
+TEST_CASE_METHOD(SiteFixture, "host_stopped_finishesItsStreamsAndHandsItsJobsOver")
+{
+    auto job = this->call(this->hosts[0].callers, request("j1", "/batch/j1", jobBody(3)));
+    REQUIRE(isOk(job));
+    std::optional<Result<HttpResponse>> stream;
+    auto task = [&]() -> boost::asio::awaitable<void> {
+        HttpRequest made = request("s1", "/chat/x");
+        stream = co_await httpCall(this->http, this->hosts[0].callers, std::move(made), {}, ConnectionUse::Fresh);
+    };
+    boost::asio::co_spawn(this->loop, task(), boost::asio::detached);
+    this->runFor(200ms);
+    sendSignal(*this->hosts[0].process, SIGTERM);
+    REQUIRE(this->runUntil(
+        [&] {
+            return stream.has_value();
+        },
+        8s));
+    REQUIRE(isOk(*stream));
+    CHECK(valueOf(*stream).body.find("id: 60\n") != std::string::npos);
+    CHECK_FALSE(this->ready(this->hosts[0]));
+    CHECK(waitExit(*this->hosts[0].process, 9s) == 0);
+    CHECK(this->logged("", "stopped"));
+    CHECK(this->results(this->hosts[1], 3, 15s).size() == 3);
+    CHECK(this->logged("j1", "job_claimed"));
+}
+
+TEST_CASE_METHOD(SiteFixture, "host_killed_itsJobIsFinishedByTheOther")
+{
+    auto job = this->call(this->hosts[0].callers, request("j1", "/batch/j1", jobBody(4)));
+    REQUIRE(isOk(job));
+    CHECK(valueOf(job).status == 202);
+    sendSignal(*this->hosts[0].process, SIGKILL);
+    CHECK(this->results(this->hosts[1], 4, 30s).size() == 4);
+}
+
+TEST_CASE_METHOD(SiteFixture, "host_settingsChanged_areReadAgainOrRefusedWithTheReason")
+{
+    std::ofstream(this->hosts[0].settings) << "node = \"front-1\"\n";
+    sendSignal(*this->hosts[0].process, SIGHUP);
+    CHECK(this->runUntil(
+        [&] {
+            return this->logged("", "settings_refused");
+        },
+        5s));
+    auto order = this->call(this->hosts[0].callers, request("o2", "/order/x"));
+    REQUIRE(isOk(order));
+    CHECK(valueOf(order).status == 200);
+}
+
+TEST_CASE_METHOD(SiteFixture, "host_check_tellsMistakesAndStartsNothing")
+{
+    const std::string broken = (this->folder / "broken.toml").string();
+    const std::string output = (this->folder / "broken.log").string();
+    std::ofstream(broken) << "node = \"x\"\n";
+    auto refused = ChildProcess::create({"skylark-host", {"--check", "--settings=" + broken}, output});
+    REQUIRE(isOk(refused));
+    CHECK(waitExit(*valueOf(refused), 5s) == 1);
+    std::ifstream file(output);
+    const std::string text((std::istreambuf_iterator<char>(file)), {});
+    CHECK(text.find("zone: a text is missing") != std::string::npos);
+    auto accepted = ChildProcess::create({"skylark-host", {"--check", "--settings=" + this->hosts[0].settings}, output});
+    REQUIRE(isOk(accepted));
+    CHECK(waitExit(*valueOf(accepted), 5s) == 0);
+}
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -287,7 +287,8 @@
     std::erase_if(request.headers, [](const HttpHeader &header) {
         return header.name == platform::headerRequestId;
     });
-    CHECK(this->node.send(std::move(request)).status == 400);
+    const HttpResponse answer = this->node.send(std::move(request));
+    CHECK(answer.status == 400);
 }
 
 TEST_CASE("eventSplitter_anyCut_givesTheSameEvents", "[events]")
--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -53,8 +53,8 @@
         std::string body = R"({"items":[)";
         for (unsigned i = 0; i < items; ++i) {
             const std::string id = job + "-" + std::to_string(i);
-            body += (i > 0 ? "," : "") + std::string(R"({"id":")") + id + R"(","path":"/batch/)" + id
-                    + R"(","headers":{"X-Mark":"m"},"body":"cXdlcnQ=","tokens":)" + std::to_string(tokens) + "}";
+            boost::json::object item{{"id", id}, {"path", "/batch/" + id}, {"headers", {{"X-Mark", "m"}}}, {"body", "cXdlcnQ="}, {"tokens", tokens}};
+            body.append(i > 0 ? "," : "").append(boost::json::serialize(item));
         }
         return body + "]}";
     }
