Change: Owners announce the revisions of their jobs; hosts no longer watch all records

Change: status datagrams carry the revisions of jobs that a host owns or has just changed; a record is read again when a higher one is announced, and a reader with nothing to get trusts the owner's word for 400 ms; a stale read a second brings the rest. A submission whose write got no answer reads the record back. Ruled out: polling by linearizable reads (12 reads/s of callers).

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -151,11 +151,15 @@
 Result<Done> openPeers(EntryHost &host)
 {
     PeerLinkOptions options{host.settings.host, host.session, host.settings.domain, host.settings.peers};
-    options.onCounts = [&host] {
+    options.onStatus = [&host](const HostStatus &status) {
+        noteAnnouncedJobs(host.jobs, status);
         if (host.runner) {
             yieldToOnline(*host.runner);
         }
     };
+    options.describe = [&host](HostStatus &status) {
+        status.jobRevisions = announcedJobs(*host.jobs);
+    };
     options.onNewerConfig = [&host](Revision version, const Endpoint &peer) {
         asio::post(host.control, [&host, version, peer] {
             notePeerConfig(*host.fleet, version, peer);
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -81,6 +81,7 @@
     status.ready = isReady(*link->proxy);
     status.configRevision = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     describeOwnLoad(link->proxy->board, status);
+    link->options.describe(status);
     std::vector<Endpoint> endpoints;
     for (const auto &[host, peer] : link->peers) {
         endpoints.push_back(peer.endpoint);
@@ -111,7 +112,7 @@
     if (status.configRevision > own && peer != link->peers.end()) {
         link->options.onNewerConfig(status.configRevision, peer->second.endpoint);
     }
-    link->options.onCounts();
+    link->options.onStatus(status);
 }
 
 HttpResponse answerPull(const PeerLink::Impl &link, const HttpRequest &request)
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -14,7 +14,8 @@
     SessionId session; ///< This run of its process.
     DomainId domain; ///< Failure domain.
     Endpoint listen; ///< Address, UDP and TCP.
-    std::function<void()> onCounts; ///< Called when the counts of another host have changed.
+    std::function<void(const HostStatus &status)> onStatus; ///< Called with each new status of another host.
+    std::function<void(HostStatus &status)> describe; ///< Adds what other parts tell the other hosts.
     std::function<void(Revision version, const Endpoint &peer)> onNewerConfig; ///< Called when another host has a newer configuration.
 };
 
--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -17,8 +17,9 @@
 
 namespace {
 
-constexpr milliseconds mirrorPause{400}; ///< Time between two watch calls for jobs: readers may lag by a second.
-constexpr milliseconds mirrorCheck{1000}; ///< An end has to reach the owner of a job within 3 s, also when the watch hears nothing.
+constexpr milliseconds mirrorCheck{1000}; ///< Time between two cheap reads of all records; what cannot wait so long is announced by datagram.
+constexpr milliseconds vouchedFor{400}; ///< An owner's word on the revision of a record holds for so long; several status intervals.
+constexpr milliseconds announceFor{2000}; ///< A host announces a record that it has changed for so long.
 constexpr std::size_t cacheLimit = std::size_t{6} << 20U; ///< Bytes of texts and bodies held in memory.
 constexpr std::size_t resultsPerWrite = kvTransactionEntries - 3; ///< A condition, the record and the kept outputs take three entries of a transaction.
 constexpr std::size_t outputBytes = std::size_t{500} << 10U; ///< Text in the kept outputs of a job; escaping enlarges it a little.
@@ -84,6 +85,15 @@
     co_return Done{};
 }
 
+/** Reads a record that another host has changed. */
+asio::awaitable<void> fetchAnnounced(std::shared_ptr<JobBook> book, JobId job)
+{
+    co_await refreshJob(book, job);
+    if (const auto found = book->jobs.find(job); found != book->jobs.end()) {
+        found->second.fetching = false;
+    }
+}
+
 /** Chooses the results of one transaction. */
 KvTransaction planListing(const KnownJob &known, ListDecision &decision, const std::map<std::uint32_t, JobResult> &finished, const SavedOutputs &outputs)
 {
@@ -139,6 +149,7 @@
     const KvItem item{key, value, revision, false};
     mirrorItem(*book->mirror, item);
     noteJobItem(book, item);
+    noteChangedHere(*book, item);
 }
 
 } // namespace
@@ -155,7 +166,7 @@
     book->metrics = std::move(metrics);
     book->session = std::move(session);
     book->decodeSubmission = std::move(decodeSubmission);
-    book->mirror = KeyMirror::create(book->store, {.prefix = std::string(jobPrefix), .pause = mirrorPause, .check = mirrorCheck}, hash64(book->session.value));
+    book->mirror = KeyMirror::create(book->store, {.prefix = std::string(jobPrefix), .watches = false, .check = mirrorCheck}, hash64(book->session.value));
     return book;
 }
 
@@ -192,6 +203,61 @@
     wakeReaders(*book);
 }
 
+void noteChangedHere(JobBook &book, const KvItem &item)
+{
+    book.changedHere[JobId{item.key.substr(jobRecordKey({}).size())}] = {item.revision, BootClock::now() + announceFor};
+}
+
+std::vector<std::pair<JobId, std::uint64_t>> announcedJobs(JobBook &book)
+{
+    const TimePoint now = BootClock::now();
+    std::erase_if(book.changedHere, [now](const auto &entry) {
+        return entry.second.until < now;
+    });
+    std::map<JobId, std::uint64_t> revisions;
+    for (const auto &[job, known] : book.jobs) {
+        if (known.record.owner == book.session && !known.record.ended && !isComplete(known.record)) {
+            revisions[job] = known.revision;
+        }
+    }
+    for (const auto &[job, change] : book.changedHere) {
+        revisions[job] = std::max(revisions[job], change.revision);
+    }
+    return {revisions.begin(), revisions.end()};
+}
+
+void noteAnnouncedJobs(const std::shared_ptr<JobBook> &book, const HostStatus &status)
+{
+    const TimePoint now = BootClock::now();
+    for (const auto &[job, revision] : status.jobRevisions) {
+        const auto found = book->jobs.find(job);
+        if (found == book->jobs.end()) {
+            continue;
+        }
+        KnownJob &known = found->second;
+        known.announcedRevision = std::max(known.announcedRevision, revision);
+        if (known.record.owner == status.session) {
+            known.vouchedAt = now;
+            known.vouchedRevision = revision;
+        }
+        const bool mine = known.record.owner == book->session && !known.fetching;
+        if (mine && revision > known.revision) {
+            // A caller ended the job elsewhere, or another host took it over.
+            known.fetching = true;
+            asio::co_spawn(book->executor, fetchAnnounced(book, job), asio::detached);
+        }
+        wakeReaders(*book);
+    }
+}
+
+bool isCurrent(const JobBook &book, const KnownJob &known)
+{
+    const TimePoint now = BootClock::now();
+    const bool vouched = known.vouchedRevision == known.revision && now - known.vouchedAt < vouchedFor;
+    const bool own = known.record.owner == book.session;
+    return known.announcedRevision <= known.revision && (vouched || own || now - known.confirmedAt < vouchedFor);
+}
+
 asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job)
 {
     const auto found = book->jobs.find(job);
--- a/src/job/job_book_base.h
+++ b/src/job/job_book_base.h
@@ -5,6 +5,7 @@
 #include "job/job_policy_func.h"
 #include "job/job_type.h"
 #include "metrics/metrics_func.h"
+#include "peer/status_type.h"
 #include "proxy/call_type.h"
 #include "store/key_mirror_func.h"
 
@@ -22,10 +23,20 @@
     std::uint64_t revision{0}; ///< Revision of its key.
     bool claimed{false}; ///< Whether this host took the job over.
     TimePoint confirmedAt{}; ///< Begin of the last read of this record alone.
+    std::uint64_t announcedRevision{0}; ///< Highest revision that a host has announced.
+    std::uint64_t vouchedRevision{0}; ///< Revision that the owner announced last.
+    TimePoint vouchedAt{}; ///< When it did.
+    bool fetching{false}; ///< Whether the record is being read because of an announcement.
     std::map<std::uint64_t, JobResult> results; ///< Results held in memory, by position.
     std::vector<JobItem> items; ///< Items, when this host has loaded them.
 };
 
+/** A record that this host has changed. */
+struct ChangedRecord {
+    std::uint64_t revision{0}; ///< Its revision.
+    TimePoint until{}; ///< It is announced until then.
+};
+
 /** Book. */
 struct JobBook {
     boost::asio::any_io_executor executor; ///< Traffic thread.
@@ -34,6 +45,7 @@
     std::shared_ptr<MetricsRegistry> metrics; ///< Metrics.
     SessionId session; ///< This run of the process.
     std::map<JobId, KnownJob> jobs; ///< Known jobs.
+    std::map<JobId, ChangedRecord> changedHere; ///< Records that this host has changed lately.
     std::set<std::shared_ptr<boost::asio::steady_timer>> readers; ///< Reads that wait for a result.
     std::function<Result<JobSubmission>(const ProxyCall &call)> decodeSubmission; ///< Reads a stored submission.
     std::function<void(const JobId &job)> onJobChanged; ///< Called when a record or its owner may have changed.
@@ -91,6 +103,18 @@
 /** Makes this host the owner of a job if the record is still at the known revision. @return Whether it is. */
 boost::asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job);
 
+/** Notes that this host has changed a record, so that it is announced. */
+void noteChangedHere(JobBook &book, const KvItem &item);
+
+/** @return Revisions for the host's status: of jobs that it owns and of records that it has changed lately. */
+[[nodiscard]] std::vector<std::pair<JobId, std::uint64_t>> announcedJobs(JobBook &book);
+
+/** Takes the revisions in another host's status. */
+void noteAnnouncedJobs(const std::shared_ptr<JobBook> &book, const HostStatus &status);
+
+/** @return Whether what the book holds of a job is the present record: its owner says so, or it was just read. */
+[[nodiscard]] bool isCurrent(const JobBook &book, const KnownJob &known);
+
 /** Takes a record into the book if it is newer than what the book holds. */
 void noteJobItem(const std::shared_ptr<JobBook> &book, const KvItem &item);
 
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -24,7 +24,6 @@
 constexpr unsigned endAttempts = 6; ///< Writes of one end; results may be stored meanwhile.
 constexpr milliseconds storeRetryAfter{700}; ///< Return of a caller while the service cannot be reached.
 constexpr milliseconds quotaRetryAfter{1000}; ///< Return of a caller whose job does not fit: items finish several times a second.
-constexpr milliseconds mirrorTrust{600}; ///< Nothing new is believed for so long after the last answer of the watch; readers may lag by a second.
 constexpr milliseconds shortWait{150}; ///< Delay before a write is repeated.
 constexpr std::size_t pageBytes = std::size_t{1000} << 10U; ///< Bytes of results in one read.
 
@@ -137,12 +136,7 @@
     mirrorItem(*book->mirror, item);
     book->jobs[record.id].items = std::move(submission.items);
     noteJobItem(book, item);
-}
-
-/** @return Whether a record is recent enough to say that there is no further result. */
-bool isTrusted(const JobBook &book, const KnownJob &known)
-{
-    return BootClock::now() - std::max(book.mirror->confirmedAt, known.confirmedAt) < mirrorTrust;
+    noteChangedHere(*book, item);
 }
 
 /** Waits until the book changes or @p wait is over. */
@@ -253,6 +247,12 @@
         last = errorOf(outcome);
         mayBeStored = mayBeStored || last.code == ErrorCode::OutcomeUnknown;
         co_await sleepFor(shortWait);
+        if (mayBeStored) {
+            co_await fetchJob(book, record.id);
+        }
+    }
+    if (const auto found = book->jobs.find(record.id); found != book->jobs.end() && found->second.revision > 0) {
+        co_return answerKnown(found->second.record, record.digest);
     }
     logEvent(
         EventKind::JobRefused, record.id.value, {{"route", rule.name}, {"reason", errorInfo(last.code).name}, {"tokens", tokens}, {"detail", last.detail}});
@@ -266,7 +266,8 @@
 {
     const auto known = book.jobs.find(call.job);
     const bool exists = known != book.jobs.end();
-    const auto age = std::chrono::duration_cast<milliseconds>(BootClock::now() - book.mirror->confirmedAt);
+    const TimePoint heard = exists ? std::max(known->second.vouchedAt, known->second.confirmedAt) : book.mirror->confirmedAt;
+    const auto age = std::chrono::duration_cast<milliseconds>(BootClock::now() - heard);
     const auto write = answer.status == 200 ? logSampled : logEvent;
     write(EventKind::JobRead,
           call.job.value,
@@ -303,10 +304,11 @@
             co_return some ? answer : failure(503, "store_unavailable", storeRetryAfter);
         }
         answer.page.next = call.after;
-        if (isComplete(record) || (BootClock::now() >= until && isTrusted(*book, found->second))) {
+        if (isComplete(record) || (BootClock::now() >= until && isCurrent(*book, found->second))) {
             co_return answer;
         }
-        if (BootClock::now() >= until) {
+        const bool outdated = found->second.announcedRevision > found->second.revision;
+        if (outdated || BootClock::now() >= until) {
             auto exists = co_await fetchJob(book, call.job);
             if (!isOk(exists)) {
                 co_return failure(503, "not_current", storeRetryAfter);
@@ -406,6 +408,7 @@
             const KvItem item{key, encodeStoredJob(record), valueOf(outcome).revision, false};
             mirrorItem(*book->mirror, item);
             noteJobItem(book, item);
+            noteChangedHere(*book, item);
             co_return failure(200, "ended");
         }
         if (isOk(outcome)) {
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -33,6 +33,11 @@
   count @1 :UInt32;
 }
 
+struct NamedRevision {
+  name @0 :Text;
+  revision @1 :UInt64;
+}
+
 struct HostStatus {
   host @0 :Text;
   domain @1 :Text;
@@ -47,6 +52,7 @@
   onlineInFlight @10 :List(NamedCount);
   freeByModel @11 :List(NamedCount);
   batchInFlight @12 :List(NamedCount);
+  jobRevisions @13 :List(NamedRevision);
 }
 
 struct YieldRequest {
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -132,6 +132,11 @@
     }
     writeCounts(out.initOnlineInFlight(static_cast<unsigned>(status.onlineInFlight.size())), status.onlineInFlight);
     writeCounts(out.initBatchInFlight(static_cast<unsigned>(status.batchInFlight.size())), status.batchInFlight);
+    auto jobs = out.initJobRevisions(static_cast<unsigned>(status.jobRevisions.size()));
+    for (unsigned i = 0; i < jobs.size(); ++i) {
+        jobs[i].setName(status.jobRevisions[i].first.value);
+        jobs[i].setRevision(status.jobRevisions[i].second);
+    }
     writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
     return pack(message);
 }
@@ -153,6 +158,9 @@
     }
     status.onlineInFlight = readCounts<TargetId>(in.getOnlineInFlight());
     status.batchInFlight = readCounts<TargetId>(in.getBatchInFlight());
+    for (const auto job : in.getJobRevisions()) {
+        status.jobRevisions.emplace_back(JobId{textOf(job.getName())}, job.getRevision());
+    }
     status.freeByModel = readCounts<ModelId>(in.getFreeByModel());
     return status;
 }
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -30,6 +30,7 @@
     std::vector<std::pair<TargetId, unsigned>> onlineInFlight; ///< Online streams by target.
     std::vector<std::pair<ModelId, unsigned>> freeByModel; ///< Free slots of the domain by model.
     std::vector<std::pair<TargetId, unsigned>> batchInFlight; ///< Batch items by target.
+    std::vector<std::pair<JobId, std::uint64_t>> jobRevisions; ///< Revisions of the records of jobs that the host owns or has just changed.
 };
 
 /** Asks a target's batch owner to release slots. */
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds checkSettle{100}; ///< Time for the watch to report a change that a check has seen first.
-
 asio::awaitable<void> sleepFor(std::chrono::nanoseconds delay)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
@@ -157,18 +155,31 @@
     }
 }
 
-bool showsMissedChange(const KeyMirror &mirror, const KvItemPage &page)
+bool showsMissedRemoval(const KeyMirror &mirror, const KvItemPage &page)
 {
     std::size_t found = 0;
     for (const KvItem &item : page.items) {
-        const auto known = mirror.items.find(item.key);
-        if (known == mirror.items.end() ? item.revision > mirror.revision : item.revision > known->second.revision) {
-            return true;
-        }
-        found += known != mirror.items.end() ? 1 : 0;
+        found += mirror.items.contains(item.key) ? 1 : 0;
+    }
+    std::uint64_t newest = mirror.revision;
+    for (const auto &[key, item] : mirror.items) {
+        newest = std::max(newest, item.revision);
     }
     // Keys that are missing were removed, unless the page is older than the mirror.
-    return found < mirror.items.size() && page.storeRevision > mirror.revision;
+    return found < mirror.items.size() && page.storeRevision > newest;
+}
+
+KeyMirrorUpdate takeNewer(KeyMirror &mirror, const KvItemPage &page)
+{
+    KeyMirrorUpdate update;
+    for (const KvItem &item : page.items) {
+        // A key that the mirror does not have may be one whose removal the page is too old to show.
+        const bool removedSince = !mirror.items.contains(item.key) && item.revision <= mirror.revision;
+        if (!removedSince && mirrorItem(mirror, item)) {
+            update.changed.push_back(item);
+        }
+    }
+    return update;
 }
 
 asio::awaitable<void> checkKeyMirror(std::shared_ptr<KeyMirror> mirror)
@@ -179,11 +190,12 @@
             continue;
         }
         const auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, KvFreshness::Stale);
-        if (isOk(page) && mirror->synced && showsMissedChange(*mirror, valueOf(page))) {
-            co_await sleepFor(checkSettle);
-            if (showsMissedChange(*mirror, valueOf(page))) {
-                co_await readWhole(mirror);
-            }
+        if (!isOk(page) || !mirror->synced) {
+            continue;
+        }
+        report(mirror, takeNewer(*mirror, valueOf(page)));
+        if (showsMissedRemoval(*mirror, valueOf(page))) {
+            co_await readWhole(mirror);
         }
     }
 }
@@ -202,6 +214,9 @@
         if (mirror->stopped) {
             co_return;
         }
+        if (isOk(outcome) && !mirror->options.watches) {
+            co_return;
+        }
         if (isOk(outcome)) {
             delay = mirror->options.retryMin;
             const auto rest = mirror->options.pause - (BootClock::now() - begun);
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -16,6 +16,7 @@
     std::string prefix; ///< Keys that are copied.
     std::chrono::milliseconds pause{0}; ///< Least time between two watch calls; bundles changes, because each call is paid for.
     std::chrono::milliseconds wait{25000}; ///< Longest wait of one watch call.
+    bool watches{true}; ///< Whether changes are watched; without, the checks alone bring them.
     std::chrono::milliseconds check{0}; ///< Interval of cheap reads that notice a watch that hears nothing; 0 for none.
     std::chrono::milliseconds retryMin{200}; ///< First delay after a failed call; doubled up to retryMax.
     std::chrono::milliseconds retryMax{1000}; ///< Longest delay after a failed call.
@@ -52,8 +53,11 @@
 /** Reads all keys under @p prefix. */
 boost::asio::awaitable<Result<KvItemPage>> readAllKeys(std::shared_ptr<const KvStore> store, std::string prefix, KvFreshness freshness);
 
-/** @return Whether @p page, which may be stale, shows a change that the mirror does not have. */
-[[nodiscard]] bool showsMissedChange(const KeyMirror &mirror, const KvItemPage &page);
+/** @return Whether @p page, which may be stale, shows that a key of the mirror was removed. */
+[[nodiscard]] bool showsMissedRemoval(const KeyMirror &mirror, const KvItemPage &page);
+
+/** Takes what is newer in @p page, which may be stale, into the mirror. Removals are left out. */
+[[nodiscard]] KeyMirrorUpdate takeNewer(KeyMirror &mirror, const KvItemPage &page);
 
 /** Follows the service until the mirror is stopped. */
 boost::asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror);
