--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -53,6 +53,15 @@
     std::int64_t settingsChangedAt{0}; ///< Modification time of the settings file as last seen.
 };
 
+/** @return Interval of the cheap reads of all job records; it grows with the hosts. What cannot wait is announced by datagram. */
+milliseconds jobCheckFor(std::size_t hosts)
+{
+    constexpr milliseconds perHost{50};
+    constexpr milliseconds least{1000};
+    constexpr milliseconds most{3000};
+    return std::clamp(perHost * static_cast<int>(hosts), least, most);
+}
+
 std::int64_t modificationTime(const std::string &path)
 {
     struct stat info {
@@ -87,6 +96,7 @@
             return !snapshot->targets->contains(entry.first);
         });
     }
+    host.jobs->mirror->options.check = jobCheckFor(snapshot->peers.size() + 1);
     updatePeers(*host.peers);
     logReadiness(host);
 }
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr milliseconds statusInterval{100}; ///< Least time between two regular datagrams; a share of an online request's time at a target.
-constexpr milliseconds intervalPerHost{8}; ///< The interval grows with the hosts, so that the bytes of a host stay bounded.
+constexpr milliseconds intervalPerHost{8}; ///< The interval towards a group of hosts grows with its size, so that the bytes of a host stay bounded.
+constexpr std::size_t smallFleet = 16; ///< Up to so many hosts all are told alike; beyond, the own failure domain more often than the others.
 constexpr milliseconds bundleTime{4}; ///< Time in which changes are bundled into one datagram; a step of a target.
 constexpr milliseconds forgetAfter{5000}; ///< A host that is neither registered nor heard of for so long gets no more datagrams.
 
@@ -37,6 +38,7 @@
     std::map<HostId, Peer> peers; ///< Other hosts.
     asio::steady_timer timer; ///< Next datagram.
     bool soon{false}; ///< Whether the next datagram is due before its regular time.
+    TimePoint farSentAt{}; ///< Last datagram to the other failure domains of a large fleet.
     std::uint64_t incarnation{0}; ///< Start of the process in Unix milliseconds.
     std::uint64_t sequence{0}; ///< Datagrams sent.
 };
@@ -67,6 +69,32 @@
     });
 }
 
+milliseconds intervalFor(std::size_t hosts)
+{
+    return std::max(statusInterval, intervalPerHost * static_cast<int>(hosts));
+}
+
+std::size_t ownDomainPeers(const PeerLink::Impl &link)
+{
+    return static_cast<std::size_t>(std::count_if(link.peers.begin(), link.peers.end(), [&link](const auto &entry) {
+        return entry.second.domain == link.options.domain;
+    }));
+}
+
+/** @return Hosts that get the present datagram: all of a small fleet; of a large one the own failure domain, and the others at their own interval. */
+std::vector<Endpoint> dueEndpoints(PeerLink::Impl &link, TimePoint now)
+{
+    const bool far = link.peers.size() <= smallFleet || now - link.farSentAt >= intervalFor(link.peers.size());
+    link.farSentAt = far ? now : link.farSentAt;
+    std::vector<Endpoint> endpoints;
+    for (const auto &[host, peer] : link.peers) {
+        if (far || peer.domain == link.options.domain) {
+            endpoints.push_back(peer.endpoint);
+        }
+    }
+    return endpoints;
+}
+
 void sendNow(const LinkPtr &link)
 {
     const TimePoint now = BootClock::now();
@@ -82,13 +110,9 @@
     status.configRevision = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     describeOwnLoad(link->proxy->board, status);
     link->options.describe(status);
-    std::vector<Endpoint> endpoints;
-    for (const auto &[host, peer] : link->peers) {
-        endpoints.push_back(peer.endpoint);
-    }
-    sendStatus(*link->exchange, status, endpoints);
+    sendStatus(*link->exchange, status, dueEndpoints(*link, now));
     link->soon = false;
-    scheduleNext(link, std::max(statusInterval, intervalPerHost * static_cast<int>(link->peers.size())));
+    scheduleNext(link, intervalFor(link->peers.size() <= smallFleet ? link->peers.size() : ownDomainPeers(*link)));
 }
 
 void scheduleNext(const LinkPtr &link, milliseconds delay)
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -44,11 +44,18 @@
 
 using ImplPtr = std::shared_ptr<FleetController::Impl>;
 
-constexpr std::chrono::milliseconds checkInterval{
-    1000}; ///< Together with a read of the whole prefix it stays below the 2 s in which changes have to be in force.
+/** Least interval of cheap reads; together with a read of the whole prefix it stays below the 2 s in which changes have to be in force. */
+constexpr std::chrono::milliseconds checkInterval{1000};
+constexpr std::chrono::milliseconds longestCheck{2000}; ///< The bound of large deployments is 3 s.
+constexpr std::chrono::milliseconds checkPerHost{50}; ///< The interval grows with the hosts, so that together they make 20 checks a second.
 constexpr std::chrono::milliseconds pullConnect{300}; ///< Connecting to a peer: a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswer{1000}; ///< Answer of a peer: a document of at most 1 MB.
 
+std::chrono::milliseconds checkIntervalFor(std::size_t hosts)
+{
+    return std::clamp(checkPerHost * static_cast<int>(hosts), checkInterval, longestCheck);
+}
+
 void publish(FleetController::Impl &impl)
 {
     impl.state.storeReachable = impl.reachable;
@@ -221,6 +228,9 @@
             peers.push_back(std::move(valueOf(entry)));
         }
     }
+    const auto check = checkIntervalFor(peers.size() + 1);
+    impl->config->options.check = check;
+    impl->targets->options.check = check;
     impl->state.peers = std::move(peers);
     publish(*impl);
 }
--- a/src/fleet/load_board.cpp
+++ b/src/fleet/load_board.cpp
@@ -23,6 +23,7 @@
         return false;
     }
     peer.session = status.session;
+    peer.domain = status.domain;
     peer.incarnation = status.incarnation;
     peer.sequence = status.sequence;
     peer.heardAt = now;
@@ -72,6 +73,18 @@
     return oldest;
 }
 
+std::map<DomainId, std::chrono::milliseconds> statusAges(const LoadBoard &board, TimePoint now)
+{
+    std::map<DomainId, std::chrono::milliseconds> ages;
+    for (const auto &[host, peer] : board.peers) {
+        if (isCurrent(board, peer, now)) {
+            auto &oldest = ages[peer.domain];
+            oldest = std::max(oldest, std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.heardAt));
+        }
+    }
+    return ages;
+}
+
 void describeOwnLoad(const LoadBoard &board, HostStatus &status)
 {
     for (const auto &[target, counts] : board.own) {
--- a/src/fleet/load_board_base.h
+++ b/src/fleet/load_board_base.h
@@ -19,6 +19,7 @@
 /** Last status of another host. */
 struct PeerLoad {
     SessionId session; ///< Run of its process.
+    DomainId domain; ///< Failure domain.
     std::uint64_t incarnation{0}; ///< Start of that run.
     std::uint64_t sequence{0}; ///< Number of the datagram.
     TimePoint heardAt{}; ///< Time of arrival.
@@ -46,6 +47,9 @@
 /** @return Age of the oldest status that counts; 0 when there is none. */
 [[nodiscard]] std::chrono::milliseconds oldestStatusAge(const LoadBoard &board, TimePoint now);
 
+/** @return Age of the oldest status that counts, by failure domain of its host. */
+[[nodiscard]] std::map<DomainId, std::chrono::milliseconds> statusAges(const LoadBoard &board, TimePoint now);
+
 /** Writes the host's own counts into @p status. */
 void describeOwnLoad(const LoadBoard &board, HostStatus &status);
 
--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr milliseconds mirrorCheck{1000}; ///< Time between two cheap reads of all records; what cannot wait so long is announced by datagram.
-constexpr milliseconds vouchedFor{400}; ///< An owner's word on the revision of a record holds for so long; several status intervals.
+constexpr milliseconds vouchedFor{700}; ///< An owner's word on the revision of a record holds for so long; readers may lag by a second.
 constexpr milliseconds announceFor{2000}; ///< A host announces a record that it has changed for so long.
 constexpr std::size_t cacheLimit = std::size_t{6} << 20U; ///< Bytes of texts and bodies held in memory.
 constexpr std::size_t resultsPerWrite = kvTransactionEntries - 3; ///< A condition, the record and the kept outputs take three entries of a transaction.
--- a/src/policy/spread.cpp
+++ b/src/policy/spread.cpp
@@ -12,6 +12,8 @@
 constexpr double yieldCost = 1.0; ///< Load that a cancelled batch item is worth: any target with a free slot is better.
 constexpr double queueCost = 2.0; ///< Load that waiting is worth: a target where batch gives way is better.
 constexpr double otherDomainCost = 0.08; ///< Load that crossing failure domains is worth: a round trip of 7 ms beside an answer of 100 ms.
+constexpr std::chrono::milliseconds freshCounts{150}; ///< Counts up to this age are as good as own ones: one status interval and the way.
+constexpr double ageCost = 1.0 / 700.0; ///< Load that each further millisecond is worth: an online request holds its slot for 700 ms.
 constexpr double suspectCost = 4.0; ///< Load of a recent failure; a suspect is used only when all others are full.
 constexpr double tieSpread = 0.02; ///< Random share of a score.
 constexpr std::chrono::milliseconds leastDelay{200}; ///< Shortest return: one step of the targets and the way back.
@@ -37,7 +39,7 @@
     double value = (reason == SpreadReason::FreeSlot ? candidate.online + candidate.batch : candidate.online) / slots * candidate.slowness;
     value += reason == SpreadReason::BatchYields ? yieldCost : 0.0;
     value += reason == SpreadReason::Queued ? queueCost : 0.0;
-    value += candidate.sameDomain ? 0.0 : otherDomainCost;
+    value += candidate.sameDomain ? 0.0 : otherDomainCost + ageCost * static_cast<double>(std::max(candidate.countsAge - freshCounts, {}).count());
     value += candidate.suspect ? suspectCost : 0.0;
     return value + tieSpread * static_cast<double>(nextRandom(random) >> 11U) / static_cast<double>(1ULL << 53U);
 }
--- a/src/policy/spread_type.h
+++ b/src/policy/spread_type.h
@@ -16,6 +16,7 @@
     unsigned online{0}; ///< Online requests in flight, own and announced by other hosts.
     unsigned batch{0}; ///< Batch items in flight, own and announced by other hosts.
     bool sameDomain{true}; ///< Whether it is in the host's failure domain.
+    std::chrono::milliseconds countsAge{0}; ///< Age of what the hosts of its failure domain said of their requests.
     bool suspect{false}; ///< Whether it failed recently.
     bool tried{false}; ///< Whether this request failed on it.
     double slowness{1.0}; ///< Time to the first answer over the median of the service; 1 when unknown.
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -72,12 +72,16 @@
     }
     const TimePoint now = BootClock::now();
     const double median = medianFirstAnswer(proxy, service);
+    const auto ages = statusAges(proxy.board, now);
     for (const auto &[id, entry] : *proxy.fleet->targets) {
         if (entry.service != service || entry.leaving) {
             continue;
         }
         const TargetCounts counts = countsOf(proxy.board, id, now);
         SpreadCandidate candidate{.id = id, .slots = entry.slots, .online = counts.online, .batch = counts.batch, .sameDomain = entry.domain == domain};
+        if (const auto age = ages.find(entry.domain); age != ages.end()) {
+            candidate.countsAge = age->second;
+        }
         candidate.tried = std::find(tried.begin(), tried.end(), id) != tried.end();
         if (const auto found = proxy.health.find(id); found != proxy.health.end()) {
             candidate.suspect = now < found->second.suspectUntil;
--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -102,6 +102,17 @@
     }
 }
 
+// Guards against hosts of a large fleet that fill one another's targets on counts that are half a second old.
+TEST_CASE_METHOD(SpreadFixture, "spreadRequest_oldCountsOfOtherDomain_prefersOwnTargets")
+{
+    this->candidates[0].sameDomain = false;
+    this->candidates[0].countsAge = 500ms;
+    this->candidates[1].online = 3;
+    CHECK(this->choose().target.value == "b");
+    this->candidates[1].online = 7;
+    CHECK(this->choose().target.value == "a");
+}
+
 TEST_CASE_METHOD(SpreadFixture, "spreadRequest_slowTarget_getsLessThanItsPeers")
 {
     this->candidates[0].online = 2;
