--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -1,6 +1,7 @@
 /** @file job_book.cpp Jobs as this host knows them: following the service, claims, results. */
 #include "job/job_book_base.h"
 
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
@@ -27,13 +28,6 @@
 constexpr unsigned writeAttempts = 6; ///< Attempts of one write before the results wait for the next round.
 constexpr milliseconds writeRetry{250}; ///< First delay after a failed write; doubled.
 
-asio::awaitable<void> sleepFor(milliseconds delay)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 void wakeReaders(JobBook &book)
 {
     for (const auto &timer : book.readers) {
@@ -143,15 +137,6 @@
     }
 }
 
-/** Takes a record that this host wrote. */
-void noteWritten(const std::shared_ptr<JobBook> &book, const std::string &key, const std::string &value, std::uint64_t revision)
-{
-    const KvItem item{key, value, revision, false};
-    mirrorItem(*book->mirror, item);
-    noteJobItem(book, item);
-    noteChangedHere(*book, item);
-}
-
 } // namespace
 
 std::shared_ptr<JobBook> JobBook::create(const asio::any_io_executor &executor,
@@ -203,6 +188,14 @@
     wakeReaders(*book);
 }
 
+void noteOwnWrite(const std::shared_ptr<JobBook> &book, const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    const KvItem item{key, value, revision, false};
+    mirrorItem(*book->mirror, item);
+    noteJobItem(book, item);
+    noteChangedHere(*book, item);
+}
+
 void noteChangedHere(JobBook &book, const KvItem &item)
 {
     book.changedHere[JobId{item.key.substr(jobRecordKey({}).size())}] = {item.revision, BootClock::now() + announceFor};
@@ -289,7 +282,7 @@
     if (const auto again = book->jobs.find(job); again != book->jobs.end()) {
         again->second.claimed = true;
     }
-    noteWritten(book, key, value, valueOf(decision).revision);
+    noteOwnWrite(book, key, value, valueOf(decision).revision);
     co_return true;
 }
 
@@ -322,7 +315,7 @@
         co_return makeError(ErrorCode::VersionConflict, "the record has changed");
     }
     if (release) {
-        noteWritten(book, key, value, valueOf(outcome).revision);
+        noteOwnWrite(book, key, value, valueOf(outcome).revision);
     }
     co_return Done{};
 }
@@ -369,7 +362,7 @@
             logEvent(EventKind::ResultsListed,
                      job.value,
                      {{"listed", decision.record.listed.size()}, {"total", decision.record.items.size()}, {"revision", valueOf(outcome).revision}});
-            noteWritten(book, key, value, valueOf(outcome).revision);
+            noteOwnWrite(book, key, value, valueOf(outcome).revision);
             continue;
         }
         ++attempt;
--- a/src/job/job_book_base.h
+++ b/src/job/job_book_base.h
@@ -103,6 +103,9 @@
 /** Makes this host the owner of a job if the record is still at the known revision. @return Whether it is. */
 boost::asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job);
 
+/** Takes a record that this host has written into the book, and announces it. */
+void noteOwnWrite(const std::shared_ptr<JobBook> &book, const std::string &key, const std::string &value, std::uint64_t revision);
+
 /** Notes that this host has changed a record, so that it is announced. */
 void noteChangedHere(JobBook &book, const KvItem &item);
 
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -1,6 +1,7 @@
 /** @file job_calls.cpp Calls of callers about jobs: submission, results, bodies of items, end. */
 #include "job/job_book_base.h"
 
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
@@ -36,13 +37,6 @@
     return answer;
 }
 
-asio::awaitable<void> sleepFor(milliseconds delay)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 /** @return Tokens that wait on @p route by what this host knows. */
 std::uint64_t waitingOn(const JobBook &book, const RouteRule &route)
 {
@@ -132,11 +126,8 @@
 void noteAccepted(const std::shared_ptr<JobBook> &book, const StoredJob &record, const std::string &quotaKey, std::uint64_t revision, JobSubmission submission)
 {
     mirrorItem(*book->mirror, {quotaKey, record.id.value, revision, false});
-    const KvItem item{jobRecordKey(record.id), encodeStoredJob(record), revision, false};
-    mirrorItem(*book->mirror, item);
     book->jobs[record.id].items = std::move(submission.items);
-    noteJobItem(book, item);
-    noteChangedHere(*book, item);
+    noteOwnWrite(book, jobRecordKey(record.id), encodeStoredJob(record), revision);
 }
 
 /** Waits until the book changes or @p wait is over. */
@@ -405,10 +396,7 @@
         auto outcome = co_await book->store->commit(std::move(transaction));
         if (isOk(outcome) && valueOf(outcome).applied) {
             logEvent(EventKind::JobEnded, call.job.value, {{"listed", record.listed.size()}, {"total", record.items.size()}});
-            const KvItem item{key, encodeStoredJob(record), valueOf(outcome).revision, false};
-            mirrorItem(*book->mirror, item);
-            noteJobItem(book, item);
-            noteChangedHere(*book, item);
+            noteOwnWrite(book, key, encodeStoredJob(record), valueOf(outcome).revision);
             co_return failure(200, "ended");
         }
         if (isOk(outcome)) {
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -70,6 +70,30 @@
 boost::asio::awaitable<void> runItem(
     RunnerPtr runner, JobId job, std::uint32_t index, std::shared_ptr<ItemRun> run, TargetEntry target, std::shared_ptr<const LoadTicket> ticket);
 
+/** Begins @p task after the present handler, so that what it changes is not being iterated over. */
+void spawnLater(const RunnerPtr &runner, std::function<boost::asio::awaitable<void>()> task);
+
+/** Brings the list of owned jobs in line with the record of @p job. */
+void followRecord(JobRunner::Impl &runner, const JobId &job);
+
+/** Loads the items of an owned job, and the outputs that were kept. */
+boost::asio::awaitable<void> loadOwned(RunnerPtr runner, JobId job);
+
+/** Stores the results of an owned job that have no position yet, with the outputs of its other items. */
+boost::asio::awaitable<void> listOwned(RunnerPtr runner, JobId job);
+
+/** Keeps the outputs of unfinished items in the service. @param release Whether the job is given up as well. */
+boost::asio::awaitable<void> saveOwned(RunnerPtr runner, JobId job, bool release);
+
+/** @return Events in the outputs of unfinished items. */
+[[nodiscard]] std::uint64_t eventsOf(const OwnedJob &owned);
+
+/** Claims jobs whose owner is gone. */
+void claimOrphans(const RunnerPtr &runner);
+
+/** Removes closed jobs that nobody may ask for any more. */
+void removeClosed(const RunnerPtr &runner);
+
 /** Cuts the present run of an item. */
 void cutRun(ItemRun &run);
 
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -64,6 +64,12 @@
     return record.listed.size() == record.items.size();
 }
 
+/** @return Whether items of the job are still to be run. */
+[[nodiscard]] inline bool isOpen(const StoredJob &record)
+{
+    return !record.ended && !isComplete(record);
+}
+
 /** A result as readers see it. */
 struct JobResult {
     std::string item; ///< Item.
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -1,4 +1,5 @@
 /** @file forward.cpp Passing one request on to a target: placement, retries, resumption and the final answer. */
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
@@ -369,13 +370,6 @@
     return forwarding.runs == 0 || (isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts);
 }
 
-asio::awaitable<void> pause(milliseconds delay)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 /** Tries targets until the request has its final answer. */
 asio::awaitable<void> runAttempts(Forwarding &forwarding)
 {
@@ -393,7 +387,7 @@
         if (none && forwarding.started && mayGoOn(forwarding)) {
             // The caller has a part of the answer: wait for a target that can go on.
             forwarding.tried.clear();
-            co_await pause(placeAgain);
+            co_await sleepFor(placeAgain);
             continue;
         }
         if (none) {
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -1,6 +1,7 @@
 /** @file key_mirror.cpp Local copy of the keys under one prefix, kept up to date by a watch. */
 #include "store/key_mirror_func.h"
 
+#include "core/async_sleep_func.h"
 #include "core/hash_func.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -13,13 +14,6 @@
 
 namespace {
 
-asio::awaitable<void> sleepFor(std::chrono::nanoseconds delay)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 /** @return @p delay varied by a quarter, so that hosts that failed together do not return together. */
 std::chrono::milliseconds spread(std::chrono::milliseconds delay, std::uint64_t &random)
 {
--- a/standins/store_server.cpp
+++ b/standins/store_server.cpp
@@ -1,11 +1,11 @@
 /** @file store_server.cpp Serves a store in memory in the platform's wire form. */
 #include "store_server_func.h"
 
+#include "base64_func.h"
 #include "core/json_member_func.h"
 #include "names.h"
 
 #include <charconv>
-#include <kj/encoding.h>
 
 namespace skylark::standin {
 
@@ -22,18 +22,12 @@
     return number;
 }
 
-std::string encode(const std::string &bytes)
-{
-    const auto text = kj::encodeBase64(kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
-    return {text.begin(), text.size()};
-}
-
 json::object itemObject(const KvItem &item)
 {
     if (item.deleted) {
         return {{"key", item.key}, {"revision", item.revision}, {"tombstone", true}};
     }
-    return {{"key", item.key}, {"value", encode(item.value)}, {"revision", item.revision}, {"created", item.revision}, {"lease", 0}};
+    return {{"key", item.key}, {"value", encodeBase64(item.value)}, {"revision", item.revision}, {"created", item.revision}, {"lease", 0}};
 }
 
 json::array itemArray(const std::vector<KvItem> &items)
@@ -66,9 +60,7 @@
         transaction.conditions.push_back({stringMember(entry.get_object(), "key"), numberMember(entry.get_object(), "revision")});
     }
     for (const auto &entry : arrayMember(body, "writes")) {
-        const std::string text = stringMember(entry.get_object(), "value");
-        const auto bytes = kj::decodeBase64(kj::arrayPtr(text.data(), text.size()));
-        const std::string value(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
+        const std::string value = decodeBase64(stringMember(entry.get_object(), "value")).value_or(std::string());
         transaction.writes.push_back({stringMember(entry.get_object(), "key"), value, numberMember(entry.get_object(), "lease")});
     }
     for (const auto &entry : arrayMember(body, "remove")) {
