Fix: A planned stop of skylarkd destroyed event loops whose coroutines used one another

Cause: tools/prove with the address sanitizer: heap-use-after-free, a coroutine of the control loop released the batch part, whose timer belonged to the batch loop destroyed before it. Ruled out: the pool thread of blobs (joined before). The process ends after the stop without destroying them.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -4,6 +4,7 @@
 #include "settings/settings_func.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 #include <iostream>
@@ -26,6 +27,16 @@
     FLAGS_max_log_size = 64;
 }
 
+/**
+ * Ends the process after a planned stop. Suspended coroutines of each thread refer to parts of the others, so that destroying them in any order reads
+ * freed memory.
+ */
+[[noreturn]] void leave()
+{
+    google::FlushLogFiles(google::INFO);
+    std::_Exit(exitOk);
+}
+
 int fail(const skylark::Error &error)
 {
     std::cerr << skylark::errorInfo(error.code).name << ":\n" << error.detail << '\n';
@@ -57,5 +68,5 @@
         return fail(skylark::errorOf(host));
     }
     skylark::runHost(*skylark::valueOf(host));
-    return exitOk;
+    leave();
 }
