Fix: Closed jobs of hosts that are gone stayed in the store

Cause, found while reading the change: only the owner removed a closed job, and at most 31 of its keys. The first live host removes it when the owner is gone; keys go in several writes with the record last; items of closed jobs are freed from memory.

--- a/src/job/job_claims.cpp
+++ b/src/job/job_claims.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr milliseconds keepAfterClose{150000}; ///< Time after submission after which a closed job is removed; readers may come for 120 s.
 constexpr milliseconds settleAfterStart{700}; ///< Claims begin after so long, when the status of every live host has arrived.
 constexpr std::size_t removalsPerWrite = kvTransactionEntries - 1; ///< A condition takes one entry of a transaction.
 
@@ -45,22 +44,45 @@
     });
 }
 
-/** Removes one closed job that nobody may ask for any more. */
+/** @return All keys of a job but its record. */
+std::vector<std::string> keysOf(const StoredJob &record)
+{
+    std::vector<std::string> keys{jobOutputsKey(record.id)};
+    for (std::uint32_t part = 0; part < record.bodyParts; ++part) {
+        keys.push_back(jobBodyKey(record.id, part));
+    }
+    for (std::uint64_t position = 0; position < record.listed.size(); ++position) {
+        keys.push_back(jobResultKey(record.id, position));
+    }
+    return keys;
+}
+
+/** Removes one closed job that nobody may ask for any more; its record goes last, so that a removal that was cut short is done again. */
 asio::awaitable<void> removeJob(RunnerPtr runner, StoredJob record, std::uint64_t revision)
 {
-    const JobId job = record.id;
-    KvTransaction transaction;
-    transaction.conditions.push_back({jobRecordKey(job), revision});
-    transaction.removals.push_back(jobRecordKey(job));
-    transaction.removals.push_back(jobOutputsKey(job));
-    for (std::uint32_t part = 0; part < record.bodyParts && transaction.removals.size() < removalsPerWrite; ++part) {
-        transaction.removals.push_back(jobBodyKey(job, part));
+    std::vector<std::string> keys = keysOf(record);
+    keys.push_back(jobRecordKey(record.id));
+    bool applied = true;
+    for (std::size_t at = 0; at < keys.size() && applied; at += removalsPerWrite) {
+        KvTransaction transaction;
+        transaction.conditions.push_back({jobRecordKey(record.id), revision});
+        const auto first = keys.begin() + static_cast<std::ptrdiff_t>(at);
+        const auto last = keys.begin() + static_cast<std::ptrdiff_t>(std::min(keys.size(), at + removalsPerWrite));
+        transaction.removals.assign(first, last);
+        const auto outcome = co_await runner->book->store->commit(std::move(transaction));
+        applied = isOk(outcome) && valueOf(outcome).applied;
     }
-    for (std::uint64_t position = 0; position < record.listed.size() && transaction.removals.size() < removalsPerWrite; ++position) {
-        transaction.removals.push_back(jobResultKey(job, position));
+    runner->claiming.erase(record.id);
+}
+
+/** @return Whether this host removes the job: its owner, or the first live host when the owner is gone. */
+bool removesJob(const JobRunner::Impl &runner, const StoredJob &record, TimePoint now)
+{
+    if (record.owner == runner.book->session) {
+        return true;
     }
-    co_await runner->book->store->commit(std::move(transaction));
-    runner->claiming.erase(job);
+    const bool ownerLives = isRegistered(runner, record.owner) || heardLately(runner.proxy->board, record.owner, now);
+    return !ownerLives && rankFor(runner, record.id, now) == 0;
 }
 
 } // namespace
@@ -103,10 +125,15 @@
 
 void removeClosed(const RunnerPtr &runner)
 {
-    const UnixTime now = unixNow();
-    for (const auto &[job, known] : runner->book->jobs) {
-        const bool own = known.record.owner == runner->book->session && known.revision > 0;
-        if (own && !isOpen(known.record) && now > known.record.created + keepAfterClose && runner->claiming.insert(job).second) {
+    const UnixTime today = unixNow();
+    const TimePoint now = BootClock::now();
+    for (auto &[job, known] : runner->book->jobs) {
+        if (known.revision == 0 || isOpen(known.record)) {
+            continue;
+        }
+        known.items.clear();
+        const bool over = today > known.record.created + runner->keepClosed;
+        if (over && removesJob(*runner, known.record, now) && runner->claiming.insert(job).second) {
             spawnLater(runner, [runner, record = known.record, revision = known.revision] {
                 return removeJob(runner, record, revision);
             });
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -58,6 +58,7 @@
     std::map<JobId, OwnedJob> owned; ///< Jobs that this host runs.
     std::map<JobId, MissingOwner> missing; ///< Jobs whose owner is missing.
     std::set<JobId> claiming; ///< Claims under way.
+    std::chrono::milliseconds keepClosed{150000}; ///< Time after submission after which a closed job is removed; readers may come for 120 s.
     bool starting{true}; ///< Whether items may be started.
     bool stopped{false}; ///< Ends the loop.
     unsigned round{0}; ///< Counts the rounds of the loop.
--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -1,5 +1,6 @@
 /** @file test_jobs.cpp Batch jobs over several hosts: acceptance, results, ends, owners that go, and items that fail. */
 #include "job/job_record_func.h"
+#include "job/job_runner_base.h"
 #include "support/entry_fixture.h"
 
 #include <boost/asio/detached.hpp>
@@ -505,3 +506,19 @@
     noteAnnouncedJobs(this->b->jobs, status);
     CHECK_FALSE(isCurrent(*this->b->jobs, known));
 }
+
+// Guards against records and results that stay in the store for ever when the host that ran the job is gone.
+TEST_CASE_METHOD(JobsFixture, "job_closedAndItsOwnerGone_isRemovedByAnotherHost")
+{
+    this->submit(*this->a, "j1", 40);
+    REQUIRE(this->results(*this->b, "j1", 40, 20s).size() == 40);
+    this->a->runner.reset();
+    this->a.reset();
+    this->publishAll();
+    this->b->runner->impl->keepClosed = 0ms;
+    CHECK(this->runUntil([this] {
+        return std::none_of(this->store->items.begin(), this->store->items.end(), [](const auto &entry) {
+            return entry.first.find("j1") != std::string::npos;
+        });
+    }));
+}
