--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -65,24 +65,10 @@
     wakeReaders(*book);
 }
 
-/** Reads the present record after a write whose outcome matters. */
-asio::awaitable<Result<Done>> refreshJob(std::shared_ptr<JobBook> book, JobId job)
-{
-    auto item = co_await book->store->get(jobRecordKey(job), KvFreshness::Linearizable);
-    if (!isOk(item)) {
-        co_return errorOf(item);
-    }
-    if (!valueOf(item)) {
-        co_return makeError(ErrorCode::NotFound, "job record is gone");
-    }
-    noteJobItem(book, *valueOf(item));
-    co_return Done{};
-}
-
 /** Reads a record that another host has changed. */
 asio::awaitable<void> fetchAnnounced(std::shared_ptr<JobBook> book, JobId job)
 {
-    co_await refreshJob(book, job);
+    co_await fetchJob(book, job);
     if (const auto found = book->jobs.find(job); found != book->jobs.end()) {
         found->second.fetching = false;
     }
@@ -188,6 +174,33 @@
     wakeReaders(*book);
 }
 
+void notePresent(const std::shared_ptr<JobBook> &book, const KvDecision &refused)
+{
+    for (const KvItem &item : refused.present) {
+        if (isJobRecordKey(item.key)) {
+            noteJobItem(book, item);
+        }
+    }
+}
+
+asio::awaitable<Result<bool>> fetchJob(std::shared_ptr<JobBook> book, JobId job)
+{
+    const TimePoint begun = BootClock::now();
+    auto item = co_await book->store->get(jobRecordKey(job), KvFreshness::Linearizable);
+    if (!isOk(item)) {
+        co_return errorOf(item);
+    }
+    if (!valueOf(item)) {
+        co_return false;
+    }
+    noteJobItem(book, *valueOf(item));
+    const auto found = book->jobs.find(job);
+    if (found != book->jobs.end()) {
+        found->second.confirmedAt = begun;
+    }
+    co_return found != book->jobs.end();
+}
+
 void noteOwnWrite(const std::shared_ptr<JobBook> &book, const std::string &key, const std::string &value, std::uint64_t revision)
 {
     const KvItem item{key, value, revision, false};
@@ -209,7 +222,7 @@
     });
     std::map<JobId, std::uint64_t> revisions;
     for (const auto &[job, known] : book.jobs) {
-        if (known.record.owner == book.session && !known.record.ended && !isComplete(known.record)) {
+        if (known.record.owner == book.session && isOpen(known.record)) {
             revisions[job] = known.revision;
         }
     }
@@ -268,14 +281,12 @@
     auto decision = co_await book->store->commit(std::move(transaction));
     if (!isOk(decision)) {
         if (errorOf(decision).code == ErrorCode::OutcomeUnknown) {
-            co_await refreshJob(book, job);
+            co_await fetchJob(book, job);
         }
         co_return false;
     }
     if (!valueOf(decision).applied) {
-        for (const KvItem &item : valueOf(decision).present) {
-            noteJobItem(book, item);
-        }
+        notePresent(book, valueOf(decision));
         co_return false;
     }
     logEvent(EventKind::JobClaimed, job.value, {{"from", former.value}, {"listed", record.listed.size()}, {"total", record.items.size()}});
@@ -309,9 +320,7 @@
         co_return errorOf(outcome);
     }
     if (!valueOf(outcome).applied) {
-        for (const KvItem &item : valueOf(outcome).present) {
-            noteJobItem(book, item);
-        }
+        notePresent(book, valueOf(outcome));
         co_return makeError(ErrorCode::VersionConflict, "the record has changed");
     }
     if (release) {
@@ -367,9 +376,7 @@
         }
         ++attempt;
         if (isOk(outcome)) {
-            for (const KvItem &item : valueOf(outcome).present) {
-                noteJobItem(book, item);
-            }
+            notePresent(book, valueOf(outcome));
             if (valueOf(outcome).present.empty()) {
                 co_return makeError(ErrorCode::NotFound, "job record is gone");
             }
@@ -380,7 +387,7 @@
         co_await sleepFor(delay);
         delay = std::min(delay * 2, milliseconds(2000));
         if (last.code == ErrorCode::OutcomeUnknown) {
-            co_await refreshJob(book, job);
+            co_await fetchJob(book, job);
         }
     }
     co_return last;
--- a/src/job/job_book_base.h
+++ b/src/job/job_book_base.h
@@ -103,6 +103,12 @@
 /** Makes this host the owner of a job if the record is still at the known revision. @return Whether it is. */
 boost::asio::awaitable<bool> claimJob(std::shared_ptr<JobBook> book, JobId job);
 
+/** Takes the records that a refused transaction names into the book. */
+void notePresent(const std::shared_ptr<JobBook> &book, const KvDecision &refused);
+
+/** Reads one record into the book. @return Whether it exists. */
+boost::asio::awaitable<Result<bool>> fetchJob(std::shared_ptr<JobBook> book, JobId job);
+
 /** Takes a record that this host has written into the book, and announces it. */
 void noteOwnWrite(const std::shared_ptr<JobBook> &book, const std::string &key, const std::string &value, std::uint64_t revision);
 
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -71,25 +71,6 @@
     return known.digest == digest ? failure(202, "accepted_before") : failure(409, "other_content");
 }
 
-/** Reads one record into the book. @return Whether it exists. */
-asio::awaitable<Result<bool>> fetchJob(std::shared_ptr<JobBook> book, JobId job)
-{
-    const TimePoint begun = BootClock::now();
-    auto item = co_await book->store->get(jobRecordKey(job), KvFreshness::Linearizable);
-    if (!isOk(item)) {
-        co_return errorOf(item);
-    }
-    if (!valueOf(item)) {
-        co_return false;
-    }
-    noteJobItem(book, *valueOf(item));
-    const auto found = book->jobs.find(job);
-    if (found != book->jobs.end()) {
-        found->second.confirmedAt = begun;
-    }
-    co_return found != book->jobs.end();
-}
-
 /** Reads all records again, after another host accepted a job. */
 asio::awaitable<Result<Done>> refreshJobs(std::shared_ptr<JobBook> book)
 {
@@ -225,11 +206,7 @@
             co_return failure(202, "accepted");
         }
         if (isOk(outcome)) {
-            for (const KvItem &item : valueOf(outcome).present) {
-                if (isJobRecordKey(item.key)) {
-                    noteJobItem(book, item);
-                }
-            }
+            notePresent(book, valueOf(outcome));
             if (!book->jobs.contains(record.id)) {
                 co_await refreshJobs(book);
             }
@@ -400,9 +377,7 @@
             co_return failure(200, "ended");
         }
         if (isOk(outcome)) {
-            for (const KvItem &item : valueOf(outcome).present) {
-                noteJobItem(book, item);
-            }
+            notePresent(book, valueOf(outcome));
             continue;
         }
         mayBeStored = mayBeStored || errorOf(outcome).code == ErrorCode::OutcomeUnknown;
