Fix: A host that held the items of a job ran them from the start after it took the job over

Cause: kept outputs were read together with the items, and only when the items were missing. A host on which a caller had asked for the body of an item holds the items, so it never read the outputs of the former owner. KnownJob::claimed and OwnedJob::fresh said nearly the same and hid this; they are replaced by KnownJob::acceptedHere and OwnedJob::loaded.

Test job_ownerGoneAndItemsHeld_anotherHostGoesOnFromKeptOutputs failed before (no run began after event 20) and passes now.

--- a/src/job/job_book.cpp
+++ b/src/job/job_book.cpp
@@ -291,7 +291,7 @@
     }
     logEvent(EventKind::JobClaimed, job.value, {{"from", former.value}, {"listed", record.listed.size()}, {"total", record.items.size()}});
     if (const auto again = book->jobs.find(job); again != book->jobs.end()) {
-        again->second.claimed = true;
+        again->second.acceptedHere = false;
     }
     noteOwnWrite(book, key, value, valueOf(decision).revision);
     co_return true;
--- a/src/job/job_book_base.h
+++ b/src/job/job_book_base.h
@@ -21,7 +21,7 @@
 struct KnownJob {
     StoredJob record; ///< Record.
     std::uint64_t revision{0}; ///< Revision of its key.
-    bool claimed{false}; ///< Whether this host took the job over.
+    bool acceptedHere{false}; ///< Whether this host accepted the job and has owned it since, so that no outputs are kept that it lacks.
     TimePoint confirmedAt{}; ///< Begin of the last read of this record alone.
     std::uint64_t announcedRevision{0}; ///< Highest revision that a host has announced.
     std::uint64_t vouchedRevision{0}; ///< Revision that the owner announced last.
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -107,7 +107,9 @@
 void noteAccepted(const std::shared_ptr<JobBook> &book, const StoredJob &record, const std::string &quotaKey, std::uint64_t revision, JobSubmission submission)
 {
     mirrorItem(*book->mirror, {quotaKey, record.id.value, revision, false});
-    book->jobs[record.id].items = std::move(submission.items);
+    KnownJob &known = book->jobs[record.id];
+    known.items = std::move(submission.items);
+    known.acceptedHere = true;
     noteOwnWrite(book, jobRecordKey(record.id), encodeStoredJob(record), revision);
 }
 
@@ -229,13 +231,15 @@
 
 namespace {
 
+constexpr milliseconds neverConfirmed{-1}; ///< Age in log lines while no record has been read yet.
+
 /** Logs what a reader gets, and how old the host's knowledge of the job is. */
 JobAnswer logRead(const JobBook &book, const JobReadCall &call, JobAnswer answer)
 {
     const auto known = book.jobs.find(call.job);
     const bool exists = known != book.jobs.end();
-    const TimePoint heard = exists ? std::max(known->second.vouchedAt, known->second.confirmedAt) : book.mirror->confirmedAt;
-    const auto age = std::chrono::duration_cast<milliseconds>(BootClock::now() - heard);
+    const TimePoint heard = exists ? std::max({known->second.vouchedAt, known->second.confirmedAt, book.mirror->confirmedAt}) : book.mirror->confirmedAt;
+    const auto age = heard == TimePoint{} ? neverConfirmed : std::chrono::duration_cast<milliseconds>(BootClock::now() - heard);
     const auto write = answer.status == 200 ? logSampled : logEvent;
     write(EventKind::JobRead,
           call.job.value,
--- a/src/job/job_ownership.cpp
+++ b/src/job/job_ownership.cpp
@@ -88,7 +88,7 @@
     }
     OwnedJob &entry = runner.owned[job];
     if (owned == runner.owned.end()) {
-        entry.fresh = !known->second.items.empty() && !known->second.claimed;
+        entry.loaded = known->second.acceptedHere;
         entry.savedAt = BootClock::now();
         for (std::uint32_t i = 0; i < known->second.record.items.size(); ++i) {
             entry.runs[i] = std::make_shared<ItemRun>();
@@ -106,11 +106,7 @@
 
 asio::awaitable<void> loadOwned(RunnerPtr runner, JobId job)
 {
-    Result<SavedOutputs> outputs = SavedOutputs();
-    const auto begun = runner->owned.find(job);
-    if (begun != runner->owned.end() && !begun->second.fresh) {
-        outputs = co_await loadOutputs(runner->book, job);
-    }
+    const Result<SavedOutputs> outputs = co_await loadOutputs(runner->book, job);
     Result<Done> loaded = Done{};
     if (isOk(outputs)) {
         loaded = co_await loadJobItems(runner->book, job);
@@ -124,6 +120,7 @@
         logEvent(EventKind::ItemFailed, {}, {{"job", job.value}, {"error", "load"}, {"detail", error.detail}});
     } else if (owned != runner->owned.end()) {
         takeOutputs(owned->second, valueOf(outputs));
+        owned->second.loaded = true;
     }
 }
 
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -71,7 +71,7 @@
         const KnownJob &known = runner->book->jobs.at(job);
         giveUpItems(*runner, known.record, owned);
         const bool saving = eventsOf(owned) > owned.savedEvents + leastNewEvents && now - owned.savedAt >= saveInterval;
-        if (known.items.empty() && !owned.loading) {
+        if (!owned.loaded && !owned.loading) {
             owned.loading = true;
             spawnLater(runner, [runner, id = job] {
                 return loadOwned(runner, id);
@@ -98,7 +98,7 @@
     for (const auto &[job, owned] : runner.owned) {
         const KnownJob &known = runner.book->jobs.at(job);
         const RouteRule *route = routeOf(runner, known.record);
-        if (known.items.empty() || route == nullptr || route->kind != CallKind::Batch) {
+        if (!owned.loaded || route == nullptr || route->kind != CallKind::Batch) {
             continue;
         }
         for (const auto &[index, run] : owned.runs) {
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -36,8 +36,8 @@
 /** A job that this host owns. */
 struct OwnedJob {
     std::map<std::uint32_t, std::shared_ptr<ItemRun>> runs; ///< Items without a position, by index.
-    bool loading{false}; ///< Whether the items are being loaded.
-    bool fresh{true}; ///< Whether this host accepted the job itself, so that no outputs are kept.
+    bool loading{false}; ///< Whether the items and the kept outputs are being read.
+    bool loaded{false}; ///< Whether they have been read; not needed for a job that was accepted here.
     bool writing{false}; ///< Whether results or outputs are being stored.
     TimePoint savedAt{}; ///< When outputs were last stored.
     std::uint64_t savedEvents{0}; ///< Events in the outputs that were stored.
--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -107,6 +107,32 @@
     {
         return this->first.active + this->second.active >= items;
     }
+
+    /** Loses the host that runs a job, and checks that the other one goes on after the kept output. */
+    void loseOwnerAndCheckThatTheOtherGoesOn()
+    {
+        REQUIRE(this->runUntil(
+            [this] {
+                return this->store->items.contains(jobOutputsKey(JobId{"j1"}));
+            },
+            6s));
+        this->a->runner.reset();
+        this->a.reset();
+        this->planAll({.events = 400, .step = 1ms});
+        this->publishAll();
+        const auto read = this->results(*this->b, "j1", 3, 20s);
+        REQUIRE(read.size() == 3);
+        for (const auto &entry : read) {
+            CHECK(std::string(entry.at("text").get_string()) == wholeText(std::string(entry.at("id").get_string()), 400));
+        }
+        bool resumed = false;
+        for (const auto &replica : this->replicas) {
+            for (const auto &run : replica->runs) {
+                resumed = resumed || run->after > 20;
+            }
+        }
+        CHECK(resumed);
+    }
 };
 
 } // namespace
@@ -373,27 +399,16 @@
 {
     this->planAll({.events = 400, .step = 10ms});
     this->submit(*this->a, "j1", 3);
-    REQUIRE(this->runUntil(
-        [this] {
-            return this->store->items.contains(jobOutputsKey(JobId{"j1"}));
-        },
-        6s));
-    this->a->runner.reset();
-    this->a.reset();
-    this->planAll({.events = 400, .step = 1ms});
-    this->publishAll();
-    const auto read = this->results(*this->b, "j1", 3, 20s);
-    REQUIRE(read.size() == 3);
-    for (const auto &entry : read) {
-        CHECK(std::string(entry.at("text").get_string()) == wholeText(std::string(entry.at("id").get_string()), 400));
-    }
-    bool resumed = false;
-    for (const auto &replica : this->replicas) {
-        for (const auto &run : replica->runs) {
-            resumed = resumed || run->after > 20;
-        }
-    }
-    CHECK(resumed);
+    this->loseOwnerAndCheckThatTheOtherGoesOn();
+}
+
+// A host that holds the items of a job, because a caller asked for a body there, has to read the kept outputs all the same.
+TEST_CASE_METHOD(JobsFixture, "job_ownerGoneAndItemsHeld_anotherHostGoesOnFromKeptOutputs")
+{
+    this->planAll({.events = 400, .step = 10ms});
+    this->submit(*this->a, "j1", 3);
+    REQUIRE(this->get(*this->b, "/-/items/j1?id=j1-0").status == 200);
+    this->loseOwnerAndCheckThatTheOtherGoesOn();
 }
 
 TEST_CASE_METHOD(JobsFixture, "job_hostStops_handsItsJobsOver")
