Codechange: Forwarding in three files: attempts on targets, answers of our own, and the loop over both

The timeout of connections to targets stood twice with two values (250 ms and 400 ms for batch items); one constant of 250 ms serves both. The invariant on refusals no longer excuses repeatable requests: a refusal says that the request has not run, of whatever kind it is.

--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr milliseconds connectTimeout{400}; ///< Opening a connection to a target.
 constexpr milliseconds sendTimeout{2000}; ///< Sending an item.
 constexpr milliseconds firstAnswerTimeout{3000}; ///< First answer: items are started on free slots, but online requests may come first.
 constexpr milliseconds gapTimeout{2000}; ///< Pause between events after which another target goes on.
@@ -88,7 +87,7 @@
     Proxy &proxy = *runner->proxy;
     const SendDetails details{target.id, runBudget, run->splitter.last};
     HttpRequest request = proxy.wire.encode(call, details);
-    const HttpTimeouts timeouts{connectTimeout, sendTimeout, firstAnswerTimeout, gapTimeout};
+    const HttpTimeouts timeouts{targetConnectTimeout, sendTimeout, firstAnswerTimeout, gapTimeout};
     run->abort = std::make_shared<HttpAbortHandle>();
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, ConnectionUse::Pooled, run->abort);
     if (run->yielded || run->cancelled) {
--- /dev/null
+++ b/src/proxy/forward_answer.cpp
@@ -0,0 +1,141 @@
+/** @file forward_answer.cpp Answers of our own to forwarded requests, and what is logged of each final answer. */
+#include "core/event_log_func.h"
+#include "core/hash_func.h"
+#include "core/invariant_func.h"
+#include "core/table/error_table.h"
+#include "proxy/forwarding_base.h"
+
+#include <array>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+#include <cstdio>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds noTargetDelay{500}; ///< Return of a caller when no target is known: heartbeats come about once a second.
+constexpr milliseconds usualServiceTime{700}; ///< Time that an online stream holds a slot.
+
+std::string retryAfterText(milliseconds delay)
+{
+    std::array<char, 32> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(delay.count()) / 1000.0);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+/** Refuses a request that no target can have run. */
+asio::awaitable<void> refuse(Forwarding &forwarding, std::string_view reason, milliseconds delay, unsigned online, unsigned slots)
+{
+    SKY_INVARIANT(Promise::NotRun, forwarding.runs == 0);
+    logEvent(EventKind::Refused,
+             forwarding.call.id.value,
+             {{"route", forwarding.route->name},
+              {"reason", reason},
+              {"online", online},
+              {"slots", slots},
+              {"retry_after_ms", delay.count()},
+              {"config", forwarding.config->version.value},
+              {"left_ms", leftOf(forwarding).count()}});
+    addCounter(*forwarding.proxy->metrics, "skylark_refusals_total", {{"route", forwarding.route->name}, {"reason", reason}});
+    co_await sendFailure(*forwarding.proxy, forwarding.responder, 503, reason, delay);
+}
+
+} // namespace
+
+milliseconds since(TimePoint then)
+{
+    return std::chrono::duration_cast<milliseconds>(BootClock::now() - then);
+}
+
+milliseconds leftOf(const Forwarding &forwarding)
+{
+    return std::chrono::duration_cast<milliseconds>(forwarding.limit - BootClock::now());
+}
+
+void logAnswered(const Forwarding &forwarding, int status, std::string_view outcome)
+{
+    const auto &route = forwarding.route != nullptr ? forwarding.route->name : std::string();
+    const auto took = since(forwarding.arrivedAt);
+    const std::int64_t first = forwarding.firstAt ? std::chrono::duration_cast<milliseconds>(*forwarding.firstAt - forwarding.arrivedAt).count() : -1;
+    addCounter(*forwarding.proxy->metrics, "skylark_requests_total", {{"route", route}, {"outcome", outcome}});
+    observe(*forwarding.proxy->metrics, "skylark_request_seconds", {{"route", route}}, took);
+    if (forwarding.firstAt) {
+        observe(*forwarding.proxy->metrics, "skylark_first_answer_seconds", {{"route", route}}, milliseconds(first));
+    }
+    const auto write = outcome == "ok" ? logSampled : logEvent;
+    write(EventKind::Answered,
+          forwarding.call.id.value,
+          {{"route", route},
+           {"status", status},
+           {"outcome", outcome},
+           {"took_ms", took.count()},
+           {"first_ms", first},
+           {"attempts", forwarding.runs},
+           {"events", forwarding.events},
+           {"longest_gap_ms", forwarding.longestGap.count()},
+           {"target", forwarding.target.value}});
+}
+
+asio::awaitable<void> refuseFull(Forwarding &forwarding, const std::vector<SpreadCandidate> &candidates, SpreadReason reason)
+{
+    RefusalInput input{.serviceTime = usualServiceTime, .remaining = leftOf(forwarding), .draw = nextRandom(forwarding.proxy->random)};
+    for (const SpreadCandidate &candidate : candidates) {
+        input.online += candidate.online;
+        input.slots += candidate.slots;
+    }
+    const milliseconds delay = reason == SpreadReason::NoTarget ? noTargetDelay : refusalDelay(input);
+    co_await refuse(forwarding, spreadReasonName(reason), delay, input.online, input.slots);
+}
+
+asio::awaitable<Attempt> deliverWhole(Forwarding &forwarding, HttpResponse answer)
+{
+    forwarding.started = true;
+    const int status = answer.status;
+    const auto sent = co_await sendResponse(forwarding.responder, std::move(answer));
+    logAnswered(forwarding, status, !isOk(sent) ? "caller_gone" : status < 500 ? "ok" : "target_failure");
+    co_return Attempt{AttemptEnd::Answered, {}, {}};
+}
+
+asio::awaitable<void> giveUp(Forwarding &forwarding, const Attempt &last)
+{
+    if (forwarding.started) {
+        abortConnection(forwarding.responder);
+        logAnswered(forwarding, 0, "broken_off");
+        co_return;
+    }
+    if (last.answer) {
+        co_await deliverWhole(forwarding, *last.answer);
+        co_return;
+    }
+    const bool late = leftOf(forwarding).count() <= 0;
+    if (forwarding.runs == 0) {
+        co_await refuse(forwarding,
+                        late ? "deadline" : "targets_refused",
+                        refusalDelay({.remaining = leftOf(forwarding), .draw = nextRandom(forwarding.proxy->random)}),
+                        0,
+                        0);
+        logAnswered(forwarding, 503, "refused");
+        co_return;
+    }
+    co_await sendFailure(*forwarding.proxy, forwarding.responder, late ? 504 : 502, errorInfo(last.error.code).name, {});
+    logAnswered(forwarding, late ? 504 : 502, late ? "timeout" : "failed");
+}
+
+asio::awaitable<void> sendFailure(Proxy &proxy, HttpResponder &responder, int status, std::string_view reason, std::optional<milliseconds> retryAfter)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.push_back({"Content-Type", "application/json"});
+    if (retryAfter) {
+        response.headers.push_back({"Retry-After", retryAfterText(*retryAfter)});
+    }
+    response.body = boost::json::serialize(boost::json::object{{"error", reason}});
+    addCounter(*proxy.metrics, "skylark_own_failures_total", {{"status", std::to_string(status)}, {"reason", reason}});
+    co_await sendResponse(responder, std::move(response));
+}
+
+} // namespace skylark
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -16,6 +16,9 @@
 
 namespace skylark {
 
+/** Opening a connection to a target: many round trips between failure domains; a target that drops connections is left. */
+constexpr std::chrono::milliseconds targetConnectTimeout{250};
+
 /** What this host has seen of a target lately. */
 struct TargetHealth {
     unsigned failures{0}; ///< Failures since the last success.
