Change: Hosts of a small fleet announce every placement, not only those that need a taken slot

In a cluster at 14 s five requests of five hosts met target i-485c7185f8 within 150 ms, each with a count of 4 to 6: a placement on a free slot was told only with the regular status, up to 100 ms later, and every host chose the same target.

A fleet of more than 16 hosts keeps to the regular interval: a datagram to each peer for each request would not fit there (docs/CAPACITY.md).

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -180,8 +180,8 @@
         return errorOf(peers);
     }
     host.peers = std::move(valueOf(peers));
-    host.proxy->announceLoad = [&host] {
-        announceSoon(*host.peers);
+    host.proxy->announceLoad = [&host](LoadChange change) {
+        announceLoadChange(*host.peers, change);
         if (host.runner) {
             yieldToOnline(*host.runner);
         }
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -207,6 +207,14 @@
     }
 }
 
+void announceLoadChange(PeerLink &link, LoadChange change)
+{
+    // One datagram to each peer for each request fits a small fleet only; a large one hears of free slots that were taken at the regular interval.
+    if (change == LoadChange::SlotNeeded || link.impl->peers.size() <= smallFleet) {
+        announceSoon(link);
+    }
+}
+
 void announceSoon(PeerLink &link)
 {
     if (!link.impl->soon) {
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -32,6 +32,9 @@
 /** Takes the list of hosts from the proxy's snapshot. */
 void updatePeers(PeerLink &link);
 
+/** Sends the host's status soon if the other hosts should hear of @p change before the regular interval. */
+void announceLoadChange(PeerLink &link, LoadChange change);
+
 /** Sends the host's status soon, bundling what changes within a few milliseconds. */
 void announceSoon(PeerLink &link);
 
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -175,7 +175,7 @@
         started = true;
     }
     if (started) {
-        runner->proxy->announceLoad();
+        runner->proxy->announceLoad(LoadChange::SlotNeeded);
     }
 }
 
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -86,9 +86,7 @@
         forwarding.target = target.id;
         {
             const LoadTicket ticket(boardOf(forwarding.proxy), target.id, false);
-            if (choice.reason != SpreadReason::FreeSlot) {
-                proxy.announceLoad();
-            }
+            proxy.announceLoad(choice.reason == SpreadReason::FreeSlot ? LoadChange::FreeSlotTaken : LoadChange::SlotNeeded);
             logSampled(EventKind::Placed,
                        forwarding.call.id.value,
                        {{"route", forwarding.route->name},
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -26,6 +26,12 @@
     double firstAnswerMs{0}; ///< Average time to the first answer of requests that found a free slot; 0 when unknown.
 };
 
+/** A change of the host's requests in flight that other hosts should hear of. */
+enum class LoadChange : std::uint8_t {
+    FreeSlotTaken, ///< A request took a free slot.
+    SlotNeeded, ///< A request needs a slot that batch or another request holds, or batch took free slots.
+};
+
 /** State; belongs to the traffic thread. */
 struct Proxy {
     boost::asio::any_io_executor executor; ///< Traffic thread.
@@ -35,7 +41,7 @@
     SnapshotPtr fleet; ///< Last snapshot of the control thread; never null.
     LoadBoard board; ///< Requests in flight.
     std::map<TargetId, TargetHealth> health; ///< Targets seen lately.
-    std::function<void()> announceLoad; ///< Sends the host's counts to the others soon.
+    std::function<void(LoadChange change)> announceLoad; ///< Sends the host's counts to the others soon.
     std::uint64_t random{1}; ///< State of the random sequence.
     bool stopping{false}; ///< Whether a planned stop has begun.
 };
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -101,7 +101,7 @@
         this->proxy->wire = platform::makeCallWire();
         this->proxy->http = HttpClient::create(executor);
         this->proxy->metrics = MetricsRegistry::create();
-        this->proxy->announceLoad = [this] {
+        this->proxy->announceLoad = [this](LoadChange /*change*/) {
             if (this->runner) {
                 yieldToOnline(*this->runner);
             }
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -257,6 +257,20 @@
     CHECK((this->first.runs.size() == slowRuns || this->second.runs.size() == otherRuns));
 }
 
+// Guards against hosts that send to the same target within one status interval, because they do not hear of one another's requests.
+TEST_CASE_METHOD(ForwardFixture, "forward_requestOnFreeSlot_isAnnouncedToOtherHostsAtOnce")
+{
+    unsigned announced = 0;
+    this->node.proxy->announceLoad = [this, &announced](LoadChange change) {
+        CHECK(change == LoadChange::FreeSlotTaken);
+        HostStatus status;
+        describeOwnLoad(this->node.proxy->board, status);
+        announced += status.onlineInFlight.size() == 1 && status.onlineInFlight[0].second == 1 ? 1 : 0;
+    };
+    REQUIRE(this->node.send(EntryNode::request("s1", "/chat/x")).status == 200);
+    CHECK(announced == 1);
+}
+
 TEST_CASE_METHOD(ForwardFixture, "forward_allPlacesTaken_refusesAtOnceWithTimeToReturn")
 {
     for (const char *id : {"i-1", "i-2"}) {
--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -1,7 +1,9 @@
 /** @file test_spread.cpp Placement on shared targets, batch beside online requests, and refusals. */
+#include "core/clock_func.h"
 #include "core/hash_func.h"
 #include "policy/spread_func.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <numeric>
 
@@ -39,8 +41,64 @@
     }
 };
 
+/** Hosts that place streams on shared targets and hear of one another's placements after a delay. */
+struct SharedTargets {
+    static constexpr unsigned hosts = 7; ///< Hosts.
+    static constexpr unsigned targets = 12; ///< Targets.
+    static constexpr unsigned slots = 8; ///< Slots of each target.
+    static constexpr auto serviceTime = 700ms; ///< Time that a stream holds a slot.
+    static constexpr auto arrivalGap = 10ms; ///< Mean time between two streams: 73 % of the slots are taken.
+
+    struct Stream {
+        unsigned host{0}; ///< Host that placed it.
+        TargetId target; ///< Its target.
+        TimePoint placedAt{}; ///< When it was placed.
+    };
+
+    std::vector<Stream> streams; ///< Running streams.
+    std::uint64_t random{11}; ///< State of the random sequence.
+
+    /** @return Streams on @p target that @p host knows: its own, and those of other hosts older than @p heardAfter. */
+    [[nodiscard]] unsigned known(unsigned host, const TargetId &target, TimePoint now, std::chrono::milliseconds heardAfter) const
+    {
+        return static_cast<unsigned>(std::count_if(this->streams.begin(), this->streams.end(), [&](const Stream &stream) {
+            return stream.target == target && (stream.host == host || now - stream.placedAt >= heardAfter);
+        }));
+    }
+
+    /** Places streams for a minute. @return Share of the streams that met a full target although another one had a free slot. */
+    double shareOnFullTargets(std::chrono::milliseconds heardAfter)
+    {
+        unsigned placed = 0;
+        unsigned met = 0;
+        const TimePoint begin{};
+        for (TimePoint now = begin; now < begin + 60s; now += std::chrono::milliseconds(nextRandom(this->random) % (2 * arrivalGap.count()))) {
+            std::erase_if(this->streams, [now](const Stream &stream) {
+                return now - stream.placedAt >= serviceTime;
+            });
+            const auto host = static_cast<unsigned>(nextRandom(this->random) % hosts);
+            std::vector<SpreadCandidate> candidates;
+            for (unsigned i = 0; i < targets; ++i) {
+                const TargetId id{"t" + std::to_string(i)};
+                candidates.push_back({.id = id, .slots = slots, .online = this->known(host, id, now, heardAfter)});
+            }
+            const SpreadChoice choice = spreadRequest(candidates, {}, nextRandom(this->random));
+            ++placed;
+            met += this->known(host, choice.target, now, 0ms) >= slots && this->streams.size() < targets * slots ? 1 : 0;
+            this->streams.push_back({host, choice.target, now});
+        }
+        return static_cast<double>(met) / placed;
+    }
+};
+
 } // namespace
 
+// Seven hosts at three quarters of the capacity: a stream that finds a full target waits, and is answered after its target latency.
+TEST_CASE_METHOD(SharedTargets, "spreadRequest_placementsHeardWithinTenMilliseconds_seldomMeetAFullTarget")
+{
+    CHECK(this->shareOnFullTargets(10ms) <= 0.01);
+}
+
 // Guards against cancelled batch runs while another target has room (1,000 runs a day were cut).
 TEST_CASE_METHOD(SpreadFixture, "spreadRequest_oneTargetFullOfBatch_choosesFreeSlotElsewhere")
 {
