Fix: Repeated headers were lost, ambiguous Host headers accepted, late and long heads answered wrongly

Bytes from callers as tests/test_caller_input.cpp plays them on an entry host; four of its nine cases failed first: - setHeaders() kept one header of each name: of two Set-Cookie headers of a target one arrived. - A header named by a second Connection header was passed on, and one whose name is a part of a named token was dropped. - A request with two Host headers was served by the first one; it gets 400. - A head over the limit got 400 instead of 431; a head that came too slowly was cut without an answer and now gets 408, which promises that nothing was run. A refused request's rest is read for at most 500 ms: a connection that is closed with unread bytes is reset, and the caller loses the answer. Passed before already: a body over the limit with a length and in chunks, a caller that leaves within its body, Content-Length beside Transfer-Encoding and two lengths, garbage, a request in pieces.

--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -17,6 +17,7 @@
     NotFound, ///< No such object or path.
     ModelNotFound, ///< Workspace has no such model.
     PayloadTooLarge, ///< Body over the limit.
+    HeaderTooLarge, ///< Request head over the limit.
     HeaderTimeout, ///< Request head arrived too slowly.
     JobKeyConflict, ///< Job key already used with different content.
     IdempotencyConflict, ///< Idempotency key already used with a different request.
--- a/src/core/table/error_table.h
+++ b/src/core/table/error_table.h
@@ -26,6 +26,7 @@
     ErrorInfo{ErrorCode::NotFound, "not_found", "invalid_request_error", 404, false, false},
     ErrorInfo{ErrorCode::ModelNotFound, "model_not_found", "invalid_request_error", 404, false, false},
     ErrorInfo{ErrorCode::PayloadTooLarge, "payload_too_large", "invalid_request_error", 413, false, false},
+    ErrorInfo{ErrorCode::HeaderTooLarge, "header_too_large", "invalid_request_error", 431, false, false},
     ErrorInfo{ErrorCode::HeaderTimeout, "header_timeout", "invalid_request_error", 408, false, true},
     ErrorInfo{ErrorCode::JobKeyConflict, "job_key_conflict", "conflict_error", 409, false, false},
     ErrorInfo{ErrorCode::IdempotencyConflict, "idempotency_conflict", "conflict_error", 409, false, false},
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,10 +1,13 @@
 /** @file http_server.cpp HTTP server over Boost.Beast. */
 #include "http/http_server_func.h"
 
+#include "core/table/error_table.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -43,6 +46,9 @@
 namespace {
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readSize = 4096; ///< Bytes of one read before a head is parsed.
+constexpr std::chrono::milliseconds lingerTime{
+    500}; ///< Rest of a refused request is read for so long: a connection closed with unread bytes is reset, and the caller loses the answer.
 
 bool isClosing(const HttpServerConnection &connection)
 {
@@ -81,7 +87,7 @@
 void setHeaders(Message &message, const HttpHeaders &headers)
 {
     for (const HttpHeader &header : headers) {
-        message.set(header.name, header.value);
+        message.insert(header.name, header.value);
     }
 }
 
@@ -97,17 +103,80 @@
     return request;
 }
 
+/** Reads and drops what the caller still sends, for a bounded time. */
+asio::awaitable<void> discardInput(std::shared_ptr<HttpServerConnection> connection)
+{
+    beast::error_code ignored;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection->stream.expires_after(lingerTime);
+    for (;;) {
+        connection->buffer.clear();
+        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readSize), awaitTuple);
+        if (error) {
+            co_return;
+        }
+    }
+}
+
 /** Sends a transport-level error and lets the connection close. */
 asio::awaitable<void> refuse(const std::shared_ptr<HttpServerConnection> &connection, const HttpServerOptions &options, Error error)
 {
     HttpResponder responder{connection, false, false};
     connection->keepAlive = false;
     HttpResponse response;
-    response.status = error.code == ErrorCode::PayloadTooLarge ? 413 : error.code == ErrorCode::HeaderTimeout ? 408 : 400;
+    response.status = errorInfo(error.code).status;
     if (options.renderError) {
         response = options.renderError(error);
     }
     co_await sendResponse(responder, std::move(response));
+    co_await discardInput(connection);
+}
+
+/** Reads a request's head. A head that comes too slowly ends with the timeout error and leaves the connection open for an answer. */
+asio::awaitable<beast::error_code> readHead(std::shared_ptr<HttpServerConnection> connection,
+                                            std::chrono::milliseconds timeout,
+                                            http::request_parser<http::string_body> &parser)
+{
+    struct Deadline {
+        bool over{false}; ///< Whether the head has ended before the deadline.
+        bool expired{false}; ///< Whether the deadline has passed before.
+    };
+    const auto deadline = std::make_shared<Deadline>();
+    asio::steady_timer timer(connection->stream.get_executor(), timeout);
+    connection->stream.expires_never();
+    timer.async_wait([connection, deadline](const beast::error_code &cancelled) {
+        if (!cancelled && !deadline->over) {
+            deadline->expired = true;
+            beast::error_code ignored;
+            connection->stream.socket().cancel(ignored);
+        }
+    });
+    const auto [error, bytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
+    deadline->over = true;
+    const beast::error_code timedOut = beast::error::timeout;
+    const beast::error_code outcome = error;
+    co_return outcome && deadline->expired ? timedOut : outcome;
+}
+
+/** @return Why a request with this head is refused, or nothing. */
+std::optional<Error> headProblem(const http::request<http::string_body> &message, std::size_t maxBody, const beast::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return makeError(ErrorCode::HeaderTimeout, "request head came too slowly");
+    }
+    if (error == http::error::header_limit) {
+        return makeError(ErrorCode::HeaderTooLarge, "request head is over the limit");
+    }
+    if (error == http::error::body_limit) {
+        return makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(maxBody) + " bytes");
+    }
+    if (error) {
+        return makeError(ErrorCode::InvalidRequest, error.message());
+    }
+    if (message.count(http::field::host) > 1) {
+        return makeError(ErrorCode::InvalidRequest, "more than one Host header");
+    }
+    return std::nullopt;
 }
 
 /** Reads one request; @return nothing when the connection ended or was refused. */
@@ -115,7 +184,7 @@
 {
     if (connection->buffer.size() == 0) {
         connection->stream.expires_after(options.keepAlive);
-        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(4096), awaitTuple);
+        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readSize), awaitTuple);
         if (error) {
             co_return std::nullopt;
         }
@@ -125,20 +194,12 @@
     http::request_parser<http::string_body> parser;
     parser.body_limit(options.maxBody);
     parser.header_limit(options.maxHeader);
-    connection->stream.expires_after(options.headTimeout);
-    const auto [headError, headBytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
-    if (headError == beast::error::timeout) {
-        // The stream closes its socket on a timeout, so no response can be sent.
-        co_return std::nullopt;
-    }
-    if (headError == http::error::body_limit) {
-        co_await refuse(connection, options, makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(options.maxBody) + " bytes"));
+    const beast::error_code headError = co_await readHead(connection, options.headTimeout, parser);
+    if (headError == http::error::end_of_stream || headError == asio::error::connection_reset) {
         co_return std::nullopt;
     }
-    if (headError) {
-        if (headError != http::error::end_of_stream) {
-            co_await refuse(connection, options, makeError(ErrorCode::InvalidRequest, headError.message()));
-        }
+    if (const auto problem = headProblem(parser.get(), options.maxBody, headError)) {
+        co_await refuse(connection, options, *problem);
         co_return std::nullopt;
     }
     connection->stream.expires_after(options.bodyTimeout);
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace skylark {
 
@@ -101,13 +102,19 @@
 {
     static constexpr std::array hopHeaders{
         "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "TE", "Trailer", "Upgrade", "Expect"};
-    const std::string_view named = headerValue(headers, "Connection");
+    std::string named;
+    for (const HttpHeader &header : headers) {
+        if (boost::algorithm::iequals(header.name, "Connection")) {
+            named.append(named.empty() ? "" : ",").append(header.value);
+        }
+    }
+    boost::beast::http::token_list tokens(named);
     HttpHeaders kept;
     for (const HttpHeader &header : headers) {
         const bool hop = std::any_of(hopHeaders.begin(), hopHeaders.end(), [&header](const char *name) {
             return boost::algorithm::iequals(header.name, name);
         });
-        if (!hop && (named.empty() || !boost::algorithm::icontains(named, header.name))) {
+        if (!hop && !tokens.exists(header.name)) {
             kept.push_back(header);
         }
     }
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -40,6 +40,7 @@
         headers.push_back({std::string(headerSignature), "signature-of-" + id});
     }
     headers.push_back({"Content-Type", plan.stream ? "text/event-stream" : "text/plain"});
+    headers.insert(headers.end(), plan.headers.begin(), plan.headers.end());
     return headers;
 }
 
@@ -122,6 +123,7 @@
     run->id = id;
     run->target = request.target;
     run->body = request.body;
+    run->headers = request.headers;
     run->after = numberHeader(request, headerLastEvent);
     run->budgetMs = numberHeader(request, headerDeadline);
     replica->runs.push_back(run);
--- a/standins/replica_base.h
+++ b/standins/replica_base.h
@@ -24,6 +24,7 @@
     bool unsignedAnswer{false}; ///< Whether the signature is left out.
     bool repeatsEvent{false}; ///< Whether an event comes twice.
     bool skipsEvent{false}; ///< Whether an event is left out.
+    HttpHeaders headers{}; ///< Further headers of the answer.
 };
 
 /** One run as the replica saw it. */
@@ -31,6 +32,7 @@
     std::string id; ///< Request.
     std::string target; ///< Path and query.
     std::string body; ///< Body.
+    HttpHeaders headers; ///< Headers.
     std::uint64_t after{0}; ///< Last event that the request names.
     std::uint64_t budgetMs{0}; ///< Time that the request gives.
     unsigned events{0}; ///< Events sent.
