--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -46,7 +46,7 @@
     EventInfo{EventKind::ItemYielded, "batch", "item_yielded", "job target events online"},
     EventInfo{EventKind::ItemFailed, "batch", "item_failed", "job target error detail failures events"},
     EventInfo{EventKind::ItemFinished, "batch", "item_finished", "job state events took_ms"},
-    EventInfo{EventKind::ResultsListed, "job", "results_listed", "listed total revision slack_ms"},
+    EventInfo{EventKind::ResultsListed, "job", "results_listed", "listed total revision"},
     EventInfo{EventKind::Dropped, "host", "lines_dropped", "lines"},
 };
 static_assert(eventTable.size() == static_cast<std::size_t>(EventKind::Count));
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/json/serialize.hpp>
+#include <limits>
 #include <set>
 
 namespace skylark {
@@ -89,6 +90,60 @@
     CauseRule{"answered", "outcome", "ok", "it was answered in full"},
 };
 
+/** @return Whether the lines tell how the request or item was placed, but not how it ended. */
+bool lacksEnd(const std::vector<LogLine> &lines)
+{
+    const auto has = [&lines](std::initializer_list<std::string_view> events) {
+        return std::any_of(lines.begin(), lines.end(), [&events](const LogLine &line) {
+            return !line.context && std::find(events.begin(), events.end(), line.event) != events.end();
+        });
+    };
+    return has({"placed"}) && !has({"answered", "refused"});
+}
+
+/** @return The first start of the host of @p last after that line, or null. */
+const LogLine *restartAfter(const std::vector<LogLine> &lines, const LogLine &last)
+{
+    const LogLine *first = nullptr;
+    for (const LogLine &line : lines) {
+        const bool later = line.host == last.host && line.event == "start" && line.timeMs > last.timeMs;
+        if (later && (first == nullptr || line.timeMs < first->timeMs)) {
+            first = &line;
+        }
+    }
+    return first;
+}
+
+/** @return Time of the last line of @p host before @p endMs. */
+std::int64_t lastLineBefore(const std::vector<LogLine> &lines, const std::string &host, std::int64_t endMs)
+{
+    std::int64_t last = 0;
+    for (const LogLine &line : lines) {
+        last = line.host == host && line.timeMs < endMs ? std::max(last, line.timeMs) : last;
+    }
+    return last;
+}
+
+/** Tells a host that ended while it handled the request from an answer whose line was left out. Adds the line of the restart to the story. */
+std::string causeOfMissingEnd(const std::vector<LogLine> &lines, Story &story)
+{
+    const LogLine last = story.lines.back();
+    const std::int64_t limit = last.timeMs + static_cast<std::int64_t>(numberMember(last.fields, "left_ms"));
+    const LogLine *restart = restartAfter(lines, last);
+    const std::int64_t silentFrom = lastLineBefore(lines, last.host, restart != nullptr ? restart->timeMs : std::numeric_limits<std::int64_t>::max());
+    if (silentFrom >= limit) {
+        return "the lines name no failure; answers in full above 50 a second are left out of the log";
+    }
+    if (restart == nullptr) {
+        return "host " + last.host + " wrote nothing later than " + std::to_string(silentFrom - last.timeMs)
+               + " ms after this line: it was lost while it handled the request, or its log ends there";
+    }
+    story.lines.push_back(*restart);
+    story.lines.back().context = true;
+    return "host " + last.host + " ended while it handled the request and started again " + std::to_string(restart->timeMs - last.timeMs)
+           + " ms after this line";
+}
+
 std::string causeOf(const std::vector<LogLine> &lines)
 {
     for (const CauseRule &rule : causeRules) {
@@ -163,7 +218,7 @@
     std::stable_sort(story.lines.begin(), story.lines.end(), [](const LogLine &left, const LogLine &right) {
         return left.timeMs < right.timeMs;
     });
-    story.cause = causeOf(story.lines);
+    story.cause = lacksEnd(story.lines) ? causeOfMissingEnd(lines, story) : causeOf(story.lines);
     return story;
 }
 
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -233,12 +233,19 @@
 
 constexpr milliseconds neverConfirmed{-1}; ///< Age in log lines while no record has been read yet.
 
+/** @return When this host last knew that its record of the job was the present one; no other host changes the results of an own job. */
+TimePoint confirmedAt(const JobBook &book, const KnownJob &known)
+{
+    const bool own = known.record.owner == book.session;
+    return own ? BootClock::now() : std::max({known.vouchedAt, known.confirmedAt, book.mirror->confirmedAt});
+}
+
 /** Logs what a reader gets, and how old the host's knowledge of the job is. */
 JobAnswer logRead(const JobBook &book, const JobReadCall &call, JobAnswer answer)
 {
     const auto known = book.jobs.find(call.job);
     const bool exists = known != book.jobs.end();
-    const TimePoint heard = exists ? std::max({known->second.vouchedAt, known->second.confirmedAt, book.mirror->confirmedAt}) : book.mirror->confirmedAt;
+    const TimePoint heard = exists ? confirmedAt(book, known->second) : book.mirror->confirmedAt;
     const auto age = heard == TimePoint{} ? neverConfirmed : std::chrono::duration_cast<milliseconds>(BootClock::now() - heard);
     const auto write = answer.status == 200 ? logSampled : logEvent;
     write(EventKind::JobRead,
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -91,6 +91,47 @@
     }
 }
 
+/** An item that is at a target. */
+struct RunningItem {
+    JobId job; ///< Job.
+    std::uint32_t index{0}; ///< Item.
+    std::shared_ptr<ItemRun> run; ///< Its run.
+};
+
+/** Items of this host at one target. */
+struct TargetRuns {
+    std::vector<RunningItem> items; ///< Items that go on running.
+    unsigned yielding{0}; ///< Items that are being cut already.
+};
+
+std::map<TargetId, TargetRuns> runsByTarget(const JobRunner::Impl &runner)
+{
+    std::map<TargetId, TargetRuns> targets;
+    for (const auto &[job, owned] : runner.owned) {
+        for (const auto &[index, run] : owned.runs) {
+            if (run->phase != ItemPhase::Running) {
+                continue;
+            }
+            TargetRuns &runs = targets[run->target];
+            if (run->yielded) {
+                ++runs.yielding;
+            } else {
+                runs.items.push_back({job, index, run});
+            }
+        }
+    }
+    return targets;
+}
+
+void yieldItem(const JobRunner::Impl &runner, const RunningItem &item, unsigned online)
+{
+    item.run->yielded = true;
+    logSampled(EventKind::ItemYielded,
+               runner.book->jobs.at(item.job).record.items[item.index].id,
+               {{"job", item.job.value}, {"target", item.run->target.value}, {"events", item.run->events}, {"online", online}});
+    cutRun(*item.run);
+}
+
 std::vector<PendingItem> pendingItems(const JobRunner::Impl &runner)
 {
     std::vector<PendingItem> pending;
@@ -257,40 +298,19 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    std::map<TargetId, std::vector<std::pair<TimePoint, std::shared_ptr<ItemRun>>>> running;
-    std::map<TargetId, unsigned> yielding;
-    for (auto &[job, owned] : impl.owned) {
-        for (auto &[index, run] : owned.runs) {
-            if (run->phase != ItemPhase::Running) {
-                continue;
-            }
-            if (run->yielded) {
-                ++yielding[run->target];
-            } else {
-                running[run->target].emplace_back(run->startedAt, run);
-            }
-        }
-    }
-    for (auto &[target, runs] : running) {
+    for (auto &[target, runs] : runsByTarget(impl)) {
         const auto entry = impl.proxy->fleet->targets->find(target);
         if (entry == impl.proxy->fleet->targets->end()) {
             continue;
         }
         const unsigned wanted = valleyYield(valleyInput(impl, entry->second, now));
-        unsigned excess = wanted - std::min(wanted, yielding[target]);
+        const std::size_t excess = std::min<std::size_t>(wanted - std::min(wanted, runs.yielding), runs.items.size());
         // The newest run has made the least output.
-        std::sort(runs.begin(), runs.end(), [](const auto &left, const auto &right) {
-            return left.first > right.first;
+        std::sort(runs.items.begin(), runs.items.end(), [](const RunningItem &left, const RunningItem &right) {
+            return left.run->startedAt > right.run->startedAt;
         });
-        for (auto &[startedAt, run] : runs) {
-            if (excess == 0) {
-                break;
-            }
-            --excess;
-            run->yielded = true;
-            logSampled(
-                EventKind::ItemYielded, {}, {{"target", target.value}, {"events", run->events}, {"online", countsOf(impl.proxy->board, target, now).online}});
-            cutRun(*run);
+        for (std::size_t i = 0; i < excess; ++i) {
+            yieldItem(impl, runs.items[i], countsOf(impl.proxy->board, target, now).online);
         }
     }
 }
--- a/tests/test_entry_host.cpp
+++ b/tests/test_entry_host.cpp
@@ -1,5 +1,6 @@
 /** @file test_entry_host.cpp Entry hosts as processes beside the stand-in of the platform: requests, jobs, stops, kills and their log lines. */
 #include "call_wire_func.h"
+#include "core/table/event_table.h"
 #include "explain/explain_func.h"
 #include "names.h"
 #include "replica_base.h"
@@ -9,6 +10,8 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <set>
+#include <sstream>
 #include <unistd.h>
 
 using namespace skylark;
@@ -145,8 +148,78 @@
     }
 };
 
+/** @return Names of the fields of @p line that its event has of its own. */
+std::set<std::string> ownFields(const LogLine &line)
+{
+    static const std::set<std::string> common{"ts", "host", "part", "event", "id", "stands_for"};
+    std::set<std::string> names;
+    for (const auto &field : line.fields) {
+        if (!common.contains(std::string(field.key()))) {
+            names.insert(std::string(field.key()));
+        }
+    }
+    return names;
+}
+
+/** @return Names of the fields that the table gives to @p event. */
+std::set<std::string> tableFields(const std::string &event)
+{
+    for (const EventInfo &info : eventTable) {
+        if (info.name == event) {
+            std::istringstream words{std::string(info.fields)};
+            return {std::istream_iterator<std::string>(words), {}};
+        }
+    }
+    return {};
+}
+
 } // namespace
 
+// Guards against lines that lack what the table and docs/OPERATIONS.md promise: item_yielded came without its item and job.
+TEST_CASE_METHOD(SiteFixture, "logLines_ofRequestsAndJobs_haveTheFieldsOfTheTable")
+{
+    static const std::set<std::string> partly{"refused", "job_refused"};
+    REQUIRE(isOk(this->call(this->hosts[0].callers, SiteFixture::request("q1", "/chat/x"))));
+    REQUIRE(isOk(this->call(this->hosts[1].callers, SiteFixture::request("q2", "/unknown/x"))));
+    REQUIRE(isOk(this->call(this->hosts[0].callers, SiteFixture::request("j1", "/batch/j1", SiteFixture::jobBody(40)))));
+    this->runFor(300ms);
+    for (unsigned i = 0; i < 40; ++i) {
+        boost::asio::co_spawn(
+            this->loop,
+            [this, i]() -> boost::asio::awaitable<void> {
+                co_await httpCall(this->http, this->hosts[i % 2].callers, SiteFixture::request("s" + std::to_string(i), "/chat/x"), {1s, 1s, 9s, 9s});
+            },
+            boost::asio::detached);
+    }
+    CHECK(this->results(this->hosts[1], 40, 20s).size() == 40);
+    std::set<std::string> seen;
+    for (const LogLine &line : this->logs()) {
+        INFO(line.event);
+        seen.insert(line.event);
+        const auto own = ownFields(line);
+        const auto expected = tableFields(line.event);
+        CHECK(std::includes(expected.begin(), expected.end(), own.begin(), own.end()));
+        CHECK((partly.contains(line.event) || own == expected));
+        CHECK((line.event != "item_yielded" || !line.id.empty()));
+    }
+    for (const char *event : {"start",
+                              "ready",
+                              "config_adopted",
+                              "target_changed",
+                              "placed",
+                              "answered",
+                              "refused",
+                              "job_accepted",
+                              "item_started",
+                              "item_yielded",
+                              "item_finished",
+                              "results_listed",
+                              "job_read"}) {
+        INFO(event);
+        CHECK(seen.contains(event));
+    }
+}
+
 TEST_CASE_METHOD(SiteFixture, "hosts_requestsAndJobs_areServedAndExplained")
 {
     auto order = this->call(this->hosts[0].callers, request("o1", "/order/x"));
--- a/tests/test_event_log.cpp
+++ b/tests/test_event_log.cpp
@@ -135,6 +135,39 @@
     CHECK(explain(linesOf(text), "unknown").lines.empty());
 }
 
+// Guards against an on-call engineer who finds a placement without an end: drawn-1038 had 176 such requests, all on hosts that had lost power.
+TEST_CASE("explain_hostEndedDuringRequest_namesTheRestart", "[explain]")
+{
+    const std::string text = R"({"ts":1000,"host":"h1","event":"placed","id":"q","target":"i-1","left_ms":5000}
+{"ts":1200,"host":"h1","event":"answered","id":"other","outcome":"ok"}
+{"ts":4000,"host":"h1","event":"start","id":"session-2"}
+{"ts":9000,"host":"h1","event":"answered","id":"later","outcome":"ok"}
+)";
+    const Story story = explain(linesOf(text), "q");
+    CHECK(story.cause.find("ended while it handled the request") != std::string::npos);
+    REQUIRE(story.lines.size() == 2);
+    CHECK(story.lines[1].event == "start");
+}
+
+TEST_CASE("explain_hostSilentWithoutRestart_saysSo", "[explain]")
+{
+    const std::string text = R"({"ts":1000,"host":"h1","event":"placed","id":"q","target":"i-1","left_ms":5000}
+{"ts":1200,"host":"h1","event":"answered","id":"other","outcome":"ok"}
+{"ts":9000,"host":"h2","event":"answered","id":"later","outcome":"ok"}
+)";
+    CHECK(explain(linesOf(text), "q").cause.find("wrote nothing later than 200 ms") != std::string::npos);
+}
+
+// The line of an answer in full may be left out under load; a restart long after the request's time has nothing to do with it.
+TEST_CASE("explain_answerLeftOutOfTheLog_namesNoFailure", "[explain]")
+{
+    const std::string text = R"({"ts":1000,"host":"h1","event":"placed","id":"q","target":"i-1","left_ms":500}
+{"ts":1700,"host":"h1","event":"answered","id":"other","outcome":"ok"}
+{"ts":4000,"host":"h1","event":"start","id":"session-2"}
+)";
+    CHECK(explain(linesOf(text), "q").cause.find("no failure") != std::string::npos);
+}
+
 // The page for operators lists every event.
 TEST_CASE("operationsPage_events_areAllListed", "[docs]")
 {
