--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -121,6 +121,7 @@
 
 HttpResponse answerMetrics(EntryHost &host)
 {
+    noteProcessUse(*host.metrics);
     setGauge(*host.metrics, "skylark_known_jobs", {}, static_cast<double>(host.jobs->jobs.size()));
     setGauge(*host.metrics, "skylark_active_requests", {}, static_cast<double>(activeRequests(*host.callerServer)));
     setGauge(*host.metrics, "skylark_status_age_seconds", {}, std::chrono::duration<double>(oldestStatusAge(host.proxy->board, BootClock::now())).count());
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -41,9 +41,10 @@
 };
 
 /** One series of durations. */
-struct Summary {
+struct Durations {
     double sum{0}; ///< Sum of all samples in seconds.
     std::uint64_t count{0}; ///< All samples.
+    std::array<std::uint64_t, bucketBounds.size()> buckets{}; ///< Samples up to each bound, without those of lower buckets.
     Window older; ///< Window that is exposed.
     Window newer; ///< Window that replaces it.
 };
@@ -51,16 +52,16 @@
 enum class MetricKind : std::uint8_t {
     Counter,
     Gauge,
-    Summary,
+    Histogram,
 };
 
-constexpr std::array<std::string_view, 3> kindNames{"counter", "gauge", "summary"};
+constexpr std::array<std::string_view, 3> kindNames{"counter", "gauge", "histogram"};
 
 /** All series of one name. */
 struct Family {
     MetricKind kind{MetricKind::Counter}; ///< Kind.
     std::map<std::string, double> values; ///< Counter or gauge by label text.
-    std::map<std::string, Summary> summaries; ///< Durations by label text.
+    std::map<std::string, Durations> durations; ///< Durations by label text.
 };
 
 void addSample(Window &window, double seconds)
@@ -86,14 +87,14 @@
     return sorted[std::max<std::size_t>(rank, 1) - 1];
 }
 
-void rotate(Summary &summary, TimePoint now)
+void rotate(Durations &durations, TimePoint now)
 {
-    if (now - summary.newer.startedAt < quantileWindow) {
+    if (now - durations.newer.startedAt < quantileWindow) {
         return;
     }
-    summary.older = std::move(summary.newer);
-    summary.newer = Window{};
-    summary.newer.startedAt = now;
+    durations.older = std::move(durations.newer);
+    durations.newer = Window{};
+    durations.newer.startedAt = now;
 }
 
 std::string escapeLabel(std::string_view value)
@@ -145,15 +146,32 @@
     text += std::string(name) + (labels.empty() ? "" : "{" + labels + "}") + " " + number(value) + "\n";
 }
 
-void appendSummary(std::string &text, const std::string &name, const std::string &labels, const Summary &summary)
+void appendHistogram(std::string &text, const std::string &name, const std::string &labels, const Durations &durations)
 {
-    const std::string separator = labels.empty() ? "" : ",";
-    const Window &shown = summary.older.count > 0 ? summary.older : summary.newer;
+    const std::string prefix = labels + (labels.empty() ? "" : ",") + "le=\"";
+    std::uint64_t upTo = 0;
+    for (std::size_t i = 0; i < bucketBounds.size(); ++i) {
+        upTo += durations.buckets.at(i);
+        appendLine(text, name + "_bucket", prefix + number(bucketBounds.at(i)) + "\"", static_cast<double>(upTo));
+    }
+    appendLine(text, name + "_bucket", prefix + "+Inf\"", static_cast<double>(durations.count));
+    appendLine(text, name + "_sum", labels, durations.sum);
+    appendLine(text, name + "_count", labels, static_cast<double>(durations.count));
+}
+
+void appendQuantiles(std::string &text, const std::string &name, const std::string &labels, const Durations &durations)
+{
+    const std::string prefix = labels + (labels.empty() ? "" : ",") + "quantile=\"";
+    const Window &shown = durations.older.count > 0 ? durations.older : durations.newer;
     for (std::size_t i = 0; i < quantiles.size(); ++i) {
-        appendLine(text, name, labels + separator + "quantile=\"" + std::string(quantileLabels.at(i)) + "\"", quantileOf(shown, i));
+        appendLine(text, name, prefix + std::string(quantileLabels.at(i)) + "\"", quantileOf(shown, i));
     }
-    appendLine(text, name + "_sum", labels, summary.sum);
-    appendLine(text, name + "_count", labels, static_cast<double>(summary.count));
+}
+
+void appendHead(std::string &text, const std::string &name, std::string_view kind, const std::string &help)
+{
+    text += "# HELP " + name + " " + help + "\n";
+    text += "# TYPE " + name + " " + std::string(kind) + "\n";
 }
 
 } // namespace
@@ -201,18 +219,21 @@
     const double seconds = std::chrono::duration<double>(value).count();
     const TimePoint now = BootClock::now();
     const std::scoped_lock lock(registry.impl->mutex);
-    auto &summaries = registry.impl->family(name, MetricKind::Summary).summaries;
-    const auto [found, created] = summaries.try_emplace(key);
-    Summary &summary = found->second;
+    const auto [found, created] = registry.impl->family(name, MetricKind::Histogram).durations.try_emplace(key);
+    Durations &durations = found->second;
     if (created) {
-        summary.older.startedAt = now;
-        summary.newer.startedAt = now;
+        durations.older.startedAt = now;
+        durations.newer.startedAt = now;
+    }
+    rotate(durations, now);
+    durations.sum += seconds;
+    ++durations.count;
+    const auto bound = std::lower_bound(bucketBounds.begin(), bucketBounds.end(), seconds);
+    if (bound != bucketBounds.end()) {
+        ++durations.buckets.at(static_cast<std::size_t>(bound - bucketBounds.begin()));
     }
-    rotate(summary, now);
-    summary.sum += seconds;
-    ++summary.count;
-    addSample(summary.older, seconds);
-    addSample(summary.newer, seconds);
+    addSample(durations.older, seconds);
+    addSample(durations.newer, seconds);
 }
 
 double metricValue(const MetricsRegistry &registry, std::string_view name, MetricLabels labels)
@@ -245,13 +266,18 @@
     const std::scoped_lock lock(registry.impl->mutex);
     std::string text;
     for (const auto &[name, family] : registry.impl->families) {
-        text += "# HELP " + name + " " + helpOf(name) + "\n";
-        text += "# TYPE " + name + " " + std::string(kindNames.at(static_cast<std::size_t>(family.kind))) + "\n";
+        appendHead(text, name, kindNames.at(static_cast<std::size_t>(family.kind)), helpOf(name));
         for (const auto &[labels, value] : family.values) {
             appendLine(text, name, labels, value);
         }
-        for (const auto &[labels, summary] : family.summaries) {
-            appendSummary(text, name, labels, summary);
+        for (const auto &[labels, durations] : family.durations) {
+            appendHistogram(text, name, labels, durations);
+        }
+        if (!family.durations.empty()) {
+            appendHead(text, name + "_quantile", "gauge", helpOf(name) + ", quantiles of the last one to two minutes");
+        }
+        for (const auto &[labels, durations] : family.durations) {
+            appendQuantiles(text, name + "_quantile", labels, durations);
         }
     }
     return text;
--- a/src/metrics/metrics_func.h
+++ b/src/metrics/metrics_func.h
@@ -1,4 +1,4 @@
-/** @file metrics_func.h Counters, gauges and quantiles with text exposition. */
+/** @file metrics_func.h Counters, gauges and latency histograms with text exposition. */
 #pragma once
 
 #include <chrono>
@@ -27,7 +27,7 @@
 /** Sets a gauge. */
 void setGauge(MetricsRegistry &registry, std::string_view name, MetricLabels labels, double value);
 
-/** Records a duration; exposed in seconds as quantiles 0.5, 0.95, 0.99 with sum and count. */
+/** Records a duration; exposed in seconds as a histogram, and as the quantiles 0.5, 0.95 and 0.99 of the last minutes under NAME_quantile. */
 void observe(MetricsRegistry &registry, std::string_view name, MetricLabels labels, std::chrono::nanoseconds value);
 
 /** @return The value of a counter or gauge; 0 when it does not exist. */
@@ -36,6 +36,9 @@
 /** @return The sum of all series of a counter or gauge. */
 [[nodiscard]] double metricSum(const MetricsRegistry &registry, std::string_view name);
 
+/** Sets the gauges of the process's own memory and descriptors. */
+void noteProcessUse(MetricsRegistry &registry);
+
 /** @return All series in the text exposition format, version 0.0.4. */
 [[nodiscard]] std::string renderMetrics(const MetricsRegistry &registry);
 
--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -1,4 +1,4 @@
-/** @file metric_table.h Help texts of the metrics. */
+/** @file metric_table.h Help texts of the metrics, and the bounds of latency histograms. */
 #pragma once
 
 #include <array>
@@ -12,6 +12,9 @@
     std::string_view help; ///< Text of its HELP line.
 };
 
+/** Upper bounds of latency histograms in seconds: a step of a target, the usual latency targets (0.2 to 0.6) and time budgets (1 to 10) of callers. */
+inline constexpr std::array bucketBounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0};
+
 /** Known metrics; a metric without a row gets a help text made from its name. */
 inline constexpr std::array metricTable{
     MetricInfo{"skylark_requests_total", "Caller requests by workspace and answer code."},
@@ -25,6 +28,17 @@
     MetricInfo{"skylark_added_seconds", "Time of a request in this host, without the queue and the target."},
     MetricInfo{"skylark_callers_gone_total", "Online requests whose caller closed the connection."},
     MetricInfo{"skylark_silent_connections_total", "Target calls that ended in a timeout."},
+    MetricInfo{"skylark_request_seconds", "Time from the arrival of a request to its final answer."},
+    MetricInfo{"skylark_first_answer_seconds", "Time from the arrival of a request to its answer or first event."},
+    MetricInfo{"skylark_refusals_total", "Requests refused as not run, by route and reason."},
+    MetricInfo{"skylark_own_failures_total", "Failures that this host answered itself, by status and reason."},
+    MetricInfo{"skylark_items_total", "Batch items that ended on this host, by outcome."},
+    MetricInfo{"skylark_items_yielded_total", "Batch items that gave their slot up to online requests."},
+    MetricInfo{"skylark_store_failures_total", "Failed calls to the store, by error."},
+    MetricInfo{"skylark_config_version", "Version of the configuration in force."},
+    MetricInfo{"skylark_status_age_seconds", "Age of the oldest status of another live host."},
+    MetricInfo{"process_resident_memory_bytes", "Resident memory."},
+    MetricInfo{"process_open_fds", "Open file descriptors."},
 };
 
 } // namespace skylark
--- a/tests/test_caller_input.cpp
+++ b/tests/test_caller_input.cpp
@@ -58,7 +58,7 @@
             co_return std::string();
         }
         std::string answer;
-        const auto [error, got] = co_await asio::async_read(socket, asio::dynamic_buffer(answer), awaitTuple);
+        co_await asio::async_read(socket, asio::dynamic_buffer(answer), awaitTuple);
         co_return answer;
     }
 
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -49,18 +49,40 @@
     for (int i = 1; i <= 20; ++i) {
         observe(*this->metrics, "few_seconds", {}, std::chrono::milliseconds(i));
     }
-    CHECK(this->valueIn("few_seconds{quantile=\"0.5\"}") == Approx(0.010));
-    CHECK(this->valueIn("few_seconds{quantile=\"0.99\"}") == Approx(0.020));
+    CHECK(this->valueIn("few_seconds_quantile{quantile=\"0.5\"}") == Approx(0.010));
+    CHECK(this->valueIn("few_seconds_quantile{quantile=\"0.99\"}") == Approx(0.020));
     std::uint64_t seed = 7;
     for (int i = 0; i < 20000; ++i) {
         observe(*this->metrics, "many_seconds", {}, std::chrono::microseconds(nextRandom(seed) % 1000000));
     }
-    CHECK(this->valueIn("many_seconds{quantile=\"0.5\"}") == Approx(0.5).margin(0.02));
-    CHECK(this->valueIn("many_seconds{quantile=\"0.95\"}") == Approx(0.95).margin(0.02));
-    CHECK(this->valueIn("many_seconds{quantile=\"0.99\"}") == Approx(0.99).margin(0.01));
+    CHECK(this->valueIn("many_seconds_quantile{quantile=\"0.5\"}") == Approx(0.5).margin(0.02));
+    CHECK(this->valueIn("many_seconds_quantile{quantile=\"0.95\"}") == Approx(0.95).margin(0.02));
+    CHECK(this->valueIn("many_seconds_quantile{quantile=\"0.99\"}") == Approx(0.99).margin(0.01));
     CHECK(this->valueIn("many_seconds_count") == 20000);
 }
 
+// Guards against buckets that are not cumulative, lose samples at a bound, or lack the last one: scrapers add them up over hosts.
+TEST_CASE_METHOD(MetricsFixture, "observe_durations_areCountedInCumulativeBuckets")
+{
+    for (const auto value : {1ms, 5ms, 6ms, 300ms, 301ms, 20000ms}) {
+        observe(*this->metrics, "wait_seconds", {{"route", "chat"}}, value);
+    }
+    CHECK(renderMetrics(*this->metrics).find("# TYPE wait_seconds histogram\n") != std::string::npos);
+    CHECK(this->valueIn("wait_seconds_bucket{route=\"chat\",le=\"0.005\"}") == 2);
+    CHECK(this->valueIn("wait_seconds_bucket{route=\"chat\",le=\"0.01\"}") == 3);
+    CHECK(this->valueIn("wait_seconds_bucket{route=\"chat\",le=\"0.3\"}") == 4);
+    CHECK(this->valueIn("wait_seconds_bucket{route=\"chat\",le=\"10\"}") == 5);
+    CHECK(this->valueIn("wait_seconds_bucket{route=\"chat\",le=\"+Inf\"}") == 6);
+    CHECK(this->valueIn("wait_seconds_count{route=\"chat\"}") == 6);
+}
+
+TEST_CASE_METHOD(MetricsFixture, "process_gauges_areAboveZero")
+{
+    noteProcessUse(*this->metrics);
+    CHECK(metricValue(*this->metrics, "process_resident_memory_bytes") > 100000);
+    CHECK(metricValue(*this->metrics, "process_open_fds") >= 3);
+}
+
 TEST_CASE_METHOD(MetricsFixture, "registry_severalThreads_countsAll")
 {
     std::vector<std::thread> threads;
--- a/tools/lib/bench.py
+++ b/tools/lib/bench.py
@@ -163,7 +163,7 @@
 def metric_quantiles(host, name):
     with urllib.request.urlopen(f"http://{fleetlib.ADDRESS}:{host['admin']}/metrics", timeout=5) as response:
         text = response.read().decode()
-    found = re.findall(r'^' + name + r'\{[^}]*quantile="([0-9.]+)"[^}]*\} (\S+)', text, re.MULTILINE)
+    found = re.findall(r'^' + name + r'_quantile\{[^}]*quantile="([0-9.]+)"[^}]*\} (\S+)', text, re.MULTILINE)
     return {q: float(value) * 1000 for q, value in found}
 
 
