Feature: skylarkctl top shows rates, latency and ages of entry hosts

The reader of the text format is a part of metrics/, tested against what renderMetrics() writes; the command is tested against two host processes of which one was killed.

--- a/src/ctl/command_func.h
+++ b/src/ctl/command_func.h
@@ -24,6 +24,9 @@
 // Structured logs (command_explain.cpp).
 ExitCode explainCommand(const CtlOptions &options);
 
+/** Shows what an operator looks at first, from the metrics of entry hosts. */
+ExitCode topCommand(const CtlOptions &options);
+
 // Jobs (command_job.cpp).
 ExitCode jobsCommand(const CtlOptions &options);
 ExitCode jobSubmitCommand(const CtlOptions &options);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -54,6 +54,7 @@
     CtlCommand{"job", "cancel", "JOB_ID", "Cancels a job.", jobCancelCommand},
     CtlCommand{"why", "", "REQUEST_ID", "Lists the decisions that hosts made about a request.", whyCommand},
     CtlCommand{"explain", "", "ID [--file LOG,...]", "Tells from structured log lines what happened to a request, job or item.", explainCommand},
+    CtlCommand{"top", "", "HOST:PORT,...", "Shows rates, latency and ages of entry hosts from their metrics addresses.", topCommand},
     CtlCommand{"decline", "", "", "Lists targets with their step time against peers and against their own past.", declineCommand},
 };
 
--- a/tests/test_entry_host.cpp
+++ b/tests/test_entry_host.cpp
@@ -308,3 +308,24 @@
     REQUIRE(isOk(accepted));
     CHECK(waitExit(*valueOf(accepted), 5s) == 0);
 }
+
+// An operator's first look: hosts that answer have numbers, one that does not is named.
+TEST_CASE_METHOD(SiteFixture, "top_hostsAndOneThatIsGone_showsARowForEach")
+{
+    killProcess(*this->hosts[1].process);
+    const std::string output = (this->folder / "top.txt").string();
+    auto top = ChildProcess::create({"skylarkctl", {"top", "127.0.0.2:9464,127.0.0.3:9464"}, output});
+    REQUIRE(isOk(top));
+    for (unsigned i = 0; i < 20; ++i) {
+        REQUIRE(isOk(this->call(this->hosts[0].callers, SiteFixture::request("q" + std::to_string(i), "/lookup/x"))));
+    }
+    CHECK(waitExit(*valueOf(top), 15s) == 0);
+    std::ifstream file(output);
+    std::string heading;
+    std::string served;
+    std::string gone;
+    REQUIRE((std::getline(file, heading) && std::getline(file, served) && std::getline(file, gone)));
+    CHECK(served.find("127.0.0.2:9464") == 0);
+    CHECK(served.find("no answer") == std::string::npos);
+    CHECK(gone.find("no answer") != std::string::npos);
+}
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -1,6 +1,7 @@
 /** @file test_metrics.cpp Metrics registry and target load table. */
 #include "core/hash_func.h"
 #include "metrics/metrics_func.h"
+#include "metrics/metrics_text_func.h"
 #include "policy/target_load_base.h"
 
 #include <catch2/catch.hpp>
@@ -76,6 +77,21 @@
     CHECK(this->valueIn("wait_seconds_count{route=\"chat\"}") == 6);
 }
 
+TEST_CASE_METHOD(MetricsFixture, "parseMetrics_renderedText_givesTheSameNumbers")
+{
+    addCounter(*this->metrics, "r_total", {{"route", "a b"}, {"outcome", "ok"}}, 3);
+    addCounter(*this->metrics, "r_total", {{"route", "c}"}, {"outcome", "ok"}}, 4);
+    addCounter(*this->metrics, "r_total", {{"route", "c}"}, {"outcome", "failed"}}, 5);
+    setGauge(*this->metrics, "age", {}, 1.5);
+    const auto samples = parseMetrics(renderMetrics(*this->metrics) + "garbage\nhalf 1x\n\nempty_quantile nan\n");
+    CHECK(sumOf(samples, "r_total") == 12);
+    CHECK(sumOf(samples, "r_total", "outcome=\"ok\"") == 7);
+    CHECK(largestOf(samples, "r_total") == 5);
+    CHECK(sumOf(samples, "age") == 1.5);
+    CHECK(sumOf(samples, "half") == 0);
+    CHECK(sumOf(samples, "empty_quantile") == 0);
+}
+
 TEST_CASE_METHOD(MetricsFixture, "process_gauges_areAboveZero")
 {
     noteProcessUse(*this->metrics);
