--- a/tests/test_batch_limit.cpp
+++ b/tests/test_batch_limit.cpp
@@ -1,6 +1,6 @@
 /** @file test_batch_limit.cpp Batch limit of a target. */
 #include "policy/batch_limit_func.h"
-#include "support/batch_property.h"
+#include "support/property_func.h"
 
 using namespace skylark;
 using namespace std::chrono_literals;
@@ -126,7 +126,7 @@
 
 TEST_CASE("decideBatchLimit_anyReports_neverExceedsFreeSlots")
 {
-    CHECK(propertyHolds("limit within the free slots", 500, [] {
+    CHECK(propertyHolds({.name = "limit within the free slots", .cases = 500}, [] {
         BatchLimitState state;
         BatchLimitInput input;
         input.slots = *rc::gen::inRange(0U, 64U);
@@ -158,7 +158,7 @@
 // Guards against batch leaving idle capacity unused after a burst.
 TEST_CASE("decideBatchLimit_quietTarget_recoversWithinEightReports")
 {
-    CHECK(propertyHolds("recovery", 500, [] {
+    CHECK(propertyHolds({.name = "recovery", .cases = 500}, [] {
         BatchLimitState state;
         state.allowed = 0;
         BatchLimitInput input;
--- a/tests/test_claim.cpp
+++ b/tests/test_claim.cpp
@@ -1,7 +1,7 @@
 /** @file test_claim.cpp Claims of batch groups: rules and a model of several workers. */
 #include "core/invariant_func.h"
 #include "policy/claim_func.h"
-#include "support/batch_property.h"
+#include "support/property_func.h"
 
 using namespace skylark;
 using namespace std::chrono_literals;
@@ -327,7 +327,7 @@
 {
     unsigned finishedRuns = 0;
     unsigned cancelledRuns = 0;
-    CHECK(propertyHolds("one done record", 400, [&finishedRuns, &cancelledRuns] {
+    CHECK(propertyHolds({.name = "one done record", .cases = 400}, [&finishedRuns, &cancelledRuns] {
         const ViolationCounter violations;
         ClaimModel model(4);
         const auto cancelAt = *rc::gen::inRange(0, 800);
@@ -356,7 +356,7 @@
 // Guards against a group that no step can finish any more once faults end.
 TEST_CASE("claims_afterFaultsEnd_groupIsFinished")
 {
-    CHECK(propertyHolds("group is finished", 400, [] {
+    CHECK(propertyHolds({.name = "group is finished", .cases = 400}, [] {
         ClaimModel model(4);
         for (int step = 0; step < 200; ++step) {
             model.step(*rc::gen::inRange<std::size_t>(0, 4), *rc::gen::inRange(0U, 11U), *rc::gen::inRange(0U, 3U));
--- a/tests/test_items.cpp
+++ b/tests/test_items.cpp
@@ -1,7 +1,7 @@
 /** @file test_items.cpp Order of batch work and attempts of items. */
 #include "policy/batch_order_func.h"
 #include "policy/item_attempt_func.h"
-#include "support/batch_property.h"
+#include "support/property_func.h"
 
 #include <set>
 
@@ -82,7 +82,7 @@
 {
     const std::vector<ErrorCode> codes{
         ErrorCode::Cancelled, ErrorCode::TargetOverloaded, ErrorCode::StreamBroken, ErrorCode::TargetFailed, ErrorCode::IdleTimeout, ErrorCode::TargetRejected};
-    CHECK(propertyHolds("bounded attempts", 300, [&codes] {
+    CHECK(propertyHolds({.name = "bounded attempts", .cases = 300}, [&codes] {
         ItemHistory history;
         const auto maxAttempts = *rc::gen::inRange(1U, 7U);
         unsigned counted = 0;
@@ -134,7 +134,7 @@
 
 TEST_CASE("walkOrder_anyHostAndJob_visitsEachGroupOnce")
 {
-    CHECK(propertyHolds("walk is a permutation", 300, [] {
+    CHECK(propertyHolds({.name = "walk is a permutation", .cases = 300}, [] {
         const HostId host{std::to_string(*rc::gen::inRange(0, 1000))};
         const JobId job{std::to_string(*rc::gen::inRange(0, 1000))};
         const auto count = *rc::gen::inRange(0U, 300U);
--- a/tests/test_lease.cpp
+++ b/tests/test_lease.cpp
@@ -1,7 +1,7 @@
 /** @file test_lease.cpp Decisions about the session lease and background calls. */
 #include "core/hash_func.h"
 #include "policy/lease_func.h"
-#include "support/seeded_property_func.h"
+#include "support/property_func.h"
 
 #include <algorithm>
 #include <map>
@@ -132,7 +132,7 @@
 TEST_CASE_METHOD(LeaseFixture, "leaseAllows_anyAnswersAndPauses_neverPastDeadline")
 {
     int allowed = 0;
-    requireProperty(21, 500, [this, &allowed] {
+    REQUIRE(propertyHolds({.seed = 21, .cases = 500}, [this, &allowed] {
         reset();
         acquire(0ms);
         const int steps = *rc::gen::inRange(20, 80);
@@ -149,7 +149,7 @@
                 checkEffects(generatePause());
             }
         }
-    });
+    }));
     // The property would also hold for a lease that never allows anything.
     CHECK(allowed > 500);
 }
@@ -179,7 +179,7 @@
 // Guards against a lease that lapses because one or two renewals were lost, and against hosts that renew in step.
 TEST_CASE_METHOD(LeaseFixture, "leaseAttemptDue_failures_retriedWithinDeadline")
 {
-    requireProperty(22, 300, [this] {
+    REQUIRE(propertyHolds({.seed = 22, .cases = 300}, [this] {
         std::uint64_t random = *rc::gen::arbitrary<std::uint64_t>();
         LeaseState held;
         leaseGranted(held, LeaseId{"one"}, this->now, this->timing.ttl, this->timing.margin);
@@ -198,7 +198,7 @@
             at = due;
         }
         RC_ASSERT(attempts >= 4);
-    });
+    }));
     LeaseState old;
     old.failures = 1000000;
     std::uint64_t random = 1;
@@ -252,7 +252,7 @@
 // Guards against more calls than the rate and the burst permit in any stretch of time.
 TEST_CASE("platformGate_anyCalls_withinRate")
 {
-    requireProperty(23, 300, [] {
+    REQUIRE(propertyHolds({.seed = 23, .cases = 300}, [] {
         const PlatformLimits limits;
         PlatformGate gate;
         TimePoint now{1000s};
@@ -271,5 +271,5 @@
                 RC_ASSERT(static_cast<double>(to - from + 1) <= limits.burst + limits.callsPerSecond * span.count() + 1e-6);
             }
         }
-    });
+    }));
 }
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -1,6 +1,6 @@
 /** @file test_membership.cpp Decisions about live hosts and ownership. */
 #include "policy/membership_func.h"
-#include "support/seeded_property_func.h"
+#include "support/property_func.h"
 
 #include <algorithm>
 #include <random>
@@ -123,7 +123,7 @@
 // Guards against views that differ for good because datagrams arrived in another order, twice, or not at all.
 TEST_CASE_METHOD(MembershipFixture, "observeStatus_anyOrderAndDuplicates_sameOutcome")
 {
-    requireProperty(11, 300, [this] {
+    REQUIRE(propertyHolds({.seed = 11, .cases = 300}, [this] {
         const auto stamps = *rc::gen::container<std::vector<std::tuple<int, int, int, bool>>>(
             rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::inRange(0, 3), rc::gen::inRange(0, 5), rc::gen::arbitrary<bool>()));
         // One run sends one content for each sequence.
@@ -160,13 +160,13 @@
             RC_ASSERT(other.status.sequence == member.status.sequence);
             RC_ASSERT(other.state == member.state);
         }
-    });
+    }));
 }
 
 // Guards against targets that change owner although their owner stayed: each such move interrupts batch on a healthy pair.
 TEST_CASE_METHOD(MembershipFixture, "batchOwner_hostsJoinOrLeave_onlyTheirTargetsMove")
 {
-    requireProperty(12, 300, [] {
+    REQUIRE(propertyHolds({.seed = 12, .cases = 300}, [] {
         const std::set<int> before = generateHosts();
         const std::set<int> after = generateHosts();
         for (int i = 0; i < 30; ++i) {
@@ -178,13 +178,13 @@
             };
             RC_ASSERT((first == second || !has(after, first) || !has(before, second)));
         }
-    });
+    }));
 }
 
 // Guards against decisions that depend on the order in which a host lists the others.
 TEST_CASE_METHOD(MembershipFixture, "ranking_anyOrderOfHosts_sameOutcome")
 {
-    requireProperty(13, 200, [] {
+    REQUIRE(propertyHolds({.seed = 13, .cases = 200}, [] {
         const std::vector<HostId> hosts = hostIds(generateHosts());
         std::vector<HostId> shuffled = hosts;
         std::shuffle(shuffled.begin(), shuffled.end(), std::mt19937_64(*rc::gen::arbitrary<std::uint64_t>()));
@@ -192,13 +192,13 @@
         const auto watchers = configWatchers(DomainId{"a"}, shuffled);
         RC_ASSERT(watchers == configWatchers(DomainId{"a"}, hosts));
         RC_ASSERT(watchers.size() == std::min<std::size_t>(hosts.size(), 2));
-    });
+    }));
 }
 
 // Guards P10: the two places of a blob must never be in one failure domain, and hosts without a disk must never be chosen.
 TEST_CASE_METHOD(MembershipFixture, "blobPlacement_anyHosts_differentDomainsWithDisks")
 {
-    requireProperty(14, 300, [] {
+    REQUIRE(propertyHolds({.seed = 14, .cases = 300}, [] {
         std::vector<HostInfo> hosts;
         std::set<DomainId> diskDomains;
         for (const int number : generateHosts()) {
@@ -219,7 +219,7 @@
         for (const HostInfo &host : placement) {
             RC_ASSERT(host.hasDisk);
         }
-    });
+    }));
 }
 
 // Guards against one host that owns most targets.
--- a/tests/test_revision.cpp
+++ b/tests/test_revision.cpp
@@ -3,7 +3,7 @@
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
 #include "policy/revision_func.h"
-#include "support/property_seed.h"
+#include "support/property_func.h"
 
 #include <catch2/catch.hpp>
 #include <map>
@@ -13,21 +13,6 @@
 
 namespace {
 
-/** Runs a property with a fixed seed. */
-template<typename Property>
-bool holds(std::uint64_t seed, Property property)
-{
-    rc::detail::TestParams params;
-    params.seed = movedSeed(seed);
-    params.maxSuccess = propertyCases(300);
-    params.maxSize = 200;
-    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{}, params);
-    if (!result.template is<rc::detail::SuccessResult>()) {
-        rc::detail::printResultMessage(result, std::cerr);
-    }
-    return result.template is<rc::detail::SuccessResult>();
-}
-
 /** The key-value service's part in a configuration: the head cell and the document keys. */
 struct Cell {
     ConfigHead head; ///< Present head.
@@ -126,7 +111,7 @@
 TEST_CASE_METHOD(RevisionFixture, "delivery_randomOrderAndRestarts_neverLowersAndConverges")
 {
     // Guards against a late watch event, a lagging peer or a restart that brings back an old configuration.
-    CHECK(holds(4201, [](std::uint64_t seed) {
+    CHECK(propertyHolds({.seed = 4201, .cases = 300, .maxSize = 200}, [](std::uint64_t seed) {
         std::uint64_t random = seed;
         const LogLimits limits{.entries = 1 + nextRandom(random) % 6, .bytes = 3000};
         Cell cell;
@@ -181,7 +166,7 @@
 TEST_CASE_METHOD(RevisionFixture, "race_withLostAnswers_hasOneWinnerForEachDocRevision")
 {
     // Guards against two operators who both believe that their edit is in force, and against an edit committed twice.
-    CHECK(holds(77, [](std::uint64_t seed) {
+    CHECK(propertyHolds({.seed = 77, .cases = 300, .maxSize = 200}, [](std::uint64_t seed) {
         std::uint64_t random = seed;
         Cell cell;
         std::vector<std::pair<Revision, ConfigHead>> delayed; // Writes whose answer was lost and that may still arrive.
