Change: Changes of the host list are bundled by the size of the fleet

Each host entry that is written at the start returned a watch at every host, the square of their number; at 360 hosts that is 130,000 calls beside a limit of 6,000 reads a second. The pause between two watch calls on the host list is now 10 ms for each host, 1 s at most.

fleetController_manyHostsStart_watchCallsAreBundled failed before (44 watch calls for 40 entries).

Two findings of the lint in new tests are mended.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -48,6 +48,8 @@
 constexpr std::chrono::milliseconds checkInterval{1000};
 constexpr std::chrono::milliseconds longestCheck{2000}; ///< The bound of large deployments is 3 s.
 constexpr std::chrono::milliseconds checkPerHost{50}; ///< The interval grows with the hosts, so that together they make 20 checks a second.
+constexpr std::chrono::milliseconds hostPausePerHost{10}; ///< Changes of the host list are bundled for so long for each host: all hosts start at once.
+constexpr std::chrono::milliseconds longestHostPause{1000}; ///< A host that restarts is known to the others within this time; its lease lasts 3 s.
 constexpr std::chrono::milliseconds pullConnect{300}; ///< Connecting to a peer: a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswer{1000}; ///< Answer of a peer: a document of at most 1 MB.
 
@@ -56,6 +58,11 @@
     return std::clamp(checkPerHost * static_cast<int>(hosts), checkInterval, longestCheck);
 }
 
+std::chrono::milliseconds hostPauseFor(std::size_t hosts)
+{
+    return std::min(hostPausePerHost * static_cast<int>(hosts), longestHostPause);
+}
+
 void publish(FleetController::Impl &impl)
 {
     impl.state.storeReachable = impl.reachable;
@@ -231,6 +238,7 @@
     const auto check = checkIntervalFor(peers.size() + 1);
     impl->config->options.check = check;
     impl->targets->options.check = check;
+    impl->hosts->options.pause = hostPauseFor(peers.size() + 1);
     impl->state.peers = std::move(peers);
     publish(*impl);
 }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -47,8 +47,8 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readSize = 4096; ///< Bytes of one read before a head is parsed.
-constexpr std::chrono::milliseconds lingerTime{
-    500}; ///< Rest of a refused request is read for so long: a connection closed with unread bytes is reset, and the caller loses the answer.
+/** A refused request's rest is read for so long: a connection closed with unread bytes is reset, and the caller loses the answer. */
+constexpr std::chrono::milliseconds lingerTime{500};
 
 bool isClosing(const HttpServerConnection &connection)
 {
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -373,6 +373,25 @@
     }));
 }
 
+// All hosts of a fleet start within 0.3 s: a watch call for each entry at each host is the square of their number, and each call is paid for.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_manyHostsStart_watchCallsAreBundled")
+{
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return this->store->items.contains("hosts/front-1");
+    }));
+    constexpr unsigned hosts = 40;
+    for (unsigned i = 0; i < hosts; ++i) {
+        const HostId host{"other-" + std::to_string(i)};
+        putKey(*this->store, hostEntryKey(host), encodeHostEntry({host, SessionId{"s"}, DomainId{"north"}, {"127.0.0.1", 7000}}));
+        this->runFor(7ms);
+    }
+    CHECK(this->runUntil([this] {
+        return this->snapshot->peers.size() == hosts;
+    }));
+    CHECK(this->store->counts.watches <= hosts / 2);
+}
+
 TEST_CASE("hostEntry_roundTripAndGarbage_areTold", "[host]")
 {
     const PeerEntry entry{HostId{"h"}, SessionId{"s"}, DomainId{"d"}, {"10.0.0.1", 7660}};
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -48,7 +48,7 @@
     EntryNode node{*this, "front-1", false}; ///< Host.
 
     /** Gives both replicas one plan for the first request that arrives at either, and another for later ones. */
-    void planOnce(ReplicaPlan firstPlan, ReplicaPlan laterPlan)
+    void planOnce(const ReplicaPlan &firstPlan, const ReplicaPlan &laterPlan)
     {
         const auto seen = std::make_shared<unsigned>(0);
         for (Replica *replica : {&this->first, &this->second}) {
--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -69,6 +69,7 @@
     /** Places streams for a minute. @return Share of the streams that met a full target although another one had a free slot. */
     double shareOnFullTargets(std::chrono::milliseconds heardAfter)
     {
+        constexpr std::size_t capacity = std::size_t{targets} * slots;
         unsigned placed = 0;
         unsigned met = 0;
         const TimePoint begin{};
@@ -84,7 +85,7 @@
             }
             const SpreadChoice choice = spreadRequest(candidates, {}, nextRandom(this->random));
             ++placed;
-            met += this->known(host, choice.target, now, 0ms) >= slots && this->streams.size() < targets * slots ? 1 : 0;
+            met += this->known(host, choice.target, now, 0ms) >= slots && this->streams.size() < capacity ? 1 : 0;
             this->streams.push_back({host, choice.target, now});
         }
         return static_cast<double>(met) / placed;
