--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -1,6 +1,7 @@
 /** @file entry_host.cpp Wiring of an entry host: control thread, traffic thread, servers, status datagrams and the planned stop. */
 #include "entry/entry_host_func.h"
 
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "entry/caller_service_func.h"
@@ -12,7 +13,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -221,10 +221,8 @@
 
 asio::awaitable<void> watchSettings(EntryHost &host)
 {
-    asio::steady_timer timer(host.traffic);
     for (;;) {
-        timer.expires_after(settingsPoll);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await sleepFor(settingsPoll);
         if (modificationTime(host.adapters.settingsPath) != host.settingsChangedAt) {
             reload(host);
         }
@@ -248,12 +246,10 @@
     announceClose(*host.callerServer);
     announceSoon(*host.peers);
     co_await handOverJobs(*host.runner);
-    asio::steady_timer timer(host.traffic);
     const TimePoint limit = begun + host.settings.stopLimit - stopMargin;
     bool closed = false;
     for (;;) {
-        timer.expires_after(stopPoll);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await sleepFor(stopPoll);
         const TimePoint now = BootClock::now();
         if (!closed && now - begun >= rotationTime) {
             // A request that came on a kept connection near the limit would be cut.
@@ -275,8 +271,7 @@
         });
     });
     for (unsigned round = 0; !ended && round < 10; ++round) {
-        timer.expires_after(stopPoll);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await sleepFor(stopPoll);
     }
     const auto waited = std::chrono::duration_cast<milliseconds>(BootClock::now() - begun);
     logEvent(EventKind::Stopped, {}, {{"active", activeRequests(*host.callerServer)}, {"waited_ms", waited.count()}});
--- a/src/entry/storage_host.cpp
+++ b/src/entry/storage_host.cpp
@@ -1,6 +1,7 @@
 /** @file storage_host.cpp A host with a disk that keeps no data. */
 #include "entry/storage_host_func.h"
 
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "store/key_mirror_func.h"
@@ -9,8 +10,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
 
@@ -26,7 +25,6 @@
 /** Reports that the host holds nothing, until the service has taken it. */
 asio::awaitable<void> reportEmpty(std::shared_ptr<const KvStore> store, StorageSettings settings)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
     for (;;) {
         KvTransaction transaction;
         transaction.writes.push_back({settings.retireStatusKey, settings.retireDone, 0});
@@ -35,8 +33,7 @@
             logEvent(EventKind::Stop, {}, {{"active", 0}});
             co_return;
         }
-        timer.expires_after(reportRetry);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await sleepFor(reportRetry);
     }
 }
 
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -1,6 +1,7 @@
 /** @file fleet_controller.cpp Controller of routes, targets and hosts; runs on the control thread. */
 #include "fleet/fleet_controller_func.h"
 
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
@@ -10,8 +11,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace skylark {
 
@@ -169,9 +168,7 @@
 /** Drops the targets whose entry did not come back in time. */
 asio::awaitable<void> dropLapsed(ImplPtr impl)
 {
-    asio::steady_timer timer(impl->executor);
-    timer.expires_after(impl->options.lapseGrace);
-    co_await timer.async_wait(asio::use_awaitable);
+    co_await sleepFor(impl->options.lapseGrace);
     const TimePoint now = BootClock::now();
     std::vector<TargetId> due;
     for (const auto &[id, until] : impl->lapsed) {
@@ -285,7 +282,6 @@
 /** Keeps the host's entry in the service. */
 asio::awaitable<void> runHostEntry(ImplPtr impl)
 {
-    asio::steady_timer timer(impl->executor);
     while (!impl->leaving) {
         if (impl->lease == 0) {
             co_await writeHostEntry(impl);
@@ -297,8 +293,7 @@
             }
         }
         const auto jitter = std::chrono::milliseconds(nextRandom(impl->random) % 200U);
-        timer.expires_after((impl->lease == 0 ? std::chrono::milliseconds(500) : impl->options.leaseRenewal) + jitter);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await sleepFor((impl->lease == 0 ? std::chrono::milliseconds(500) : impl->options.leaseRenewal) + jitter);
     }
 }
 
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -1,4 +1,5 @@
 /** @file job_runner.cpp Runs the items of the jobs that this host owns on what online requests leave free. */
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "fleet/route_match_func.h"
@@ -9,7 +10,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace skylark {
 
@@ -222,7 +222,6 @@
 
 asio::awaitable<void> runLoop(RunnerPtr runner)
 {
-    asio::steady_timer timer(runner->book->executor);
     while (!runner->stopped) {
         ++runner->round;
         tendOwned(runner);
@@ -231,8 +230,7 @@
             claimOrphans(runner);
             removeClosed(runner);
         }
-        timer.expires_after(runner->owned.empty() ? roundInterval * 4 : roundInterval);
-        co_await timer.async_wait(asio::use_awaitable);
+        co_await sleepFor(runner->owned.empty() ? roundInterval * 4 : roundInterval);
     }
 }
 
--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -1,6 +1,8 @@
 /** @file memory_store.cpp Key-value service in memory with faults that tests switch on. */
 #include "memory_store_base.h"
 
+#include "core/async_sleep_func.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -174,9 +176,7 @@
 
 asio::awaitable<void> applyLater(StorePtr store, KvTransaction transaction, milliseconds delay)
 {
-    asio::steady_timer timer(store->executor);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
+    co_await sleepFor(delay);
     apply(*store, transaction);
 }
 
@@ -316,9 +316,7 @@
     asio::co_spawn(
         store.executor,
         [](MemoryStore &cut) -> asio::awaitable<void> {
-            asio::steady_timer timer(cut.executor);
-            timer.expires_after(milliseconds(60));
-            co_await timer.async_wait(asio::use_awaitable);
+            co_await sleepFor(milliseconds(60));
             cut.cutWatches = false;
         }(store),
         asio::detached);
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -1,11 +1,10 @@
 /** @file replica.cpp Replica of the platform in memory. */
 #include "replica_base.h"
 
+#include "core/async_sleep_func.h"
 #include "core/hash_func.h"
 #include "names.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 
 namespace skylark::standin {
@@ -23,16 +22,6 @@
     return number;
 }
 
-asio::awaitable<void> pause(std::chrono::milliseconds delay)
-{
-    if (delay.count() == 0) {
-        co_return;
-    }
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 HttpHeaders answerHeaders(const ReplicaPlan &plan, const std::string &id)
 {
     HttpHeaders headers{{std::string(headerRequestId), plan.wrongId ? "another-request" : id}};
@@ -62,7 +51,7 @@
     HttpHeaders headers = answerHeaders(plan, run->id);
     co_await startStream(responder, plan.status, std::move(headers));
     for (unsigned number = static_cast<unsigned>(run->after) + 1; number <= plan.events; ++number) {
-        co_await pause(plan.step);
+        co_await sleepFor(plan.step);
         if (run->callerClosed) {
             co_return;
         }
@@ -131,7 +120,7 @@
     onCallerGone(responder, [run] {
         run->callerClosed = true;
     });
-    co_await pause(plan.firstDelay);
+    co_await sleepFor(plan.firstDelay);
     if (!run->callerClosed) {
         if (plan.stream && plan.status == 200) {
             co_await sendEvents(responder, plan, run);
