Codechange: The route of a request is matched once; the route of a job in one function

Every online request was matched twice and every submission three times: by the handler that looks for batch routes, again on submission, and again in forwardCall(). The handler matches once and passes the route on with its configuration. The answer before a configuration is known, and its delay, stood in both files; they are in the handler. routeOf() of the job runner had a twin in job_item_run.cpp.

--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -32,45 +32,36 @@
     co_await sendResponse(responder, std::move(response));
 }
 
-/** @return The route of a batch submission, or null when the call is an online request. */
-const RouteRule *batchRoute(const Proxy &proxy, const ProxyCall &call)
+asio::awaitable<void> submit(ServicePtr service, HttpResponder &responder, ProxyCall call, const RouteRule &route)
 {
-    if (!proxy.fleet->config) {
-        return nullptr;
-    }
-    const RouteRule *route = matchRoute(*proxy.fleet->config, call.host, targetPath(call.target));
-    return route != nullptr && route->kind == CallKind::Batch ? route : nullptr;
-}
-
-asio::awaitable<void> submit(ServicePtr service, HttpResponder &responder, ProxyCall call)
-{
-    const auto config = service->proxy->fleet->config;
-    const RouteRule *route = batchRoute(*service->proxy, call);
     auto submission = service->proxy->wire.decodeSubmission(call);
     if (!isOk(submission)) {
-        logEvent(EventKind::JobRefused, call.id.value, {{"route", route->name}, {"reason", "invalid"}, {"detail", errorOf(submission).detail}});
+        logEvent(EventKind::JobRefused, call.id.value, {{"route", route.name}, {"reason", "invalid"}, {"detail", errorOf(submission).detail}});
         co_await sendFailure(*service->proxy, responder, 400, errorOf(submission).detail, {});
         co_return;
     }
-    const JobAnswer answer = co_await acceptJob(service->jobs, *route, std::move(call), std::move(valueOf(submission)));
+    const JobAnswer answer = co_await acceptJob(service->jobs, route, std::move(call), std::move(valueOf(submission)));
     co_await sendJobAnswer(service, responder, answer, "{}", "application/json");
 }
 
 asio::awaitable<void> handleProxy(ServicePtr service, HttpResponder &responder, ProxyCall call)
 {
-    if (batchRoute(*service->proxy, call) != nullptr) {
-        co_await submit(service, responder, std::move(call));
+    const auto config = service->proxy->fleet->config;
+    const RouteRule *route = matchRoute(*config, call.host, targetPath(call.target));
+    if (route == nullptr) {
+        logEvent(EventKind::Refused, call.id.value, {{"reason", "no_route"}, {"config", config->version.value}});
+        co_await sendFailure(*service->proxy, responder, 404, "no_route", {});
+    } else if (route->kind == CallKind::Batch) {
+        co_await submit(service, responder, std::move(call), *route);
     } else {
-        co_await forwardCall(service->proxy, responder, std::move(call), service->domain);
+        // g++ 12 destroys an aggregate temporary of a co_await expression twice.
+        MatchedRoute matched{config, route};
+        co_await forwardCall(service->proxy, responder, std::move(call), service->domain, std::move(matched));
     }
 }
 
 asio::awaitable<void> handleJobCall(ServicePtr service, HttpResponder &responder, CallerCall call)
 {
-    if (!service->proxy->fleet->config) {
-        co_await sendFailure(*service->proxy, responder, 503, "no_configuration", notReadyDelay);
-        co_return;
-    }
     if (auto *read = std::get_if<JobReadCall>(&call)) {
         const JobAnswer answer = co_await readJob(service->jobs, *read);
         co_await sendJobAnswer(service, responder, answer, service->proxy->wire.encodePage(answer.page), "application/json");
@@ -91,6 +82,10 @@
         co_await sendFailure(*service->proxy, responder, 400, errorOf(call).detail, {});
         co_return;
     }
+    if (!service->proxy->fleet->config) {
+        co_await sendFailure(*service->proxy, responder, 503, "no_configuration", notReadyDelay);
+        co_return;
+    }
     if (auto *proxied = std::get_if<ProxyCall>(&valueOf(call))) {
         co_await handleProxy(service, responder, std::move(*proxied));
     } else {
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -1,7 +1,6 @@
 /** @file job_item_run.cpp One run of a batch item on a target. */
 #include "core/event_log_func.h"
 #include "core/table/error_table.h"
-#include "fleet/route_match_func.h"
 #include "job/job_runner_base.h"
 
 #include <algorithm>
@@ -133,9 +132,7 @@
 /** Decides what follows a failed run. */
 void settleFailure(JobRunner::Impl &runner, const JobId &job, OwnedJob &owned, ItemRun &run, const TargetEntry &target, const Error &error)
 {
-    const KnownJob &known = runner.book->jobs.at(job);
-    const auto &config = runner.proxy->fleet->config;
-    const RouteRule *route = config ? matchRoute(*config, known.record.host, known.record.path) : nullptr;
+    const RouteRule *route = routeOf(runner, runner.book->jobs.at(job).record);
     const unsigned maxAttempts = route != nullptr ? std::max(1U, route->maxAttempts) : 1;
     run.failures += error.code == ErrorCode::TargetFailed ? 1 : 0;
     if (error.code == ErrorCode::TargetRejected || run.failures >= maxAttempts) {
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -33,12 +33,6 @@
     ServiceId service; ///< Service that runs it.
 };
 
-const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record)
-{
-    const auto &config = runner.proxy->fleet->config;
-    return config ? matchRoute(*config, record.host, record.path) : nullptr;
-}
-
 /** Gives up items whose time is over or whose route is gone. */
 void giveUpItems(JobRunner::Impl &runner, const StoredJob &record, OwnedJob &owned)
 {
@@ -236,6 +230,12 @@
 
 } // namespace
 
+const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record)
+{
+    const auto &config = runner.proxy->fleet->config;
+    return config ? matchRoute(*config, record.host, record.path) : nullptr;
+}
+
 ValleyInput valleyInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now)
 {
     const LoadBoard &board = runner.proxy->board;
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -98,6 +98,9 @@
 /** Cuts the present run of an item. */
 void cutRun(ItemRun &run);
 
+/** @return The route of a job in the configuration in force, or null. */
+[[nodiscard]] const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record);
+
 /** @return What is known of @p target for decisions about this host's batch items there. */
 [[nodiscard]] ValleyInput valleyInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
 
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr milliseconds defaultPatience{30000}; ///< Time that a caller waits when neither it nor the route says.
-constexpr milliseconds notReadyDelay{500}; ///< Return of a caller when the host does not know the configuration yet.
 constexpr milliseconds placeAgain{20}; ///< Time between two looks for a target that goes on with a stream.
 constexpr unsigned maxRefusalsByTargets = 6; ///< Targets that may say that they did not run one request before it is refused.
 
@@ -133,21 +132,11 @@
 
 } // namespace
 
-asio::awaitable<void> forwardCall(std::shared_ptr<Proxy> proxy, HttpResponder &responder, ProxyCall call, DomainId domain)
+asio::awaitable<void> forwardCall(std::shared_ptr<Proxy> proxy, HttpResponder &responder, ProxyCall call, DomainId domain, MatchedRoute matched)
 {
-    const auto config = proxy->fleet->config;
-    if (!config) {
-        co_await sendFailure(*proxy, responder, 503, "no_configuration", notReadyDelay);
-        co_return;
-    }
-    const RouteRule *route = matchRoute(*config, call.host, targetPath(call.target));
-    if (route == nullptr) {
-        logEvent(EventKind::Refused, call.id.value, {{"reason", "no_route"}, {"config", config->version.value}});
-        co_await sendFailure(*proxy, responder, 404, "no_route", {});
-        co_return;
-    }
+    const RouteRule *route = matched.route;
     auto forwarding = std::make_shared<Forwarding>(Forwarding{proxy, responder, std::move(call), std::move(domain)});
-    forwarding->config = config;
+    forwarding->config = std::move(matched.config);
     forwarding->route = route;
     forwarding->service = chooseService(*route, nextRandom(proxy->random));
     forwarding->arrivedAt = BootClock::now();
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -73,8 +73,14 @@
 /** @return @p headers without those that concern one connection only. */
 [[nodiscard]] HttpHeaders endToEndHeaders(const HttpHeaders &headers);
 
+/** A route with the configuration that holds it. */
+struct MatchedRoute {
+    std::shared_ptr<const RoutingConfig> config; ///< Configuration by which the request is handled.
+    const RouteRule *route{nullptr}; ///< Its route in @c config; never null.
+};
+
 /** Passes one request on and answers it. */
-boost::asio::awaitable<void> forwardCall(std::shared_ptr<Proxy> proxy, HttpResponder &responder, ProxyCall call, DomainId domain);
+boost::asio::awaitable<void> forwardCall(std::shared_ptr<Proxy> proxy, HttpResponder &responder, ProxyCall call, DomainId domain, MatchedRoute matched);
 
 /** Answers @p responder with a failure of our own; the body names the reason. */
 boost::asio::awaitable<void> sendFailure(
