--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -21,6 +21,12 @@
     return value != nullptr && value->is_string() ? std::string_view(value->get_string().data(), value->get_string().size()) : std::string_view();
 }
 
+/** @return Whether @p line is about the request, job or item @p id, or about an item of the job. */
+bool isAbout(const LogLine &line, std::string_view id)
+{
+    return line.id == id || fieldText(line, "job") == id;
+}
+
 /** @return Whether @p line is about a dependency of the hosts as a whole. */
 bool isHostEvent(const LogLine &line)
 {
@@ -202,14 +208,14 @@
 {
     Story story;
     for (const LogLine &line : lines) {
-        if (line.id == id || fieldText(line, "job") == id) {
+        if (isAbout(line, id)) {
             story.lines.push_back(line);
         }
     }
     if (!story.lines.empty()) {
         const Scope scope = scopeOf(story.lines);
         for (const LogLine &line : lines) {
-            if (line.id != id && fieldText(line, "job") != id && inContext(line, scope)) {
+            if (!isAbout(line, id) && inContext(line, scope)) {
                 story.lines.push_back(line);
                 story.lines.back().context = true;
             }
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -380,11 +380,12 @@
         record.ended = true;
         KvTransaction transaction;
         transaction.conditions.push_back({key, found->second.revision});
-        transaction.writes.push_back({key, encodeStoredJob(record), 0});
+        const std::string value = encodeStoredJob(record);
+        transaction.writes.push_back({key, value, 0});
         auto outcome = co_await book->store->commit(std::move(transaction));
         if (isOk(outcome) && valueOf(outcome).applied) {
             logEvent(EventKind::JobEnded, call.job.value, {{"listed", record.listed.size()}, {"total", record.items.size()}});
-            noteOwnWrite(book, key, encodeStoredJob(record), valueOf(outcome).revision);
+            noteOwnWrite(book, key, value, valueOf(outcome).revision);
             co_return failure(200, "ended");
         }
         if (isOk(outcome)) {
