--- a/src/ctl/ctl_http.cpp
+++ b/src/ctl/ctl_http.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
-#include <charconv>
 #include <fstream>
 #include <iostream>
 #include <set>
@@ -78,21 +77,6 @@
     co_return answer;
 }
 
-std::optional<Endpoint> parseEndpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon == 0) {
-        return std::nullopt;
-    }
-    Endpoint endpoint{std::string(text.substr(0, colon)), 0};
-    const std::string_view port = text.substr(colon + 1);
-    const auto parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    if (parsed.ec != std::errc() || parsed.ptr != port.data() + port.size() || endpoint.port == 0) {
-        return std::nullopt;
-    }
-    return endpoint;
-}
-
 } // namespace
 
 Result<CtlAnswer> callHost(const Endpoint &endpoint, const HttpRequest &request, std::chrono::milliseconds limit)
--- a/src/http/http_message.cpp
+++ b/src/http/http_message.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <cctype>
+#include <charconv>
 
 namespace skylark {
 
@@ -74,6 +75,21 @@
     return {};
 }
 
+std::optional<Endpoint> parseEndpoint(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return std::nullopt;
+    }
+    Endpoint endpoint{std::string(text.substr(0, colon)), 0};
+    const std::string_view port = text.substr(colon + 1);
+    const auto parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
+    if (parsed.ec != std::errc() || parsed.ptr != port.data() + port.size() || endpoint.port == 0) {
+        return std::nullopt;
+    }
+    return endpoint;
+}
+
 std::string percentEncode(std::string_view text)
 {
     static constexpr std::string_view digits = "0123456789ABCDEF";
--- a/src/http/http_type.h
+++ b/src/http/http_type.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,6 +66,9 @@
 /** @return The decoded value of query parameter @p name in @p target, or an empty string. */
 [[nodiscard]] std::string queryParameter(std::string_view target, std::string_view name);
 
+/** @return The endpoint in @p text, "ADDRESS:PORT", or nothing when it has another form. */
+[[nodiscard]] std::optional<Endpoint> parseEndpoint(std::string_view text);
+
 /** @return @p text percent-encoded for use in a path segment or query value. */
 [[nodiscard]] std::string percentEncode(std::string_view text);
 
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -330,6 +330,7 @@
     putKey(*this->store, "servers/odd-2", R"({"service":7,"address":"127.0.0.1:1","slots":4,"state":"ready"})");
     putKey(*this->store, "servers/odd-3", R"({"service":"s","address":"nowhere","slots":4,"state":"ready"})");
     putKey(*this->store, "servers/odd-4", R"({"service":"s","address":"127.0.0.1:1","slots":4,"state":"asleep"})");
+    putKey(*this->store, "servers/odd-5", R"({"service":"s","address":"127.0.0.1:1x","slots":4,"state":"ready"})");
     this->putTarget("i-1", "ready");
     REQUIRE(this->runUntil([this] {
         return this->hasTarget("i-1", false);
