--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -331,6 +331,7 @@
     host.proxy->metrics = host.metrics;
     host.proxy->fleet = std::make_shared<const FleetSnapshot>();
     host.proxy->random = hash64(host.session.value);
+    host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
     for (const auto &opened : {openPeerLink(host), openServers(host)}) {
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds minStatusInterval{100}; ///< Shortest interval of regular datagrams; short compared with the time of an online request at a target.
 constexpr milliseconds statusIntervalPerPeer{8}; ///< Interval added for each recipient, so that the bytes that a host sends per second stay bounded.
 constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
+constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
 constexpr milliseconds peerRemovalDelay{5000}; ///< A peer that has been neither registered nor heard from for this long is removed.
 
@@ -65,9 +66,15 @@
         }
         return gone;
     });
-    std::erase_if(link.proxy->loadTracker.peers, [&link, now](const auto &entry) {
-        return !link.peers.contains(entry.first) && now - entry.second.heardAt > peerRemovalDelay;
-    });
+    std::vector<HostId> unknown;
+    for (const auto &[host, peer] : link.proxy->loadTracker.peers) {
+        if (!link.peers.contains(host) && now - peer.heardAt > peerRemovalDelay) {
+            unknown.push_back(host);
+        }
+    }
+    for (const HostId &host : unknown) {
+        dropPeer(link.proxy->loadTracker, host);
+    }
 }
 
 /** @return Interval of regular datagrams to @p hosts recipients. */
@@ -98,6 +105,16 @@
     return endpoints;
 }
 
+/** Tells the load tracker how often other failure domains send their status, and when it expires. */
+void setStatusIntervals(PeerLink::Impl &link)
+{
+    constexpr int intervalsToExpiry = 3; // Two datagrams in a row may be lost.
+    LoadTracker &tracker = link.proxy->loadTracker;
+    const milliseconds interval = link.peers.size() <= smallFleetPeers ? minStatusInterval : statusIntervalFor(link.peers.size());
+    tracker.otherDomainInterval = interval + transitTime;
+    tracker.otherDomainExpiry = std::max(tracker.peerExpiry, intervalsToExpiry * interval);
+}
+
 /** Sends the host's status and schedules the next regular datagram. */
 void sendOwnStatus(const LinkPtr &link)
 {
@@ -211,6 +228,7 @@
         found->second.domain = entry.domain;
         found->second.registered = true;
     }
+    setStatusIntervals(*link.impl);
 }
 
 void announceLoadChange(PeerLink &link, LoadChange change)
--- a/src/fleet/load_tracker.cpp
+++ b/src/fleet/load_tracker.cpp
@@ -7,14 +7,67 @@
 
 namespace {
 
-/** @return Whether the last status of @p peer is recent enough for its counts to apply. */
-bool isCurrent(const LoadTracker &tracker, const PeerLoad &peer, TimePoint now)
+/** Adds the counts of @p peer to the totals. */
+void addToTotals(LoadTracker &tracker, const PeerLoad &peer)
+{
+    for (const auto &[target, counts] : peer.counts) {
+        TargetCounts &total = tracker.peerTotals[target];
+        total.online += counts.online;
+        total.batch += counts.batch;
+    }
+}
+
+/** Subtracts the counts of @p peer from the totals and clears them. */
+void removeFromTotals(LoadTracker &tracker, PeerLoad &peer)
 {
-    return now - peer.heardAt < tracker.peerExpiry;
+    for (const auto &[target, counts] : peer.counts) {
+        const auto total = tracker.peerTotals.find(target);
+        total->second.online -= counts.online;
+        total->second.batch -= counts.batch;
+        if (total->second.online == 0 && total->second.batch == 0) {
+            tracker.peerTotals.erase(total);
+        }
+    }
+    peer.counts.clear();
+}
+
+/** @return Age at which the status of @p peer expires. */
+std::chrono::milliseconds expiryOf(const LoadTracker &tracker, const PeerLoad &peer)
+{
+    return peer.domain == tracker.domain ? tracker.peerExpiry : tracker.otherDomainExpiry;
 }
 
 } // namespace
 
+bool isCurrent(const LoadTracker &tracker, const PeerLoad &peer, TimePoint now)
+{
+    return now - peer.heardAt < expiryOf(tracker, peer);
+}
+
+void dropExpiredLoads(LoadTracker &tracker, TimePoint now)
+{
+    if (now < tracker.nextExpiry) {
+        return;
+    }
+    tracker.nextExpiry = now + std::min(tracker.peerExpiry, tracker.otherDomainExpiry);
+    for (auto &[host, peer] : tracker.peers) {
+        if (isCurrent(tracker, peer, now)) {
+            tracker.nextExpiry = std::min(tracker.nextExpiry, peer.heardAt + expiryOf(tracker, peer));
+        } else {
+            removeFromTotals(tracker, peer);
+        }
+    }
+}
+
+void dropPeer(LoadTracker &tracker, const HostId &host)
+{
+    const auto found = tracker.peers.find(host);
+    if (found != tracker.peers.end()) {
+        removeFromTotals(tracker, found->second);
+        tracker.peers.erase(found);
+    }
+}
+
 bool applyStatus(LoadTracker &tracker, const HostStatus &status, TimePoint now)
 {
     PeerLoad &peer = tracker.peers[status.host];
@@ -30,30 +83,30 @@
     peer.heardAt = now;
     peer.leaving = status.leaving;
     peer.configVersion = status.configRevision;
-    peer.counts.clear();
+    peer.batchWaiting = status.batchWaiting;
+    removeFromTotals(tracker, peer);
     for (const auto &[target, count] : status.onlineInFlight) {
         peer.counts[target].online = count;
     }
     for (const auto &[target, count] : status.batchInFlight) {
         peer.counts[target].batch = count;
     }
+    addToTotals(tracker, peer);
     return true;
 }
 
-TargetCounts countsOf(const LoadTracker &tracker, const TargetId &target, TimePoint now)
+TargetCounts countsOf(LoadTracker &tracker, const TargetId &target, TimePoint now)
 {
-    TargetCounts total;
+    dropExpiredLoads(tracker, now);
+    TargetCounts counts;
     if (const auto own = tracker.own.find(target); own != tracker.own.end()) {
-        total = own->second;
+        counts = own->second;
     }
-    for (const auto &[host, peer] : tracker.peers) {
-        const auto found = peer.counts.find(target);
-        if (found != peer.counts.end() && isCurrent(tracker, peer, now)) {
-            total.online += found->second.online;
-            total.batch += found->second.batch;
-        }
+    if (const auto total = tracker.peerTotals.find(target); total != tracker.peerTotals.end()) {
+        counts.online += total->second.online;
+        counts.batch += total->second.batch;
     }
-    return total;
+    return counts;
 }
 
 bool hasRecentStatus(const LoadTracker &tracker, const SessionId &session, TimePoint now)
@@ -88,6 +141,7 @@
 
 void addOwnLoad(const LoadTracker &tracker, HostStatus &status)
 {
+    status.batchWaiting = tracker.ownWaiting;
     for (const auto &[target, counts] : tracker.own) {
         if (counts.online > 0) {
             status.onlineInFlight.emplace_back(target, counts.online);
--- a/src/fleet/load_tracker_base.h
+++ b/src/fleet/load_tracker_base.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace skylark {
@@ -25,21 +26,37 @@
     TimePoint heardAt{}; ///< When the datagram arrived.
     bool leaving{false}; ///< Whether the host has begun a planned shutdown.
     Revision configVersion; ///< Configuration in force at the host.
-    std::map<TargetId, TargetCounts> counts; ///< Requests of the host in flight, by target.
+    unsigned batchWaiting{0}; ///< Batch items of the host that wait for a slot.
+    std::map<TargetId, TargetCounts> counts; ///< Requests of the host in flight, by target; empty once its status has expired.
 };
 
 /** Counts of requests in flight, of all hosts; owned by the traffic thread. */
 struct LoadTracker {
     std::map<TargetId, TargetCounts> own; ///< Requests of this host in flight, by target.
-    std::map<HostId, PeerLoad> peers; ///< Other hosts that have sent a status.
+    unsigned ownWaiting{0}; ///< Batch items of this host that wait for a slot.
+    DomainId domain; ///< Failure domain of this host.
+    std::map<HostId, PeerLoad> peers; ///< Other hosts that have sent a status. Changed by applyStatus() and dropPeer() only.
+    std::unordered_map<TargetId, TargetCounts> peerTotals; ///< Sums of the counts of all peers, by target.
+    TimePoint nextExpiry{}; ///< No status expires before this time.
     std::chrono::milliseconds peerExpiry{1500}; ///< Age at which the counts of a host's last status no longer apply; several status intervals.
+    std::chrono::milliseconds otherDomainInterval{100}; ///< Time between two statuses of a host of another failure domain, and the transmission.
+    std::chrono::milliseconds otherDomainExpiry{1500}; ///< The same for hosts of other failure domains, which send their status less often.
 };
 
 /** Applies a status datagram of another host. @return False when it is ignored: it is not newer than the last one, which has not expired. */
 bool applyStatus(LoadTracker &tracker, const HostStatus &status, TimePoint now);
 
+/** Removes the counts of hosts whose status has expired from the totals. */
+void dropExpiredLoads(LoadTracker &tracker, TimePoint now);
+
+/** Forgets a host. */
+void dropPeer(LoadTracker &tracker, const HostId &host);
+
+/** @return Whether the last status of @p peer is recent enough for its counts to apply. */
+[[nodiscard]] bool isCurrent(const LoadTracker &tracker, const PeerLoad &peer, TimePoint now);
+
 /** @return Requests of all hosts in flight on @p target; hosts whose status has expired are left out. */
-[[nodiscard]] TargetCounts countsOf(const LoadTracker &tracker, const TargetId &target, TimePoint now);
+[[nodiscard]] TargetCounts countsOf(LoadTracker &tracker, const TargetId &target, TimePoint now);
 
 /** @return Whether the process @p session has sent a status that has not expired. */
 [[nodiscard]] bool hasRecentStatus(const LoadTracker &tracker, const SessionId &session, TimePoint now);
--- a/src/job/job_claims.cpp
+++ b/src/job/job_claims.cpp
@@ -30,7 +30,7 @@
     const std::uint64_t own = rendezvousScore(job.value, runner.host.value);
     unsigned rank = 0;
     for (const auto &[host, peer] : runner.proxy->loadTracker.peers) {
-        const bool live = !peer.leaving && now - peer.heardAt < runner.proxy->loadTracker.peerExpiry;
+        const bool live = !peer.leaving && isCurrent(runner.proxy->loadTracker, peer, now);
         rank += live && rendezvousScore(job.value, host.value) > own ? 1 : 0;
     }
     return rank;
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -20,19 +20,10 @@
 
 constexpr milliseconds roundInterval{25}; ///< Time between two rounds of the loop; a target makes several steps in it.
 constexpr unsigned roundsPerClaimCheck = 10; ///< Claims and removals are checked once in so many rounds.
-constexpr unsigned lastSlotPeriodRounds = 8; ///< A host that is not preferred on a target may take its last slot in one of so many rounds.
 constexpr milliseconds resultBatchDelay{200}; ///< Results of a job are collected for so long and stored together.
 constexpr milliseconds checkpointInterval{2000}; ///< Least time between two checkpoints of a job; at most half of an item's run time is lost with its host.
 constexpr std::uint64_t minNewEvents = 20; ///< Up to so many new events are not worth the write of a checkpoint.
 
-/** An item that may be started. */
-struct PendingItem {
-    JobId job;
-    std::uint32_t index{0}; ///< Index of the item in the job.
-    UnixTime due{}; ///< When the job should be complete: acceptance plus the completion target of the route.
-    ServiceId service; ///< Service whose targets may run the item.
-};
-
 /** Fails the unfinished items of a job whose retention is over or whose route was removed or is no batch route any more. */
 void failExpiredItems(JobRunner::Impl &runner, const StoredJob &record, OwnedJob &owned)
 {
@@ -150,66 +141,82 @@
     return pending;
 }
 
-/** @return The target with the most free slots for batch among those of the item's service that are not leaving, avoided or suspect; null if none has any. */
-const TargetEntry *chooseBatchTarget(const JobRunner::Impl &runner, const PendingItem &item, const ItemRun &run, TimePoint now)
+/** @return The best offer of a target of the item's service that the item does not avoid; null if there is none. */
+SlotOffer *chooseOffer(std::vector<SlotOffer> &offers, const PendingItem &item, const ItemRun &run)
 {
-    const TargetEntry *best = nullptr;
-    unsigned bestFree = 0;
-    for (const auto &[id, entry] : *runner.proxy->fleet->targets) {
-        if (entry.service != item.service || entry.leaving || std::find(run.avoided.begin(), run.avoided.end(), id) != run.avoided.end()) {
+    SlotOffer *best = nullptr;
+    for (SlotOffer &offer : offers) {
+        const bool avoided = std::find(run.avoided.begin(), run.avoided.end(), offer.target->id) != run.avoided.end();
+        if (offer.slots.items == 0 || avoided || offer.target->service != item.service) {
             continue;
         }
-        const auto health = runner.proxy->health.find(id);
-        if (health != runner.proxy->health.end() && now < health->second.suspectUntil) {
-            continue;
-        }
-        const unsigned free = batchItemsToStart(batchSlotInput(runner, entry, now));
-        if (free > bestFree) {
-            best = &entry;
-            bestFree = free;
+        if (best == nullptr || isBetterOffer(offer.slots, best->slots)) {
+            best = &offer;
         }
     }
     return best;
 }
 
+/** @return Whether a target of @p service has slots left. */
+bool hasOffer(const std::vector<SlotOffer> &offers, const ServiceId &service)
+{
+    return std::any_of(offers.begin(), offers.end(), [&service](const SlotOffer &offer) {
+        return offer.slots.items > 0 && offer.target->service == service;
+    });
+}
+
+/** Starts @p item on @p target. */
+void startItem(const RunnerPtr &runner, const PendingItem &item, const std::shared_ptr<ItemRun> &run, const TargetEntry &target, TimePoint now)
+{
+    const TargetCounts counts = countsOf(runner->proxy->loadTracker, target.id, now);
+    run->phase = ItemPhase::Running;
+    run->startedAt = now;
+    run->target = target.id;
+    logSampled(EventKind::ItemStarted,
+               runner->registry->jobs.at(item.job).record.items[item.index].id,
+               {{"job", item.job.value},
+                {"target", target.id.value},
+                {"after", run->splitter.lastId},
+                {"online", counts.online},
+                {"batch", counts.batch},
+                {"slack_ms", (item.due - unixNow()).count()}});
+    // The guard counts the item as load from now on, not only from the first step of its coroutine.
+    auto guard = std::make_shared<const InFlightGuard>(loadTrackerOf(runner->proxy), target.id, true);
+    spawnLater(runner, [runner, item, run, entry = target, guard = std::move(guard)] {
+        return runItem(runner, item.job, item.index, run, entry, guard);
+    });
+}
+
 /** Starts pending items in free slots, in the order in which their jobs are due. */
 void startItems(const RunnerPtr &runner)
 {
+    LoadTracker &tracker = runner->proxy->loadTracker;
+    const unsigned waitedBefore = tracker.ownWaiting;
+    tracker.ownWaiting = 0;
     if (!runner->startsItems || !runner->proxy->fleet->targets || runner->owned.empty()) {
         return;
     }
     const TimePoint now = BootClock::now();
-    bool started = false;
-    for (const PendingItem &item : pendingItems(*runner)) {
+    const std::vector<PendingItem> pending = pendingItems(*runner);
+    tracker.ownWaiting = static_cast<unsigned>(pending.size());
+    runner->waitingSince = waitedBefore == 0 ? now : runner->waitingSince;
+    std::vector<SlotOffer> offers = findSlotOffers(*runner, pending, now);
+    for (const PendingItem &item : pending) {
         const auto run = runner->owned.at(item.job).runs.at(item.index);
-        const TargetEntry *target = chooseBatchTarget(*runner, item, *run, now);
-        if (target == nullptr) {
-            if (run->avoided.empty()) {
-                break;
+        SlotOffer *offer = chooseOffer(offers, item, *run);
+        if (offer == nullptr) {
+            // Where only avoided targets have slots, the item may use them again from the next round on.
+            if (hasOffer(offers, item.service)) {
+                run->avoided.clear();
             }
-            run->avoided.clear();
             continue;
         }
-        const TargetCounts counts = countsOf(runner->proxy->loadTracker, target->id, now);
-        run->phase = ItemPhase::Running;
-        run->startedAt = now;
-        run->target = target->id;
-        logSampled(EventKind::ItemStarted,
-                   runner->registry->jobs.at(item.job).record.items[item.index].id,
-                   {{"job", item.job.value},
-                    {"target", target->id.value},
-                    {"after", run->splitter.lastId},
-                    {"online", counts.online},
-                    {"batch", counts.batch},
-                    {"slack_ms", (item.due - unixNow()).count()}});
-        // The guard counts the item as load from now on, not only from the first step of its coroutine.
-        auto guard = std::make_shared<const InFlightGuard>(loadTrackerOf(runner->proxy), target->id, true);
-        spawnLater(runner, [runner, item, run, entry = *target, guard = std::move(guard)] {
-            return runItem(runner, item.job, item.index, run, entry, guard);
-        });
-        started = true;
+        startItem(runner, item, run, *offer->target, now);
+        --offer->slots.items;
+        --tracker.ownWaiting;
     }
-    if (started) {
+    const bool started = tracker.ownWaiting < pending.size();
+    if (started || (waitedBefore == 0 && !pending.empty())) {
         runner->proxy->onLoadChange(LoadChange::SlotNeeded);
     }
 }
@@ -236,33 +243,6 @@
     return config ? matchRoute(*config, record.host, record.path) : nullptr;
 }
 
-BatchSlotInput batchSlotInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now)
-{
-    const LoadTracker &tracker = runner.proxy->loadTracker;
-    BatchSlotInput input;
-    input.slots = target.slots;
-    if (const auto own = tracker.own.find(target.id); own != tracker.own.end()) {
-        input.online = own->second.online;
-        input.ownBatch = own->second.batch;
-    }
-    const std::uint64_t ownScore = rendezvousScore(target.id.value, runner.host.value);
-    input.preferred = true;
-    for (const auto &[host, peer] : tracker.peers) {
-        if (now - peer.heardAt >= tracker.peerExpiry) {
-            continue;
-        }
-        const bool before = rendezvousScore(target.id.value, host.value) < ownScore;
-        input.preferred = input.preferred && (before || peer.leaving);
-        const auto found = peer.counts.find(target.id);
-        if (found != peer.counts.end()) {
-            input.online += found->second.online;
-            (before ? input.batchBefore : input.batchAfter) += found->second.batch;
-        }
-    }
-    input.preferred = input.preferred || runner.round % lastSlotPeriodRounds == rendezvousScore(target.id.value, runner.host.value) % lastSlotPeriodRounds;
-    return input;
-}
-
 std::unique_ptr<JobRunner> JobRunner::create(std::shared_ptr<Proxy> proxy, std::shared_ptr<JobRegistry> registry, HostId host)
 {
     auto impl = std::make_shared<Impl>();
@@ -301,14 +281,18 @@
         if (entry == impl.proxy->fleet->targets->end()) {
             continue;
         }
-        const unsigned wanted = batchItemsToYield(batchSlotInput(impl, entry->second, now));
+        const TargetCounts counts = countsOf(impl.proxy->loadTracker, target, now);
+        if (counts.online + counts.batch <= entry->second.slots) {
+            continue;
+        }
+        const unsigned wanted = batchItemsToYield(yieldInput(impl, entry->second, now));
         const std::size_t excess = std::min<std::size_t>(wanted - std::min(wanted, runs.yielding), runs.items.size());
         // The newest runs are cancelled first: they have produced the least output.
         std::sort(runs.items.begin(), runs.items.end(), [](const RunningItem &left, const RunningItem &right) {
             return left.run->startedAt > right.run->startedAt;
         });
         for (std::size_t i = 0; i < excess; ++i) {
-            yieldItem(impl, runs.items[i], countsOf(impl.proxy->loadTracker, target, now).online);
+            yieldItem(impl, runs.items[i], counts.online);
         }
     }
 }
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "job/job_runner_func.h"
+#include "policy/batch_slots_func.h"
 #include "proxy/event_splitter_base.h"
 
 #include <set>
@@ -51,12 +52,28 @@
     TimePoint unregisteredSince{}; ///< Since then, not registered.
 };
 
+/** Free slots of a target in which this host may start batch items now. */
+struct SlotOffer {
+    const TargetEntry *target{nullptr}; ///< Points into the fleet snapshot; never null.
+    BatchSlotOffer slots;
+};
+
+/** An item that may be started. */
+struct PendingItem {
+    JobId job;
+    std::uint32_t index{0}; ///< Index of the item in the job.
+    UnixTime due{}; ///< When the job should be complete: acceptance plus the completion target of the route.
+    ServiceId service; ///< Service whose targets may run the item.
+};
+
 struct JobRunner::Impl {
     std::shared_ptr<Proxy> proxy; ///< Connections to targets, and the load of all hosts on them.
     std::shared_ptr<JobRegistry> registry;
     HostId host; ///< Identifier of this host.
     std::map<JobId, OwnedJob> owned;
     std::map<JobId, MissingOwner> missing; ///< Open jobs whose owner is not registered.
+    TimePoint waitingSince{}; ///< Since when items of this host have waited for a slot without interruption; valid while any wait.
+    std::map<TargetId, UnclaimedSlots> unclaimed; ///< Targets that had free slots at the last look.
     std::set<JobId> claimsAndRemovals; ///< Jobs for which a claim or a removal by this host is in progress.
     std::chrono::milliseconds closedRetention{150000}; ///< Age since acceptance at which a closed job is removed; readers may ask for its results for 120 s.
     bool startsItems{true}; ///< Whether items may be started and jobs claimed; false once the host hands over its jobs.
@@ -101,7 +118,10 @@
 /** @return The route of a job in the configuration in force, or null if there is none. */
 [[nodiscard]] const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record);
 
-/** @return The load of @p target, from which the slots that this host's batch items may use or must free are computed. */
-[[nodiscard]] BatchSlotInput batchSlotInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
+/** @return Load of @p target, from which the number of own batch items to preempt is computed. */
+[[nodiscard]] BatchSlotInput yieldInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
+
+/** @return Targets of the pending items' services where this host may start items now. */
+[[nodiscard]] std::vector<SlotOffer> findSlotOffers(JobRunner::Impl &runner, const std::vector<PendingItem> &pending, TimePoint now);
 
 } // namespace skylark
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -53,6 +53,7 @@
   freeByModel @11 :List(NamedCount);
   batchInFlight @12 :List(NamedCount);
   jobRevisions @13 :List(NamedRevision);
+  batchWaiting @14 :UInt32;
 }
 
 struct YieldRequest {
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -126,6 +126,7 @@
     out.setReady(status.ready);
     out.setConfigRevision(status.configRevision.value);
     out.setJobsCursor(status.jobsCursor);
+    out.setBatchWaiting(status.batchWaiting);
     auto targets = out.initTargets(static_cast<unsigned>(count));
     for (unsigned i = 0; i < count; ++i) {
         writeTarget(targets[i], status.targets[(first + i) % status.targets.size()], now);
@@ -153,6 +154,7 @@
     status.ready = in.getReady();
     status.configRevision.value = in.getConfigRevision();
     status.jobsCursor = in.getJobsCursor();
+    status.batchWaiting = in.getBatchWaiting();
     for (const auto target : in.getTargets()) {
         status.targets.push_back(readTarget(target, now));
     }
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -30,6 +30,7 @@
     std::vector<std::pair<TargetId, unsigned>> onlineInFlight; ///< Active online streams by target.
     std::vector<std::pair<ModelId, unsigned>> freeByModel; ///< Free slots in the failure domain by model.
     std::vector<std::pair<TargetId, unsigned>> batchInFlight; ///< Active batch items by target.
+    unsigned batchWaiting{0}; ///< Batch items of the host that wait for a slot of a target.
     std::vector<std::pair<JobId, std::uint64_t>> jobRevisions; ///< Record revisions of jobs that the host owns or has just changed.
 };
 
--- a/src/policy/load_balance.cpp
+++ b/src/policy/load_balance.cpp
@@ -89,22 +89,6 @@
     return {reasonOf(*best), best->id, best->online, best->batch};
 }
 
-unsigned batchItemsToYield(const BatchSlotInput &input)
-{
-    const unsigned total = input.online + input.ownBatch + input.batchBefore + input.batchAfter;
-    if (total <= input.slots) {
-        return 0;
-    }
-    const unsigned excess = total - input.slots;
-    return excess <= input.batchBefore ? 0 : std::min(input.ownBatch, excess - input.batchBefore);
-}
-
-unsigned batchItemsToStart(const BatchSlotInput &input)
-{
-    const unsigned used = input.online + input.ownBatch + input.batchBefore + input.batchAfter + (input.preferred ? 0U : 1U);
-    return used >= input.slots ? 0 : input.slots - used;
-}
-
 std::chrono::milliseconds refusalDelay(const RefusalInput &input)
 {
     const double slots = std::max(1U, input.slots);
--- a/src/policy/load_balance_func.h
+++ b/src/policy/load_balance_func.h
@@ -16,22 +16,6 @@
  */
 [[nodiscard]] BalanceChoice balanceRequest(const std::vector<BalanceCandidate> &candidates, const BalanceLimits &limits, std::uint64_t draw);
 
-/** Load of a target that runs batch items, as input of a host's decisions about its own batch items there. */
-struct BatchSlotInput {
-    unsigned slots{0}; ///< Maximum number of concurrent requests of the target.
-    unsigned online{0}; ///< Online requests of all hosts.
-    unsigned ownBatch{0}; ///< Batch items of this host.
-    unsigned batchBefore{0}; ///< Batch items of hosts that are preempted before this one.
-    unsigned batchAfter{0}; ///< Batch items of hosts that are preempted after this one.
-    bool preferred{true}; ///< Whether this host may use free slots first.
-};
-
-/** @return Number of this host's batch items to preempt so that online requests get a slot. */
-[[nodiscard]] unsigned batchItemsToYield(const BatchSlotInput &input);
-
-/** @return Number of batch items that may be started now. A host that is not preferred leaves one slot free, so that two hosts rarely take the same slot. */
-[[nodiscard]] unsigned batchItemsToStart(const BatchSlotInput &input);
-
 /** Input of the retry delay for a request that is refused because no target can take it. */
 struct RefusalInput {
     unsigned online{0}; ///< Online requests in flight on all targets of the service.
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -72,7 +72,7 @@
  * @param tried Targets on which the request has failed.
  * @param domain Failure domain of this host.
  */
-[[nodiscard]] std::vector<BalanceCandidate> candidatesOf(const Proxy &proxy,
+[[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy,
                                                          const ServiceId &service,
                                                          const std::vector<TargetId> &tried,
                                                          const DomainId &domain);
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -68,7 +68,7 @@
     addCounter(*proxy.metrics, "skylark_target_failures_total", {{"target", target.id.value}});
 }
 
-std::vector<BalanceCandidate> candidatesOf(const Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain)
+std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain)
 {
     std::vector<BalanceCandidate> candidates;
     if (!proxy.fleet->targets) {
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -99,6 +99,7 @@
     {
         const auto executor = this->fixture.loop.get_executor();
         this->proxy->executor = executor;
+        this->proxy->loadTracker.domain.value = "north";
         this->proxy->wire = platform::makeCallWire();
         this->proxy->http = HttpClient::create(executor);
         this->proxy->metrics = MetricsRegistry::create();
