--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -6,6 +6,7 @@
 #include "core/hash_func.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
+#include "job/job_peer_func.h"
 #include "job/job_runner_func.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -175,6 +176,9 @@
     options.completeStatus = [&host](HostStatus &status) {
         status.jobRevisions = jobRevisionsToAnnounce(*host.jobs);
     };
+    options.ownedJob = [&host](const JobId &job, std::uint64_t after) {
+        return encodeOwnedJob(*host.jobs, job, after);
+    };
     options.onNewerConfig = [&host](Revision version, const Endpoint &peer) {
         asio::post(host.control, [&host, version, peer] {
             pullNewerConfig(*host.fleet, version, peer);
@@ -185,6 +189,9 @@
         return errorOf(peers);
     }
     host.peers = std::move(valueOf(peers));
+    host.jobs->readFromHost = [link = host.peers->impl](HostId peer, JobId job, std::uint64_t after) {
+        return readJobAtPeer(link, std::move(peer), std::move(job), after);
+    };
     host.proxy->onLoadChange = [&host](LoadChange change) {
         announceLoadChange(*host.peers, change);
         if (host.runner) {
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -6,6 +6,9 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cctype>
+#include <charconv>
 
 namespace skylark {
 
@@ -21,6 +24,10 @@
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
 constexpr milliseconds peerRemovalDelay{5000}; ///< A peer that has been neither registered nor heard from for this long is removed.
 
+constexpr std::string_view peerJobPath = "/peer/job/"; ///< Followed by the job's identifier, a slash, and the number of results that the reader has.
+constexpr milliseconds jobConnectTimeout{200}; ///< Covers several round trips between failure domains; the store is asked when the owner does not answer.
+constexpr milliseconds jobAnswerTimeout{400}; ///< Covers the transfer of the results.
+
 /** Another host that gets status datagrams. */
 struct Peer {
     Endpoint endpoint; ///< Address for status datagrams and configuration pulls.
@@ -161,13 +168,39 @@
     link->options.onStatus(status);
 }
 
-/** @return The configuration document; 404 for another path or when none is known. */
-HttpResponse answerConfigPull(const PeerLink::Impl &link, const HttpRequest &request)
+/** @return Whether @p text can stand in a path without being encoded. Callers choose the identifiers of jobs. */
+bool isPathSegment(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_';
+    });
+}
+
+/** @return The document of the job in @p path, of the form JOB/AFTER; empty when this host does not own the job. */
+std::optional<std::string> ownedJobAt(const PeerLink::Impl &link, std::string_view path)
+{
+    const std::size_t slash = path.find('/');
+    const std::string_view number = slash == std::string_view::npos ? std::string_view() : path.substr(slash + 1);
+    std::uint64_t after = 0;
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), after);
+    // A host that cannot reach the store may have lost its jobs to others.
+    const bool readable = error == std::errc() && end == number.data() + number.size() && link.proxy->fleet->storeReachable;
+    return readable && link.options.ownedJob ? link.options.ownedJob(JobId{std::string(path.substr(0, slash))}, after) : std::nullopt;
+}
+
+/** @return The configuration document or a job that this host owns; 404 for another path, or when this host has neither. */
+HttpResponse answerPeer(const PeerLink::Impl &link, const HttpRequest &request)
 {
+    const std::string_view path = targetPath(request.target);
+    std::optional<std::string> document;
+    if (path == peerConfigPath && link.proxy->fleet->configDocument) {
+        document = *link.proxy->fleet->configDocument;
+    } else if (path.starts_with(peerJobPath)) {
+        document = ownedJobAt(link, path.substr(peerJobPath.size()));
+    }
     HttpResponse response;
-    const auto &document = link.proxy->fleet->configDocument;
-    response.status = targetPath(request.target) == peerConfigPath && document ? 200 : 404;
-    response.body = response.status == 200 ? *document : std::string();
+    response.status = document ? 200 : 404;
+    response.body = document.value_or(std::string());
     return response;
 }
 
@@ -194,7 +227,7 @@
     serverOptions.listen = impl->options.listen;
     auto server = HttpServer::create(executor, serverOptions, [weak](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
         const auto strong = weak.lock();
-        HttpResponse response = strong ? answerConfigPull(*strong, request) : HttpResponse{.status = 503, .headers = {}, .body = {}};
+        HttpResponse response = strong ? answerPeer(*strong, request) : HttpResponse{.status = 503, .headers = {}, .body = {}};
         co_await sendResponse(responder, std::move(response));
     });
     if (!isOk(server)) {
@@ -214,6 +247,25 @@
     }
 }
 
+asio::awaitable<Result<std::string>> readJobAtPeer(std::shared_ptr<PeerLink::Impl> link, HostId host, JobId job, std::uint64_t after)
+{
+    const auto peer = link->peers.find(host);
+    if (peer == link->peers.end() || !isPathSegment(job.value)) {
+        co_return makeError(ErrorCode::NotFound, "host is unknown, or the identifier does not fit into a path");
+    }
+    HttpRequest request;
+    request.target = std::string(peerJobPath) + job.value + '/' + std::to_string(after);
+    const HttpTimeouts timeouts{jobConnectTimeout, jobAnswerTimeout, jobAnswerTimeout, jobAnswerTimeout};
+    auto answer = co_await httpCall(link->proxy->http, peer->second.endpoint, std::move(request), timeouts);
+    if (!isOk(answer)) {
+        co_return errorOf(answer);
+    }
+    if (valueOf(answer).status != 200) {
+        co_return makeError(ErrorCode::NotFound, "host does not own the job");
+    }
+    co_return std::move(valueOf(answer).body);
+}
+
 void updatePeers(PeerLink &link)
 {
     for (auto &[host, peer] : link.impl->peers) {
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -1,10 +1,11 @@
-/** @file peer_link_func.h Status datagrams and configuration pulls between entry hosts; used on the traffic thread only. */
+/** @file peer_link_func.h Status datagrams, configuration pulls and reads of jobs between entry hosts; used on the traffic thread only. */
 #pragma once
 
 #include "proxy/proxy_base.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace skylark {
 
@@ -16,6 +17,8 @@
     Endpoint listen; ///< Listen address: UDP for status datagrams, TCP for configuration pulls.
     std::function<void(const HostStatus &status)> onStatus; ///< Called for each status of another host that is newer than its last one.
     std::function<void(HostStatus &status)> completeStatus; ///< Adds fields that the link does not know, such as job revisions, to each status sent.
+    /** Encodes a job that this host owns, without the results up to @c after; empty if it owns no such job. */
+    std::function<std::optional<std::string>(const JobId &job, std::uint64_t after)> ownedJob;
     std::function<void(Revision version, const Endpoint &peer)> onNewerConfig; ///< Called when a known host has a newer configuration than this one.
 };
 
@@ -29,6 +32,9 @@
     ~PeerLink();
 };
 
+/** Asks @p host for a job that it owns. @return Its document, NotFound when the host is unknown or does not own the job, or the error of the connection. */
+boost::asio::awaitable<Result<std::string>> readJobAtPeer(std::shared_ptr<PeerLink::Impl> link, HostId host, JobId job, std::uint64_t after);
+
 /** Updates the recipients of the status from the hosts in the proxy's fleet snapshot. */
 void updatePeers(PeerLink &link);
 
--- a/src/job/job_calls.cpp
+++ b/src/job/job_calls.cpp
@@ -6,6 +6,7 @@
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
 #include "fleet/route_match_func.h"
+#include "job/job_peer_func.h"
 #include "job/job_record_func.h"
 
 #include <algorithm>
@@ -133,6 +134,7 @@
     const std::uint64_t listed = registry->jobs.at(job).record.listed.size();
     KvFreshness freshness = KvFreshness::Stale;
     while (page.next < listed && bytes < maxPageBytes) {
+        const std::uint64_t before = page.next;
         const auto found = registry->jobs.find(job);
         if (found == registry->jobs.end()) {
             co_return makeError(ErrorCode::NotFound, "job record is gone");
@@ -148,11 +150,6 @@
         if (!isOk(range)) {
             co_return errorOf(range);
         }
-        // A stale read may miss results that the record lists: repeat it as a linearizable one.
-        if (valueOf(range).items.empty() && freshness == KvFreshness::Linearizable) {
-            co_return makeError(ErrorCode::Internal, "a listed result is missing in the store");
-        }
-        freshness = valueOf(range).items.empty() ? KvFreshness::Linearizable : freshness;
         for (const KvItem &item : valueOf(range).items) {
             auto result = decodeJobResult(item.value);
             if (!isOk(result) || item.key != jobResultKey(job, page.next) || page.next >= listed) {
@@ -162,6 +159,11 @@
             page.results.push_back(std::move(valueOf(result)));
             ++page.next;
         }
+        if (page.next == before && freshness == KvFreshness::Linearizable) {
+            co_return makeError(ErrorCode::Internal, "a listed result is missing in the store or cannot be decoded");
+        }
+        // A stale read may miss results that the record lists: it is repeated as a linearizable one.
+        freshness = page.next == before ? KvFreshness::Linearizable : freshness;
     }
     co_return Done{};
 }
@@ -269,11 +271,11 @@
     for (;;) {
         auto found = registry->jobs.find(call.job);
         if (found == registry->jobs.end() || found->second.revision == 0) {
-            auto exists = co_await fetchJob(registry, call.job);
+            auto exists = co_await refreshJob(registry, call.job, call.after);
             if (!isOk(exists) || !valueOf(exists)) {
                 co_return isOk(exists) ? makeAnswer(404, "no_job") : makeAnswer(503, "store_unavailable", storeRetryAfter);
             }
-            found = registry->jobs.find(call.job);
+            continue;
         }
         const StoredJob &record = found->second.record;
         JobAnswer answer = makeAnswer(200, "results");
@@ -290,7 +292,7 @@
         }
         const bool outdated = found->second.announcedRevision > found->second.revision;
         if (outdated || BootClock::now() >= until) {
-            auto exists = co_await fetchJob(registry, call.job);
+            auto exists = co_await refreshJob(registry, call.job, call.after);
             if (!isOk(exists)) {
                 co_return makeAnswer(503, "not_current", storeRetryAfter);
             }
@@ -343,7 +345,7 @@
 {
     const auto known = registry->jobs.find(call.job);
     if (known == registry->jobs.end() || known->second.revision == 0) {
-        auto exists = co_await fetchJob(registry, call.job);
+        auto exists = co_await refreshJob(registry, call.job, 0);
         if (!isOk(exists) || !valueOf(exists)) {
             co_return isOk(exists) ? makeAnswer(404, "no_job") : makeAnswer(503, "store_unavailable", storeRetryAfter);
         }
--- a/src/job/job_claims.cpp
+++ b/src/job/job_claims.cpp
@@ -125,14 +125,13 @@
 
 void removeClosedJobs(const RunnerPtr &runner)
 {
-    const UnixTime wallTime = unixNow();
     const TimePoint now = BootClock::now();
     for (auto &[job, known] : runner->registry->jobs) {
         if (known.revision == 0 || isOpen(known.record)) {
             continue;
         }
         known.items.clear();
-        const bool expired = wallTime > known.record.created + runner->closedRetention;
+        const bool expired = now - known.knownSince > runner->closedRetention && now - known.closedSince > runner->closedReadTime;
         if (expired && mayRemove(*runner, known.record, now) && runner->claimsAndRemovals.insert(job).second) {
             spawnLater(runner, [runner, record = known.record, revision = known.revision] {
                 return removeJob(runner, record, revision);
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds gapTimeout{2000}; ///< Maximum pause between reads of an answer; after it another target continues the item.
 constexpr milliseconds backoffStep{150}; ///< Delay before the next run; each counted failure, up to four, adds one more step.
 constexpr milliseconds runTimeLimit{60000}; ///< Time that a target may spend on an item in one run.
+constexpr int runTimeSamples = 8; ///< Weight of the former average of the run time, plus one for the new sample.
 constexpr int statusUnprocessable = 422; ///< HTTP status by which a target says that the item can never be done.
 constexpr std::size_t avoidedTargets = 2; ///< Number of most recently failed targets that an item avoids.
 
@@ -181,8 +182,10 @@
     if (run->cancelled || owned == runner->owned.end() || run->phase != ItemPhase::Running) {
         co_return;
     }
-    const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() - run->startedAt).count();
+    const auto runTime = std::chrono::duration_cast<milliseconds>(BootClock::now() - run->startedAt);
+    const auto took = runTime.count();
     if (isOk(outcome)) {
+        runner->itemRunTime = runner->itemRunTime.count() == 0 ? runTime : (runner->itemRunTime * (runTimeSamples - 1) + runTime) / runTimeSamples;
         recordTargetSuccess(*runner->proxy, target.id, {});
         finishItem(owned->second, *run, ItemState::Completed);
         logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "completed"}, {"events", run->events}, {"took_ms", took}});
--- a/src/job/job_policy.cpp
+++ b/src/job/job_policy.cpp
@@ -3,7 +3,9 @@
 
 #include "core/invariant_func.h"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace skylark {
 
@@ -13,6 +15,10 @@
 constexpr std::chrono::milliseconds claimDelayPerRank{400}; ///< Added delay per rank: the time of a claim and of its propagation to other hosts.
 constexpr std::chrono::milliseconds unregisteredGrace{5000}; ///< An owner unregistered for so long cannot store results, even if it still sends its status.
 
+constexpr std::chrono::milliseconds minResultDelay{200}; ///< Items of a job often finish within so short a time of one another.
+constexpr std::chrono::milliseconds maxResultDelay{1000}; ///< Bounds the finished work that is lost with its host.
+constexpr int resultDelayShare = 8; ///< Results wait for at most this fraction of the time until they are due.
+
 std::set<std::uint32_t> listedIndexes(const StoredJob &record)
 {
     std::set<std::uint32_t> indexes;
@@ -69,6 +75,17 @@
     return decision;
 }
 
+bool isMoreUrgent(TimePoint left, TimePoint right, TimePoint now, std::chrono::milliseconds runTime)
+{
+    const TimePoint earliestEnd = now + runTime;
+    return std::pair(left < earliestEnd, left) < std::pair(right < earliestEnd, right);
+}
+
+std::chrono::milliseconds resultDelay(std::size_t unfinished, std::chrono::milliseconds untilDue)
+{
+    return unfinished == 0 ? std::chrono::milliseconds(0) : std::clamp(untilDue / resultDelayShare, minResultDelay, maxResultDelay);
+}
+
 bool mayClaim(const ClaimInput &input)
 {
     if (!input.open || input.ownerIsOwn) {
--- a/src/job/job_policy_func.h
+++ b/src/job/job_policy_func.h
@@ -48,6 +48,22 @@
  */
 [[nodiscard]] AppendDecision appendResults(const StoredJob &present, const SessionId &own, const std::map<std::uint32_t, ItemState> &finished);
 
+/**
+ * Orders waiting items. Load: more batch work than the targets can finish in time. An item that is late already goes after those that can still be in time;
+ * otherwise each late one would make the next one late as well.
+ * @param runTime Time that an item usually takes.
+ * @return Whether an item due at @p left is to be started before one due at @p right.
+ */
+[[nodiscard]] bool isMoreUrgent(TimePoint left, TimePoint right, TimePoint now, std::chrono::milliseconds runTime);
+
+/**
+ * Decides for how long finished items of a job wait for others, so that one write stores their results together. Load: jobs of some ten items that end one
+ * after another within seconds, and are due much later.
+ * @param unfinished Number of items of the job that have not finished.
+ * @param untilDue Time until the job is due; negative after it.
+ */
+[[nodiscard]] std::chrono::milliseconds resultDelay(std::size_t unfinished, std::chrono::milliseconds untilDue);
+
 /** Input of mayClaim(): what this host knows of a job and its owner. */
 struct ClaimInput {
     bool open{false}; ///< Whether the job still has items to run.
--- a/src/job/job_record.cpp
+++ b/src/job/job_record.cpp
@@ -5,6 +5,7 @@
 #include "core/json_member_func.h"
 
 #include <cstdio>
+#include <optional>
 
 namespace skylark {
 
@@ -31,6 +32,15 @@
     return name == "completed" ? ItemState::Completed : ItemState::Failed;
 }
 
+/** @return The number in @p value as @p Number, or nothing when it is none or does not fit. */
+template<typename Number>
+std::optional<Number> numberIn(const boost::json::value &value)
+{
+    boost::system::error_code error;
+    const Number number = value.to_number<Number>(error);
+    return error ? std::nullopt : std::optional<Number>(number);
+}
+
 Error invalidRecord(std::string_view what)
 {
     return makeError(ErrorCode::InvalidDocument, "job record: " + std::string(what));
@@ -101,12 +111,14 @@
         if (item == nullptr || item->size() != fields || !(*item)[4].is_string()) {
             return invalidRecord("checkpoint is not an array of five fields that ends with the text");
         }
-        ItemCheckpoint checkpoint;
-        checkpoint.lastEventId = (*item)[1].to_number<std::uint64_t>();
-        checkpoint.events = (*item)[2].to_number<std::uint64_t>();
-        checkpoint.failures = (*item)[3].to_number<unsigned>();
-        checkpoint.text = std::string((*item)[4].get_string());
-        checkpoints[(*item)[0].to_number<std::uint32_t>()] = std::move(checkpoint);
+        const auto index = numberIn<std::uint32_t>((*item)[0]);
+        const auto lastEventId = numberIn<std::uint64_t>((*item)[1]);
+        const auto events = numberIn<std::uint64_t>((*item)[2]);
+        const auto failures = numberIn<unsigned>((*item)[3]);
+        if (!index || !lastEventId || !events || !failures) {
+            return invalidRecord("checkpoint has a field that is not a number");
+        }
+        checkpoints[*index] = {*lastEventId, *events, *failures, std::string((*item)[4].get_string())};
     }
     return checkpoints;
 }
@@ -153,18 +165,23 @@
         if (pair == nullptr || pair->size() != 2 || !(*pair)[0].is_string()) {
             return invalidRecord("item is not a pair of identifier and tokens");
         }
-        record.items.push_back({std::string((*pair)[0].get_string()), (*pair)[1].to_number<std::uint64_t>()});
+        const auto tokens = numberIn<std::uint64_t>((*pair)[1]);
+        if (!tokens) {
+            return invalidRecord("tokens of an item are not a number");
+        }
+        record.items.push_back({std::string((*pair)[0].get_string()), *tokens});
     }
     for (const auto &entry : arrayMember(*object, "listed")) {
         const auto *pair = entry.if_array();
         if (pair == nullptr || pair->size() != 2) {
             return invalidRecord("result entry is not a pair of item index and state");
         }
-        const auto index = (*pair)[0].to_number<std::uint32_t>();
-        if (index >= record.items.size()) {
-            return invalidRecord("result entry of an unknown item");
+        const auto index = numberIn<std::uint32_t>((*pair)[0]);
+        const auto state = numberIn<int>((*pair)[1]);
+        if (!index || !state || *index >= record.items.size()) {
+            return invalidRecord("result entry of an unknown item or without a state");
         }
-        record.listed.push_back({index, (*pair)[1].to_number<int>() == 1 ? ItemState::Completed : ItemState::Failed});
+        record.listed.push_back({*index, *state == 1 ? ItemState::Completed : ItemState::Failed});
     }
     if (record.id.empty() || record.items.empty()) {
         return invalidRecord("no identifier or no items");
--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds mirrorCheckInterval{1000}; ///< Time between two cheap stale reads of all records; more urgent changes are announced by datagram.
 constexpr milliseconds confirmationTtl{700}; ///< Validity of an owner's announcement or of a read of a record, because readers may lag by at most a second.
 constexpr milliseconds announceDuration{2000}; ///< A host announces a record for so long after changing it.
-constexpr std::size_t maxCachedBytes = std::size_t{6} << 20U; ///< Maximum of result texts held in memory.
+constexpr milliseconds announcerExpiry{10000}; ///< Time after which a job that is no longer announced has no announcer; several intervals of the largest fleet.
 constexpr std::size_t maxResultsPerWrite = kvTransactionEntries - 3; ///< The condition, the record and the checkpoints take three entries of a transaction.
 constexpr std::size_t maxCheckpointBytes = std::size_t{500} << 10U; ///< Text in the checkpoints of a job; JSON escaping enlarges it a little.
 constexpr std::size_t maxBytesPerWrite = std::size_t{700} << 10U; ///< Maximum of encoded results in one transaction; a single larger result is written alone.
@@ -112,13 +112,13 @@
     return states;
 }
 
-/** Caches results that were just stored, up to maxCachedBytes. */
+/** Caches results that were just stored, up to maxCachedResultBytes. */
 void cacheResults(JobRegistry &registry, KnownJob &known, const AppendDecision &decision, const std::map<std::uint32_t, JobResult> &finished)
 {
     std::uint64_t position = decision.record.listed.size() - decision.added.size();
     for (const std::uint32_t index : decision.added) {
         const JobResult &result = finished.at(index);
-        if (registry.cachedBytes + result.text.size() <= maxCachedBytes) {
+        if (registry.cachedBytes + result.text.size() <= maxCachedResultBytes) {
             registry.cachedBytes += result.text.size();
             known.results[position] = result;
         }
@@ -170,8 +170,12 @@
     if (known.revision >= item.revision) {
         return;
     }
+    const TimePoint now = BootClock::now();
+    const bool wasOpen = known.revision == 0 || isOpen(known.record);
+    known.knownSince = known.revision == 0 ? now : known.knownSince;
     known.revision = item.revision;
     known.record = std::move(valueOf(record));
+    known.closedSince = wasOpen ? now : known.closedSince;
     if (registry->onJobChanged) {
         registry->onJobChanged(id);
     }
@@ -224,6 +228,9 @@
     std::erase_if(registry.recentChanges, [now](const auto &entry) {
         return entry.second.until < now;
     });
+    std::erase_if(registry.announcers, [now](const auto &entry) {
+        return now - entry.second.at > announcerExpiry;
+    });
     std::map<JobId, std::uint64_t> revisions;
     for (const auto &[job, known] : registry.jobs) {
         if (known.record.owner == registry.session && isOpen(known.record)) {
@@ -240,6 +247,8 @@
 {
     const TimePoint now = BootClock::now();
     for (const auto &[job, revision] : status.jobRevisions) {
+        JobAnnouncer &announcer = registry->announcers[job];
+        announcer = {status.host, now, std::max(announcer.revision, revision)};
         const auto found = registry->jobs.find(job);
         if (found == registry->jobs.end()) {
             continue;
--- a/src/job/job_registry_base.h
+++ b/src/job/job_registry_base.h
@@ -21,6 +21,8 @@
 struct KnownJob {
     StoredJob record;
     std::uint64_t revision{0}; ///< Revision of the record's key; 0 if the record has not been read yet.
+    TimePoint knownSince{}; ///< When this host first read or wrote the record: the acceptance, or up to a few seconds later.
+    TimePoint closedSince{}; ///< When this host first found the job closed; valid while it is.
     bool acceptedHere{false}; ///< Whether this host accepted the job and has owned it since, so that no stored checkpoint exists that it lacks.
     TimePoint confirmedAt{}; ///< Start of the last linearizable read of this record alone.
     std::uint64_t announcedRevision{0}; ///< Highest revision that any host has announced.
@@ -37,6 +39,16 @@
     TimePoint until{}; ///< Announcements of the change stop then.
 };
 
+/** Maximum of result texts held in memory, in bytes. */
+inline constexpr std::size_t maxCachedResultBytes = std::size_t{6} << 20U;
+
+/** Host whose status announced a job last. */
+struct JobAnnouncer {
+    HostId host;
+    TimePoint at{}; ///< When the status arrived.
+    std::uint64_t revision{0}; ///< Highest revision of the record that any host has announced.
+};
+
 /** Jobs that this host knows: a mirror of the job records in the key-value service, with caches of items and results. */
 struct JobRegistry {
     boost::asio::any_io_executor executor; ///< Executor of the traffic thread.
@@ -48,6 +60,9 @@
     std::map<JobId, RecentChange> recentChanges; ///< Records that this host has changed and still announces.
     std::set<std::shared_ptr<boost::asio::steady_timer>> waitingReads; ///< Timers of reads that wait for a result; cancelling one wakes its read.
     std::function<Result<JobSubmission>(const ProxyCall &call)> decodeSubmission; ///< Parses the body of a submission.
+    std::map<JobId, JobAnnouncer> announcers; ///< Hosts that probably own the jobs; entries that are no longer announced are dropped after a while.
+    /** Reads a job at another host, in the form of encodeOwnedJob(); empty where hosts cannot be asked. */
+    std::function<boost::asio::awaitable<Result<std::string>>(HostId host, JobId job, std::uint64_t after)> readFromHost;
     std::function<void(const JobId &job)> onJobChanged; ///< Called when a newer record was applied or a record was deleted; may be empty.
     std::size_t cachedBytes{0}; ///< Bytes of result texts held in memory.
 
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -20,19 +20,18 @@
 
 constexpr milliseconds roundInterval{25}; ///< Time between two rounds of the loop; a target makes several steps in it.
 constexpr unsigned roundsPerClaimCheck = 10; ///< Claims and removals are checked once in so many rounds.
-constexpr milliseconds resultBatchDelay{200}; ///< Results of a job are collected for so long and stored together.
 constexpr milliseconds checkpointInterval{2000}; ///< Least time between two checkpoints of a job; at most half of an item's run time is lost with its host.
 constexpr std::uint64_t minNewEvents = 20; ///< Up to so many new events are not worth the write of a checkpoint.
 
 /** Fails the unfinished items of a job whose retention is over or whose route was removed or is no batch route any more. */
-void failExpiredItems(JobRunner::Impl &runner, const StoredJob &record, OwnedJob &owned)
+void failExpiredItems(JobRunner::Impl &runner, const KnownJob &known, OwnedJob &owned)
 {
     if (!runner.proxy->fleet->config) {
         return;
     }
-    const RouteRule *route = routeOf(runner, record);
+    const RouteRule *route = routeOf(runner, known.record);
     const bool gone = route == nullptr || route->kind != CallKind::Batch;
-    const bool expired = !gone && route->retention.count() > 0 && unixNow() > record.created + route->retention;
+    const bool expired = !gone && route->retention.count() > 0 && BootClock::now() - known.knownSince > route->retention;
     if (!gone && !expired) {
         return;
     }
@@ -48,13 +47,24 @@
     }
 }
 
+/** @return For how long the finished items of a job wait for others before their results are stored. */
+milliseconds resultDelayOf(const JobRunner::Impl &runner, const KnownJob &known, const OwnedJob &owned)
+{
+    const auto unfinished = std::count_if(owned.runs.begin(), owned.runs.end(), [](const auto &entry) {
+        return entry.second->phase != ItemPhase::Finished;
+    });
+    const RouteRule *route = routeOf(runner, known.record);
+    const auto untilDue = route != nullptr ? known.knownSince + route->completionTarget - BootClock::now() : std::chrono::nanoseconds(0);
+    return resultDelay(static_cast<std::size_t>(unfinished), std::chrono::duration_cast<milliseconds>(untilDue));
+}
+
 /** Fails expired items of owned jobs, and schedules the loading of jobs and the storing of results and checkpoints. */
 void scheduleStoreCalls(const RunnerPtr &runner)
 {
     const TimePoint now = BootClock::now();
     for (auto &[job, owned] : runner->owned) {
         const KnownJob &known = runner->registry->jobs.at(job);
-        failExpiredItems(*runner, known.record, owned);
+        failExpiredItems(*runner, known, owned);
         const bool checkpointDue = unfinishedEvents(owned) > owned.checkpointedEvents + minNewEvents && now - owned.checkpointedAt >= checkpointInterval;
         if (!owned.loaded && !owned.loading) {
             owned.loading = true;
@@ -62,7 +72,7 @@
                 return loadOwnedJob(runner, id);
             });
         }
-        if (owned.firstFinishedAt != TimePoint{} && !owned.writing && now - owned.firstFinishedAt >= resultBatchDelay) {
+        if (owned.firstFinishedAt != TimePoint{} && !owned.writing && now - owned.firstFinishedAt >= resultDelayOf(*runner, known, owned)) {
             owned.writing = true;
             spawnLater(runner, [runner, id = job] {
                 return storeFinishedItems(runner, id);
@@ -131,12 +141,12 @@
             if (run->phase == ItemPhase::Pending && run->notBefore <= now) {
                 // The choice hashes the item's identifier, so that each service gets its share of a job's items.
                 const ServiceId &service = chooseService(*route, hash64(known.record.items[index].id));
-                pending.push_back({job, index, known.record.created + route->completionTarget, service});
+                pending.push_back({job, index, known.knownSince + route->completionTarget, service});
             }
         }
     }
-    std::stable_sort(pending.begin(), pending.end(), [](const PendingItem &left, const PendingItem &right) {
-        return left.due < right.due;
+    std::stable_sort(pending.begin(), pending.end(), [now, runTime = runner.itemRunTime](const PendingItem &left, const PendingItem &right) {
+        return isMoreUrgent(left.due, right.due, now, runTime);
     });
     return pending;
 }
@@ -179,7 +189,7 @@
                 {"after", run->splitter.lastId},
                 {"online", counts.online},
                 {"batch", counts.batch},
-                {"slack_ms", (item.due - unixNow()).count()}});
+                {"slack_ms", std::chrono::duration_cast<milliseconds>(item.due - now).count()}});
     // The guard counts the item as load from now on, not only from the first step of its coroutine.
     auto guard = std::make_shared<const InFlightGuard>(loadTrackerOf(runner->proxy), target.id, true);
     spawnLater(runner, [runner, item, run, entry = target, guard = std::move(guard)] {
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -62,7 +62,7 @@
 struct PendingItem {
     JobId job;
     std::uint32_t index{0}; ///< Index of the item in the job.
-    UnixTime due{}; ///< When the job should be complete: acceptance plus the completion target of the route.
+    TimePoint due{}; ///< When the job should be complete: acceptance, as far as this host knows, plus the completion target of the route.
     ServiceId service; ///< Service whose targets may run the item.
 };
 
@@ -72,10 +72,12 @@
     HostId host; ///< Identifier of this host.
     std::map<JobId, OwnedJob> owned;
     std::map<JobId, MissingOwner> missing; ///< Open jobs whose owner is not registered.
+    std::chrono::milliseconds itemRunTime{0}; ///< Moving average of the time of runs that completed an item; 0 before the first one.
     TimePoint waitingSince{}; ///< Since when items of this host have waited for a slot without interruption; valid while any wait.
     std::map<TargetId, UnclaimedSlots> unclaimed; ///< Targets that had free slots at the last look.
     std::set<JobId> claimsAndRemovals; ///< Jobs for which a claim or a removal by this host is in progress.
-    std::chrono::milliseconds closedRetention{150000}; ///< Age since acceptance at which a closed job is removed; readers may ask for its results for 120 s.
+    std::chrono::milliseconds closedRetention{150000}; ///< Age since acceptance at which a closed job may be removed; readers may ask for its results for 120 s.
+    std::chrono::milliseconds closedReadTime{30000}; ///< Time for which a closed job is kept at least, so that its readers get the last results.
     bool startsItems{true}; ///< Whether items may be started and jobs claimed; false once the host hands over its jobs.
     bool stopped{false}; ///< Ends the loop at its next round.
     unsigned round{0}; ///< Number of rounds of the loop so far.
@@ -109,7 +111,7 @@
 /** Claims open jobs whose owner is gone, as mayClaim() allows. */
 void claimOrphanedJobs(const RunnerPtr &runner);
 
-/** Removes the keys of closed jobs that are older than closedRetention, and frees the items of all closed jobs. */
+/** Removes the keys of closed jobs after closedRetention and closedReadTime, and frees the items of all closed jobs. */
 void removeClosedJobs(const RunnerPtr &runner);
 
 /** Aborts the HTTP exchange of an item's present run, if there is one. */
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -50,7 +50,7 @@
     std::string host; ///< Host of the matched route.
     std::string path; ///< Path of the submission; selects the route together with the host.
     std::string digest; ///< Hash of the submission's body; tells a repeated submission from another one under the same identifier.
-    UnixTime created{}; ///< When the job was accepted.
+    UnixTime created{}; ///< Wall clock time of the accepting host, for operators only: the clocks of hosts differ and may jump.
     SessionId owner; ///< Session of the host process that runs the items; empty when the owner released the job.
     bool ended{false}; ///< Whether the caller ended the job; its remaining items are not run.
     std::uint32_t bodyParts{0}; ///< Number of keys that hold the submission's body.
--- a/tests/test_job_policy.cpp
+++ b/tests/test_job_policy.cpp
@@ -3,6 +3,7 @@
 #include "job/job_policy_func.h"
 #include "job/job_record_func.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -200,3 +201,45 @@
     CHECK(jobResultKey(JobId{"j"}, 9) < jobResultKey(JobId{"j"}, 10));
     CHECK(jobResultKey(JobId{"j"}, 99) < jobResultKey(JobId{"j"}, 100));
 }
+
+// Guards against one write for each item of a job: its items end one after another, and each write is paid for.
+TEST_CASE("resultDelay_itemsLeftAndDueTimeFar_collectsResults", "[results]")
+{
+    CHECK(resultDelay(3, 15s) == 1000ms);
+    CHECK(resultDelay(3, 4s) == 500ms);
+    CHECK(resultDelay(3, -2s) == 200ms);
+    CHECK(resultDelay(0, 15s) == 0ms);
+}
+
+// Guards against late items that make all following ones late: the targets can finish half of the items that arrive.
+TEST_CASE("isMoreUrgent_twiceTheCapacity_aThirdOfTheItemsIsInTime", "[order]")
+{
+    constexpr auto itemTime = 1s;
+    constexpr auto completionTarget = 10s;
+    std::vector<TimePoint> waiting;
+    unsigned inTime = 0;
+    unsigned arrived = 0;
+    for (TimePoint now{}; now < TimePoint{} + 120s; now += itemTime) {
+        for (unsigned i = 0; i < 2; ++i, ++arrived) {
+            waiting.push_back(now + completionTarget);
+        }
+        const auto next = std::min_element(waiting.begin(), waiting.end(), [now, itemTime](TimePoint left, TimePoint right) {
+            return isMoreUrgent(left, right, now, itemTime);
+        });
+        inTime += now + itemTime <= *next ? 1 : 0;
+        waiting.erase(next);
+    }
+    CHECK(inTime * 3 >= arrived);
+}
+
+// Guards against a process that ends because a number in a stored document is of another kind.
+TEST_CASE("jobDocuments_fieldsOfAnotherKind_areRefused", "[record]")
+{
+    CHECK_FALSE(isOk(decodeStoredJob(R"({"id":"j","items":[["a","x"]],"listed":[]})")));
+    CHECK_FALSE(isOk(decodeStoredJob(R"({"id":"j","items":[["a",-1]],"listed":[]})")));
+    CHECK_FALSE(isOk(decodeStoredJob(R"({"id":"j","items":[["a",1]],"listed":[[null,1]]})")));
+    CHECK_FALSE(isOk(decodeStoredJob(R"({"id":"j","items":[["a",1]],"listed":[[0,{}]]})")));
+    CHECK_FALSE(isOk(decodeCheckpoints(R"([["0",1,1,0,"t"]])")));
+    CHECK_FALSE(isOk(decodeCheckpoints(R"([[0,1,1,1e99,"t"]])")));
+    CHECK(isOk(decodeCheckpoints(R"([[0,1,1,0,"t"]])")));
+}
--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -1,4 +1,5 @@
 /** @file test_jobs.cpp Batch jobs on two hosts: acceptance, results, end, loss of the owner, and failing items. */
+#include "job/job_peer_func.h"
 #include "job/job_record_func.h"
 #include "job/job_runner_base.h"
 #include "support/entry_fixture.h"
@@ -533,9 +534,91 @@
     this->a.reset();
     this->publishAll();
     this->b->runner->impl->closedRetention = 0ms;
+    this->b->runner->impl->closedReadTime = 0ms;
     CHECK(this->runUntil([this] {
         return std::none_of(this->store->items.begin(), this->store->items.end(), [](const auto &entry) {
             return entry.first.find("j1") != std::string::npos;
         });
     }));
 }
+
+// Guards against reads of the store for each read of a job at a host that does not run it: callers read twice a second, at a random host each time.
+TEST_CASE_METHOD(JobsFixture, "readJob_ownerAnnounced_isReadAtTheOwner")
+{
+    this->setPlan({.events = 30, .step = 10ms});
+    this->b->jobs->mirror->options.pollInterval = 60s;
+    this->b->jobs->readFromHost = [this](HostId host, JobId job, std::uint64_t after) -> boost::asio::awaitable<Result<std::string>> {
+        CHECK(host.value == "front-1");
+        co_return *encodeOwnedJob(*this->a->jobs, job, after);
+    };
+    this->submit(*this->a, "j1", 3);
+    REQUIRE(this->results(*this->a, "j1", 3).size() == 3);
+    HostStatus status;
+    status.host.value = "front-1";
+    status.session = this->a->jobs->session;
+    status.jobRevisions = jobRevisionsToAnnounce(*this->a->jobs);
+    applyAnnouncedRevisions(this->b->jobs, status);
+    this->store->counts = {};
+    const auto read = this->page(*this->b, "j1").at("results").get_array();
+    CHECK(read == this->page(*this->a, "j1").at("results").get_array());
+    CHECK(read.size() == 3);
+    CHECK(this->store->counts.gets + this->store->counts.ranges == 0);
+}
+
+// Guards against answers from a host that does not know yet that another one has changed the job.
+TEST_CASE_METHOD(JobsFixture, "readJob_ownerBehindAnAnnouncedRevision_isReadInTheStore")
+{
+    this->setPlan({.events = 2000, .step = 5ms});
+    this->submit(*this->a, "j1", 2);
+    const std::string old = *encodeOwnedJob(*this->a->jobs, JobId{"j1"}, 0);
+    REQUIRE(this->end(*this->a, "j1").status == 200);
+    this->b->jobs->readFromHost = [old](HostId /*host*/, JobId /*job*/, std::uint64_t /*after*/) -> boost::asio::awaitable<Result<std::string>> {
+        co_return old;
+    };
+    HostStatus status;
+    status.host.value = "front-1";
+    status.jobRevisions = jobRevisionsToAnnounce(*this->a->jobs);
+    applyAnnouncedRevisions(this->b->jobs, status);
+    this->page(*this->b, "j1");
+    CHECK(this->b->jobs->jobs.at(JobId{"j1"}).record.ended);
+}
+
+TEST_CASE_METHOD(JobsFixture, "applyOwnedJob_malformedDocument_isRefused")
+{
+    this->submit(*this->a, "j1", 2);
+    const std::string document = *encodeOwnedJob(*this->a->jobs, JobId{"j1"}, 0);
+    CHECK_FALSE(encodeOwnedJob(*this->b->jobs, JobId{"j1"}, 0));
+    for (std::size_t length = 0; length < document.size(); ++length) {
+        CHECK_FALSE(isOk(applyOwnedJob(this->b->jobs, JobId{"j1"}, document.substr(0, length), BootClock::now())));
+    }
+    CHECK_FALSE(isOk(applyOwnedJob(this->b->jobs, JobId{"j2"}, document, BootClock::now())));
+    CHECK(isOk(applyOwnedJob(this->b->jobs, JobId{"j1"}, document, BootClock::now())));
+}
+
+// Guards against items that are given up because the wall clock of a host has jumped.
+TEST_CASE_METHOD(JobsFixture, "job_wallClockOfAcceptingHostAnHourBehind_itemsAreStillRun")
+{
+    this->routeNamed("batch").retention = 60s;
+    this->publishAll();
+    StoredJob record;
+    record.id.value = "j1";
+    record.host = "h.example";
+    record.path = "/batch/j1";
+    record.created = unixNow() - 1h;
+    record.bodyParts = 1;
+    record.items = {{"j1-0", 100}, {"j1-1", 100}};
+    putKey(*this->store, jobBodyKey(record.id, 0), bodyOf("j1", 2));
+    putKey(*this->store, jobRecordKey(record.id), encodeStoredJob(record));
+    const auto read = this->results(*this->b, "j1", 2);
+    REQUIRE(read.size() == 2);
+    CHECK(read.at(0).at("state") == "completed");
+}
+
+// Guards against a read that repeats itself without end because a stored result cannot be decoded.
+TEST_CASE_METHOD(JobsFixture, "readJob_storedResultIsNoResult_isAnsweredAsUnavailable")
+{
+    this->submit(*this->a, "j1", 2);
+    REQUIRE(this->results(*this->a, "j1", 2).size() == 2);
+    putKey(*this->store, jobResultKey(JobId{"j1"}, 0), "no result");
+    CHECK(this->get(*this->b, "/-/lots/j1?after=0").status == 503);
+}
