--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -188,16 +188,18 @@
 {
     std::vector<Endpoint> hosts;
     for (std::size_t start = 0; start < list.size();) {
-        const std::size_t end = std::min(list.find(',', start), list.size());
-        std::string_view text = std::string_view(list).substr(start, end - start);
-        start = end + 1;
+        const std::size_t comma = std::min(list.find(',', start), list.size());
+        std::string_view text = std::string_view(list).substr(start, comma - start);
+        start = comma + 1;
         if (text.starts_with("http://")) {
             text.remove_prefix(7);
         }
         const std::size_t colon = text.rfind(':');
         std::uint16_t port = 0;
         if (colon != std::string_view::npos) {
-            std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+            const char *last = text.data() + text.size();
+            const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
+            port = error == std::errc() && end == last ? port : 0;
         }
         if (port == 0) {
             return {};
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -208,6 +208,7 @@
     options.session = host.session;
     options.domain = host.settings.domain;
     options.endpoint = host.settings.peers;
+    options.drainLimit = host.settings.drainLimit;
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
     host.fleet = FleetController::create(host.control.get_executor(), store, host.adapters.fleet, options, host.metrics, [&host](SnapshotPtr snapshot) {
         asio::post(host.traffic, [&host, snapshot = std::move(snapshot)] {
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -56,6 +56,9 @@
 constexpr std::chrono::milliseconds pullConnectTimeout{300}; ///< Covers a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswerTimeout{1000}; ///< Covers the transfer of a document of at most 1 MB.
 
+constexpr std::size_t largeFleetHosts = 16; ///< From this number of other hosts on, store calls of every host are spared where the others can help.
+constexpr std::chrono::milliseconds configPollIntervalLarge{6000}; ///< In a large fleet the hosts announce their configuration to one another.
+
 std::chrono::milliseconds pollIntervalFor(std::size_t hosts)
 {
     return std::clamp(pollIntervalPerHost * static_cast<int>(hosts), minPollInterval, maxPollInterval);
@@ -241,8 +244,9 @@
         }
     }
     const auto pollInterval = pollIntervalFor(peers.size() + 1);
-    impl->config->options.pollInterval = pollInterval;
+    impl->config->options.pollInterval = peers.size() >= largeFleetHosts ? configPollIntervalLarge : pollInterval;
     impl->targets->options.pollInterval = pollInterval;
+    impl->targets->options.watchInterval = targetWatchIntervalFor(impl->options, peers.size() + 1);
     impl->hosts->options.watchInterval = hostWatchIntervalFor(peers.size() + 1);
     impl->state.peers = std::move(peers);
     publish(*impl);
@@ -357,11 +361,16 @@
     }
 }
 
+std::chrono::milliseconds targetWatchIntervalFor(const FleetOptions &options, std::size_t hosts)
+{
+    return hosts <= largeFleetHosts ? options.targetWatchInterval : std::max(options.targetWatchInterval, options.drainLimit / 2);
+}
+
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer)
 {
     const ImplPtr &impl = controller.impl;
     const Revision own = impl->state.config ? impl->state.config->version : Revision{};
-    if (impl->reachable || impl->pullingConfig || version <= own) {
+    if (impl->pullingConfig || version <= own) {
         return;
     }
     impl->pullingConfig = true;
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -28,8 +28,8 @@
     SessionId session; ///< Identifier of this process; new at each start.
     DomainId domain; ///< Failure domain of this host.
     Endpoint endpoint; ///< Address to which other hosts send status datagrams and from which they pull the configuration.
-    /** Minimum interval between watch calls for the target list; with the duration of the call it stays below the users' bound of 2 s. */
-    std::chrono::milliseconds targetWatchInterval{700};
+    std::chrono::milliseconds drainLimit{2000}; ///< Time after which a leaving target must get no new requests.
+    std::chrono::milliseconds targetWatchInterval{700}; ///< Minimum interval between watch calls for the target list in a small fleet.
     /**
      * Time after the last failed call to the service in which a removed target entry is taken as expired because of the outage. Such a target is kept for the
      * same time, within which it is expected to write its entry again.
@@ -59,7 +59,10 @@
     ~FleetController();
 };
 
-/** Pulls the configuration from the host at @p peer if its @p version is newer than the one in force and the service cannot be reached. */
+/** @return Minimum interval between watch calls for the target list. A large fleet uses half of the drain limit, because each host pays for each call. */
+[[nodiscard]] std::chrono::milliseconds targetWatchIntervalFor(const FleetOptions &options, std::size_t hosts);
+
+/** Pulls the configuration from the host at @p peer if its @p version is newer than the one in force. */
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer);
 
 /** Ends the lease of the host's entry, so that other hosts take over its jobs, and then calls @p done. */
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds gapTimeout{2000}; ///< Maximum pause between reads of an answer; after it another target continues the item.
 constexpr milliseconds backoffStep{150}; ///< Delay before the next run; each counted failure, up to four, adds one more step.
 constexpr milliseconds runTimeLimit{60000}; ///< Time that a target may spend on an item in one run.
+constexpr std::size_t maxOutputBytes = std::size_t{1} << 20U; ///< Maximum output of an item; the store takes no larger values.
+constexpr std::size_t maxDrainedBytes = std::size_t{64} << 10U; ///< A longer rest of an answer costs more than a new connection.
 constexpr int runTimeSamples = 8; ///< Weight of the former average of the run time, plus one for the new sample.
 constexpr int statusUnprocessable = 422; ///< HTTP status by which a target says that the item can never be done.
 constexpr std::size_t avoidedTargets = 2; ///< Number of most recently failed targets that an item avoids.
@@ -32,8 +34,14 @@
 asio::awaitable<Result<Done>> readOutput(ItemRun &run, HttpExchange &exchange)
 {
     run.splitter.partial.clear();
+    TimePoint progressAt = BootClock::now(); // Only events are progress: a stalled target may still send a byte now and then.
     for (;;) {
-        auto piece = co_await httpRead(exchange, gapTimeout);
+        const auto left = gapTimeout - std::chrono::duration_cast<milliseconds>(BootClock::now() - progressAt);
+        if (left.count() <= 0 || run.text.size() > maxOutputBytes) {
+            httpAbort(exchange);
+            co_return makeError(ErrorCode::IdleTimeout, "no event in time, or the output exceeds the size limit", RunState::Maybe);
+        }
+        auto piece = co_await httpRead(exchange, left);
         if (run.yielded || run.cancelled) {
             co_return interruptedError(run);
         }
@@ -51,6 +59,7 @@
             run.text += run.events > 0 ? "\n" : "";
             run.text += event.data;
             ++run.events;
+            progressAt = BootClock::now();
         }
     }
     if (!isAtEventBoundary(run.splitter) || run.events == 0) {
@@ -71,15 +80,18 @@
     return call;
 }
 
-/** Reads and discards the rest of an answer, so that its connection can be reused. */
+/** Reads and discards the rest of an answer, so that its connection can be reused; closes the connection when the answer is long. */
 asio::awaitable<void> drainResponse(HttpExchange &exchange)
 {
-    for (;;) {
+    std::size_t bytes = 0;
+    while (bytes <= maxDrainedBytes) {
         auto piece = co_await httpRead(exchange, gapTimeout);
         if (!isOk(piece) || !valueOf(piece)) {
             co_return;
         }
+        bytes += valueOf(piece)->size();
     }
+    httpAbort(exchange);
 }
 
 /** Sends the item and reads the output. */
--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -254,6 +254,7 @@
             continue;
         }
         KnownJob &known = found->second;
+        const bool news = revision > std::max(known.announcedRevision, known.revision);
         known.announcedRevision = std::max(known.announcedRevision, revision);
         if (known.record.owner == status.session) {
             known.ownerAnnouncedAt = now;
@@ -265,7 +266,9 @@
             known.fetching = true;
             asio::co_spawn(registry->executor, fetchAnnounced(registry, job), asio::detached);
         }
-        wakeWaitingReads(*registry);
+        if (news) {
+            wakeWaitingReads(*registry);
+        }
     }
 }
 
--- a/src/proxy/event_splitter.cpp
+++ b/src/proxy/event_splitter.cpp
@@ -65,11 +65,16 @@
     std::vector<StreamEvent> events;
     for (std::size_t length = eventLength(splitter.partial); length > 0; length = eventLength(splitter.partial)) {
         StreamEvent event = parseEvent(splitter.partial.substr(0, length));
+        const bool gap = event.id > splitter.lastId + 1;
+        if (gap && !events.empty()) {
+            // The events before the gap are valid; the next call reports the gap.
+            return events;
+        }
         splitter.partial.erase(0, length);
         if (event.id != 0 && event.id <= splitter.lastId) {
             continue;
         }
-        if (event.id != 0 && event.id != splitter.lastId + 1) {
+        if (gap) {
             return makeError(
                 ErrorCode::ProtocolError, "received event " + std::to_string(event.id) + " after event " + std::to_string(splitter.lastId), RunState::Maybe);
         }
--- a/src/proxy/event_splitter_base.h
+++ b/src/proxy/event_splitter_base.h
@@ -28,8 +28,8 @@
 
 /**
  * Parses the next bytes of the body.
- * @return The events that were completed by @p bytes, without those whose identifier is not above lastId. ProtocolError when an identifier is skipped, or
- * when the incomplete event exceeds maxEventBytes.
+ * @return The events that were completed by @p bytes, without those whose identifier is not above lastId, up to the first skipped identifier.
+ * ProtocolError when the first of them skips an identifier, or when the incomplete event exceeds maxEventBytes.
  */
 [[nodiscard]] Result<std::vector<StreamEvent>> splitEvents(EventSplitter &splitter, std::string_view bytes);
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds maxFirstAnswerWait{1200};
 /** Gap within a resumable stream after which another target continues it; a step of a target takes a few milliseconds. */
 constexpr milliseconds maxEventGap{700};
+constexpr std::size_t maxAnswerBytes = std::size_t{16} << 20U; ///< Maximum size of an answer that is not a stream; bounds the memory that a target can take.
+constexpr std::size_t maxRefusalBytes = std::size_t{64} << 10U; ///< Maximum size of the body of an answer that says that the request did not run.
 
 /** @return Whether an answer belongs to @p call. An answer that names no request is accepted only without a signature. */
 bool isAnswerTo(const AnswerHead &answerHead, const ProxyCall &call)
@@ -22,8 +24,8 @@
     return answerHead.requestId.empty() ? !answerHead.signedByTarget : answerHead.requestId == call.id.value;
 }
 
-/** Reads the rest of a body. Each read is bounded by the time left until the request's deadline. */
-asio::awaitable<Result<std::string>> readBody(Forwarding &forwarding, HttpExchange &exchange)
+/** Reads the rest of a body. Each read is bounded by the time left until the request's deadline. @return ProtocolError if it exceeds @p maxBytes. */
+asio::awaitable<Result<std::string>> readBody(Forwarding &forwarding, HttpExchange &exchange, std::size_t maxBytes)
 {
     std::string body;
     for (;;) {
@@ -35,6 +37,10 @@
             co_return body;
         }
         body += *valueOf(piece);
+        if (body.size() > maxBytes || timeLeft(forwarding).count() <= 0) {
+            httpAbort(exchange);
+            co_return makeError(ErrorCode::ProtocolError, "answer exceeds the size limit or the deadline", RunState::Maybe);
+        }
     }
 }
 
@@ -54,7 +60,7 @@
     HttpResponse answer;
     answer.status = exchange.status;
     answer.headers = endToEndHeaders(exchange.headers);
-    auto body = co_await readBody(forwarding, exchange);
+    auto body = co_await readBody(forwarding, exchange, maxAnswerBytes);
     if (!isOk(body)) {
         co_return failedAttempt(forwarding, errorOf(body));
     }
@@ -94,10 +100,10 @@
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
 
-/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and the request may be sent to another target. */
+/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and the request may be sent to another target; at most 0 when it is over. */
 milliseconds readTimeout(const Forwarding &forwarding, milliseconds maxWait)
 {
-    const milliseconds left = std::max(milliseconds(1), timeLeft(forwarding));
+    const milliseconds left = timeLeft(forwarding);
     const bool retryAllowed = isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts;
     return retryAllowed ? std::min(left, maxWait) : left;
 }
@@ -107,8 +113,14 @@
 {
     forwarding.splitter.partial.clear();
     bool anyEvent = false;
+    TimePoint progressAt = BootClock::now(); // Only events are progress: a stalled target may still send a byte now and then.
     for (;;) {
-        auto piece = co_await httpRead(exchange, readTimeout(forwarding, anyEvent ? maxEventGap : maxFirstAnswerWait));
+        const milliseconds timeout = readTimeout(forwarding, (anyEvent ? maxEventGap : maxFirstAnswerWait) - elapsedSince(progressAt));
+        if (timeout.count() <= 0) {
+            httpAbort(exchange);
+            co_return failedAttempt(forwarding, makeError(ErrorCode::IdleTimeout, "bytes, but no event in time", RunState::Maybe));
+        }
+        auto piece = co_await httpRead(exchange, timeout);
         if (!isOk(piece)) {
             co_return failedAttempt(forwarding, errorOf(piece));
         }
@@ -123,6 +135,7 @@
         if (valueOf(events).empty()) {
             continue;
         }
+        progressAt = BootClock::now();
         const auto sent = co_await sendStreamEvents(forwarding, exchange, std::move(valueOf(events)));
         if (!isOk(sent)) {
             co_return Attempt{AttemptEnd::CallerGone, makeError(ErrorCode::CallerGone, "caller closed the connection while events were sent"), {}};
@@ -156,7 +169,7 @@
     HttpExchange &exchange = valueOf(opened);
     const AnswerHead answerHead = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
     if (answerHead.notRun) {
-        auto rest = co_await readBody(forwarding, exchange);
+        auto rest = co_await readBody(forwarding, exchange, maxRefusalBytes);
         const std::string detail = std::to_string(exchange.status) + (isOk(rest) ? "" : ", reading the body failed");
         co_return failedAttempt(forwarding, makeError(ErrorCode::TargetOverloaded, detail, RunState::No));
     }
--- a/standins/platform/store.cpp
+++ b/standins/platform/store.cpp
@@ -156,7 +156,8 @@
 {
     json::array entries;
     bool more = false;
-    for (auto entry = store.keys.upper_bound(std::max(prefix, after)); entry != store.keys.end() && entry->first.starts_with(prefix); ++entry) {
+    const auto first = after < prefix ? store.keys.lower_bound(prefix) : store.keys.upper_bound(after);
+    for (auto entry = first; entry != store.keys.end() && entry->first.starts_with(prefix); ++entry) {
         if (entries.size() >= limit) {
             more = true;
             break;
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -47,6 +47,30 @@
     return "id: " + std::to_string(number) + "\ndata: " + eventData(id, number) + "\n\n";
 }
 
+/** Sends one byte of an event now and then until the caller closes the connection. */
+asio::awaitable<void> sendBytesSlowly(HttpResponder &responder, std::shared_ptr<ReplicaRun> run)
+{
+    constexpr std::chrono::milliseconds interval{50};
+    while (!run->callerClosed) {
+        co_await sleepFor(interval);
+        const auto sent = co_await writeChunk(responder, ":");
+        run->callerClosed = run->callerClosed || !isOk(sent);
+    }
+}
+
+/** Sends filler until the caller closes the connection. */
+asio::awaitable<void> sendFiller(HttpResponder &responder, ReplicaPlan plan, std::shared_ptr<ReplicaRun> run)
+{
+    constexpr std::size_t pieceBytes = 65536;
+    HttpHeaders headers = responseHeaders(plan, run->id);
+    co_await startStream(responder, plan.status, std::move(headers));
+    while (!run->callerClosed) {
+        const auto sent = co_await writeChunk(responder, std::string(pieceBytes, 'x'));
+        run->fillerBytes += pieceBytes;
+        run->callerClosed = run->callerClosed || !isOk(sent);
+    }
+}
+
 /** Streams the events that follow the last one that the request names. */
 asio::awaitable<void> sendEvents(HttpResponder &responder, ReplicaPlan plan, std::shared_ptr<ReplicaRun> run)
 {
@@ -70,6 +94,10 @@
             co_return;
         }
         ++run->events;
+        if (plan.stallAfter == number) {
+            co_await sendBytesSlowly(responder, run);
+            co_return;
+        }
         if (plan.breakAfter == number) {
             if (plan.breakInsideEvent) {
                 co_await writeChunk(responder, rawEvent(run->id, number + 1).substr(0, 9));
@@ -125,7 +153,9 @@
     });
     co_await sleepFor(plan.firstDelay);
     if (!run->callerClosed) {
-        if (plan.stream && plan.status == 200) {
+        if (plan.endless) {
+            co_await sendFiller(responder, plan, run);
+        } else if (plan.stream && plan.status == 200) {
             co_await sendEvents(responder, plan, run);
         } else {
             co_await sendWhole(responder, plan, run);
--- a/standins/replica_base.h
+++ b/standins/replica_base.h
@@ -20,6 +20,8 @@
     std::chrono::milliseconds firstDelay{0}; ///< Delay before the response begins.
     unsigned breakAfter{0}; ///< Number of the event after which the connection is closed; 0 for never. A whole response is not sent at all.
     bool breakInsideEvent{false}; ///< Whether the first bytes of the next event are sent before the connection is closed.
+    unsigned stallAfter{0}; ///< Number of the event after which only a byte comes now and then, until the caller closes; 0 for never.
+    bool endless{false}; ///< Whether a body of filler without end follows the head, until the caller closes.
     bool wrongId{false}; ///< Whether the response carries another request's id.
     bool omitsSignature{false}; ///< Whether the signature header is left out.
     bool repeatsEvent{false}; ///< Whether event 3 is sent twice.
@@ -36,6 +38,7 @@
     std::uint64_t lastEventId{0}; ///< Value of the Last-Event-Id header: the stream resumes after this event; 0 without it.
     std::uint64_t budgetMs{0}; ///< Value of the deadline header: time in milliseconds that the caller still waits.
     unsigned events{0}; ///< Number of events sent.
+    std::size_t fillerBytes{0}; ///< Bytes sent of a body without end.
     bool finished{false}; ///< Whether the response was sent completely.
     bool callerClosed{false}; ///< Whether the caller closed the connection before the response was complete.
 };
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -1,4 +1,5 @@
 /** @file test_fleet.cpp Route matching, load tracker, key mirror, fleet controller and host entries. */
+#include "core/hash_func.h"
 #include "documents_func.h"
 #include "fleet/fleet_controller_func.h"
 #include "fleet/host_entry_func.h"
@@ -406,3 +407,71 @@
     CHECK_FALSE(isOk(decodeHostEntry("hosts/h", "[]")));
     CHECK_FALSE(isOk(decodeHostEntry("hosts/h", R"({"session":"s","address":"a","port":70000})")));
 }
+
+// Guards against watch calls of each of hundreds of hosts for each change of the target list, and against leaving targets that are noticed too late.
+TEST_CASE("targetWatchIntervalFor_largeFleet_isHalfOfTheDrainLimit", "[fleet]")
+{
+    FleetOptions options;
+    options.drainLimit = 4000ms;
+    CHECK(targetWatchIntervalFor(options, 250) == 2000ms);
+    CHECK(targetWatchIntervalFor(options, 7) == 700ms);
+    options.drainLimit = 1000ms;
+    CHECK(targetWatchIntervalFor(options, 250) == 700ms);
+}
+
+// Guards against load that is counted for ever, or not at all, where hosts of other failure domains send their status every few seconds.
+TEST_CASE("loadTracker_otherDomain_countsUntilItsOwnExpiry", "[load]")
+{
+    LoadTracker tracker;
+    tracker.domain.value = "north";
+    tracker.otherDomainExpiry = 6s;
+    const TimePoint now = BootClock::now();
+    HostStatus status;
+    status.sequence = 1;
+    status.onlineInFlight = {{TargetId{"t"}, 3}};
+    status.host.value = "near";
+    status.domain.value = "north";
+    CHECK(applyStatus(tracker, status, now));
+    status.host.value = "far";
+    status.domain.value = "south";
+    CHECK(applyStatus(tracker, status, now));
+    CHECK(countsOf(tracker, TargetId{"t"}, now + 1s).online == 6);
+    CHECK(countsOf(tracker, TargetId{"t"}, now + 2s).online == 3);
+    CHECK(countsOf(tracker, TargetId{"t"}, now + 7s).online == 0);
+    dropPeer(tracker, HostId{"far"});
+    CHECK(tracker.peerTotals.empty());
+}
+
+// Property: the totals by target are the sums of what the peers announced last, whatever arrives, expires or is forgotten.
+TEST_CASE("loadTracker_randomStatuses_totalsEqualTheSums", "[load]")
+{
+    std::uint64_t random = 23;
+    LoadTracker tracker;
+    TimePoint now = BootClock::now();
+    for (unsigned round = 0; round < 5000; ++round) {
+        now += std::chrono::milliseconds(nextRandom(random) % 100);
+        HostStatus status;
+        status.host.value = "h" + std::to_string(nextRandom(random) % 9);
+        status.sequence = round + 1;
+        for (unsigned target = 0; target < 4; ++target) {
+            status.onlineInFlight.emplace_back(TargetId{"t" + std::to_string(target)}, static_cast<unsigned>(nextRandom(random) % 5));
+            status.batchInFlight.emplace_back(TargetId{"t" + std::to_string(target)}, static_cast<unsigned>(nextRandom(random) % 5));
+        }
+        applyStatus(tracker, status, now);
+        if (nextRandom(random) % 16 == 0) {
+            dropPeer(tracker, HostId{"h" + std::to_string(nextRandom(random) % 9)});
+        }
+        const TargetId target{"t1"};
+        TargetCounts sum;
+        for (const auto &[host, peer] : tracker.peers) {
+            const auto found = peer.counts.find(target);
+            if (found != peer.counts.end() && isCurrent(tracker, peer, now)) {
+                sum.online += found->second.online;
+                sum.batch += found->second.batch;
+            }
+        }
+        const TargetCounts counts = countsOf(tracker, target, now);
+        REQUIRE(counts.online == sum.online);
+        REQUIRE(counts.batch == sum.batch);
+    }
+}
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -349,6 +349,79 @@
     CHECK(answer.status == 400);
 }
 
+// Guards against stalled streams that never end because a byte still comes now and then.
+TEST_CASE_METHOD(ForwardFixture, "forward_streamStallsButSendsBytes_isContinuedElsewhere")
+{
+    this->setPlans({.events = 10, .stallAfter = 3}, {.events = 10});
+    const TimePoint begun = BootClock::now();
+    const HttpResponse answer = this->host.send(EntryTestHost::request("r1", "/chat/r1", 5s));
+    CHECK(answer.status == 200);
+    CHECK(answer.body.find(eventData("r1", 10)) != std::string::npos);
+    CHECK(BootClock::now() - begun < 2s);
+    CHECK(this->runsOf("r1") == 2);
+}
+
+// Guards against slow but sound streams that are cut: each event comes within the accepted pause.
+TEST_CASE_METHOD(ForwardFixture, "forward_slowButSteadyStream_isNotCut")
+{
+    this->routeNamed("chat").timeout = 6s;
+    this->host.publish({SessionId{"session-front-1"}});
+    this->setPlans({.events = 5, .step = 500ms}, {.events = 5});
+    const HttpResponse answer = this->host.send(EntryTestHost::request("r1", "/chat/r1", 6s));
+    CHECK(answer.status == 200);
+    CHECK(answer.body.find(eventData("r1", 5)) != std::string::npos);
+    CHECK(this->runsOf("r1") == 1);
+}
+
+// Guards against bodies without end that fill the host's memory or keep it busy until the caller gives up.
+TEST_CASE_METHOD(ForwardFixture, "forward_bodyWithoutEnd_endsWithinBounds")
+{
+    constexpr std::size_t mostBytes = std::size_t{32} << 20U;
+    ReplicaPlan plan{.endless = true};
+    std::string path = "/order/r1";
+    int expected = 502;
+    SECTION("whole answer")
+    {
+        plan.stream = false;
+    }
+    SECTION("stream")
+    {
+        path = "/once/r1";
+    }
+    SECTION("answer that says that the request did not run")
+    {
+        plan.stream = false;
+        plan.headers = {{std::string(platform::headerNotExecuted), "1"}};
+        expected = 503;
+    }
+    this->setPlans(plan, plan);
+    const TimePoint begun = BootClock::now();
+    const HttpResponse answer = this->host.send(EntryTestHost::request("r1", path, 3s));
+    CHECK(answer.status == expected);
+    CHECK(BootClock::now() - begun < 3s);
+    this->runFor(100ms);
+    for (const auto &replica : this->replicas) {
+        for (const auto &run : replica->runs) {
+            CHECK(run->callerClosed);
+            CHECK(run->fillerBytes < mostBytes);
+        }
+    }
+}
+
+// Guards against events that are lost because a later one in the same piece is missing.
+TEST_CASE("eventSplitter_gapInTheSamePiece_keepsTheEventsBeforeIt", "[events]")
+{
+    EventSplitter splitter;
+    const auto events = splitEvents(splitter, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n");
+    REQUIRE(isOk(events));
+    REQUIRE(valueOf(events).size() == 1);
+    CHECK(valueOf(events)[0].data == "a");
+    CHECK(splitter.lastId == 1);
+    CHECK_FALSE(isAtEventBoundary(splitter));
+    CHECK_FALSE(isOk(splitEvents(splitter, "")));
+    CHECK(splitter.lastId == 1);
+}
+
 TEST_CASE("eventSplitter_bytesSplitAnywhere_givesTheSameEvents", "[events]")
 {
     seedRapidCheck();
--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -622,3 +622,18 @@
     putKey(*this->store, jobResultKey(JobId{"j1"}, 0), "no result");
     CHECK(this->get(*this->b, "/-/lots/j1?after=0").status == 503);
 }
+
+// Guards against items that hang on a target which sends a byte now and then but no event.
+TEST_CASE_METHOD(JobsFixture, "job_targetStallsButSendsBytes_itemIsContinuedElsewhere")
+{
+    const auto stalls = std::make_shared<bool>(true);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [stalls](const HttpRequest & /*request*/, unsigned /*number*/) {
+            return std::exchange(*stalls, false) ? ReplicaPlan{.events = 10, .stallAfter = 3} : ReplicaPlan{.events = 10};
+        };
+    }
+    this->submit(*this->a, "j1", 1);
+    const auto read = this->results(*this->a, "j1", 1, 6s);
+    REQUIRE(read.size() == 1);
+    CHECK(std::string(read.at(0).at("text").get_string()) == wholeText("j1-0", 10));
+}
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -156,6 +156,20 @@
     CHECK(sent.target == "/a/b?c=d");
 }
 
+// Guards against a number with trailing text that is read as the number in front of it.
+TEST_CASE("call_numberHeaderWithTrailingText_isIgnored", "[calls]")
+{
+    const CallWire wire = platform::makeCallWire();
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b";
+    request.headers = {{"Host", "h.example"}, {"X-Skylarkstage-Request-Id", "q1"}, {"X-Skylarkstage-Deadline-Ms", "5000abc"}, {"Last-Event-Id", "12 "}};
+    auto decoded = wire.decode(request);
+    REQUIRE(isOk(decoded));
+    CHECK_FALSE(std::get<ProxyCall>(valueOf(decoded)).callerTimeout);
+    CHECK(std::get<ProxyCall>(valueOf(decoded)).lastEventId == 0);
+}
+
 TEST_CASE("answerHead_fromATarget_statesWhetherTheRequestRan", "[calls]")
 {
     const CallWire wire = platform::makeCallWire();
