--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -59,7 +59,7 @@
 {
     constexpr milliseconds perHost{50};
     constexpr milliseconds least{1000};
-    constexpr milliseconds most{3000};
+    constexpr milliseconds most{5000};
     return std::clamp(perHost * static_cast<int>(hosts), least, most);
 }
 
@@ -209,6 +209,8 @@
     options.domain = host.settings.domain;
     options.endpoint = host.settings.peers;
     options.drainLimit = host.settings.drainLimit;
+    options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
+    options.leaseRenewal = options.leaseTtl / 3;
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
     host.fleet = FleetController::create(host.control.get_executor(), store, host.adapters.fleet, options, host.metrics, [&host](SnapshotPtr snapshot) {
         asio::post(host.traffic, [&host, snapshot = std::move(snapshot)] {
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -19,6 +19,8 @@
 
 constexpr milliseconds minStatusInterval{100}; ///< Shortest interval of regular datagrams; short compared with the time of an online request at a target.
 constexpr milliseconds statusIntervalPerPeer{8}; ///< Interval added for each recipient, so that the bytes that a host sends per second stay bounded.
+constexpr milliseconds otherDomainIntervalPerPeer{12}; ///< The same for recipients in other failure domains; bytes between failure domains cost more.
+constexpr std::size_t maxEarlyRecipients = 64; ///< Up to this many hosts of the own failure domain learn of each placement at once.
 constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
 constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
@@ -90,6 +92,12 @@
     return std::max(minStatusInterval, statusIntervalPerPeer * static_cast<int>(hosts));
 }
 
+/** @return Interval of datagrams to other failure domains. */
+milliseconds otherDomainIntervalFor(std::size_t peers)
+{
+    return peers <= smallFleetPeers ? minStatusInterval : otherDomainIntervalPerPeer * static_cast<int>(peers);
+}
+
 /** @return Number of peers in the failure domain of this host. */
 std::size_t countOwnDomainPeers(const PeerLink::Impl &link)
 {
@@ -101,7 +109,7 @@
 /** @return Recipients of the next datagram: all peers in a small fleet; in a large one those of the own failure domain, and others at a longer interval. */
 std::vector<Endpoint> nextRecipients(PeerLink::Impl &link, TimePoint now)
 {
-    const bool includeOtherDomains = link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= statusIntervalFor(link.peers.size());
+    const bool includeOtherDomains = link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= otherDomainIntervalFor(link.peers.size());
     link.otherDomainsSentAt = includeOtherDomains ? now : link.otherDomainsSentAt;
     std::vector<Endpoint> endpoints;
     for (const auto &[host, peer] : link.peers) {
@@ -117,7 +125,7 @@
 {
     constexpr int intervalsToExpiry = 3; // Two datagrams in a row may be lost.
     LoadTracker &tracker = link.proxy->loadTracker;
-    const milliseconds interval = link.peers.size() <= smallFleetPeers ? minStatusInterval : statusIntervalFor(link.peers.size());
+    const milliseconds interval = otherDomainIntervalFor(link.peers.size());
     tracker.otherDomainInterval = interval + transitTime;
     tracker.otherDomainExpiry = std::max(tracker.peerExpiry, intervalsToExpiry * interval);
 }
@@ -285,8 +293,9 @@
 
 void announceLoadChange(PeerLink &link, LoadChange change)
 {
-    // A datagram to each peer for each request is affordable in a small fleet only. A large fleet learns of taken free slots at the regular interval.
-    if (change == LoadChange::SlotNeeded || link.impl->peers.size() <= smallFleetPeers) {
+    // Hosts that choose targets by counts older than the gap between two requests choose the same ones; a datagram to each host is affordable up to a limit.
+    const bool affordable = link.impl->peers.size() <= smallFleetPeers || countOwnDomainPeers(*link.impl) <= maxEarlyRecipients;
+    if (change == LoadChange::SlotNeeded || affordable) {
         scheduleEarlyStatus(link);
     }
 }
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -20,7 +20,7 @@
 
 constexpr milliseconds roundInterval{25}; ///< Time between two rounds of the loop; a target makes several steps in it.
 constexpr unsigned roundsPerClaimCheck = 10; ///< Claims and removals are checked once in so many rounds.
-constexpr milliseconds checkpointInterval{2000}; ///< Least time between two checkpoints of a job; at most half of an item's run time is lost with its host.
+constexpr milliseconds checkpointInterval{4000}; ///< Least time between two checkpoints of a job; about half of an item's run time is lost with its host.
 constexpr std::uint64_t minNewEvents = 20; ///< Up to so many new events are not worth the write of a checkpoint.
 
 /** Fails the unfinished items of a job whose retention is over or whose route was removed or is no batch route any more. */
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -28,15 +28,15 @@
     }
 }
 
-/** Replaces the contents of the mirror by a linearizable read of the whole prefix. */
-asio::awaitable<Result<Done>> readFullPrefix(std::shared_ptr<KeyMirror> mirror)
+/** Replaces the contents of the mirror by a read of the whole prefix. */
+asio::awaitable<Result<Done>> readFullPrefix(std::shared_ptr<KeyMirror> mirror, KvFreshness freshness)
 {
     const TimePoint startedAt = BootClock::now();
-    auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, KvFreshness::Linearizable);
+    auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, freshness);
     if (!isOk(page)) {
         co_return errorOf(page);
     }
-    mirror->confirmedAt = startedAt;
+    mirror->confirmedAt = freshness == KvFreshness::Linearizable ? startedAt : mirror->confirmedAt;
     mirror->synced = true;
     notifyUpdate(mirror, replaceItems(*mirror, std::move(valueOf(page).items), valueOf(page).storeRevision));
     co_return Done{};
@@ -189,7 +189,7 @@
         }
         notifyUpdate(mirror, applyNewerItems(*mirror, valueOf(page)));
         if (hasMissedRemoval(*mirror, valueOf(page))) {
-            co_await readFullPrefix(mirror);
+            co_await readFullPrefix(mirror, KvFreshness::Linearizable);
         }
     }
 }
@@ -201,7 +201,8 @@
         const TimePoint startedAt = BootClock::now();
         Result<Done> outcome = Done{};
         if (mirror->revision == 0) {
-            outcome = co_await readFullPrefix(mirror);
+            // Without a watch the mirror follows the service by stale reads anyway.
+            outcome = co_await readFullPrefix(mirror, mirror->options.watchEnabled ? KvFreshness::Linearizable : KvFreshness::Stale);
         } else {
             outcome = co_await watchOnce(mirror);
         }
