Fix: An exception in one handler ended the whole process

An event loop of skylark-host that met an exception ended the process with the requests of all its callers. runEventLoop() logs it as unexpected_error and goes on. Test: runEventLoop_handlerThrows_otherHandlersStillRun.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -3,6 +3,7 @@
 
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
+#include "core/event_loop_func.h"
 #include "core/hash_func.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
@@ -356,9 +357,9 @@
     startFleetController(host);
     std::thread controlThread([&host] {
         const auto guard = asio::make_work_guard(host.control);
-        host.control.run();
+        runEventLoop(host.control, "control");
     });
-    host.traffic.run();
+    runEventLoop(host.traffic, "traffic");
     exitProcess(EXIT_SUCCESS);
 }
 
--- a/src/entry/storage_host.cpp
+++ b/src/entry/storage_host.cpp
@@ -3,6 +3,7 @@
 
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
+#include "core/event_loop_func.h"
 #include "core/hash_func.h"
 #include "store/key_mirror_func.h"
 
@@ -61,7 +62,7 @@
     });
     // SIGHUP reloads nothing: only the store's address and the limits may change, and they take effect on a restart.
     std::signal(SIGHUP, SIG_IGN);
-    loop.run();
+    runEventLoop(loop, "storage");
     logEvent(EventKind::Stopped, {}, {{"active", 0}, {"waited_ms", 0}});
     closeEventLog(logFlushTimeout);
     std::_Exit(EXIT_SUCCESS);
--- a/src/job/job_peer.cpp
+++ b/src/job/job_peer.cpp
@@ -39,8 +39,8 @@
         }
         results.push_back(boost::json::string(encodeJobResult(result->second)));
     }
-    return boost::json::serialize(boost::json::object{
-        {"revision", known.revision}, {"record", encodeStoredJob(known.record)}, {"first", after}, {"results", std::move(results)}});
+    return boost::json::serialize(
+        boost::json::object{{"revision", known.revision}, {"record", encodeStoredJob(known.record)}, {"first", after}, {"results", std::move(results)}});
 }
 
 Result<Done> applyOwnedJob(const std::shared_ptr<JobRegistry> &registry, const JobId &job, std::string_view document, TimePoint askedAt)
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -76,7 +76,8 @@
     TimePoint waitingSince{}; ///< Since when items of this host have waited for a slot without interruption; valid while any wait.
     std::map<TargetId, UnclaimedSlots> unclaimed; ///< Targets that had free slots at the last look.
     std::set<JobId> claimsAndRemovals; ///< Jobs for which a claim or a removal by this host is in progress.
-    std::chrono::milliseconds closedRetention{150000}; ///< Age since acceptance at which a closed job may be removed; readers may ask for its results for 120 s.
+    std::chrono::milliseconds closedRetention{
+        150000}; ///< Age since acceptance at which a closed job may be removed; readers may ask for its results for 120 s.
     std::chrono::milliseconds closedReadTime{30000}; ///< Time for which a closed job is kept at least, so that its readers get the last results.
     bool startsItems{true}; ///< Whether items may be started and jobs claimed; false once the host hands over its jobs.
     bool stopped{false}; ///< Ends the loop at its next round.
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -100,7 +100,8 @@
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
 
-/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and the request may be sent to another target; at most 0 when it is over. */
+/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and the request may be sent to another target; at most 0 when it is over.
+ */
 milliseconds readTimeout(const Forwarding &forwarding, milliseconds maxWait)
 {
     const milliseconds left = timeLeft(forwarding);
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -72,10 +72,7 @@
  * @param tried Targets on which the request has failed.
  * @param domain Failure domain of this host.
  */
-[[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy,
-                                                         const ServiceId &service,
-                                                         const std::vector<TargetId> &tried,
-                                                         const DomainId &domain);
+[[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
 
 /** @return Whether the host can serve callers: it has a configuration and a list of targets, and is not shutting down. */
 [[nodiscard]] bool isReady(const Proxy &proxy);
--- a/tests/test_event_log.cpp
+++ b/tests/test_event_log.cpp
@@ -1,8 +1,10 @@
 /** @file test_event_log.cpp Structured log: bounded buffer, escaping and sampling; explain(): lines and cause of a request. */
 #include "core/clock_func.h"
+#include "core/event_loop_func.h"
 #include "core/table/event_table.h"
 #include "explain/explain_func.h"
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <fstream>
@@ -180,3 +182,18 @@
         CHECK(page.find("| `" + std::string(info.name) + "` |") != std::string::npos);
     }
 }
+
+// Guards against a process that ends, with the requests of all callers, because one handler met an error that it did not expect.
+TEST_CASE("runEventLoop_handlerThrows_otherHandlersStillRun", "[loop]")
+{
+    boost::asio::io_context loop;
+    unsigned handled = 0;
+    boost::asio::post(loop, [] {
+        throw std::runtime_error("malformed");
+    });
+    boost::asio::post(loop, [&handled] {
+        ++handled;
+    });
+    CHECK(runEventLoop(loop, "test") == 1);
+    CHECK(handled == 1);
+}
