--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -3,9 +3,11 @@
 
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
+#include "core/event_loop_func.h"
 #include "core/hash_func.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
+#include "job/job_peer_func.h"
 #include "job/job_runner_func.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -58,7 +60,7 @@
 {
     constexpr milliseconds perHost{50};
     constexpr milliseconds least{1000};
-    constexpr milliseconds most{3000};
+    constexpr milliseconds most{5000};
     return std::clamp(perHost * static_cast<int>(hosts), least, most);
 }
 
@@ -175,6 +177,9 @@
     options.completeStatus = [&host](HostStatus &status) {
         status.jobRevisions = jobRevisionsToAnnounce(*host.jobs);
     };
+    options.ownedJob = [&host](const JobId &job, std::uint64_t after) {
+        return encodeOwnedJob(*host.jobs, job, after);
+    };
     options.onNewerConfig = [&host](Revision version, const Endpoint &peer) {
         asio::post(host.control, [&host, version, peer] {
             pullNewerConfig(*host.fleet, version, peer);
@@ -185,6 +190,9 @@
         return errorOf(peers);
     }
     host.peers = std::move(valueOf(peers));
+    host.jobs->readFromHost = [link = host.peers->impl](HostId peer, JobId job, std::uint64_t after) {
+        return readJobAtPeer(link, std::move(peer), std::move(job), after);
+    };
     host.proxy->onLoadChange = [&host](LoadChange change) {
         announceLoadChange(*host.peers, change);
         if (host.runner) {
@@ -201,6 +209,9 @@
     options.session = host.session;
     options.domain = host.settings.domain;
     options.endpoint = host.settings.peers;
+    options.drainLimit = host.settings.drainLimit;
+    options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
+    options.leaseRenewal = options.leaseTtl / 3;
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
     host.fleet = FleetController::create(host.control.get_executor(), store, host.adapters.fleet, options, host.metrics, [&host](SnapshotPtr snapshot) {
         asio::post(host.traffic, [&host, snapshot = std::move(snapshot)] {
@@ -331,6 +342,7 @@
     host.proxy->metrics = host.metrics;
     host.proxy->fleet = std::make_shared<const FleetSnapshot>();
     host.proxy->random = hash64(host.session.value);
+    host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
     for (const auto &opened : {openPeerLink(host), openServers(host)}) {
@@ -345,9 +357,9 @@
     startFleetController(host);
     std::thread controlThread([&host] {
         const auto guard = asio::make_work_guard(host.control);
-        host.control.run();
+        runEventLoop(host.control, "control");
     });
-    host.traffic.run();
+    runEventLoop(host.traffic, "traffic");
     exitProcess(EXIT_SUCCESS);
 }
 
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -6,6 +6,9 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cctype>
+#include <charconv>
 
 namespace skylark {
 
@@ -16,10 +19,17 @@
 
 constexpr milliseconds minStatusInterval{100}; ///< Shortest interval of regular datagrams; short compared with the time of an online request at a target.
 constexpr milliseconds statusIntervalPerPeer{8}; ///< Interval added for each recipient, so that the bytes that a host sends per second stay bounded.
+constexpr milliseconds otherDomainIntervalPerPeer{12}; ///< The same for recipients in other failure domains; bytes between failure domains cost more.
+constexpr std::size_t maxEarlyRecipients = 64; ///< Up to this many hosts of the own failure domain learn of each placement at once.
 constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
+constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
 constexpr milliseconds peerRemovalDelay{5000}; ///< A peer that has been neither registered nor heard from for this long is removed.
 
+constexpr std::string_view peerJobPath = "/peer/job/"; ///< Followed by the job's identifier, a slash, and the number of results that the reader has.
+constexpr milliseconds jobConnectTimeout{200}; ///< Covers several round trips between failure domains; the store is asked when the owner does not answer.
+constexpr milliseconds jobAnswerTimeout{400}; ///< Covers the transfer of the results.
+
 /** Another host that gets status datagrams. */
 struct Peer {
     Endpoint endpoint; ///< Address for status datagrams and configuration pulls.
@@ -65,9 +75,15 @@
         }
         return gone;
     });
-    std::erase_if(link.proxy->loadTracker.peers, [&link, now](const auto &entry) {
-        return !link.peers.contains(entry.first) && now - entry.second.heardAt > peerRemovalDelay;
-    });
+    std::vector<HostId> unknown;
+    for (const auto &[host, peer] : link.proxy->loadTracker.peers) {
+        if (!link.peers.contains(host) && now - peer.heardAt > peerRemovalDelay) {
+            unknown.push_back(host);
+        }
+    }
+    for (const HostId &host : unknown) {
+        dropPeer(link.proxy->loadTracker, host);
+    }
 }
 
 /** @return Interval of regular datagrams to @p hosts recipients. */
@@ -76,6 +92,12 @@
     return std::max(minStatusInterval, statusIntervalPerPeer * static_cast<int>(hosts));
 }
 
+/** @return Interval of datagrams to other failure domains. */
+milliseconds otherDomainIntervalFor(std::size_t peers)
+{
+    return peers <= smallFleetPeers ? minStatusInterval : otherDomainIntervalPerPeer * static_cast<int>(peers);
+}
+
 /** @return Number of peers in the failure domain of this host. */
 std::size_t countOwnDomainPeers(const PeerLink::Impl &link)
 {
@@ -87,7 +109,7 @@
 /** @return Recipients of the next datagram: all peers in a small fleet; in a large one those of the own failure domain, and others at a longer interval. */
 std::vector<Endpoint> nextRecipients(PeerLink::Impl &link, TimePoint now)
 {
-    const bool includeOtherDomains = link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= statusIntervalFor(link.peers.size());
+    const bool includeOtherDomains = link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= otherDomainIntervalFor(link.peers.size());
     link.otherDomainsSentAt = includeOtherDomains ? now : link.otherDomainsSentAt;
     std::vector<Endpoint> endpoints;
     for (const auto &[host, peer] : link.peers) {
@@ -98,6 +120,16 @@
     return endpoints;
 }
 
+/** Tells the load tracker how often other failure domains send their status, and when it expires. */
+void setStatusIntervals(PeerLink::Impl &link)
+{
+    constexpr int intervalsToExpiry = 3; // Two datagrams in a row may be lost.
+    LoadTracker &tracker = link.proxy->loadTracker;
+    const milliseconds interval = otherDomainIntervalFor(link.peers.size());
+    tracker.otherDomainInterval = interval + transitTime;
+    tracker.otherDomainExpiry = std::max(tracker.peerExpiry, intervalsToExpiry * interval);
+}
+
 /** Sends the host's status and schedules the next regular datagram. */
 void sendOwnStatus(const LinkPtr &link)
 {
@@ -144,13 +176,39 @@
     link->options.onStatus(status);
 }
 
-/** @return The configuration document; 404 for another path or when none is known. */
-HttpResponse answerConfigPull(const PeerLink::Impl &link, const HttpRequest &request)
+/** @return Whether @p text can stand in a path without being encoded. Callers choose the identifiers of jobs. */
+bool isPathSegment(std::string_view text)
 {
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_';
+    });
+}
+
+/** @return The document of the job in @p path, of the form JOB/AFTER; empty when this host does not own the job. */
+std::optional<std::string> ownedJobAt(const PeerLink::Impl &link, std::string_view path)
+{
+    const std::size_t slash = path.find('/');
+    const std::string_view number = slash == std::string_view::npos ? std::string_view() : path.substr(slash + 1);
+    std::uint64_t after = 0;
+    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), after);
+    // A host that cannot reach the store may have lost its jobs to others.
+    const bool readable = error == std::errc() && end == number.data() + number.size() && link.proxy->fleet->storeReachable;
+    return readable && link.options.ownedJob ? link.options.ownedJob(JobId{std::string(path.substr(0, slash))}, after) : std::nullopt;
+}
+
+/** @return The configuration document or a job that this host owns; 404 for another path, or when this host has neither. */
+HttpResponse answerPeer(const PeerLink::Impl &link, const HttpRequest &request)
+{
+    const std::string_view path = targetPath(request.target);
+    std::optional<std::string> document;
+    if (path == peerConfigPath && link.proxy->fleet->configDocument) {
+        document = *link.proxy->fleet->configDocument;
+    } else if (path.starts_with(peerJobPath)) {
+        document = ownedJobAt(link, path.substr(peerJobPath.size()));
+    }
     HttpResponse response;
-    const auto &document = link.proxy->fleet->configDocument;
-    response.status = targetPath(request.target) == peerConfigPath && document ? 200 : 404;
-    response.body = response.status == 200 ? *document : std::string();
+    response.status = document ? 200 : 404;
+    response.body = document.value_or(std::string());
     return response;
 }
 
@@ -177,7 +235,7 @@
     serverOptions.listen = impl->options.listen;
     auto server = HttpServer::create(executor, serverOptions, [weak](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
         const auto strong = weak.lock();
-        HttpResponse response = strong ? answerConfigPull(*strong, request) : HttpResponse{.status = 503, .headers = {}, .body = {}};
+        HttpResponse response = strong ? answerPeer(*strong, request) : HttpResponse{.status = 503, .headers = {}, .body = {}};
         co_await sendResponse(responder, std::move(response));
     });
     if (!isOk(server)) {
@@ -197,6 +255,25 @@
     }
 }
 
+asio::awaitable<Result<std::string>> readJobAtPeer(std::shared_ptr<PeerLink::Impl> link, HostId host, JobId job, std::uint64_t after)
+{
+    const auto peer = link->peers.find(host);
+    if (peer == link->peers.end() || !isPathSegment(job.value)) {
+        co_return makeError(ErrorCode::NotFound, "host is unknown, or the identifier does not fit into a path");
+    }
+    HttpRequest request;
+    request.target = std::string(peerJobPath) + job.value + '/' + std::to_string(after);
+    const HttpTimeouts timeouts{jobConnectTimeout, jobAnswerTimeout, jobAnswerTimeout, jobAnswerTimeout};
+    auto answer = co_await httpCall(link->proxy->http, peer->second.endpoint, std::move(request), timeouts);
+    if (!isOk(answer)) {
+        co_return errorOf(answer);
+    }
+    if (valueOf(answer).status != 200) {
+        co_return makeError(ErrorCode::NotFound, "host does not own the job");
+    }
+    co_return std::move(valueOf(answer).body);
+}
+
 void updatePeers(PeerLink &link)
 {
     for (auto &[host, peer] : link.impl->peers) {
@@ -211,12 +288,14 @@
         found->second.domain = entry.domain;
         found->second.registered = true;
     }
+    setStatusIntervals(*link.impl);
 }
 
 void announceLoadChange(PeerLink &link, LoadChange change)
 {
-    // A datagram to each peer for each request is affordable in a small fleet only. A large fleet learns of taken free slots at the regular interval.
-    if (change == LoadChange::SlotNeeded || link.impl->peers.size() <= smallFleetPeers) {
+    // Hosts that choose targets by counts older than the gap between two requests choose the same ones; a datagram to each host is affordable up to a limit.
+    const bool affordable = link.impl->peers.size() <= smallFleetPeers || countOwnDomainPeers(*link.impl) <= maxEarlyRecipients;
+    if (change == LoadChange::SlotNeeded || affordable) {
         scheduleEarlyStatus(link);
     }
 }
--- a/src/job/job_claims.cpp
+++ b/src/job/job_claims.cpp
@@ -30,7 +30,7 @@
     const std::uint64_t own = rendezvousScore(job.value, runner.host.value);
     unsigned rank = 0;
     for (const auto &[host, peer] : runner.proxy->loadTracker.peers) {
-        const bool live = !peer.leaving && now - peer.heardAt < runner.proxy->loadTracker.peerExpiry;
+        const bool live = !peer.leaving && isCurrent(runner.proxy->loadTracker, peer, now);
         rank += live && rendezvousScore(job.value, host.value) > own ? 1 : 0;
     }
     return rank;
@@ -125,14 +125,13 @@
 
 void removeClosedJobs(const RunnerPtr &runner)
 {
-    const UnixTime wallTime = unixNow();
     const TimePoint now = BootClock::now();
     for (auto &[job, known] : runner->registry->jobs) {
         if (known.revision == 0 || isOpen(known.record)) {
             continue;
         }
         known.items.clear();
-        const bool expired = wallTime > known.record.created + runner->closedRetention;
+        const bool expired = now - known.knownSince > runner->closedRetention && now - known.closedSince > runner->closedReadTime;
         if (expired && mayRemove(*runner, known.record, now) && runner->claimsAndRemovals.insert(job).second) {
             spawnLater(runner, [runner, record = known.record, revision = known.revision] {
                 return removeJob(runner, record, revision);
