--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -52,7 +52,8 @@
 constexpr std::chrono::milliseconds pollIntervalPerHost{50}; ///< The interval grows with the number of hosts, so that together they make 20 polls per second.
 /** The interval between watch calls for the host list grows by this for each host, to batch its changes when all hosts start at once. */
 constexpr std::chrono::milliseconds hostWatchIntervalPerHost{10};
-constexpr std::chrono::milliseconds maxHostWatchInterval{1000}; ///< The other hosts learn of a restarted host within this time; its lease lasts 3 s.
+constexpr std::chrono::milliseconds maxHostWatchInterval{2000}; ///< The other hosts learn of a restarted host within this time; its lease lasts longer.
+constexpr std::chrono::milliseconds storeRetryMax{1000}; ///< Maximum delay between failed calls of a mirror in a small fleet.
 constexpr std::chrono::milliseconds pullConnectTimeout{300}; ///< Covers a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswerTimeout{1000}; ///< Covers the transfer of a document of at most 1 MB.
 
@@ -247,6 +248,9 @@
     impl->config->options.pollInterval = peers.size() >= largeFleetHosts ? configPollIntervalLarge : pollInterval;
     impl->targets->options.pollInterval = pollInterval;
     impl->targets->options.watchInterval = targetWatchIntervalFor(impl->options, peers.size() + 1);
+    for (const auto &mirror : {impl->config, impl->targets, impl->hosts}) {
+        mirror->options.retryMax = storeRetryMaxFor(impl->options, peers.size() + 1);
+    }
     impl->hosts->options.watchInterval = hostWatchIntervalFor(peers.size() + 1);
     impl->state.peers = std::move(peers);
     publish(*impl);
@@ -366,6 +370,11 @@
     return hosts <= largeFleetHosts ? options.targetWatchInterval : std::max(options.targetWatchInterval, options.drainLimit / 2);
 }
 
+std::chrono::milliseconds storeRetryMaxFor(const FleetOptions &options, std::size_t hosts)
+{
+    return hosts <= largeFleetHosts ? storeRetryMax : std::max(storeRetryMax, options.drainLimit * 5 / 8);
+}
+
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer)
 {
     const ImplPtr &impl = controller.impl;
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -475,3 +475,14 @@
         REQUIRE(counts.batch == sum.batch);
     }
 }
+
+// Guards against a stampede at the service: each host retries several mirrors during an outage, and each call is paid for.
+TEST_CASE("storeRetryMaxFor_largeFleet_followsTheDrainLimit", "[fleet]")
+{
+    FleetOptions options;
+    options.drainLimit = 4000ms;
+    CHECK(storeRetryMaxFor(options, 250) == 2500ms);
+    CHECK(storeRetryMaxFor(options, 7) == 1000ms);
+    options.drainLimit = 1000ms;
+    CHECK(storeRetryMaxFor(options, 250) == 1000ms);
+}
