Feature: Failed attempts are logged with the phase of the run and the shared prompt parts

Cause: attempt_failed and item_failed lines could not tell the hypotheses of the incident apart: no line said which requests had only just begun when their target ended, nor what they shared. Change: both lines name the phase of the run (waiting, begun, streaming) and the shared parts of the prompt. No decision changes.

--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -24,6 +24,13 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+std::string hexText(std::uint64_t number)
+{
+    std::array<char, 17> buffer{};
+    const int length = std::snprintf(buffer.data(), buffer.size(), "%llx", static_cast<unsigned long long>(number));
+    return {buffer.data(), static_cast<std::size_t>(length)};
+}
+
 std::string hash128Hex(std::string_view text)
 {
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
--- a/src/core/hash_func.h
+++ b/src/core/hash_func.h
@@ -10,6 +10,9 @@
 /** @return 64-bit hash of @p text, the same on every host (XXH64). */
 [[nodiscard]] std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
+/** @return @p number as hexadecimal digits without leading zeros. */
+[[nodiscard]] std::string hexText(std::uint64_t number);
+
 /** @return 128-bit hash of @p text as 32 hexadecimal digits (XXH3). */
 [[nodiscard]] std::string hash128Hex(std::string_view text);
 
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -59,6 +59,7 @@
             run.text += run.events > 0 ? "\n" : "";
             run.text += event.data;
             ++run.events;
+            ++run.progress.events;
             progressAt = BootClock::now();
         }
     }
@@ -68,9 +69,10 @@
     co_return Done{};
 }
 
-ProxyCall makeItemCall(const KnownJob &known, const JobItem &item)
+ProxyCall makeItemCall(const CallWire &wire, const KnownJob &known, const JobItem &item)
 {
     ProxyCall call;
+    call.prompt = wire.readPromptParts(item.headers);
     call.id.value = item.id;
     call.method = "POST";
     call.target = item.path;
@@ -102,6 +104,7 @@
     HttpRequest request = proxy.wire.encode(call, params);
     const HttpTimeouts timeouts{targetConnectTimeout, sendTimeout, firstAnswerTimeout, gapTimeout};
     run->abort = std::make_shared<HttpAbortHandle>();
+    run->progress = {};
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, ConnectionUse::Pooled, run->abort);
     if (run->yielded || run->cancelled) {
         co_return interruptedError(*run);
@@ -125,6 +128,7 @@
         const ErrorCode code = status == statusUnprocessable ? ErrorCode::TargetRejected : ErrorCode::TargetFailed;
         co_return makeError(code, std::to_string(status), RunState::Maybe);
     }
+    run->progress.answerBegun = true;
     run->reading = &exchange;
     auto outcome = co_await readOutput(*run, exchange);
     run->reading = nullptr;
@@ -185,7 +189,8 @@
         co_return;
     }
     const std::string item = known->second.items[index].id;
-    ProxyCall call = makeItemCall(known->second, known->second.items[index]);
+    ProxyCall call = makeItemCall(runner->proxy->wire, known->second, known->second.items[index]);
+    const PromptParts prompt = call.prompt;
     const Result<Done> outcome = co_await runOnTarget(runner, run, std::move(call), target);
     guard.reset();
     run->abort.reset();
@@ -219,7 +224,9 @@
               {"error", errorInfo(error.code).name},
               {"detail", error.detail},
               {"failures", run->failures},
-              {"events", run->events}});
+              {"events", run->events},
+              {"phase", runPhaseName(phaseOf(run->progress))},
+              {"prompt_parts", promptPartsText(prompt)}});
     if (run->phase == ItemPhase::Finished) {
         logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "failed"}, {"events", run->events}, {"took_ms", took}});
         addCounter(*runner->proxy->metrics, "skylark_items_total", {{"outcome", "failed"}});
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -3,6 +3,7 @@
 
 #include "job/job_runner_func.h"
 #include "policy/batch_slots_func.h"
+#include "policy/run_progress_type.h"
 #include "proxy/event_splitter_base.h"
 
 #include <set>
@@ -26,6 +27,7 @@
     TimePoint notBefore{}; ///< Earliest time of the next run after a failure.
     TimePoint startedAt{}; ///< Start of the present run.
     TargetId target; ///< Target of the present run.
+    RunProgress progress; ///< Progress of the present run.
     std::vector<TargetId> avoided; ///< Targets of the last failed runs; not chosen for the next one.
     std::shared_ptr<HttpAbortHandle> abort; ///< Aborts the opening of the present exchange; null while none is open or being opened.
     HttpExchange *reading{nullptr}; ///< Exchange whose body is being read, or null; owned by the coroutine of the run.
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -6,6 +6,7 @@
 #include "core/result_type.h"
 #include "http/http_type.h"
 #include "job/job_type.h"
+#include "policy/prompt_part_type.h"
 
 #include <chrono>
 #include <cstdint>
@@ -27,6 +28,7 @@
     std::string body; ///< Complete body.
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer; empty when the request does not say.
     std::uint64_t lastEventId{0}; ///< Last event that the caller received; 0 for none.
+    PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
 };
 
 /** Reads the results of a job. */
@@ -68,6 +70,7 @@
 struct CallWire {
     std::function<Result<CallerCall>(HttpRequest request)> decode; ///< Decodes a caller's request; InvalidRequest when it is malformed.
     std::function<HttpRequest(const ProxyCall &call, const TargetRequestParams &params)> encode; ///< Builds the request that is sent to a target.
+    std::function<PromptParts(const HttpHeaders &headers)> readPromptParts; ///< Reads the parts of the prompt; malformed ones are left out.
     std::function<AnswerHead(int status, const HttpHeaders &headers)> readAnswerHead; ///< Parses the status and headers of a target's answer.
     std::function<Result<JobSubmission>(const ProxyCall &call)>
         decodeSubmission; ///< Decodes the items of a batch job; InvalidRequest names the offending item.
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -45,7 +45,9 @@
               {"run", attempt.end == AttemptEnd::NotRun ? "no" : "maybe"},
               {"detail", attempt.error.detail},
               {"ran_ms", elapsedSince(begun).count()},
-              {"events", forwarding.events}});
+              {"events", forwarding.events},
+              {"phase", runPhaseName(phaseOf(forwarding.progress))},
+              {"prompt_parts", promptPartsText(forwarding.call.prompt)}});
 }
 
 /**
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -97,6 +97,7 @@
     }
     forwarding.lastEventAt = now;
     forwarding.events += events.size();
+    forwarding.progress.events += static_cast<unsigned>(events.size());
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
 
@@ -163,6 +164,7 @@
     const HttpTimeouts timeouts{std::min(targetConnectTimeout, params.budget), params.budget, std::max(milliseconds(1), firstAnswerTimeout), params.budget};
     const ConnectionUse use = repeatable ? ConnectionUse::Pooled : ConnectionUse::Fresh;
     forwarding.abort = std::make_shared<HttpAbortHandle>();
+    forwarding.progress = {};
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, use, forwarding.abort);
     if (!isOk(opened)) {
         co_return failedAttempt(forwarding, errorOf(opened));
@@ -178,6 +180,7 @@
         httpAbort(exchange);
         co_return failedAttempt(forwarding, makeError(ErrorCode::ResponseMismatch, answerHead.requestId, RunState::Maybe));
     }
+    forwarding.progress.answerBegun = true;
     forwarding.currentExchange = &exchange;
     const bool stream = forwarding.route->kind == CallKind::Stream && exchange.status == 200;
     // Not a conditional expression: g++ 12 destroys the temporaries of a co_await in one twice.
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -1,6 +1,7 @@
 /** @file forwarding_base.h State of one request that is being forwarded to a target, and the steps of forwarding it. */
 #pragma once
 
+#include "policy/run_progress_type.h"
 #include "proxy/event_splitter_base.h"
 #include "proxy/proxy_base.h"
 
@@ -27,6 +28,7 @@
     std::uint64_t events{0}; ///< Number of events forwarded to the caller.
     TimePoint lastEventAt{}; ///< When the last event was forwarded.
     std::chrono::milliseconds longestGap{0}; ///< Longest time between two writes of events to the caller.
+    RunProgress progress; ///< Progress of the current or most recent attempt.
     bool started{false}; ///< Whether sending the answer to the caller has begun.
     std::optional<TimePoint> firstAt; ///< When the first event or the complete answer was received; empty before.
     std::shared_ptr<HttpAbortHandle> abort; ///< Aborts the exchange that is being opened.
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -74,6 +74,9 @@
  */
 [[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
 
+/** @return Shared parts of @p prompt for a log line: hexadecimal numbers as in the request, separated by commas. */
+[[nodiscard]] std::string promptPartsText(const PromptParts &prompt);
+
 /** @return Whether the host can serve callers: it has a configuration and a list of targets, and is not shutting down. */
 [[nodiscard]] bool isReady(const Proxy &proxy);
 
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -1,4 +1,5 @@
 /** @file target_health.cpp Health of targets as seen by this host, and the candidate targets of a request. */
+#include "core/hash_func.h"
 #include "proxy/proxy_base.h"
 
 #include <algorithm>
@@ -96,6 +97,16 @@
     return candidates;
 }
 
+std::string promptPartsText(const PromptParts &prompt)
+{
+    std::string text;
+    for (const PromptPartId part : prompt.shared) {
+        text += text.empty() ? "" : ",";
+        text += hexText(part.value);
+    }
+    return text;
+}
+
 bool isReady(const Proxy &proxy)
 {
     return !proxy.stopping && proxy.fleet->config && proxy.fleet->targets;
