--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -78,6 +78,10 @@
     co_await startStream(responder, plan.status, std::move(headers));
     for (unsigned number = static_cast<unsigned>(run->lastEventId) + 1; number <= plan.events; ++number) {
         co_await sleepFor(plan.step);
+        if (run->crashed) {
+            abortConnection(responder);
+            co_return;
+        }
         if (run->callerClosed) {
             co_return;
         }
@@ -125,6 +129,15 @@
     run->finished = true;
 }
 
+/** Ends all runs of @p replica; each closes its connection before its next event. */
+void crash(Replica &replica)
+{
+    ++replica.crashes;
+    for (const auto &run : replica.runs) {
+        run->crashed = !run->finished;
+    }
+}
+
 asio::awaitable<void> handle(std::shared_ptr<Replica> replica, HttpRequest request, HttpResponder &responder)
 {
     const std::string id(headerValue(request.headers, headerRequestId));
@@ -152,7 +165,11 @@
         run->callerClosed = true;
     });
     co_await sleepFor(plan.firstDelay);
-    if (!run->callerClosed) {
+    if (!run->callerClosed && plan.crashesAtBegin) {
+        co_await startStream(responder, plan.status, responseHeaders(plan, id));
+        crash(*replica);
+        abortConnection(responder);
+    } else if (!run->callerClosed) {
         if (plan.endless) {
             co_await sendFiller(responder, plan, run);
         } else if (plan.stream && plan.status == 200) {
--- a/standins/replica_base.h
+++ b/standins/replica_base.h
@@ -19,6 +19,7 @@
     std::chrono::milliseconds step{5}; ///< Delay before each event.
     std::chrono::milliseconds firstDelay{0}; ///< Delay before the response begins.
     unsigned breakAfter{0}; ///< Number of the event after which the connection is closed; 0 for never. A whole response is not sent at all.
+    bool crashesAtBegin{false}; ///< Whether the replica closes all of its connections once it has sent the head of the response.
     bool breakInsideEvent{false}; ///< Whether the first bytes of the next event are sent before the connection is closed.
     unsigned stallAfter{0}; ///< Number of the event after which only a byte comes now and then, until the caller closes; 0 for never.
     bool endless{false}; ///< Whether a body of filler without end follows the head, until the caller closes.
@@ -41,6 +42,7 @@
     std::size_t fillerBytes{0}; ///< Bytes sent of a body without end.
     bool finished{false}; ///< Whether the response was sent completely.
     bool callerClosed{false}; ///< Whether the caller closed the connection before the response was complete.
+    bool crashed{false}; ///< Whether the replica crashed during the run.
 };
 
 /** The replica; not thread-safe, used only on the thread of its executor. */
@@ -51,6 +53,7 @@
     unsigned arrivals{0}; ///< Number of requests received, including refused ones.
     unsigned active{0}; ///< Number of requests being executed.
     unsigned mostActive{0}; ///< Highest value of @c active.
+    unsigned crashes{0}; ///< Number of crashes.
     std::unique_ptr<HttpServer> server;
 
     /** Starts a replica on 127.0.0.1. @param port Port; 0 for any free one. @return Null if it cannot listen. */
