Fix: A prompt part that crashes targets is quarantined in the whole fleet

Cause: nothing was learned from the end of a target. Each request was sent again on another target, and the next one with the same part as if nothing had happened. Class: a failure caused by the input was treated as a failure of the target. Parts that the same requests share with sound ones have sound runs, the part never has. Change: hosts report runs that their target closed just before or as the answer began, with the shared prompt parts; the reports go to all hosts at once with the status datagrams. A pure function merges them by target and quarantines the part that was in three separate crashes of two requests since its last sound run (five, if it was sound shortly before); crashes that a quarantined part explains count against no other. The quarantine is announced, lasts 60 s, then one host after the other tries one request; it ends with the first sound run, and lasts twice as long after a further crash. Ages in datagrams are corrected by the sender's clock, so that a suspended host does not count one crash several times. A connection that timed out now counts as silence, not as closed by the target.

--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -35,6 +35,8 @@
     EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
     EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms events phase prompt_parts"},
     EventInfo{EventKind::Resumed, "route", "resumed", "after"},
+    EventInfo{EventKind::PartQuarantined, "route", "part_quarantined", "source crashes requests round lasts_ms"},
+    EventInfo{EventKind::PartReleased, "route", "part_released", "round"},
     EventInfo{EventKind::Refused, "admit", "refused", "route reason online slots retry_after_ms config left_ms"},
     EventInfo{EventKind::Answered, "route", "answered", "route status outcome took_ms first_ms attempts events longest_gap_ms target"},
     EventInfo{EventKind::JobAccepted, "job", "job_accepted", "route items tokens waiting took_ms"},
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -193,6 +193,9 @@
     host.jobs->readFromHost = [link = host.peers->impl](HostId peer, JobId job, std::uint64_t after) {
         return readJobAtPeer(link, std::move(peer), std::move(job), after);
     };
+    host.proxy->onCrashEvidence = [&host] {
+        announceCrashEvidence(*host.peers);
+    };
     host.proxy->onLoadChange = [&host](LoadChange change) {
         announceLoadChange(*host.peers, change);
         if (host.runner) {
@@ -342,6 +345,7 @@
     host.proxy->metrics = host.metrics;
     host.proxy->fleet = std::make_shared<const FleetSnapshot>();
     host.proxy->random = hash64(host.session.value);
+    host.proxy->quarantine.host = host.settings.host;
     host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -3,6 +3,7 @@
 
 #include "core/event_log_func.h"
 #include "peer/status_exchange_func.h"
+#include "policy/sender_clock_func.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +49,8 @@
     std::map<HostId, Peer> peers; ///< Recipients of the status.
     asio::steady_timer timer; ///< Expires when the next datagram is due.
     bool earlyStatusScheduled{false}; ///< Whether an early datagram is scheduled.
+    bool allDomainsDue{false}; ///< Whether the next datagram goes to all hosts, whatever the interval of other failure domains.
+    std::map<HostId, SenderClock> clocks; ///< Clocks of the other hosts.
     TimePoint otherDomainsSentAt{}; ///< Time of the last datagram to other failure domains.
     std::uint64_t incarnation{0}; ///< Start time of the process in Unix milliseconds; orders the runs of this host.
     std::uint64_t sequence{0}; ///< Number of the last datagram; orders the datagrams of one run.
@@ -83,6 +86,7 @@
     }
     for (const HostId &host : unknown) {
         dropPeer(link.proxy->loadTracker, host);
+        link.clocks.erase(host);
     }
 }
 
@@ -109,7 +113,9 @@
 /** @return Recipients of the next datagram: all peers in a small fleet; in a large one those of the own failure domain, and others at a longer interval. */
 std::vector<Endpoint> nextRecipients(PeerLink::Impl &link, TimePoint now)
 {
-    const bool includeOtherDomains = link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= otherDomainIntervalFor(link.peers.size());
+    const bool includeOtherDomains =
+        link.allDomainsDue || link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= otherDomainIntervalFor(link.peers.size());
+    link.allDomainsDue = false;
     link.otherDomainsSentAt = includeOtherDomains ? now : link.otherDomainsSentAt;
     std::vector<Endpoint> endpoints;
     for (const auto &[host, peer] : link.peers) {
@@ -145,6 +151,7 @@
     status.ready = isReady(*link->proxy);
     status.configRevision = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     addOwnLoad(link->proxy->loadTracker, status);
+    status.quarantine = reportOf(link->proxy->quarantine, now);
     link->options.completeStatus(status);
     sendStatus(*link->exchange, status, nextRecipients(*link, now));
     link->earlyStatusScheduled = false;
@@ -168,6 +175,9 @@
     if (status.host == link->options.host || !applyStatus(link->proxy->loadTracker, status, BootClock::now())) {
         return;
     }
+    QuarantineReport report = status.quarantine;
+    correctDelay(report, excessDelay(link->clocks[status.host], status.incarnation, status.sentAt, BootClock::now()));
+    applyQuarantineReport(*link->proxy, status.host, report);
     const Revision own = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     const auto peer = link->peers.find(status.host);
     if (status.configRevision > own && peer != link->peers.end()) {
@@ -300,6 +310,13 @@
     }
 }
 
+void announceCrashEvidence(PeerLink &link)
+{
+    // Crashes are rare, and each host may hold a part of the evidence only.
+    link.impl->allDomainsDue = true;
+    scheduleEarlyStatus(link);
+}
+
 void scheduleEarlyStatus(PeerLink &link)
 {
     if (!link.impl->earlyStatusScheduled) {
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -41,6 +41,9 @@
 /** Schedules an early status datagram if the other hosts need to know of @p change before the regular interval has passed. */
 void announceLoadChange(PeerLink &link, LoadChange change);
 
+/** Schedules an early status datagram to the hosts of all failure domains. */
+void announceCrashEvidence(PeerLink &link);
+
 /** Schedules an early status datagram; changes within a few milliseconds share one datagram. */
 void scheduleEarlyStatus(PeerLink &link);
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -39,7 +39,7 @@
 
 bool isTimeout(const beast::error_code &error)
 {
-    return error == beast::error::timeout;
+    return error == beast::error::timeout || error == asio::error::timed_out;
 }
 
 Error transportError(const beast::error_code &error, ErrorCode timeoutCode, ErrorCode otherCode, RunState run, const Endpoint &endpoint)
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -31,7 +31,7 @@
 
 /** Reads the events of an answer into the item. @return Done when the output is complete, otherwise StreamBroken, Cancelled, or the error of
  * splitEvents() or of the connection. */
-asio::awaitable<Result<Done>> readOutput(ItemRun &run, HttpExchange &exchange)
+asio::awaitable<Result<Done>> readOutput(Proxy &proxy, ItemRun &run, const PromptParts &prompt, HttpExchange &exchange)
 {
     run.splitter.partial.clear();
     TimePoint progressAt = BootClock::now(); // Only events are progress: a stalled target may still send a byte now and then.
@@ -59,7 +59,7 @@
             run.text += run.events > 0 ? "\n" : "";
             run.text += event.data;
             ++run.events;
-            ++run.progress.events;
+            recordEvents(proxy, prompt, run.progress, 1);
             progressAt = BootClock::now();
         }
     }
@@ -130,7 +130,7 @@
     }
     run->progress.answerBegun = true;
     run->reading = &exchange;
-    auto outcome = co_await readOutput(*run, exchange);
+    auto outcome = co_await readOutput(proxy, *run, call.prompt, exchange);
     run->reading = nullptr;
     co_return outcome;
 }
@@ -191,6 +191,7 @@
     const std::string item = known->second.items[index].id;
     ProxyCall call = makeItemCall(runner->proxy->wire, known->second, known->second.items[index]);
     const PromptParts prompt = call.prompt;
+    recordTrial(runner->proxy->quarantine, prompt, BootClock::now());
     const Result<Done> outcome = co_await runOnTarget(runner, run, std::move(call), target);
     guard.reset();
     run->abort.reset();
@@ -204,6 +205,7 @@
     if (isOk(outcome)) {
         runner->itemRunTime = runner->itemRunTime.count() == 0 ? runTime : (runner->itemRunTime * (runTimeSamples - 1) + runTime) / runTimeSamples;
         recordTargetSuccess(*runner->proxy, target.id, {});
+        recordSoundRun(*runner->proxy, prompt);
         finishItem(owned->second, *run, ItemState::Completed);
         logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "completed"}, {"events", run->events}, {"took_ms", took}});
         addCounter(*runner->proxy->metrics, "skylark_items_total", {{"outcome", "completed"}});
@@ -216,6 +218,7 @@
         co_return;
     }
     const Error &error = errorOf(outcome);
+    recordFailedRun(*runner->proxy, target.id, prompt, run->progress, error);
     handleFailedRun(*runner, job, owned->second, *run, target, error);
     logEvent(EventKind::ItemFailed,
              item,
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -38,6 +38,30 @@
   revision @1 :UInt64;
 }
 
+struct SuspectRun {
+  parts @0 :List(UInt64);  # Shared prompt parts, in order.
+  own @1 :UInt64;  # Last prompt part.
+  begun @2 :Bool;  # Whether the answer had begun.
+}
+
+struct TargetCrash {
+  target @0 :Text;
+  ageMs @1 :UInt32;
+  runs @2 :List(SuspectRun);
+}
+
+struct SoundPart {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
+struct QuarantinedPart {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;  # Time since the last crash that led to the quarantine.
+  lastsMs @2 :UInt32;  # Duration of the quarantine from that crash.
+  rounds @3 :UInt32;
+}
+
 struct HostStatus {
   host @0 :Text;
   domain @1 :Text;
@@ -54,6 +78,10 @@
   batchInFlight @12 :List(NamedCount);
   jobRevisions @13 :List(NamedRevision);
   batchWaiting @14 :UInt32;
+  sentAtMs @15 :UInt64;  # Steady clock of the sender.
+  crashes @16 :List(TargetCrash);
+  soundParts @17 :List(SoundPart);
+  quarantinedParts @18 :List(QuarantinedPart);
 }
 
 struct YieldRequest {
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -112,6 +112,74 @@
     return target;
 }
 
+void writeCrash(wire::TargetCrash::Builder out, const TargetCrash &crash, TimePoint now)
+{
+    out.setTarget(crash.target.value);
+    out.setAgeMs(ageMs(crash.at, now));
+    auto runs = out.initRuns(static_cast<unsigned>(crash.runs.size()));
+    for (unsigned i = 0; i < runs.size(); ++i) {
+        const SuspectRun &run = crash.runs[i];
+        runs[i].setOwn(run.prompt.own.value);
+        runs[i].setBegun(run.phase == RunPhase::Begun);
+        auto parts = runs[i].initParts(static_cast<unsigned>(run.prompt.shared.size()));
+        for (unsigned part = 0; part < parts.size(); ++part) {
+            parts.set(part, run.prompt.shared[part].value);
+        }
+    }
+}
+
+void writeQuarantine(wire::HostStatus::Builder out, const QuarantineReport &report, TimePoint now)
+{
+    auto crashes = out.initCrashes(static_cast<unsigned>(report.crashes.size()));
+    for (unsigned i = 0; i < crashes.size(); ++i) {
+        writeCrash(crashes[i], report.crashes[i], now);
+    }
+    auto sound = out.initSoundParts(static_cast<unsigned>(report.sound.size()));
+    for (unsigned i = 0; i < sound.size(); ++i) {
+        sound[i].setPart(report.sound[i].part.value);
+        sound[i].setAgeMs(ageMs(report.sound[i].at, now));
+    }
+    auto parts = out.initQuarantinedParts(static_cast<unsigned>(report.quarantined.size()));
+    for (unsigned i = 0; i < parts.size(); ++i) {
+        const QuarantinedPart &entry = report.quarantined[i];
+        parts[i].setPart(entry.part.value);
+        parts[i].setAgeMs(ageMs(entry.since, now));
+        parts[i].setLastsMs(ageMs(entry.since, entry.until));
+        parts[i].setRounds(entry.rounds);
+    }
+}
+
+TargetCrash readCrash(wire::TargetCrash::Reader in, TimePoint now)
+{
+    TargetCrash crash{TargetId{textOf(in.getTarget())}, now - std::chrono::milliseconds(in.getAgeMs()), {}};
+    for (const auto run : in.getRuns()) {
+        SuspectRun read;
+        read.prompt.own.value = run.getOwn();
+        read.phase = run.getBegun() ? RunPhase::Begun : RunPhase::Waiting;
+        for (const std::uint64_t part : run.getParts()) {
+            read.prompt.shared.push_back({part});
+        }
+        crash.runs.push_back(std::move(read));
+    }
+    return crash;
+}
+
+QuarantineReport readQuarantine(wire::HostStatus::Reader in, TimePoint now)
+{
+    QuarantineReport report;
+    for (const auto crash : in.getCrashes()) {
+        report.crashes.push_back(readCrash(crash, now));
+    }
+    for (const auto sound : in.getSoundParts()) {
+        report.sound.push_back({{sound.getPart()}, now - std::chrono::milliseconds(sound.getAgeMs())});
+    }
+    for (const auto entry : in.getQuarantinedParts()) {
+        const TimePoint since = now - std::chrono::milliseconds(entry.getAgeMs());
+        report.quarantined.push_back({{entry.getPart()}, since, since + std::chrono::milliseconds(entry.getLastsMs()), entry.getRounds()});
+    }
+    return report;
+}
+
 /** Encodes @p status with @p count of its targets, starting at index @p first and wrapping around. */
 std::string encodeWithTargets(const HostStatus &status, TimePoint now, std::size_t first, std::size_t count)
 {
@@ -122,6 +190,7 @@
     out.setSession(status.session.value);
     out.setIncarnation(status.incarnation);
     out.setSequence(status.sequence);
+    out.setSentAtMs(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()));
     out.setLeaving(status.leaving);
     out.setReady(status.ready);
     out.setConfigRevision(status.configRevision.value);
@@ -139,6 +208,7 @@
         jobs[i].setRevision(status.jobRevisions[i].second);
     }
     writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
+    writeQuarantine(out, status.quarantine, now);
     return pack(message);
 }
 
@@ -150,6 +220,7 @@
     status.session.value = textOf(in.getSession());
     status.incarnation = in.getIncarnation();
     status.sequence = in.getSequence();
+    status.sentAt = std::chrono::milliseconds(static_cast<std::int64_t>(in.getSentAtMs()));
     status.leaving = in.getLeaving();
     status.ready = in.getReady();
     status.configRevision.value = in.getConfigRevision();
@@ -164,6 +235,7 @@
         status.jobRevisions.emplace_back(JobId{textOf(job.getName())}, job.getRevision());
     }
     status.freeByModel = readCounts<ModelId>(in.getFreeByModel());
+    status.quarantine = readQuarantine(in, now);
     return status;
 }
 
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "control/snapshot_type.h"
+#include "policy/crash_quarantine_type.h"
 
 #include <vector>
 
@@ -32,6 +33,8 @@
     std::vector<std::pair<TargetId, unsigned>> batchInFlight; ///< Active batch items by target.
     unsigned batchWaiting{0}; ///< Batch items of the host that wait for a slot of a target.
     std::vector<std::pair<JobId, std::uint64_t>> jobRevisions; ///< Record revisions of jobs that the host owns or has just changed.
+    std::chrono::milliseconds sentAt{0}; ///< Steady clock of the sender when it encoded the datagram.
+    QuarantineReport quarantine; ///< Crashes of targets that the host saw, and quarantined prompt parts.
 };
 
 /** Request to the batch owner of a target to release slots for online work. */
--- /dev/null
+++ b/src/policy/crash_quarantine.cpp
@@ -0,0 +1,436 @@
+/** @file crash_quarantine.cpp Decides which prompt part crashes targets from the crashes that all hosts saw. */
+#include "policy/crash_quarantine_func.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <unordered_map>
+
+namespace skylark {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t maxCrashesPerHost = 32; ///< Crashes kept for each host; older ones are dropped first.
+constexpr std::size_t maxRunsPerCrash = 8; ///< Runs kept for each crash, those in phase Begun first.
+constexpr std::size_t maxPartsPerRun = 16; ///< Shared parts kept for each run.
+constexpr std::size_t maxReportedCrashes = 8; ///< With the two bounds above, a report fits into a status datagram.
+constexpr std::size_t maxReportedParts = 64; ///< Bounds the other lists of a report likewise.
+constexpr std::size_t maxSoundParts = 16384; ///< Parts whose last sound run is remembered.
+
+/** One crash of a target, merged from the reports of several hosts. */
+struct MergedCrash {
+    TimePoint at{}; ///< Earliest report.
+    std::vector<const SuspectRun *> runs;
+};
+
+/** Crashes that count against one part. */
+struct PartEvidence {
+    std::vector<TimePoint> crashes; ///< In order of time.
+    std::set<PromptPartId> requests; ///< Last parts of the requests involved.
+    std::size_t depth{0}; ///< Position of the part in the prompt.
+};
+
+TimePoint soundTime(const CrashQuarantine &state, PromptPartId part)
+{
+    const auto found = state.soundAt.find(part);
+    return found == state.soundAt.end() ? TimePoint{} : found->second.any;
+}
+
+/** @return The time from which this host may let requests with a quarantined part through, as a trial. */
+TimePoint releaseTime(const CrashQuarantine &state, const QuarantinedPart &entry)
+{
+    const std::uint64_t draw = rendezvousScore(hexText(entry.part.value), state.host.value);
+    const auto spread = static_cast<std::uint64_t>(state.settings.releaseSpread.count());
+    return entry.until + milliseconds(static_cast<std::int64_t>(spread == 0 ? 0 : draw % spread));
+}
+
+bool isQuarantined(const CrashQuarantine &state, PromptPartId part, TimePoint now)
+{
+    const auto found = state.parts.find(part);
+    return found != state.parts.end() && now < releaseTime(state, found->second);
+}
+
+/** @return The crash of @p target around @p at in @p crashes; null if there is none. */
+TargetCrash *findCrash(std::vector<TargetCrash> &crashes, const QuarantineSettings &settings, const TargetId &target, TimePoint at)
+{
+    const auto found = std::find_if(crashes.begin(), crashes.end(), [&](const TargetCrash &crash) {
+        return crash.target == target && std::chrono::abs(crash.at - at) < settings.reportSpread;
+    });
+    return found == crashes.end() ? nullptr : &*found;
+}
+
+/** Adds a run to a crash; where there are too many, one in phase Begun replaces one in phase Waiting. */
+void addRun(TargetCrash &crash, SuspectRun run)
+{
+    run.prompt.shared.resize(std::min(run.prompt.shared.size(), maxPartsPerRun));
+    if (crash.runs.size() < maxRunsPerCrash) {
+        crash.runs.push_back(std::move(run));
+        return;
+    }
+    const auto waiting = std::find_if(crash.runs.begin(), crash.runs.end(), [](const SuspectRun &kept) {
+        return kept.phase == RunPhase::Waiting;
+    });
+    if (run.phase == RunPhase::Begun && waiting != crash.runs.end()) {
+        *waiting = std::move(run);
+    }
+}
+
+void addCrash(std::vector<TargetCrash> &crashes, TargetCrash crash)
+{
+    crashes.push_back(std::move(crash));
+    if (crashes.size() > maxCrashesPerHost) {
+        crashes.erase(crashes.begin());
+    }
+}
+
+/** Drops evidence and quarantines that no longer count. */
+void dropOld(CrashQuarantine &state, TimePoint now)
+{
+    for (auto &[host, crashes] : state.crashes) {
+        std::erase_if(crashes, [&](const TargetCrash &crash) {
+            return now - crash.at > state.settings.evidenceTime;
+        });
+    }
+    std::erase_if(state.crashes, [](const auto &entry) {
+        return entry.second.empty();
+    });
+    std::erase_if(state.parts, [&](const auto &entry) {
+        return now > entry.second.until + state.settings.maxQuarantine;
+    });
+    std::erase_if(state.trialAt, [&](const auto &entry) {
+        return !state.parts.contains(entry.first);
+    });
+}
+
+/** @return The crashes that all hosts saw, in order of time. */
+std::vector<MergedCrash> mergeCrashes(const CrashQuarantine &state)
+{
+    std::unordered_map<TargetId, std::vector<MergedCrash>> byTarget;
+    for (const auto &[host, crashes] : state.crashes) {
+        for (const TargetCrash &crash : crashes) {
+            std::vector<MergedCrash> &ofTarget = byTarget[crash.target];
+            auto same = std::find_if(ofTarget.begin(), ofTarget.end(), [&](const MergedCrash &other) {
+                return std::chrono::abs(other.at - crash.at) < state.settings.reportSpread;
+            });
+            if (same == ofTarget.end()) {
+                same = ofTarget.insert(ofTarget.end(), MergedCrash{crash.at, {}});
+            }
+            same->at = std::min(same->at, crash.at);
+            for (const SuspectRun &run : crash.runs) {
+                same->runs.push_back(&run);
+            }
+        }
+    }
+    std::vector<MergedCrash> merged;
+    for (auto &[target, ofTarget] : byTarget) {
+        std::move(ofTarget.begin(), ofTarget.end(), std::back_inserter(merged));
+    }
+    std::sort(merged.begin(), merged.end(), [](const MergedCrash &left, const MergedCrash &right) {
+        return left.at < right.at;
+    });
+    return merged;
+}
+
+/** @return Whether a part that is quarantined already was on the target: no other part needs to be blamed for the crash. */
+bool isExplained(const CrashQuarantine &state, const MergedCrash &crash)
+{
+    return std::any_of(crash.runs.begin(), crash.runs.end(), [&](const SuspectRun *run) {
+        return std::any_of(run->prompt.shared.begin(), run->prompt.shared.end(), [&](PromptPartId part) {
+            const auto found = state.parts.find(part);
+            return found != state.parts.end() && crash.at < found->second.until;
+        });
+    });
+}
+
+/** Adds the runs that may have caused @p crash: those whose answer had just begun, or, where there are none, those that waited. */
+void addEvidence(std::map<PromptPartId, PartEvidence> &evidence, const CrashQuarantine &state, const MergedCrash &crash)
+{
+    const bool anyBegun = std::any_of(crash.runs.begin(), crash.runs.end(), [](const SuspectRun *run) {
+        return run->phase == RunPhase::Begun;
+    });
+    for (const SuspectRun *run : crash.runs) {
+        if (anyBegun && run->phase != RunPhase::Begun) {
+            continue;
+        }
+        for (std::size_t i = 0; i < run->prompt.shared.size(); ++i) {
+            const PromptPartId part = run->prompt.shared[i];
+            if (crash.at <= soundTime(state, part)) {
+                continue;
+            }
+            PartEvidence &entry = evidence[part];
+            if (entry.crashes.empty() || crash.at - entry.crashes.back() >= state.settings.crashSpacing) {
+                entry.crashes.push_back(crash.at);
+            }
+            entry.requests.insert(run->prompt.own);
+            entry.depth = std::max(entry.depth, i);
+        }
+    }
+}
+
+/** @return Whether the evidence suffices to quarantine @p part. */
+bool isSufficient(const CrashQuarantine &state, PromptPartId part, const PartEvidence &evidence)
+{
+    const QuarantineSettings &settings = state.settings;
+    const auto earlier = state.parts.find(part);
+    if (earlier != state.parts.end()) {
+        return evidence.crashes.back() >= earlier->second.until;
+    }
+    const TimePoint sound = soundTime(state, part);
+    const bool soundBefore = sound != TimePoint{} && evidence.crashes.front() - sound < settings.soundMemory;
+    const unsigned needed = soundBefore ? settings.minCrashesAfterSound : settings.minCrashes;
+    const bool severalRequests = evidence.requests.size() >= settings.minRequests || evidence.crashes.size() >= settings.minCrashesAfterSound;
+    return evidence.crashes.size() >= needed && severalRequests;
+}
+
+/** A part that the evidence suffices to quarantine. */
+struct Candidate {
+    PromptPartId part;
+    TimePoint soundAt{};
+    PartEvidence evidence;
+};
+
+/** @return Whether @p left is blamed before @p right: the part that was sound longest ago or never, then that in more crashes, then the less shared one. */
+bool isMoreSuspect(const Candidate &left, const Candidate &right)
+{
+    if (left.soundAt != right.soundAt) {
+        return left.soundAt < right.soundAt;
+    }
+    if (left.evidence.crashes.size() != right.evidence.crashes.size()) {
+        return left.evidence.crashes.size() > right.evidence.crashes.size();
+    }
+    return left.evidence.depth > right.evidence.depth;
+}
+
+/** @return The part to blame first for the crashes that no quarantined part explains; empty if the evidence against none suffices. */
+std::optional<Candidate> mostSuspect(const CrashQuarantine &state)
+{
+    std::map<PromptPartId, PartEvidence> evidence;
+    for (const MergedCrash &crash : mergeCrashes(state)) {
+        if (!isExplained(state, crash)) {
+            addEvidence(evidence, state, crash);
+        }
+    }
+    std::optional<Candidate> best;
+    for (auto &[part, found] : evidence) {
+        Candidate candidate{part, soundTime(state, part), std::move(found)};
+        if (isSufficient(state, part, candidate.evidence) && (!best || isMoreSuspect(candidate, *best))) {
+            best = std::move(candidate);
+        }
+    }
+    return best;
+}
+
+QuarantineChange beginQuarantine(CrashQuarantine &state, const Candidate &candidate)
+{
+    QuarantinedPart &entry = state.parts[candidate.part];
+    entry.rounds = entry.part == PromptPartId{} ? 1 : entry.rounds + 1;
+    entry.part = candidate.part;
+    entry.since = candidate.evidence.crashes.back();
+    const auto doublings = std::min(entry.rounds - 1, 10U);
+    entry.until = entry.since + std::min(state.settings.maxQuarantine, state.settings.firstQuarantine * (1U << doublings));
+    return {entry,
+            true,
+            QuarantineSource::Evidence,
+            static_cast<unsigned>(candidate.evidence.crashes.size()),
+            static_cast<unsigned>(candidate.evidence.requests.size())};
+}
+
+/** Quarantines parts until no further one is to be blamed. Each explains the crashes that it was present in. */
+void judge(CrashQuarantine &state, std::vector<QuarantineChange> &changes)
+{
+    while (const auto candidate = mostSuspect(state)) {
+        changes.push_back(beginQuarantine(state, *candidate));
+    }
+}
+
+/** Records a sound run at @p at; ends the quarantine of the part unless it is newer. */
+void applySound(CrashQuarantine &state, PromptPartId part, TimePoint at, std::vector<QuarantineChange> &changes)
+{
+    SoundTimes &times = state.soundAt[part];
+    times.any = std::max(times.any, at);
+    const auto found = state.parts.find(part);
+    if (found != state.parts.end() && found->second.since < times.any) {
+        changes.push_back({found->second, false});
+        state.parts.erase(found);
+    }
+}
+
+/** Forgets old sound runs when there are too many. */
+void boundSoundParts(CrashQuarantine &state, TimePoint now)
+{
+    if (state.soundAt.size() <= maxSoundParts) {
+        return;
+    }
+    std::erase_if(state.soundAt, [&](const auto &entry) {
+        return now - entry.second.any > state.settings.soundMemory;
+    });
+    if (state.soundAt.size() > maxSoundParts) {
+        state.soundAt.clear();
+    }
+}
+
+/** Adopts a quarantine of another host, unless a later sound run has ended it or this host knows a newer one. */
+void applyQuarantine(CrashQuarantine &state, const QuarantinedPart &announced, std::vector<QuarantineChange> &changes)
+{
+    const auto own = state.parts.find(announced.part);
+    if (soundTime(state, announced.part) > announced.since || (own != state.parts.end() && own->second.rounds >= announced.rounds)) {
+        return;
+    }
+    state.parts[announced.part] = announced;
+    changes.push_back({announced, true, QuarantineSource::Peer});
+}
+
+/** Adds a crash that another host announced. @return Whether it was not known before. */
+bool applyCrash(CrashQuarantine &state, const HostId &from, const TargetCrash &announced)
+{
+    std::vector<TargetCrash> &known = state.crashes[from];
+    TargetCrash *crash = findCrash(known, state.settings, announced.target, announced.at);
+    if (crash == nullptr) {
+        addCrash(known, announced);
+        return true;
+    }
+    if (announced.runs.size() <= crash->runs.size()) {
+        return false;
+    }
+    crash->runs = announced.runs;
+    return true;
+}
+
+/** @return Parts of the crashes that still count, which all hosts need to know sound runs of. */
+std::set<PromptPartId> suspectParts(const CrashQuarantine &state)
+{
+    std::set<PromptPartId> parts;
+    for (const auto &[host, crashes] : state.crashes) {
+        for (const TargetCrash &crash : crashes) {
+            for (const SuspectRun &run : crash.runs) {
+                parts.insert(run.prompt.shared.begin(), run.prompt.shared.end());
+            }
+        }
+    }
+    return parts;
+}
+
+} // namespace
+
+std::vector<QuarantineChange> recordSuspectRun(CrashQuarantine &state, const TargetId &target, SuspectRun run, TimePoint now)
+{
+    std::vector<QuarantineChange> changes;
+    if (run.prompt.shared.empty() || run.phase == RunPhase::Streaming) {
+        return changes;
+    }
+    dropOld(state, now);
+    std::vector<TargetCrash> &own = state.crashes[state.host];
+    TargetCrash *crash = findCrash(own, state.settings, target, now);
+    if (crash == nullptr) {
+        addCrash(own, {target, now, {}});
+        crash = &own.back();
+    }
+    addRun(*crash, std::move(run));
+    judge(state, changes);
+    return changes;
+}
+
+std::vector<QuarantineChange> recordSoundRun(CrashQuarantine &state, const PromptParts &prompt, TimePoint now)
+{
+    std::vector<QuarantineChange> changes;
+    for (const PromptPartId part : prompt.shared) {
+        applySound(state, part, now, changes);
+        state.soundAt[part].own = now;
+        state.trialAt.erase(part);
+    }
+    boundSoundParts(state, now);
+    return changes;
+}
+
+std::vector<QuarantineChange> mergeReport(CrashQuarantine &state, const HostId &from, const QuarantineReport &report, TimePoint now)
+{
+    std::vector<QuarantineChange> changes;
+    for (const SoundPart &sound : report.sound) {
+        applySound(state, sound.part, sound.at, changes);
+    }
+    for (const QuarantinedPart &entry : report.quarantined) {
+        applyQuarantine(state, entry, changes);
+    }
+    bool newEvidence = false;
+    for (const TargetCrash &crash : report.crashes) {
+        newEvidence = applyCrash(state, from, crash) || newEvidence;
+    }
+    if (newEvidence) {
+        dropOld(state, now);
+        judge(state, changes);
+    }
+    return changes;
+}
+
+void correctDelay(QuarantineReport &report, milliseconds delay)
+{
+    for (TargetCrash &crash : report.crashes) {
+        crash.at -= delay;
+    }
+    for (SoundPart &sound : report.sound) {
+        sound.at -= delay;
+    }
+    for (QuarantinedPart &entry : report.quarantined) {
+        entry.since -= delay;
+        entry.until -= delay;
+    }
+}
+
+QuarantineReport reportOf(const CrashQuarantine &state, TimePoint now)
+{
+    QuarantineReport report;
+    if (const auto own = state.crashes.find(state.host); own != state.crashes.end()) {
+        for (auto crash = own->second.rbegin(); crash != own->second.rend() && report.crashes.size() < maxReportedCrashes; ++crash) {
+            if (now - crash->at <= state.settings.evidenceTime) {
+                report.crashes.push_back(*crash);
+            }
+        }
+    }
+    for (const auto &[part, entry] : state.parts) {
+        if (report.quarantined.size() < maxReportedParts) {
+            report.quarantined.push_back(entry);
+        }
+    }
+    for (const PromptPartId part : suspectParts(state)) {
+        const auto sound = state.soundAt.find(part);
+        const bool recent = sound != state.soundAt.end() && sound->second.own != TimePoint{} && now - sound->second.own <= state.settings.evidenceTime;
+        if (recent && report.sound.size() < maxReportedParts) {
+            report.sound.push_back({part, sound->second.own});
+        }
+    }
+    return report;
+}
+
+std::optional<milliseconds> quarantineLeft(const CrashQuarantine &state, const PromptParts &prompt, TimePoint now)
+{
+    std::optional<milliseconds> longest;
+    for (const PromptPartId part : prompt.shared) {
+        const auto found = state.parts.find(part);
+        if (found == state.parts.end()) {
+            continue;
+        }
+        TimePoint release = releaseTime(state, found->second);
+        if (const auto trial = state.trialAt.find(part); trial != state.trialAt.end()) {
+            release = std::max(release, trial->second + state.settings.trialTime);
+        }
+        if (now < release) {
+            longest = std::max(longest.value_or(milliseconds(0)), std::chrono::ceil<milliseconds>(release - now));
+        }
+    }
+    return longest;
+}
+
+void recordTrial(CrashQuarantine &state, const PromptParts &prompt, TimePoint now)
+{
+    for (const PromptPartId part : prompt.shared) {
+        if (state.parts.contains(part) && !isQuarantined(state, part, now)) {
+            state.trialAt[part] = now;
+        }
+    }
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/policy/crash_quarantine_func.h
@@ -0,0 +1,34 @@
+/** @file crash_quarantine_func.h Decides which prompt part crashes targets, and rejects its requests for a time. */
+#pragma once
+
+#include "policy/crash_quarantine_type.h"
+
+#include <optional>
+
+namespace skylark {
+
+/** Adds a run of this host that its target ended with. @return Quarantines that begin. */
+[[nodiscard]] std::vector<QuarantineChange> recordSuspectRun(CrashQuarantine &state, const TargetId &target, SuspectRun run, TimePoint now);
+
+/** Records that a run with @p prompt was sound. @return Quarantines that end. */
+[[nodiscard]] std::vector<QuarantineChange> recordSoundRun(CrashQuarantine &state, const PromptParts &prompt, TimePoint now);
+
+/** Adds what another host announced. @return Quarantines that begin or end. */
+[[nodiscard]] std::vector<QuarantineChange> mergeReport(CrashQuarantine &state, const HostId &from, const QuarantineReport &report, TimePoint now);
+
+/** Moves all times of @p report into the past by @p delay, which its transmission took longer than usual. */
+void correctDelay(QuarantineReport &report, std::chrono::milliseconds delay);
+
+/** @return What this host announces, within bounds; the newest crashes first. */
+[[nodiscard]] QuarantineReport reportOf(const CrashQuarantine &state, TimePoint now);
+
+/** @return The time for which requests with @p prompt must not be sent to a target; empty when they may be. */
+[[nodiscard]] std::optional<std::chrono::milliseconds> quarantineLeft(const CrashQuarantine &state, const PromptParts &prompt, TimePoint now);
+
+/**
+ * Records that a request with @p prompt is about to be sent to a target. After a quarantine, a part is on trial: until one run with it was sound, this host
+ * sends no second one before the outcome of the first is known or trialTime has passed.
+ */
+void recordTrial(CrashQuarantine &state, const PromptParts &prompt, TimePoint now);
+
+} // namespace skylark
--- /dev/null
+++ b/src/policy/crash_quarantine_type.h
@@ -0,0 +1,95 @@
+/** @file crash_quarantine_type.h Evidence that a prompt part crashes targets, and the parts that are quarantined for it. */
+#pragma once
+
+#include "core/clock_func.h"
+#include "core/id_type.h"
+#include "policy/prompt_part_type.h"
+#include "policy/run_progress_type.h"
+
+#include <chrono>
+#include <map>
+#include <vector>
+
+namespace skylark {
+
+/** Parameters of the quarantine. */
+struct QuarantineSettings {
+    unsigned minCrashes{3}; ///< Separate crashes that quarantine a part without any recent sound run.
+    unsigned minCrashesAfterSound{5}; ///< The same for a part that had a sound run within soundMemory before the first of them.
+    unsigned minRequests{2}; ///< Different requests that must have been involved; minCrashesAfterSound crashes are enough for one.
+    std::chrono::milliseconds crashSpacing{100}; ///< Targets that end within this time of one another have a common cause; they count as one crash.
+    std::chrono::milliseconds reportSpread{1000}; ///< Reports of several hosts on one target within this time are about the same crash.
+    std::chrono::milliseconds evidenceTime{60000}; ///< Age at which a crash no longer counts.
+    std::chrono::milliseconds soundMemory{10000};
+    std::chrono::milliseconds firstQuarantine{60000}; ///< Duration of the first quarantine of a part; each further one lasts twice as long.
+    std::chrono::milliseconds maxQuarantine{600000}; ///< Longest duration; also the time after the end for which a part is remembered.
+    std::chrono::milliseconds releaseSpread{20000}; ///< Hosts let a part through again at different times within this span, so that one of them tries it first.
+    std::chrono::milliseconds trialTime{5000}; ///< Time for which a host waits for the outcome of a trial.
+};
+
+/** A run that a target had not finished, and may not yet have begun to answer, when it ended. */
+struct SuspectRun {
+    PromptParts prompt;
+    RunPhase phase{RunPhase::Waiting}; ///< Begun or Waiting: a run whose events had come for a while is not suspect.
+};
+
+/** End of a target as one host saw it. */
+struct TargetCrash {
+    TargetId target;
+    TimePoint at{};
+    std::vector<SuspectRun> runs; ///< Runs of the host on the target; at least one.
+};
+
+/** Time of the last run with a part that was sound: its answer was complete, or it had gone on for a while. */
+struct SoundPart {
+    PromptPartId part;
+    TimePoint at{};
+};
+
+/** A part whose requests are rejected. */
+struct QuarantinedPart {
+    PromptPartId part;
+    TimePoint since{}; ///< Time of the last crash that led to it. A later sound run ends the quarantine.
+    TimePoint until{}; ///< After this time a trial is allowed.
+    unsigned rounds{1}; ///< Number of quarantines of the part.
+};
+
+/** What a host announces to the others. */
+struct QuarantineReport {
+    std::vector<TargetCrash> crashes; ///< Those that the host saw itself.
+    std::vector<SoundPart> sound; ///< Suspect parts that had a sound run at this host.
+    std::vector<QuarantinedPart> quarantined; ///< Parts that any host quarantined.
+};
+
+/** Times of the last sound run with one part. */
+struct SoundTimes {
+    TimePoint own{}; ///< At this host; TimePoint{} for none. Only this time is announced, so that the error of a transmission does not add up.
+    TimePoint any{}; ///< At any host.
+};
+
+/** State of one host. Changed by the functions of crash_quarantine_func.h only. */
+struct CrashQuarantine {
+    QuarantineSettings settings;
+    HostId host; ///< This host; its own crashes are kept under this identifier.
+    std::map<HostId, std::vector<TargetCrash>> crashes; ///< By the host that saw them; kept when that host is gone.
+    std::map<PromptPartId, SoundTimes> soundAt; ///< Last sound runs by part.
+    std::map<PromptPartId, QuarantinedPart> parts; ///< Quarantined parts, and those whose quarantine has ended without a sound run since.
+    std::map<PromptPartId, TimePoint> trialAt; ///< Time of this host's last trial by part.
+};
+
+/** Why a part is quarantined. */
+enum class QuarantineSource : std::uint8_t {
+    Evidence, ///< The crashes that this host knows of.
+    Peer, ///< Another host announced the quarantine.
+};
+
+/** A quarantine that began or ended. */
+struct QuarantineChange {
+    QuarantinedPart entry;
+    bool begun{true}; ///< False when a sound run has ended it.
+    QuarantineSource source{QuarantineSource::Evidence};
+    unsigned crashes{0}; ///< Separate crashes that count against the part; 0 when another host quarantined it.
+    unsigned requests{0}; ///< Different requests involved in them.
+};
+
+} // namespace skylark
--- a/src/policy/run_progress_type.h
+++ b/src/policy/run_progress_type.h
@@ -29,6 +29,8 @@
     return progress.events <= maxBegunEvents ? RunPhase::Begun : RunPhase::Streaming;
 }
 
+constexpr unsigned soundEvents = 8; ///< Events after which a run counts as sound before its end; a target that it crashes would have ended by then.
+
 /** @return Name of @p phase in logs. */
 [[nodiscard]] inline std::string_view runPhaseName(RunPhase phase)
 {
--- /dev/null
+++ b/src/proxy/crash_evidence.cpp
@@ -0,0 +1,86 @@
+/** @file crash_evidence.cpp Evidence of prompt parts that crash targets: collected, logged and announced. */
+#include "core/event_log_func.h"
+#include "core/hash_func.h"
+#include "proxy/proxy_base.h"
+
+namespace skylark {
+
+namespace {
+
+/** @return Whether a run that failed with @p error shows that its target closed the connection. A target that is only silent may be behind a cut. */
+bool isTargetEnd(const Error &error)
+{
+    return error.run == RunState::Maybe && (error.code == ErrorCode::StreamBroken || error.code == ErrorCode::SendFailed);
+}
+
+void logChange(const QuarantineChange &change)
+{
+    const std::string part = hexText(change.entry.part.value);
+    if (!change.begun) {
+        logEvent(EventKind::PartReleased, part, {{"round", change.entry.rounds}});
+        return;
+    }
+    logEvent(EventKind::PartQuarantined,
+             part,
+             {{"source", change.source == QuarantineSource::Evidence ? "evidence" : "peer"},
+              {"crashes", change.crashes},
+              {"requests", change.requests},
+              {"round", change.entry.rounds},
+              {"lasts_ms", std::chrono::duration_cast<std::chrono::milliseconds>(change.entry.until - change.entry.since).count()}});
+}
+
+/** Logs and counts changes. */
+void reportChanges(const Proxy &proxy, const std::vector<QuarantineChange> &changes)
+{
+    for (const QuarantineChange &change : changes) {
+        logChange(change);
+    }
+    if (!changes.empty()) {
+        setGauge(*proxy.metrics, "skylark_quarantined_parts", {}, static_cast<double>(proxy.quarantine.parts.size()));
+    }
+}
+
+void announce(const Proxy &proxy)
+{
+    if (proxy.onCrashEvidence) {
+        proxy.onCrashEvidence();
+    }
+}
+
+} // namespace
+
+void recordFailedRun(Proxy &proxy, const TargetId &target, const PromptParts &prompt, const RunProgress &progress, const Error &error)
+{
+    const RunPhase phase = phaseOf(progress);
+    if (!isTargetEnd(error) || prompt.shared.empty() || phase == RunPhase::Streaming) {
+        return;
+    }
+    addCounter(*proxy.metrics, "skylark_suspect_runs_total");
+    reportChanges(proxy, recordSuspectRun(proxy.quarantine, target, {prompt, phase}, BootClock::now()));
+    announce(proxy);
+}
+
+void recordSoundRun(Proxy &proxy, const PromptParts &prompt)
+{
+    const auto changes = recordSoundRun(proxy.quarantine, prompt, BootClock::now());
+    reportChanges(proxy, changes);
+    if (!changes.empty()) {
+        announce(proxy);
+    }
+}
+
+void recordEvents(Proxy &proxy, const PromptParts &prompt, RunProgress &progress, unsigned events)
+{
+    const bool wasSound = progress.events >= soundEvents;
+    progress.events += events;
+    if (!wasSound && progress.events >= soundEvents) {
+        recordSoundRun(proxy, prompt);
+    }
+}
+
+void applyQuarantineReport(Proxy &proxy, const HostId &from, const QuarantineReport &report)
+{
+    reportChanges(proxy, mergeReport(proxy.quarantine, from, report, BootClock::now()));
+}
+
+} // namespace skylark
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -25,6 +25,7 @@
 {
     Proxy &proxy = *forwarding.proxy;
     if (attempt.end == AttemptEnd::Answered) {
+        recordSoundRun(proxy, forwarding.call.prompt);
         const bool measurable = forwarding.tried.empty() && reason == BalanceReason::FreeSlot && forwarding.firstAt;
         recordTargetSuccess(proxy, target.id, measurable ? std::optional(std::chrono::duration_cast<milliseconds>(*forwarding.firstAt - begun)) : std::nullopt);
         return;
@@ -35,6 +36,7 @@
     forwarding.tried.push_back(target.id);
     forwarding.runs += attempt.end == AttemptEnd::Failed ? 1 : 0;
     forwarding.refusals += attempt.end == AttemptEnd::NotRun ? 1 : 0;
+    recordFailedRun(proxy, target.id, forwarding.call.prompt, forwarding.progress, attempt.error);
     if (!attempt.answer) {
         recordTargetFailure(proxy, target);
     }
@@ -68,6 +70,10 @@
     Proxy &proxy = *forwarding.proxy;
     Attempt last;
     while (!forwarding.callerGone) {
+        if (const auto left = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now())) {
+            co_await refuseQuarantined(forwarding, last, *left);
+            co_return;
+        }
         const auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
         const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(proxy.random));
         const bool unplaced = choice.reason == BalanceReason::Full || choice.reason == BalanceReason::NoTarget;
@@ -103,6 +109,7 @@
                         {"attempt", forwarding.runs + forwarding.refusals + 1},
                         {"config", forwarding.config->version.value},
                         {"left_ms", timeLeft(forwarding).count()}});
+            recordTrial(proxy.quarantine, forwarding.call.prompt, begun);
             last = co_await attemptOn(forwarding, target);
         }
         recordAttempt(forwarding, target, last, begun, choice.reason);
--- a/src/proxy/forward_answer.cpp
+++ b/src/proxy/forward_answer.cpp
@@ -97,6 +97,16 @@
     co_await refuse(forwarding, balanceReasonName(reason), delay, input.online, input.slots);
 }
 
+asio::awaitable<void> refuseQuarantined(Forwarding &forwarding, const Attempt &last, milliseconds left)
+{
+    if (forwarding.runs > 0) {
+        co_await failRequest(forwarding, last);
+        co_return;
+    }
+    co_await refuse(forwarding, "quarantined", left, 0, 0);
+    recordOutcome(forwarding, 503, "refused");
+}
+
 asio::awaitable<Attempt> sendWholeAnswer(Forwarding &forwarding, HttpResponse answer)
 {
     forwarding.started = true;
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -97,7 +97,7 @@
     }
     forwarding.lastEventAt = now;
     forwarding.events += events.size();
-    forwarding.progress.events += static_cast<unsigned>(events.size());
+    recordEvents(*forwarding.proxy, forwarding.call.prompt, forwarding.progress, static_cast<unsigned>(events.size()));
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
 
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -67,6 +67,13 @@
 /** Answers 503 to a request that no target can serve in time. @param reason Full or NoTarget. */
 boost::asio::awaitable<void> refuseUnplaced(Forwarding &forwarding, const std::vector<BalanceCandidate> &candidates, BalanceReason reason);
 
+/**
+ * Answers a request with a quarantined prompt part: 503 if it has run on no target, otherwise like failRequest().
+ * @param last Most recent attempt; unused when there was none.
+ * @param left Time for which the quarantine lasts.
+ */
+boost::asio::awaitable<void> refuseQuarantined(Forwarding &forwarding, const Attempt &last, std::chrono::milliseconds left);
+
 /** Sends a complete answer to the caller and records the outcome. */
 boost::asio::awaitable<Attempt> sendWholeAnswer(Forwarding &forwarding, HttpResponse answer);
 
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -6,6 +6,7 @@
 #include "http/http_client_func.h"
 #include "http/http_server_func.h"
 #include "metrics/metrics_func.h"
+#include "policy/crash_quarantine_func.h"
 #include "policy/load_balance_func.h"
 #include "proxy/call_type.h"
 
@@ -44,6 +45,8 @@
     SnapshotPtr fleet; ///< Latest snapshot published by the control thread; never null.
     LoadTracker loadTracker; ///< Requests in flight on each target, of all hosts.
     std::map<TargetId, TargetHealth> health; ///< Health of the targets that requests were sent to.
+    CrashQuarantine quarantine; ///< Prompt parts that crash targets.
+    std::function<void()> onCrashEvidence; ///< Schedules an announcement of new evidence to all hosts; may be empty.
     std::function<void(LoadChange change)> onLoadChange; ///< Schedules an early announcement of this host's requests in flight.
     std::uint64_t random{1}; ///< State of the pseudorandom generator.
     bool stopping{false}; ///< Whether a planned shutdown has begun.
@@ -74,6 +77,18 @@
  */
 [[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
 
+/** Records a run that failed with @p error; it is suspect if its target ended. */
+void recordFailedRun(Proxy &proxy, const TargetId &target, const PromptParts &prompt, const RunProgress &progress, const Error &error);
+
+/** Records a run whose answer was complete and successful, or that has gone on for a while. */
+void recordSoundRun(Proxy &proxy, const PromptParts &prompt);
+
+/** Counts an event of a run, which makes the run sound when it is the one with the number soundEvents. */
+void recordEvents(Proxy &proxy, const PromptParts &prompt, RunProgress &progress, unsigned events);
+
+/** Adds what another host announced. */
+void applyQuarantineReport(Proxy &proxy, const HostId &from, const QuarantineReport &report);
+
 /** @return Shared parts of @p prompt for a log line: hexadecimal numbers as in the request, separated by commas. */
 [[nodiscard]] std::string promptPartsText(const PromptParts &prompt);
 
