Fix: A quarantined prompt part is forgotten when all hosts restart or are cut off from one another

What callers saw: after a kill of all hosts in the midst of such requests the targets crashed again until the part was learned anew. Cause: the quarantine lived in the memory of the processes and in datagrams between them only. Change: the hosts that decide a quarantine write an entry (duration and rounds, no point in time) under a lease of ten minutes; all hosts mirror these entries and adopt them, also after a restart or when no other host can be reached. A sound run removes the entry. Test: fleetController_hostRestarts_learnsQuarantinedPartsFromTheStore (does not compile on the code before: nothing was stored).

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -165,6 +165,17 @@
     return Done{};
 }
 
+/** Writes or removes the entry of a part in the key-value service. Runs on the control thread. */
+void storeQuarantineChange(FleetController &fleet, const QuarantineChange &change)
+{
+    const QuarantinedPart &entry = change.entry;
+    if (change.begun) {
+        writeQuarantineEntry(fleet, {entry.part, std::chrono::duration_cast<milliseconds>(entry.until - entry.since), entry.rounds});
+    } else {
+        removeQuarantineEntry(fleet, entry.part);
+    }
+}
+
 Result<Done> openPeerLink(EntryHost &host)
 {
     PeerLinkOptions options{host.settings.host, host.session, host.settings.domain, host.settings.peers};
@@ -196,6 +207,11 @@
     host.proxy->onCrashEvidence = [&host] {
         announceCrashEvidence(*host.peers);
     };
+    host.proxy->onQuarantine = [&host](const QuarantineChange &change) {
+        asio::post(host.control, [&host, change] {
+            storeQuarantineChange(*host.fleet, change);
+        });
+    };
     host.proxy->onLoadChange = [&host](LoadChange change) {
         announceLoadChange(*host.peers, change);
         if (host.runner) {
@@ -216,11 +232,18 @@
     options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
     options.leaseRenewal = options.leaseTtl / 3;
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
-    host.fleet = FleetController::create(host.control.get_executor(), store, host.adapters.fleet, options, host.metrics, [&host](SnapshotPtr snapshot) {
+    auto publish = [&host](SnapshotPtr snapshot) {
         asio::post(host.traffic, [&host, snapshot = std::move(snapshot)] {
             applySnapshot(host, snapshot);
         });
-    });
+    };
+    auto onQuarantine = [&host](const QuarantineEntry &entry) {
+        asio::post(host.traffic, [&host, entry] {
+            applyStoredQuarantine(*host.proxy, entry.part, entry.duration, entry.rounds);
+        });
+    };
+    host.fleet =
+        FleetController::create(host.control.get_executor(), store, host.adapters.fleet, options, host.metrics, std::move(publish), std::move(onQuarantine));
 }
 
 /** Reloads the settings file. Only the stop limit is applied; an invalid file leaves the current settings in force. */
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -23,9 +23,11 @@
     FleetOptions options; ///< Settings of this host.
     std::shared_ptr<MetricsRegistry> metrics;
     std::function<void(SnapshotPtr)> publish; ///< Called with each new snapshot.
+    std::function<void(const QuarantineEntry &)> onQuarantine; ///< Called with each entry that was written; may be empty.
     std::shared_ptr<KeyMirror> config; ///< Mirror of the operators' configuration.
     std::shared_ptr<KeyMirror> targets; ///< Mirror of the targets' entries.
     std::shared_ptr<KeyMirror> hosts; ///< Mirror of the hosts' entries.
+    std::shared_ptr<KeyMirror> quarantine; ///< Mirror of the entries of quarantined parts.
     FleetSnapshot state; ///< Latest state, copied into each snapshot.
     TargetMap usableTargets; ///< Targets for requests, including those whose entry expired during an outage of the service.
     std::map<TargetId, TimePoint> expiredTargets; ///< Those of usableTargets that have no entry, with the time at which they are removed.
@@ -57,6 +59,10 @@
 constexpr std::chrono::milliseconds pullConnectTimeout{300}; ///< Covers a few round trips between failure domains.
 constexpr std::chrono::milliseconds pullAnswerTimeout{1000}; ///< Covers the transfer of a document of at most 1 MB.
 
+constexpr std::chrono::milliseconds quarantineEntryTtl{600000}; ///< Longest quarantine of a part, and longest lease of the service.
+constexpr std::chrono::milliseconds quarantineWriteInterval{1000}; ///< Interval of attempts to write the entry of a quarantined part.
+constexpr unsigned quarantineWriteAttempts = 30; ///< Covers an outage of half a minute; the hosts remember the part themselves as long as they run.
+
 constexpr std::size_t largeFleetHosts = 16; ///< From this number of other hosts on, store calls of every host are spared where the others can help.
 constexpr std::chrono::milliseconds configPollIntervalLarge{6000}; ///< In a large fleet the hosts announce their configuration to one another.
 
@@ -248,7 +254,7 @@
     impl->config->options.pollInterval = peers.size() >= largeFleetHosts ? configPollIntervalLarge : pollInterval;
     impl->targets->options.pollInterval = pollInterval;
     impl->targets->options.watchInterval = targetWatchIntervalFor(impl->options, peers.size() + 1);
-    for (const auto &mirror : {impl->config, impl->targets, impl->hosts}) {
+    for (const auto &mirror : {impl->config, impl->targets, impl->hosts, impl->quarantine}) {
         mirror->options.retryMax = storeRetryMaxFor(impl->options, peers.size() + 1);
     }
     impl->hosts->options.watchInterval = hostWatchIntervalFor(peers.size() + 1);
@@ -256,6 +262,40 @@
     publish(*impl);
 }
 
+void onQuarantineEntries(const ImplPtr &impl, const KeyMirrorUpdate &update)
+{
+    for (const KvItem &item : update.changed) {
+        const auto entry = item.deleted ? Result<QuarantineEntry>(makeError(ErrorCode::NotFound, item.key)) : decodeQuarantineEntry(item.key, item.value);
+        if (isOk(entry) && impl->onQuarantine) {
+            impl->onQuarantine(valueOf(entry));
+        }
+    }
+}
+
+/** Writes an entry under a lease of its own, and tries again while the service does not answer. */
+asio::awaitable<void> storeQuarantineEntry(ImplPtr impl, QuarantineEntry entry)
+{
+    for (unsigned attempt = 0; attempt < quarantineWriteAttempts; ++attempt) {
+        const auto lease = co_await impl->store->grantLease(quarantineEntryTtl);
+        if (isOk(lease)) {
+            KvTransaction transaction;
+            transaction.writes.push_back({quarantineEntryKey(entry.part), encodeQuarantineEntry(entry), valueOf(lease)});
+            const auto written = co_await impl->store->commit(std::move(transaction));
+            if (isOk(written)) {
+                co_return;
+            }
+        }
+        co_await sleepFor(quarantineWriteInterval);
+    }
+}
+
+asio::awaitable<void> deleteQuarantineEntry(ImplPtr impl, PromptPartId part)
+{
+    KvTransaction transaction;
+    transaction.removals.push_back(quarantineEntryKey(part));
+    co_await impl->store->commit(std::move(transaction));
+}
+
 /** Starts a mirror that calls @p handler after each update. */
 std::shared_ptr<KeyMirror> startMirror(const ImplPtr &impl, KeyMirrorOptions options, void (*handler)(const ImplPtr &, const KeyMirrorUpdate &))
 {
@@ -334,7 +374,8 @@
                                                          FleetWire wire,
                                                          FleetOptions options,
                                                          std::shared_ptr<MetricsRegistry> metrics,
-                                                         std::function<void(SnapshotPtr)> publish)
+                                                         std::function<void(SnapshotPtr)> publish,
+                                                         std::function<void(const QuarantineEntry &)> onQuarantine)
 {
     auto impl = std::make_shared<Impl>();
     impl->executor = executor;
@@ -343,11 +384,13 @@
     impl->options = std::move(options);
     impl->metrics = std::move(metrics);
     impl->publish = std::move(publish);
+    impl->onQuarantine = std::move(onQuarantine);
     impl->peerHttp = HttpClient::create(executor);
     impl->random = hash64(impl->options.session.value);
     impl->config = startMirror(impl, {.prefix = impl->wire.configKey, .pollInterval = minPollInterval}, onConfig);
     impl->targets =
         startMirror(impl, {.prefix = impl->wire.targetPrefix, .watchInterval = impl->options.targetWatchInterval, .pollInterval = minPollInterval}, onTargets);
+    impl->quarantine = startMirror(impl, {.prefix = std::string(quarantineEntryPrefix)}, onQuarantineEntries);
     impl->hosts = startMirror(impl, {.prefix = std::string(hostEntryPrefix)}, onHosts);
     asio::co_spawn(executor, maintainHostEntry(impl), asio::detached);
     auto controller = std::make_unique<FleetController>();
@@ -359,7 +402,7 @@
 {
     if (this->impl) {
         this->impl->leaving = true;
-        for (const auto &mirror : {this->impl->config, this->impl->targets, this->impl->hosts}) {
+        for (const auto &mirror : {this->impl->config, this->impl->targets, this->impl->hosts, this->impl->quarantine}) {
             mirror->stopped = true;
         }
     }
@@ -386,6 +429,16 @@
     asio::co_spawn(impl->executor, pullConfig(impl, peer), asio::detached);
 }
 
+void writeQuarantineEntry(FleetController &controller, const QuarantineEntry &entry)
+{
+    asio::co_spawn(controller.impl->executor, storeQuarantineEntry(controller.impl, entry), asio::detached);
+}
+
+void removeQuarantineEntry(FleetController &controller, PromptPartId part)
+{
+    asio::co_spawn(controller.impl->executor, deleteQuarantineEntry(controller.impl, part), asio::detached);
+}
+
 void removeHostEntry(FleetController &controller, std::function<void()> done)
 {
     const ImplPtr impl = controller.impl;
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/fleet_type.h"
+#include "fleet/quarantine_entry_func.h"
 #include "http/http_client_func.h"
 #include "metrics/metrics_func.h"
 #include "store/kv_store_type.h"
@@ -49,13 +50,15 @@
     /**
      * Starts the mirrors and the upkeep of the host's entry.
      * @param publish Called on the executor with each new snapshot.
+     * @param onQuarantine Called on the executor with each entry of a quarantined part that was written, also by this host.
      */
     static std::unique_ptr<FleetController> create(const boost::asio::any_io_executor &executor,
                                                    std::shared_ptr<const KvStore> store,
                                                    FleetWire wire,
                                                    FleetOptions options,
                                                    std::shared_ptr<MetricsRegistry> metrics,
-                                                   std::function<void(SnapshotPtr)> publish);
+                                                   std::function<void(SnapshotPtr)> publish,
+                                                   std::function<void(const QuarantineEntry &)> onQuarantine = {});
     ~FleetController();
 };
 
@@ -74,6 +77,12 @@
 /** Ends the lease of the host's entry, so that other hosts take over its jobs, and then calls @p done. */
 void removeHostEntry(FleetController &controller, std::function<void()> done);
 
+/** Writes the entry of a quarantined part; it is removed after the longest time for which hosts remember a part. */
+void writeQuarantineEntry(FleetController &controller, const QuarantineEntry &entry);
+
+/** Removes the entry of a part that had a sound run. */
+void removeQuarantineEntry(FleetController &controller, PromptPartId part);
+
 /** HTTP path at which a host serves its configuration document to other hosts. */
 inline constexpr std::string_view peerConfigPath = "/peer/config";
 
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -248,13 +248,13 @@
 }
 
 /** Records a sound run at @p at; ends the quarantine of the part unless it is newer. */
-void applySound(CrashQuarantine &state, PromptPartId part, TimePoint at, std::vector<QuarantineChange> &changes)
+void applySound(CrashQuarantine &state, PromptPartId part, TimePoint at, QuarantineSource source, std::vector<QuarantineChange> &changes)
 {
     SoundTimes &times = state.soundAt[part];
     times.any = std::max(times.any, at);
     const auto found = state.parts.find(part);
     if (found != state.parts.end() && found->second.since < times.any) {
-        changes.push_back({found->second, false});
+        changes.push_back({found->second, false, source});
         state.parts.erase(found);
     }
 }
@@ -274,14 +274,14 @@
 }
 
 /** Adopts a quarantine of another host, unless a later sound run has ended it or this host knows a newer one. */
-void applyQuarantine(CrashQuarantine &state, const QuarantinedPart &announced, std::vector<QuarantineChange> &changes)
+void applyQuarantine(CrashQuarantine &state, const QuarantinedPart &announced, QuarantineSource source, std::vector<QuarantineChange> &changes)
 {
     const auto own = state.parts.find(announced.part);
     if (soundTime(state, announced.part) > announced.since || (own != state.parts.end() && own->second.rounds >= announced.rounds)) {
         return;
     }
     state.parts[announced.part] = announced;
-    changes.push_back({announced, true, QuarantineSource::Peer});
+    changes.push_back({announced, true, source});
 }
 
 /** Adds a crash that another host announced. @return Whether it was not known before. */
@@ -338,7 +338,7 @@
 {
     std::vector<QuarantineChange> changes;
     for (const PromptPartId part : prompt.shared) {
-        applySound(state, part, now, changes);
+        applySound(state, part, now, QuarantineSource::Evidence, changes);
         state.soundAt[part].own = now;
         state.trialAt.erase(part);
     }
@@ -350,10 +350,10 @@
 {
     std::vector<QuarantineChange> changes;
     for (const SoundPart &sound : report.sound) {
-        applySound(state, sound.part, sound.at, changes);
+        applySound(state, sound.part, sound.at, QuarantineSource::Peer, changes);
     }
     for (const QuarantinedPart &entry : report.quarantined) {
-        applyQuarantine(state, entry, changes);
+        applyQuarantine(state, entry, QuarantineSource::Peer, changes);
     }
     bool newEvidence = false;
     for (const TargetCrash &crash : report.crashes) {
@@ -366,6 +366,14 @@
     return changes;
 }
 
+std::vector<QuarantineChange> adoptStored(CrashQuarantine &state, PromptPartId part, milliseconds duration, unsigned rounds, TimePoint now)
+{
+    std::vector<QuarantineChange> changes;
+    const milliseconds lasts = std::min(duration, state.settings.maxQuarantine);
+    applyQuarantine(state, {part, now, now + lasts, rounds}, QuarantineSource::Store, changes);
+    return changes;
+}
+
 void correctDelay(QuarantineReport &report, milliseconds delay)
 {
     for (TargetCrash &crash : report.crashes) {
--- a/src/policy/crash_quarantine_func.h
+++ b/src/policy/crash_quarantine_func.h
@@ -16,6 +16,14 @@
 /** Adds what another host announced. @return Quarantines that begin or end. */
 [[nodiscard]] std::vector<QuarantineChange> mergeReport(CrashQuarantine &state, const HostId &from, const QuarantineReport &report, TimePoint now);
 
+/**
+ * Adopts a quarantine that the key-value service has an entry of. Its age is unknown, so that it begins now.
+ * @param duration Duration of the quarantine.
+ * @param rounds Number of quarantines of the part; ignored unless it is higher than what this host knows.
+ */
+[[nodiscard]] std::vector<QuarantineChange> adoptStored(
+    CrashQuarantine &state, PromptPartId part, std::chrono::milliseconds duration, unsigned rounds, TimePoint now);
+
 /** Moves all times of @p report into the past by @p delay, which its transmission took longer than usual. */
 void correctDelay(QuarantineReport &report, std::chrono::milliseconds delay);
 
--- a/src/policy/crash_quarantine_type.h
+++ b/src/policy/crash_quarantine_type.h
@@ -81,6 +81,7 @@
 enum class QuarantineSource : std::uint8_t {
     Evidence, ///< The crashes that this host knows of.
     Peer, ///< Another host announced the quarantine.
+    Store, ///< The key-value service has an entry of the part.
 };
 
 /** A quarantine that began or ended. */
--- a/src/proxy/crash_evidence.cpp
+++ b/src/proxy/crash_evidence.cpp
@@ -13,6 +13,19 @@
     return error.run == RunState::Maybe && (error.code == ErrorCode::StreamBroken || error.code == ErrorCode::SendFailed);
 }
 
+std::string_view sourceName(QuarantineSource source)
+{
+    switch (source) {
+    case QuarantineSource::Evidence:
+        return "evidence";
+    case QuarantineSource::Peer:
+        return "peer";
+    case QuarantineSource::Store:
+        return "store";
+    }
+    return "unknown";
+}
+
 void logChange(const QuarantineChange &change)
 {
     const std::string part = hexText(change.entry.part.value);
@@ -22,18 +35,21 @@
     }
     logEvent(EventKind::PartQuarantined,
              part,
-             {{"source", change.source == QuarantineSource::Evidence ? "evidence" : "peer"},
+             {{"source", sourceName(change.source)},
               {"crashes", change.crashes},
               {"requests", change.requests},
               {"round", change.entry.rounds},
               {"lasts_ms", std::chrono::duration_cast<std::chrono::milliseconds>(change.entry.until - change.entry.since).count()}});
 }
 
-/** Logs and counts changes. */
+/** Logs and counts changes, and stores those that this host decided. */
 void reportChanges(const Proxy &proxy, const std::vector<QuarantineChange> &changes)
 {
     for (const QuarantineChange &change : changes) {
         logChange(change);
+        if (proxy.onQuarantine && change.source == QuarantineSource::Evidence) {
+            proxy.onQuarantine(change);
+        }
     }
     if (!changes.empty()) {
         setGauge(*proxy.metrics, "skylark_quarantined_parts", {}, static_cast<double>(proxy.quarantine.parts.size()));
@@ -83,4 +99,9 @@
     reportChanges(proxy, mergeReport(proxy.quarantine, from, report, BootClock::now()));
 }
 
+void applyStoredQuarantine(Proxy &proxy, PromptPartId part, std::chrono::milliseconds duration, unsigned rounds)
+{
+    reportChanges(proxy, adoptStored(proxy.quarantine, part, duration, rounds, BootClock::now()));
+}
+
 } // namespace skylark
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -47,6 +47,7 @@
     std::map<TargetId, TargetHealth> health; ///< Health of the targets that requests were sent to.
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
     std::function<void()> onCrashEvidence; ///< Schedules an announcement of new evidence to all hosts; may be empty.
+    std::function<void(const QuarantineChange &change)> onQuarantine; ///< Stores a change that this host decided; may be empty.
     std::function<void(LoadChange change)> onLoadChange; ///< Schedules an early announcement of this host's requests in flight.
     std::uint64_t random{1}; ///< State of the pseudorandom generator.
     bool stopping{false}; ///< Whether a planned shutdown has begun.
@@ -89,6 +90,10 @@
 /** Adds what another host announced. */
 void applyQuarantineReport(Proxy &proxy, const HostId &from, const QuarantineReport &report);
 
+/** Adds a quarantine that the key-value service has an entry of. @param duration Duration of the quarantine. @param rounds Number of quarantines of the part.
+ */
+void applyStoredQuarantine(Proxy &proxy, PromptPartId part, std::chrono::milliseconds duration, unsigned rounds);
+
 /** @return Shared parts of @p prompt for a log line: hexadecimal numbers as in the request, separated by commas. */
 [[nodiscard]] std::string promptPartsText(const PromptParts &prompt);
 
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -75,6 +75,7 @@
     std::shared_ptr<MemoryStore> store{MemoryStore::create(loop.get_executor())};
     std::shared_ptr<const FleetSnapshot> snapshot{std::make_shared<const FleetSnapshot>()}; ///< Latest snapshot.
     std::unique_ptr<FleetController> controller; ///< Null until start().
+    std::vector<QuarantineEntry> quarantined; ///< Entries that the controller has reported.
 
     void start(std::chrono::milliseconds expiryGrace = 400ms)
     {
@@ -85,14 +86,18 @@
         options.endpoint = {"127.0.0.1", 7000};
         options.targetWatchInterval = 20ms;
         options.expiryGrace = expiryGrace;
-        this->controller = FleetController::create(this->loop.get_executor(),
-                                                   storeInterface(this->store),
-                                                   platform::makeFleetWire(),
-                                                   options,
-                                                   MetricsRegistry::create(),
-                                                   [this](SnapshotPtr published) {
-                                                       this->snapshot = std::move(published);
-                                                   });
+        this->controller = FleetController::create(
+            this->loop.get_executor(),
+            storeInterface(this->store),
+            platform::makeFleetWire(),
+            options,
+            MetricsRegistry::create(),
+            [this](SnapshotPtr published) {
+                this->snapshot = std::move(published);
+            },
+            [this](const QuarantineEntry &entry) {
+                this->quarantined.push_back(entry);
+            });
     }
 
     void putConfig(unsigned version)
@@ -397,6 +402,32 @@
     CHECK(this->store->counts.watches <= hosts / 2);
 }
 
+// Guards against a fleet that is restarted as a whole and crashes the targets once more to learn the same part.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_hostRestarts_learnsQuarantinedPartsFromTheStore")
+{
+    this->start();
+    writeQuarantineEntry(*this->controller, {PromptPartId{0xbad}, 60s, 2});
+    REQUIRE(this->runUntil([this] {
+        return !this->quarantined.empty();
+    }));
+    this->quarantined.clear();
+    this->controller.reset();
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return !this->quarantined.empty();
+    }));
+    CHECK(this->quarantined.front().part == PromptPartId{0xbad});
+    CHECK(this->quarantined.front().duration == 60s);
+    CHECK(this->quarantined.front().rounds == 2);
+    removeQuarantineEntry(*this->controller, PromptPartId{0xbad});
+    this->runFor(300ms);
+    this->quarantined.clear();
+    this->controller.reset();
+    this->start();
+    this->runFor(300ms);
+    CHECK(this->quarantined.empty());
+}
+
 TEST_CASE("hostEntry_validAndInvalidInput_isDecodedOrRefused", "[host]")
 {
     const PeerEntry entry{HostId{"h"}, SessionId{"s"}, DomainId{"d"}, {"10.0.0.1", 7660}};
