--- a/tests/test_crash_quarantine.cpp
+++ b/tests/test_crash_quarantine.cpp
@@ -85,3 +85,37 @@
     CHECK(this->statusOf(promptRequest("s2", "a1:100")) == 200);
     CHECK(this->statusOf(promptRequest("s3", "a1:100,c1:100")) == 200);
 }
+
+// Guards against items of batch jobs that crash targets on behalf of a part that is quarantined already.
+TEST_CASE_METHOD(CrashFixture, "job_itemHasQuarantinedPart_waitsAndOtherItemsFinish")
+{
+    for (unsigned i = 0; i < 6; ++i) {
+        this->statusOf(promptRequest("bad-" + std::to_string(i), "a1:100,b1:100,bad0:50"));
+        this->runFor(120ms);
+    }
+    const unsigned before = this->crashes();
+    HttpRequest submission = EntryTestHost::request("j1", "/batch/j1");
+    const auto item = [](const std::string &id, const std::string &parts) {
+        return R"({"id":")" + id + R"(","path":"/batch/)" + id + R"(","headers":{"X-Skylarkstage-Prompt-Prefix":")" + parts
+               + R"("},"body":"cXdlcnQ=","tokens":100})";
+    };
+    submission.body = R"({"items":[)" + item("x1", "a1:100,bad0:50,e1:9") + "," + item("x2", "a1:100,e2:9") + "]}";
+    REQUIRE(this->statusOf(std::move(submission)) == 202);
+    CHECK(this->runUntil([this] {
+        return this->runsOf("x2") == 1;
+    }));
+    this->runFor(1s);
+    CHECK(this->runsOf("x1") == 0);
+    CHECK(this->crashes() == before);
+}
+
+// Guards against a rejection that promises "not run" for a request whose run has ended a target, and against sending that request to further targets.
+TEST_CASE_METHOD(CrashFixture, "forward_requestCrashedItsTarget_isNotReportedAsNotRun")
+{
+    for (unsigned i = 0; i < 8; ++i) {
+        const std::string id = "bad-" + std::to_string(i);
+        const int status = this->statusOf(promptRequest(id, "a1:100,b1:100,bad0:50"));
+        CHECK(status == (this->runsOf(id) > 0 ? 502 : 503));
+        this->runFor(120ms);
+    }
+}
--- a/tests/test_peer.cpp
+++ b/tests/test_peer.cpp
@@ -3,6 +3,7 @@
 #include "peer/peer_rpc_func.h"
 #include "peer/status_codec_func.h"
 #include "peer/status_exchange_func.h"
+#include "policy/crash_quarantine_func.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -354,6 +355,59 @@
 }
 
 // Guards against a malformed datagram that stops or crashes the exchange, or makes it allocate memory without limit.
+TEST_CASE("encodeStatus_quarantineReport_arrivesWithItsAges", "[status]")
+{
+    const TimePoint now = TimePoint{} + 100s;
+    HostStatus status = sampleStatus(1);
+    status.quarantine.crashes.push_back({TargetId{"t1"}, now - 2s, {{{{{0xa0}, {0xbad}}, {0xf1}}, RunPhase::Begun}, {{{{0xa0}}, {0xf2}}, RunPhase::Waiting}}});
+    status.quarantine.sound.push_back({{0xa0}, now - 1s});
+    status.quarantine.quarantined.push_back({{0xbad}, now - 2s, now + 58s, 3});
+    const TimePoint later = now + 5s;
+    const auto datagram = decodeDatagram(encodeStatus(status, now), later);
+    REQUIRE(isOk(datagram));
+    const auto &received = std::get<HostStatus>(valueOf(datagram));
+    CHECK(received.sentAt == 100s);
+    REQUIRE(received.quarantine.crashes.size() == 1);
+    const TargetCrash &crash = received.quarantine.crashes.front();
+    CHECK(crash.target.value == "t1");
+    CHECK(crash.at == later - 2s);
+    REQUIRE(crash.runs.size() == 2);
+    CHECK(crash.runs[0].prompt.shared == std::vector<PromptPartId>{{0xa0}, {0xbad}});
+    CHECK(crash.runs[0].prompt.own == PromptPartId{0xf1});
+    CHECK(crash.runs[0].phase == RunPhase::Begun);
+    CHECK(crash.runs[1].phase == RunPhase::Waiting);
+    REQUIRE(received.quarantine.sound.size() == 1);
+    CHECK(received.quarantine.sound.front().at == later - 1s);
+    REQUIRE(received.quarantine.quarantined.size() == 1);
+    CHECK(received.quarantine.quarantined.front().since == later - 2s);
+    CHECK(received.quarantine.quarantined.front().until == later + 58s);
+    CHECK(received.quarantine.quarantined.front().rounds == 3);
+}
+
+// Guards against reports that do not fit into a datagram, however many crashes, runs and parts there are.
+TEST_CASE("encodeStatus_largestQuarantineReport_fitsIntoADatagram", "[status]")
+{
+    CrashQuarantine state{.host = HostId{"h1"}};
+    std::uint64_t number = 0x123456789abcdef1;
+    const auto part = [&number] {
+        return PromptPartId{nextRandom(number)};
+    };
+    for (unsigned crash = 0; crash < 100; ++crash) {
+        const TimePoint at = TimePoint{} + 100s + crash * 200ms;
+        for (unsigned run = 0; run < 30; ++run) {
+            SuspectRun suspect{{{}, part()}, RunPhase::Begun};
+            for (unsigned i = 0; i < 200; ++i) {
+                suspect.prompt.shared.push_back(part());
+            }
+            static_cast<void>(recordSuspectRun(state, TargetId{"target-" + std::to_string(crash)}, std::move(suspect), at));
+        }
+    }
+    HostStatus status = sampleStatus(0);
+    status.quarantine = reportOf(state, TimePoint{} + 121s);
+    CHECK(status.quarantine.crashes.size() > 1);
+    CHECK(encodeStatus(status, TimePoint{} + 121s).size() <= maxDatagramBytes);
+}
+
 TEST_CASE_METHOD(StatusFixture, "status_malformedDatagrams_countedAndDropped")
 {
     std::uint64_t random = 1;
