--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -4,8 +4,12 @@
 #include "support/entry_fixture.h"
 #include "support/property_seed.h"
 
+#include <array>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <rapidcheck.h>
 #include <sys/socket.h>
 
@@ -41,6 +45,42 @@
     }
 };
 
+/** A target that answers each connection's first request with the same bytes and then closes the connection. */
+struct FixedAnswerTarget {
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string answer; ///< Bytes that are sent.
+    unsigned answered{0}; ///< Number of connections answered.
+
+    explicit FixedAnswerTarget(boost::asio::io_context &loop)
+        : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        boost::asio::co_spawn(loop, this->serve(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        for (;;) {
+            auto socket = co_await this->acceptor.async_accept(boost::asio::use_awaitable);
+            std::array<char, 8192> request{};
+            co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+            ++this->answered;
+            co_await boost::asio::async_write(socket, boost::asio::buffer(this->answer), boost::asio::use_awaitable);
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both);
+        }
+    }
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+};
+
+/** @return Event @p number of the answer to @p id as a target sends it. */
+std::string rawEventOf(const std::string &id, unsigned number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + eventData(id, number) + "\n\n";
+}
+
 /** Two replicas and one host that forwards requests to them. */
 struct ForwardFixture : EntryFixture {
     Replica &first{this->addReplica("i-1")};
@@ -453,3 +493,30 @@
     EventSplitter splitter;
     CHECK_FALSE(isOk(splitEvents(splitter, std::string(maxEventBytes + 1, 'x'))));
 }
+
+// Guards against a stream without length or chunks that is taken as broken when it ends with its connection, or as complete when it ends inside an event.
+TEST_CASE_METHOD(ForwardFixture, "forward_streamWithoutFraming_endsWithItsConnectionBetweenEventsOnly")
+{
+    FixedAnswerTarget target(this->loop);
+    this->targets->erase(TargetId{"i-2"});
+    this->targets->at(TargetId{"i-1"}).endpoint = target.endpoint();
+    this->host.publish({});
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: s1\r\nX-Skylarkstage-Server-Signature: x\r\nContent-Type: text/event-stream\r\n\r\n";
+    target.answer = head + rawEventOf("s1", 1) + rawEventOf("s1", 2);
+    CHECK(joinedData(this->host.send(EntryTestHost::request("s1", "/chat/x"))) == wholeText("s1", 2));
+    CHECK(target.answered == 1);
+    target.answer = head + rawEventOf("s1", 1) + rawEventOf("s1", 2).substr(0, 9);
+    CHECK_FALSE(isOk(this->call(this->host.endpoint, EntryTestHost::request("s1", "/chat/x"))));
+    CHECK(target.answered > 1);
+}
+
+TEST_CASE_METHOD(ForwardFixture, "forward_wholeAnswerWithoutFraming_isForwarded")
+{
+    FixedAnswerTarget target(this->loop);
+    this->targets->erase(TargetId{"i-2"});
+    this->targets->at(TargetId{"i-1"}).endpoint = target.endpoint();
+    this->host.publish({});
+    target.answer = "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: q1\r\nX-Skylarkstage-Server-Signature: x\r\n\r\nbody until the end";
+    CHECK(this->host.send(EntryTestHost::request("q1", "/lookup/x")).body == "body until the end");
+}
