Feature: Rate limits that targets name are read and logged

Cause: the header was never read, so that the log could not tell the hypotheses apart. Change: a pure table keeps what each target's answers say of its limit; limit_changed names the target, the limit and this host's requests to it. No decision changes. An answer without a limit ends it only when its request was sent after the limit was last named.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -31,6 +31,7 @@
     Placed, ///< A request was sent to a target.
     AttemptFailed, ///< An attempt to run a request on a target failed.
     Resumed, ///< A broken stream was continued on another target.
+    LimitChanged, ///< A target named another rate limit, or none any more.
     PartQuarantined, ///< Requests with a prompt part are rejected, because it crashes targets.
     PartReleased, ///< A run with a quarantined prompt part was sound.
     Refused, ///< A request was refused and did not run.
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -96,9 +96,11 @@
         updateLimits(*host.callerServer, static_cast<std::uint32_t>(limits.maxHeaderBytes), limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout);
     }
     if (snapshot->targets && snapshot->targets != before->targets) {
-        std::erase_if(host.proxy->health, [&snapshot](const auto &entry) {
+        const auto isGone = [&snapshot](const auto &entry) {
             return !snapshot->targets->contains(entry.first);
-        });
+        };
+        std::erase_if(host.proxy->health, isGone);
+        std::erase_if(host.proxy->rateLimits.targets, isGone);
     }
     host.jobs->mirror->options.pollInterval = jobCheckIntervalFor(snapshot->peers.size() + 1);
     updatePeers(*host.peers);
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -105,6 +105,8 @@
     const HttpTimeouts timeouts{targetConnectTimeout, sendTimeout, firstAnswerTimeout, gapTimeout};
     run->abort = std::make_shared<HttpAbortHandle>();
     run->progress = {};
+    const TimePoint sentAt = BootClock::now();
+    recordSend(proxy.rateLimits, target.id);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, ConnectionUse::Pooled, run->abort);
     if (run->yielded || run->cancelled) {
         co_return interruptedError(*run);
@@ -115,6 +117,7 @@
     HttpExchange &exchange = valueOf(opened);
     const AnswerHead head = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
     const int status = exchange.status;
+    recordAnswerHead(proxy, target.id, head, sentAt);
     if (head.notRun) {
         co_await drainResponse(exchange);
         co_return makeError(ErrorCode::TargetOverloaded, std::to_string(status), RunState::No);
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -165,12 +165,15 @@
     const ConnectionUse use = repeatable ? ConnectionUse::Pooled : ConnectionUse::Fresh;
     forwarding.abort = std::make_shared<HttpAbortHandle>();
     forwarding.progress = {};
+    const TimePoint sentAt = BootClock::now();
+    recordSend(proxy.rateLimits, target.id);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, use, forwarding.abort);
     if (!isOk(opened)) {
         co_return failedAttempt(forwarding, errorOf(opened));
     }
     HttpExchange &exchange = valueOf(opened);
     const AnswerHead answerHead = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
+    recordAnswerHead(proxy, target.id, answerHead, sentAt);
     if (answerHead.notRun) {
         auto rest = co_await readBody(forwarding, exchange, maxRefusalBytes);
         const std::string detail = std::to_string(exchange.status) + (isOk(rest) ? "" : ", reading the body failed");
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -8,6 +8,7 @@
 #include "metrics/metrics_func.h"
 #include "policy/crash_quarantine_func.h"
 #include "policy/load_balance_func.h"
+#include "policy/rate_limit_func.h"
 #include "proxy/call_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -45,6 +46,7 @@
     SnapshotPtr fleet; ///< Latest snapshot published by the control thread; never null.
     LoadTracker loadTracker; ///< Requests in flight on each target, of all hosts.
     std::map<TargetId, TargetHealth> health; ///< Health of the targets that requests were sent to.
+    RateLimitTable rateLimits; ///< Rate limits that targets have named.
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
     std::function<void()> onCrashEvidence; ///< Schedules an announcement of new evidence to all hosts; may be empty.
     std::function<void(const QuarantineChange &change)> onQuarantine; ///< Stores a change that this host decided; may be empty.
@@ -78,6 +80,12 @@
  */
 [[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
 
+/**
+ * Records the rate limit that an answer names, or that it names none.
+ * @param sentAt When the request was sent.
+ */
+void recordAnswerHead(Proxy &proxy, const TargetId &target, const AnswerHead &head, TimePoint sentAt);
+
 /** Records a run that failed with @p error; it is suspect if its target ended. */
 void recordFailedRun(Proxy &proxy, const TargetId &target, const PromptParts &prompt, const RunProgress &progress, const Error &error);
 
