Fix: The rate limit that a target names is divided among all hosts

Cause: no host read the limit, and none could keep it alone: it holds for all hosts together. Class: a shared budget without an owner. Change: src/policy/rate_limit divides a limit among a few hosts, chosen by rendezvous hashing for each target: two and one more for each two requests a second, so few that even one request of each at once stays near the limit. Each has a bucket of its share; a host that becomes a sender starts without a token, and sends nothing to limited targets before it knows the other hosts. Hosts that stop give their share up. Online requests, repeats, resumed streams and batch items take from the same bucket; items only tokens that no online request used for 300 ms. Limits are announced to all hosts; an answer without one ends it only when its request was sent after the last naming. What can't be placed is refused at once with rate_limited; Retry-After covers the time until all limits together allow one more.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -102,6 +102,7 @@
         std::erase_if(host.proxy->health, isGone);
         std::erase_if(host.proxy->rateLimits.targets, isGone);
     }
+    updateSenders(*host.proxy);
     host.jobs->mirror->options.pollInterval = jobCheckIntervalFor(snapshot->peers.size() + 1);
     updatePeers(*host.peers);
     logReadiness(host);
@@ -206,8 +207,8 @@
     host.jobs->readFromHost = [link = host.peers->impl](HostId peer, JobId job, std::uint64_t after) {
         return readJobAtPeer(link, std::move(peer), std::move(job), after);
     };
-    host.proxy->onCrashEvidence = [&host] {
-        announceCrashEvidence(*host.peers);
+    host.proxy->onUrgentNews = [&host] {
+        scheduleStatusToAll(*host.peers);
     };
     host.proxy->onQuarantine = [&host](const QuarantineChange &change) {
         asio::post(host.control, [&host, change] {
@@ -288,6 +289,7 @@
 {
     const TimePoint stopStartedAt = BootClock::now();
     host.proxy->stopping = true;
+    updateSenders(*host.proxy);
     logEvent(EventKind::Stop, {}, {{"active", activeRequests(*host.callerServer)}});
     logReadiness(host);
     announceClose(*host.callerServer);
@@ -371,6 +373,7 @@
     host.proxy->fleet = std::make_shared<const FleetSnapshot>();
     host.proxy->random = hash64(host.session.value);
     host.proxy->quarantine.host = host.settings.host;
+    host.proxy->rateLimits.host = host.settings.host;
     host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -152,6 +152,7 @@
     status.configRevision = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     addOwnLoad(link->proxy->loadTracker, status);
     status.quarantine = reportOf(link->proxy->quarantine, now);
+    status.limits = limitsToAnnounce(link->proxy->rateLimits, now);
     link->options.completeStatus(status);
     sendStatus(*link->exchange, status, nextRecipients(*link, now));
     link->earlyStatusScheduled = false;
@@ -172,12 +173,25 @@
 /** Applies the status of another host; drops one that is out of date. */
 void handleStatus(const LinkPtr &link, const HostStatus &status)
 {
-    if (status.host == link->options.host || !applyStatus(link->proxy->loadTracker, status, BootClock::now())) {
+    if (status.host == link->options.host) {
         return;
     }
+    const auto before = link->proxy->loadTracker.peers.find(status.host);
+    const bool wasLeaving = before != link->proxy->loadTracker.peers.end() && before->second.leaving;
+    if (!applyStatus(link->proxy->loadTracker, status, BootClock::now())) {
+        return;
+    }
+    if (wasLeaving != status.leaving) {
+        updateSenders(*link->proxy);
+    }
+    const milliseconds delay = excessDelay(link->clocks[status.host], status.incarnation, status.sentAt, BootClock::now());
     QuarantineReport report = status.quarantine;
-    correctDelay(report, excessDelay(link->clocks[status.host], status.incarnation, status.sentAt, BootClock::now()));
+    correctDelay(report, delay);
     applyQuarantineReport(*link->proxy, status.host, report);
+    for (LimitObservation limit : status.limits) {
+        limit.at -= delay;
+        applyLimit(*link->proxy, limit);
+    }
     const Revision own = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     const auto peer = link->peers.find(status.host);
     if (status.configRevision > own && peer != link->peers.end()) {
@@ -310,9 +324,8 @@
     }
 }
 
-void announceCrashEvidence(PeerLink &link)
+void scheduleStatusToAll(PeerLink &link)
 {
-    // Crashes are rare, and each host may hold a part of the evidence only.
     link.impl->allDomainsDue = true;
     scheduleEarlyStatus(link);
 }
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -42,7 +42,7 @@
 void announceLoadChange(PeerLink &link, LoadChange change);
 
 /** Schedules an early status datagram to the hosts of all failure domains. */
-void announceCrashEvidence(PeerLink &link);
+void scheduleStatusToAll(PeerLink &link);
 
 /** Schedules an early status datagram; changes within a few milliseconds share one datagram. */
 void scheduleEarlyStatus(PeerLink &link);
--- a/src/explain/explain.cpp
+++ b/src/explain/explain.cpp
@@ -81,6 +81,8 @@
 constexpr std::array causeRules{
     CauseRule{"refused", "reason", "full", "every target already had as many online requests as it can serve in time; the request did not run"},
     CauseRule{"refused", "reason", "quarantined", "a part of its prompt crashes targets and is quarantined; the request did not run"},
+    CauseRule{
+        "refused", "reason", "rate_limited", "every target that was not full had a rate limit of which this host had used its share; the request did not run"},
     CauseRule{"refused", "reason", "no_target", "no target of the service was known; the request did not run"},
     CauseRule{"refused", "reason", "targets_refused", "the targets that were tried were unreachable or reported that they did not run the request"},
     CauseRule{"refused", "reason", "deadline", "the deadline of the request passed before a target ran it"},
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -259,6 +259,7 @@
     }
     impl->hosts->options.watchInterval = hostWatchIntervalFor(peers.size() + 1);
     impl->state.peers = std::move(peers);
+    impl->state.peersKnown = true;
     publish(*impl);
 }
 
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -94,6 +94,7 @@
     std::shared_ptr<const std::string> configDocument; ///< Document from which @c config was decoded, for peers that cannot reach the service.
     std::shared_ptr<const TargetMap> targets; ///< Null until the list was read for the first time.
     std::vector<PeerEntry> peers; ///< Other hosts with an entry in the service.
+    bool peersKnown{false}; ///< Whether the hosts' entries have been read.
     bool storeReachable{false}; ///< Whether the last call to the service succeeded.
 };
 
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -106,7 +106,7 @@
     run->abort = std::make_shared<HttpAbortHandle>();
     run->progress = {};
     const TimePoint sentAt = BootClock::now();
-    recordSend(proxy.rateLimits, target.id);
+    recordSend(proxy.rateLimits, target.id, sentAt);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, ConnectionUse::Pooled, run->abort);
     if (run->yielded || run->cancelled) {
         co_return interruptedError(*run);
--- a/src/job/job_slots.cpp
+++ b/src/job/job_slots.cpp
@@ -131,7 +131,8 @@
     std::vector<std::pair<const TargetEntry *, BatchSlotInput>> open;
     for (const auto &[id, entry] : *runner.proxy->fleet->targets) {
         const BatchSlotInput input = startInput(runner, entry, now);
-        if (!takesBatch(runner, entry, services, now) || freeSlots(input) == 0) {
+        const bool allowed = takesBatch(runner, entry, services, now) && maySend(runner.proxy->rateLimits, id, StreamKind::Batch, now);
+        if (!allowed || freeSlots(input) == 0) {
             runner.unclaimed.erase(id);
             continue;
         }
@@ -158,7 +159,8 @@
         claim.announceDelay = announceDelayTo(tracker, ownDomain);
         claim.freeFor = timeUnclaimed(runner.unclaimed[entry->id], input.ownBatch + input.batchAfter, now);
         claim.claimStep = claimStepDelays * claim.announceDelay;
-        const unsigned items = batchItemsToStart(input, claim, reserved);
+        const unsigned most = limitOf(runner.proxy->rateLimits, entry->id) ? 1 : entry->slots;
+        const unsigned items = std::min(most, batchItemsToStart(input, claim, reserved));
         if (items > 0) {
             offers.push_back({entry, makeSlotOffer(entry->id, runner.host, items, ownDomain)});
         }
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -62,6 +62,13 @@
   rounds @3 :UInt32;
 }
 
+struct TargetLimit {
+  target @0 :Text;
+  limited @1 :Bool;  # Whether the target names a limit.
+  perSecond @2 :Float64;
+  ageMs @3 :UInt32;
+}
+
 struct HostStatus {
   host @0 :Text;
   domain @1 :Text;
@@ -82,6 +89,7 @@
   crashes @16 :List(TargetCrash);
   soundParts @17 :List(SoundPart);
   quarantinedParts @18 :List(QuarantinedPart);
+  limits @19 :List(TargetLimit);
 }
 
 struct YieldRequest {
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
+#include <cmath>
 #include <kj/io.h>
 #include <limits>
 
@@ -149,6 +150,31 @@
     }
 }
 
+void writeLimits(wire::HostStatus::Builder out, const std::vector<LimitObservation> &observations, TimePoint now)
+{
+    auto limits = out.initLimits(static_cast<unsigned>(observations.size()));
+    for (unsigned i = 0; i < limits.size(); ++i) {
+        limits[i].setTarget(observations[i].target.value);
+        limits[i].setLimited(observations[i].perSecond.has_value());
+        limits[i].setPerSecond(observations[i].perSecond.value_or(0));
+        limits[i].setAgeMs(ageMs(observations[i].at, now));
+    }
+}
+
+std::vector<LimitObservation> readLimits(wire::HostStatus::Reader in, TimePoint now)
+{
+    std::vector<LimitObservation> observations;
+    for (const auto limit : in.getLimits()) {
+        const double perSecond = limit.getPerSecond();
+        LimitObservation observation{TargetId{textOf(limit.getTarget())}, {}, now - std::chrono::milliseconds(limit.getAgeMs())};
+        if (limit.getLimited()) {
+            observation.perSecond = std::isfinite(perSecond) ? std::max(0.0, perSecond) : 0.0;
+        }
+        observations.push_back(std::move(observation));
+    }
+    return observations;
+}
+
 TargetCrash readCrash(wire::TargetCrash::Reader in, TimePoint now)
 {
     TargetCrash crash{TargetId{textOf(in.getTarget())}, now - std::chrono::milliseconds(in.getAgeMs()), {}};
@@ -209,6 +235,7 @@
     }
     writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
     writeQuarantine(out, status.quarantine, now);
+    writeLimits(out, status.limits, now);
     return pack(message);
 }
 
@@ -236,6 +263,7 @@
     }
     status.freeByModel = readCounts<ModelId>(in.getFreeByModel());
     status.quarantine = readQuarantine(in, now);
+    status.limits = readLimits(in, now);
     return status;
 }
 
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -3,6 +3,7 @@
 
 #include "control/snapshot_type.h"
 #include "policy/crash_quarantine_type.h"
+#include "policy/rate_limit_type.h"
 
 #include <vector>
 
@@ -34,6 +35,7 @@
     unsigned batchWaiting{0}; ///< Batch items of the host that wait for a slot of a target.
     std::vector<std::pair<JobId, std::uint64_t>> jobRevisions; ///< Record revisions of jobs that the host owns or has just changed.
     std::chrono::milliseconds sentAt{0}; ///< Steady clock of the sender when it encoded the datagram.
+    std::vector<LimitObservation> limits; ///< Rate limits that targets named to the host.
     QuarantineReport quarantine; ///< Crashes of targets that the host saw, and quarantined prompt parts.
 };
 
--- a/src/policy/load_balance.cpp
+++ b/src/policy/load_balance.cpp
@@ -57,6 +57,8 @@
         return "queued";
     case BalanceReason::Full:
         return "full";
+    case BalanceReason::RateLimited:
+        return "rate_limited";
     case BalanceReason::NoTarget:
         return "no_target";
     }
@@ -77,6 +79,10 @@
             choice.reason = BalanceReason::Full;
             continue;
         }
+        if (candidate.rateLimited) {
+            choice.reason = BalanceReason::RateLimited;
+            continue;
+        }
         const double value = score(candidate, random);
         if (best == nullptr || value < bestScore) {
             best = &candidate;
@@ -94,7 +100,8 @@
     const double slots = std::max(1U, input.slots);
     const double excess = std::max(0.0, input.online + 1.0 - slots);
     const double wait = static_cast<double>(input.serviceTime.count()) * excess / slots;
-    const double base = std::max(wait, static_cast<double>(minRefusalDelay.count()));
+    const double limitWait = input.rateLimited && input.limitPerSecond > 0 ? 1000.0 / input.limitPerSecond : 0.0;
+    const double base = std::max(std::max(wait, limitWait), static_cast<double>(minRefusalDelay.count()));
     const double jitter = base * static_cast<double>(input.draw % 1000U) / 1000.0;
     const auto delay = std::chrono::milliseconds(static_cast<std::int64_t>(base + jitter));
     return std::min(delay, std::max(minRefusalDelay, input.remaining / 3));
--- a/src/policy/load_balance_func.h
+++ b/src/policy/load_balance_func.h
@@ -20,13 +20,15 @@
 struct RefusalInput {
     unsigned online{0}; ///< Online requests in flight on all targets of the service.
     unsigned slots{0}; ///< Total slots of all targets of the service.
+    double limitPerSecond{0}; ///< Sum of the rate limits of the targets that have one.
+    bool rateLimited{false}; ///< Whether rate limits are the reason.
     std::chrono::milliseconds serviceTime{700}; ///< Typical time that a request holds a slot.
     std::chrono::milliseconds remaining{0}; ///< Remaining time for which the caller waits.
     std::uint64_t draw{0}; ///< Uniform random number for the jitter of the delay.
 };
 
-/** @return Delay after which the caller should retry: the expected time to serve the requests ahead, plus a jitter of up to the same length. The delay is at
- * most a third of the remaining time, but at least 200 ms. */
+/** @return Delay after which the caller should retry: the expected time to serve the requests ahead, or until all limits together allow one more, plus a jitter
+ * of up to the same length. The delay is at most a third of the remaining time, but at least 200 ms. */
 [[nodiscard]] std::chrono::milliseconds refusalDelay(const RefusalInput &input);
 
 } // namespace skylark
--- a/src/policy/load_balance_type.h
+++ b/src/policy/load_balance_type.h
@@ -19,6 +19,7 @@
     std::chrono::milliseconds countsAge{0}; ///< Age of the oldest counts announced by a host of its failure domain.
     bool suspect{false}; ///< Whether it failed recently.
     bool tried{false}; ///< Whether this request failed on it.
+    bool rateLimited{false}; ///< Whether this host must not send it a request now, because of the target's rate limit.
     double slowness{1.0}; ///< Time to the first answer divided by the median of the service; 1 when unknown.
 };
 
@@ -33,6 +34,7 @@
     BatchYields, ///< A batch item must be preempted for the request.
     Queued, ///< The request waits at the target behind other online requests.
     Full, ///< The queue of every untried target is full; no further request could be served in time.
+    RateLimited, ///< Every untried target that is not full has a rate limit that this host has used up.
     NoTarget, ///< There are no candidates, or this request has tried all of them.
 };
 
--- a/src/policy/rate_limit.cpp
+++ b/src/policy/rate_limit.cpp
@@ -1,11 +1,59 @@
-/** @file rate_limit.cpp Keeps the rate limits that targets name. */
+/** @file rate_limit.cpp Keeps the rate limits that targets name, and divides each among the hosts. */
 #include "policy/rate_limit_func.h"
 
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <cmath>
+
 namespace skylark {
 
-void recordSend(RateLimitTable &table, const TargetId &target)
+namespace {
+
+constexpr std::size_t maxAnnounced = 128; ///< Observations in one announcement; others follow in the next ones.
+
+/** Adds the tokens of the time since the last refill to @p rate. */
+void refill(const RateLimitTable &table, const TargetId &target, TargetRate &rate, TimePoint now)
+{
+    const LimitShare share = rate.latest.perSecond ? shareOf(table, target, *rate.latest.perSecond) : LimitShare{};
+    const double seconds = std::max(0.0, std::chrono::duration<double>(now - rate.refilledAt).count());
+    rate.tokens = share.sends ? std::min(table.settings.burst, rate.tokens + seconds * share.perSecond) : 0.0;
+    rate.refilledAt = now;
+}
+
+/** Puts a new limit in force. A target that had none before starts without a token. */
+void setLimit(const RateLimitTable &table, TargetRate &rate, const LimitObservation &observation, TimePoint now)
 {
-    ++table.targets[target].sent;
+    if (rate.latest.perSecond && observation.perSecond) {
+        refill(table, observation.target, rate, now);
+    } else {
+        rate.tokens = 0;
+        rate.refilledAt = now;
+    }
+    rate.latest = observation;
+}
+
+} // namespace
+
+void setSenders(RateLimitTable &table, std::vector<HostId> hosts, TimePoint now)
+{
+    if (hosts == table.hosts) {
+        return;
+    }
+    for (auto &[target, rate] : table.targets) {
+        refill(table, target, rate, now);
+    }
+    table.hosts = std::move(hosts);
+}
+
+void recordSend(RateLimitTable &table, const TargetId &target, TimePoint now)
+{
+    TargetRate &rate = table.targets[target];
+    ++rate.sent;
+    if (rate.latest.perSecond) {
+        refill(table, target, rate, now);
+        rate.tokens -= 1;
+    }
 }
 
 bool observeAnswer(RateLimitTable &table, const LimitObservation &observation, TimePoint sentAt)
@@ -16,15 +64,79 @@
         return false;
     }
     const bool changed = rate.latest.perSecond != observation.perSecond;
-    rate.latest = observation;
+    setLimit(table, rate, observation, observation.at);
+    if (changed || rate.own.perSecond != observation.perSecond) {
+        rate.changedAt = observation.at;
+    }
     rate.own = observation;
     return changed;
 }
 
+bool mergeObservation(RateLimitTable &table, const LimitObservation &observation, TimePoint now)
+{
+    TargetRate &rate = table.targets[observation.target];
+    if (observation.at <= rate.latest.at) {
+        return false;
+    }
+    const bool changed = rate.latest.perSecond != observation.perSecond;
+    setLimit(table, rate, observation, now);
+    return changed;
+}
+
+std::vector<LimitObservation> limitsToAnnounce(RateLimitTable &table, TimePoint now)
+{
+    std::vector<LimitObservation> due;
+    for (auto &[target, rate] : table.targets) {
+        const bool fresh = now - rate.changedAt < table.settings.announceTime;
+        const bool renewed = rate.own.perSecond && rate.own.at > rate.announcedAt && now - rate.announcedAt >= table.settings.announceInterval;
+        if (rate.changedAt != TimePoint{} && (fresh || renewed) && due.size() < maxAnnounced) {
+            rate.announcedAt = now;
+            due.push_back(rate.own);
+        }
+    }
+    return due;
+}
+
 std::optional<double> limitOf(const RateLimitTable &table, const TargetId &target)
 {
     const auto found = table.targets.find(target);
     return found == table.targets.end() ? std::nullopt : found->second.latest.perSecond;
 }
 
+LimitShare shareOf(const RateLimitTable &table, const TargetId &target, double perSecond)
+{
+    if (std::find(table.hosts.begin(), table.hosts.end(), table.host) == table.hosts.end()) {
+        return {};
+    }
+    const std::uint64_t ownScore = rendezvousScore(target.value, table.host.value);
+    const auto before = std::count_if(table.hosts.begin(), table.hosts.end(), [&](const HostId &host) {
+        const std::uint64_t score = rendezvousScore(target.value, host.value);
+        return score > ownScore || (score == ownScore && host < table.host);
+    });
+    const double further = std::min(std::floor(perSecond / table.settings.perSecondPerSender), static_cast<double>(table.hosts.size()));
+    const auto senders = std::min(table.hosts.size(), static_cast<std::size_t>(further) + table.settings.minSenders);
+    if (static_cast<std::size_t>(before) >= senders) {
+        return {};
+    }
+    const double share = perSecond / static_cast<double>(senders);
+    return {true, before == 0 ? std::max(share, table.settings.minPerSecond) : share};
+}
+
+bool maySend(const RateLimitTable &table, const TargetId &target, StreamKind kind, TimePoint now)
+{
+    const auto found = table.targets.find(target);
+    if (found == table.targets.end() || !found->second.latest.perSecond) {
+        return true;
+    }
+    const TargetRate &rate = found->second;
+    const LimitShare share = shareOf(table, target, *rate.latest.perSecond);
+    if (!share.sends || share.perSecond <= 0) {
+        return false;
+    }
+    const double waited = std::chrono::duration<double>(now - rate.refilledAt).count();
+    const double fullAfter = (1.0 - rate.tokens) / share.perSecond;
+    const double reserve = kind == StreamKind::Batch ? std::chrono::duration<double>(table.settings.batchWait).count() : 0.0;
+    return waited >= fullAfter + reserve;
+}
+
 } // namespace skylark
--- a/src/policy/rate_limit_func.h
+++ b/src/policy/rate_limit_func.h
@@ -1,12 +1,15 @@
-/** @file rate_limit_func.h Keeps the rate limits that targets name. */
+/** @file rate_limit_func.h Keeps the rate limits that targets name, and divides each among the hosts. */
 #pragma once
 
 #include "policy/rate_limit_type.h"
 
 namespace skylark {
 
-/** Counts a request that is about to be sent to @p target. */
-void recordSend(RateLimitTable &table, const TargetId &target);
+/** Sets the hosts among which limits are divided. A host that becomes a sender of a target starts without a token. */
+void setSenders(RateLimitTable &table, std::vector<HostId> hosts, TimePoint now);
+
+/** Counts a request that is about to be sent to @p target, and takes its token if the target has a limit. */
+void recordSend(RateLimitTable &table, const TargetId &target, TimePoint now);
 
 /**
  * Records what an answer said. An answer without a limit ends a limit only if its request was sent after the limit was last named, because answers on
@@ -16,7 +19,22 @@
  */
 [[nodiscard]] bool observeAnswer(RateLimitTable &table, const LimitObservation &observation, TimePoint sentAt);
 
-/** @return The limit of @p target; empty when it has named none. */
+/** Adds what another host announced. @return Whether the limit has changed. */
+[[nodiscard]] bool mergeObservation(RateLimitTable &table, const LimitObservation &observation, TimePoint now);
+
+/** @return The own observations that are due to be announced; records that they are. */
+[[nodiscard]] std::vector<LimitObservation> limitsToAnnounce(RateLimitTable &table, TimePoint now);
+
+/** @return The limit of @p target in requests a second; empty when it has named none. */
 [[nodiscard]] std::optional<double> limitOf(const RateLimitTable &table, const TargetId &target);
 
+/**
+ * @return This host's share of a limit of @p perSecond. The hosts with the highest rendezvous scores for the target share it equally, so few that even if
+ * each of them sends one request at once the sum stays near the limit.
+ */
+[[nodiscard]] LimitShare shareOf(const RateLimitTable &table, const TargetId &target, double perSecond);
+
+/** @return Whether this host may send a request of @p kind to @p target now. */
+[[nodiscard]] bool maySend(const RateLimitTable &table, const TargetId &target, StreamKind kind, TimePoint now);
+
 } // namespace skylark
--- a/src/proxy/crash_evidence.cpp
+++ b/src/proxy/crash_evidence.cpp
@@ -56,15 +56,15 @@
     }
 }
 
-void announce(const Proxy &proxy)
+} // namespace
+
+void announceToAll(const Proxy &proxy)
 {
-    if (proxy.onCrashEvidence) {
-        proxy.onCrashEvidence();
+    if (proxy.onUrgentNews) {
+        proxy.onUrgentNews();
     }
 }
 
-} // namespace
-
 void recordFailedRun(Proxy &proxy, const TargetId &target, const PromptParts &prompt, const RunProgress &progress, const Error &error)
 {
     const RunPhase phase = phaseOf(progress);
@@ -73,7 +73,7 @@
     }
     addCounter(*proxy.metrics, "skylark_suspect_runs_total");
     reportChanges(proxy, recordSuspectRun(proxy.quarantine, target, {prompt, phase}, BootClock::now()));
-    announce(proxy);
+    announceToAll(proxy);
 }
 
 void recordSoundRun(Proxy &proxy, const PromptParts &prompt)
@@ -81,7 +81,7 @@
     const auto changes = recordSoundRun(proxy.quarantine, prompt, BootClock::now());
     reportChanges(proxy, changes);
     if (!changes.empty()) {
-        announce(proxy);
+        announceToAll(proxy);
     }
 }
 
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -76,7 +76,7 @@
         }
         const auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
         const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(proxy.random));
-        const bool unplaced = choice.reason == BalanceReason::Full || choice.reason == BalanceReason::NoTarget;
+        const bool unplaced = choice.target.empty();
         if (unplaced && forwarding.runs == 0 && forwarding.refusals == 0) {
             co_await refuseUnplaced(forwarding, candidates, choice.reason);
             recordOutcome(forwarding, 503, "refused");
--- a/src/proxy/forward_answer.cpp
+++ b/src/proxy/forward_answer.cpp
@@ -89,7 +89,9 @@
 asio::awaitable<void> refuseUnplaced(Forwarding &forwarding, const std::vector<BalanceCandidate> &candidates, BalanceReason reason)
 {
     RefusalInput input{.serviceTime = usualServiceTime, .remaining = timeLeft(forwarding), .draw = nextRandom(forwarding.proxy->random)};
+    input.rateLimited = reason == BalanceReason::RateLimited;
     for (const BalanceCandidate &candidate : candidates) {
+        input.limitPerSecond += limitOf(forwarding.proxy->rateLimits, candidate.id).value_or(0);
         input.online += candidate.online;
         input.slots += candidate.slots;
     }
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -166,7 +166,7 @@
     forwarding.abort = std::make_shared<HttpAbortHandle>();
     forwarding.progress = {};
     const TimePoint sentAt = BootClock::now();
-    recordSend(proxy.rateLimits, target.id);
+    recordSend(proxy.rateLimits, target.id, sentAt);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, use, forwarding.abort);
     if (!isOk(opened)) {
         co_return failedAttempt(forwarding, errorOf(opened));
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -48,7 +48,7 @@
     std::map<TargetId, TargetHealth> health; ///< Health of the targets that requests were sent to.
     RateLimitTable rateLimits; ///< Rate limits that targets have named.
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
-    std::function<void()> onCrashEvidence; ///< Schedules an announcement of new evidence to all hosts; may be empty.
+    std::function<void()> onUrgentNews; ///< Schedules an early announcement to the hosts of all failure domains; may be empty.
     std::function<void(const QuarantineChange &change)> onQuarantine; ///< Stores a change that this host decided; may be empty.
     std::function<void(LoadChange change)> onLoadChange; ///< Schedules an early announcement of this host's requests in flight.
     std::uint64_t random{1}; ///< State of the pseudorandom generator.
@@ -73,6 +73,9 @@
  */
 void recordTargetFailure(Proxy &proxy, const TargetEntry &target);
 
+/** Divides the rate limits of targets among all registered hosts that are not about to stop. */
+void updateSenders(Proxy &proxy);
+
 /**
  * @return The targets of @p service that accept new requests, with their load and health.
  * @param tried Targets on which the request has failed.
@@ -86,6 +89,12 @@
  */
 void recordAnswerHead(Proxy &proxy, const TargetId &target, const AnswerHead &head, TimePoint sentAt);
 
+/** Adds a limit that another host announced; ignored for a target that is not known. */
+void applyLimit(Proxy &proxy, const LimitObservation &observation);
+
+/** Schedules an early announcement of evidence or limits to the hosts of all failure domains. */
+void announceToAll(const Proxy &proxy);
+
 /** Records a run that failed with @p error; it is suspect if its target ended. */
 void recordFailedRun(Proxy &proxy, const TargetId &target, const PromptParts &prompt, const RunProgress &progress, const Error &error);
 
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -87,6 +87,7 @@
         if (const auto age = ages.find(entry.domain); age != ages.end()) {
             candidate.countsAge = age->second;
         }
+        candidate.rateLimited = !maySend(proxy.rateLimits, id, StreamKind::Online, now);
         candidate.tried = std::find(tried.begin(), tried.end(), id) != tried.end();
         if (const auto found = proxy.health.find(id); found != proxy.health.end()) {
             candidate.suspect = now < found->second.suspectUntil;
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -100,6 +100,7 @@
         const auto executor = this->fixture.loop.get_executor();
         this->proxy->executor = executor;
         this->proxy->loadTracker.domain.value = "north";
+        this->proxy->rateLimits.host.value = "of-session-" + name; // The host identifier under which publish() registers the host.
         this->proxy->wire = platform::makeCallWire();
         this->proxy->http = HttpClient::create(executor);
         this->proxy->metrics = MetricsRegistry::create();
@@ -136,10 +137,12 @@
         snapshot->config = std::make_shared<const RoutingConfig>(*this->fixture.config);
         snapshot->targets = std::make_shared<const TargetMap>(*this->fixture.targets);
         snapshot->storeReachable = true;
+        snapshot->peersKnown = true;
         for (const SessionId &session : registered) {
             snapshot->peers.push_back({HostId{"of-" + session.value}, session, DomainId{"north"}, {"127.0.0.1", 1}});
         }
         this->proxy->fleet = std::move(snapshot);
+        updateSenders(*this->proxy);
     }
 
     /** @return A POST request with the platform's headers. @param callerTimeout Time that the caller waits for the answer. */
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -279,6 +279,7 @@
 {
     for (unsigned i = 0; i < 20; ++i) {
         this->crash("t" + std::to_string(i), {first});
+        CHECK_FALSE(this->isQuarantined(first));
         this->now += 300ms;
         static_cast<void>(recordSoundRun(this->state, {{first}, {9}}, this->now));
         this->now += 300ms;
@@ -345,6 +346,18 @@
     CHECK(this->isQuarantined(bad));
 }
 
+TEST_CASE_METHOD(QuarantineFixture, "mergeReport_quarantineOfAnotherHost_isAdoptedWithoutEvidence")
+{
+    this->quarantineBad();
+    QuarantineReport report = reportOf(this->state, this->now);
+    report.crashes.clear();
+    CrashQuarantine restarted{.host = HostId{"restarted"}};
+    const auto changes = mergeReport(restarted, this->state.host, report, this->now);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().source == QuarantineSource::Peer);
+    CHECK(quarantineLeft(restarted, {{bad}, {1}}, this->now));
+}
+
 // Guards against one crash that counts several times, because a suspended host reads all its old datagrams at once.
 TEST_CASE_METHOD(QuarantineFixture, "mergeReport_oldReportsReadLate_countAsOneCrash")
 {
