Change: A host's rank for a limited target is computed once, not for every request

Cause: maySend() ranked all hosts for each limited target in each placement; with 250 hosts and a thousand limited targets that is a quarter of a million hashes a request. Change: the rank is kept with the target and computed when a limit begins and when the list of hosts changes.

--- a/src/policy/rate_limit.cpp
+++ b/src/policy/rate_limit.cpp
@@ -13,9 +13,9 @@
 constexpr std::size_t maxAnnounced = 128; ///< Observations in one announcement; others follow in the next ones.
 
 /** Adds the tokens of the time since the last refill to @p rate. */
-void refill(const RateLimitTable &table, const TargetId &target, TargetRate &rate, TimePoint now)
+void refill(const RateLimitTable &table, TargetRate &rate, TimePoint now)
 {
-    const LimitShare share = rate.latest.perSecond ? shareOf(table, target, *rate.latest.perSecond) : LimitShare{};
+    const LimitShare share = shareOf(table, rate);
     const double seconds = std::max(0.0, std::chrono::duration<double>(now - rate.refilledAt).count());
     rate.tokens = share.sends ? std::min(table.settings.burst, rate.tokens + seconds * share.perSecond) : 0.0;
     rate.refilledAt = now;
@@ -25,10 +25,11 @@
 void setLimit(const RateLimitTable &table, TargetRate &rate, const LimitObservation &observation, TimePoint now)
 {
     if (rate.latest.perSecond && observation.perSecond) {
-        refill(table, observation.target, rate, now);
+        refill(table, rate, now);
     } else {
         rate.tokens = 0;
         rate.refilledAt = now;
+        rate.rank = observation.perSecond ? rankOf(table, observation.target) : std::nullopt;
     }
     rate.latest = observation;
 }
@@ -41,9 +42,12 @@
         return;
     }
     for (auto &[target, rate] : table.targets) {
-        refill(table, target, rate, now);
+        refill(table, rate, now);
     }
     table.hosts = std::move(hosts);
+    for (auto &[target, rate] : table.targets) {
+        rate.rank = rate.latest.perSecond ? rankOf(table, target) : std::nullopt;
+    }
 }
 
 void recordSend(RateLimitTable &table, const TargetId &target, TimePoint now)
@@ -51,7 +55,7 @@
     TargetRate &rate = table.targets[target];
     ++rate.sent;
     if (rate.latest.perSecond) {
-        refill(table, target, rate, now);
+        refill(table, rate, now);
         rate.tokens -= 1;
     }
 }
@@ -103,23 +107,32 @@
     return found == table.targets.end() ? std::nullopt : found->second.latest.perSecond;
 }
 
-LimitShare shareOf(const RateLimitTable &table, const TargetId &target, double perSecond)
+std::optional<std::size_t> rankOf(const RateLimitTable &table, const TargetId &target)
 {
     if (std::find(table.hosts.begin(), table.hosts.end(), table.host) == table.hosts.end()) {
-        return {};
+        return std::nullopt;
     }
     const std::uint64_t ownScore = rendezvousScore(target.value, table.host.value);
     const auto before = std::count_if(table.hosts.begin(), table.hosts.end(), [&](const HostId &host) {
         const std::uint64_t score = rendezvousScore(target.value, host.value);
         return score > ownScore || (score == ownScore && host < table.host);
     });
+    return static_cast<std::size_t>(before);
+}
+
+LimitShare shareOf(const RateLimitTable &table, const TargetRate &rate)
+{
+    if (!rate.latest.perSecond || !rate.rank) {
+        return {};
+    }
+    const double perSecond = *rate.latest.perSecond;
     const double further = std::min(std::floor(perSecond / table.settings.perSecondPerSender), static_cast<double>(table.hosts.size()));
     const auto senders = std::min(table.hosts.size(), static_cast<std::size_t>(further) + table.settings.minSenders);
-    if (static_cast<std::size_t>(before) >= senders) {
+    if (*rate.rank >= senders) {
         return {};
     }
     const double share = perSecond / static_cast<double>(senders);
-    return {true, before == 0 ? std::max(share, table.settings.minPerSecond) : share};
+    return {true, *rate.rank == 0 ? std::max(share, table.settings.minPerSecond) : share};
 }
 
 bool maySend(const RateLimitTable &table, const TargetId &target, StreamKind kind, TimePoint now)
@@ -129,7 +142,7 @@
         return true;
     }
     const TargetRate &rate = found->second;
-    const LimitShare share = shareOf(table, target, *rate.latest.perSecond);
+    const LimitShare share = shareOf(table, rate);
     if (!share.sends || share.perSecond <= 0) {
         return false;
     }
--- a/src/policy/rate_limit_func.h
+++ b/src/policy/rate_limit_func.h
@@ -28,11 +28,14 @@
 /** @return The limit of @p target in requests a second; empty when it has named none. */
 [[nodiscard]] std::optional<double> limitOf(const RateLimitTable &table, const TargetId &target);
 
+/** @return This host's place among the hosts for @p target, by rendezvous hashing; empty when this host is not one of them. */
+[[nodiscard]] std::optional<std::size_t> rankOf(const RateLimitTable &table, const TargetId &target);
+
 /**
- * @return This host's share of a limit of @p perSecond. The hosts with the highest rendezvous scores for the target share it equally, so few that even if
- * each of them sends one request at once the sum stays near the limit.
+ * @return This host's share of the limit of a target. The hosts with the lowest ranks share it equally, so few that even if each of them sends a burst at
+ * once the sum stays near the limit.
  */
-[[nodiscard]] LimitShare shareOf(const RateLimitTable &table, const TargetId &target, double perSecond);
+[[nodiscard]] LimitShare shareOf(const RateLimitTable &table, const TargetRate &rate);
 
 /** @return Whether this host may send a request of @p kind to @p target now. */
 [[nodiscard]] bool maySend(const RateLimitTable &table, const TargetId &target, StreamKind kind, TimePoint now);
--- a/src/policy/rate_limit_type.h
+++ b/src/policy/rate_limit_type.h
@@ -37,6 +37,7 @@
     TimePoint changedAt{}; ///< When an answer to this host last changed the limit.
     TimePoint announcedAt{}; ///< When the own observation was last announced.
     std::uint64_t sent{0}; ///< Requests of this host so far.
+    std::optional<std::size_t> rank; ///< This host's place among the hosts for this target, from 0; empty when it must not send. Valid while there is a limit.
     double tokens{0}; ///< Requests that this host may send, at the time refilledAt.
     TimePoint refilledAt{};
 };
--- a/tests/test_rate_limit_policy.cpp
+++ b/tests/test_rate_limit_policy.cpp
@@ -297,7 +297,7 @@
     setSenders(this->table, many, this->now);
     for (unsigned i = 0; other.empty(); ++i) {
         const TargetId candidate{"t" + std::to_string(i)};
-        other = shareOf(this->table, candidate, 1.0).sends ? TargetId{} : candidate;
+        other = rankOf(this->table, candidate) > std::size_t{10} ? candidate : TargetId{};
     }
     static_cast<void>(observeAnswer(this->table, {other, 1.0, this->now}, this->now - 1s));
     this->now += 60s;
@@ -331,7 +331,7 @@
             std::size_t senders = 0;
             for (const HostId &host : hosts) {
                 const RateLimitTable one{.host = host, .hosts = hosts};
-                const LimitShare share = shareOf(one, target, limit);
+                const LimitShare share = shareOf(one, {.latest = {target, limit, this->now}, .rank = rankOf(one, target)});
                 sum += share.sends ? share.perSecond : 0;
                 senders += share.sends ? 1 : 0;
             }
