Fix: skylarkd's online requests with one prompt prefix crash one engine after the other

Cause: an online generation whose attempt ended its engine was repeated on the next one, and nothing was learned from it. Change: skylarkd uses the same pure functions, with the hashes of the prompt's prefixes as its parts: attempts that the engine closed before the third token are suspect, complete answers are sound, the status datagrams carry the reports, at once after a suspect attempt. Requests with a quarantined prefix get 503 quarantined (run no, Retry-After). Test: chat_promptPrefixCrashesTargets_isQuarantinedAndOthersAreServed; with the check in admitGeneration() taken out (scratch copy) it fails with retry_budget_exhausted after all 12 crashing requests, and the request after them is sent.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -91,6 +91,7 @@
     auto impl = std::make_shared<Impl>(context, rpc);
     impl->batch = std::move(batch);
     impl->self = *self;
+    impl->context.quarantine->state.host = self->id;
     impl->session = SessionId{randomIdHex()};
     impl->incarnation = static_cast<std::uint64_t>(unixNow().time_since_epoch().count());
     impl->reportSequence = impl->incarnation;
@@ -162,6 +163,14 @@
     });
 }
 
+void announceEvidence(Control &handle)
+{
+    ControlPtr control = handle.impl;
+    asio::post(control->context.control, [control] {
+        sendStatusNow(*control, true);
+    });
+}
+
 void reportTargetLeaving(Control &handle, const TargetId &target)
 {
     ControlPtr control = handle.impl;
--- a/src/control/control_base.h
+++ b/src/control/control_base.h
@@ -44,6 +44,9 @@
 /** Applies a job record that this host wrote to or read from the key-value service, and announces it to peers. Callable from any thread. */
 void announceJob(Control &control, JobRecord job);
 
+/** Sends the status of this host, with its evidence against prompt prefixes, to all hosts. Callable from any thread. */
+void announceEvidence(Control &control);
+
 /** Marks a target as leaving after it refused work for that reason, and tells the other hosts of the failure domain. Callable from any thread. */
 void reportTargetLeaving(Control &control, const TargetId &target);
 
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -9,6 +9,7 @@
 #include "policy/lease_type.h"
 #include "policy/membership_type.h"
 #include "policy/revision_type.h"
+#include "policy/sender_clock_func.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
@@ -57,6 +58,7 @@
     std::shared_ptr<BatchService> batch; ///< Batch component; null in tests.
     HostInfo self; ///< This host, from the settings.
     SessionId session; ///< Random id of this run of the process.
+    std::map<HostId, SenderClock> clocks; ///< Clocks of the other hosts.
     std::uint64_t incarnation{0}; ///< Start time in Unix milliseconds.
     std::uint64_t statusSequence{0}; ///< Sequence number of the last status datagram.
     std::uint64_t randomState{0}; ///< State of the pseudo-random generator.
--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -1,5 +1,7 @@
 /** @file member_controller.cpp Sends and receives status datagrams, and evaluates the liveness of hosts. */
 #include "control/controller_func.h"
+#include "core/hash_func.h"
+#include "policy/crash_quarantine_func.h"
 #include "policy/fleet_size_func.h"
 #include "policy/membership_func.h"
 
@@ -92,6 +94,8 @@
     status.targets = targetStatuses(control, BootClock::now());
     status.onlineInFlight = onlineInFlight(*control.context.loads);
     status.freeByModel = freeSlotsByModel(control);
+    const std::scoped_lock lock(control.context.quarantine->mutex);
+    status.quarantine = reportOf(control.context.quarantine->state, BootClock::now());
     return status;
 }
 
@@ -182,6 +186,18 @@
     return std::find(watchers.begin(), watchers.end(), control.self.id) != watchers.end();
 }
 
+/** Adds what another host announced of prompt prefixes that crash targets. */
+void applyQuarantineReport(Control::Impl &control, const HostStatus &status)
+{
+    const TimePoint now = BootClock::now();
+    QuarantineReport report = status.quarantine;
+    correctDelay(report, excessDelay(control.clocks[status.host], status.incarnation, status.sentAt, now));
+    const std::scoped_lock lock(control.context.quarantine->mutex);
+    for (const QuarantineChange &change : mergeReport(control.context.quarantine->state, status.host, report, now)) {
+        LOG(INFO) << "[member] prompt prefix " << hexText(change.entry.part.value) << (change.begun ? " is quarantined" : " is released");
+    }
+}
+
 void applyHostStatus(const ControlPtr &control, const HostStatus &status)
 {
     const auto found = control->hosts.find(status.host);
@@ -206,6 +222,7 @@
         own = host.info.domain == control->self.domain ? statusWithinDomain(std::move(own)) : statusAcrossDomains(std::move(own));
         sendStatus(*control->exchange, own, std::vector<Endpoint>{host.info.status});
     }
+    applyQuarantineReport(*control, status);
     applyTargetStatuses(*control, host, status);
     evaluateTargets(control);
     const bool needsConfirmation = !control->config.confirmed && host.info.domain == control->self.domain;
--- a/src/core/table/error_table.h
+++ b/src/core/table/error_table.h
@@ -38,6 +38,7 @@
     ErrorInfo{ErrorCode::CallNotRepeatable, "call_not_repeatable", "invalid_request_error", 400, false, false},
     ErrorInfo{ErrorCode::Overloaded, "overloaded", "overloaded_error", 429, false, true},
     ErrorInfo{ErrorCode::NoTarget, "no_target", "overloaded_error", 503, false, true},
+    ErrorInfo{ErrorCode::Quarantined, "quarantined", "unavailable_error", 503, false, true},
     ErrorInfo{ErrorCode::NotReady, "not_ready", "unavailable_error", 503, false, true},
     ErrorInfo{ErrorCode::InsufficientReplicas, "insufficient_replicas", "unavailable_error", 503, false, true},
     ErrorInfo{ErrorCode::PlatformUnavailable, "platform_unavailable", "unavailable_error", 503, false, true},
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -92,6 +92,9 @@
     host.context.announceJob = [&host](JobRecord job) {
         announceJob(*host.control, std::move(job));
     };
+    host.context.announceEvidence = [&host] {
+        announceEvidence(*host.control);
+    };
     host.context.reportTargetLeaving = [&host](const TargetId &target) {
         reportTargetLeaving(*host.control, target);
     };
--- a/src/daemon/host_context_base.h
+++ b/src/daemon/host_context_base.h
@@ -4,6 +4,7 @@
 #include "control/snapshot_type.h"
 #include "core/id_type.h"
 #include "metrics/metrics_func.h"
+#include "policy/crash_quarantine_base.h"
 #include "policy/target_load_base.h"
 #include "settings/settings_type.h"
 
@@ -41,6 +42,7 @@
 struct HostContext {
     std::shared_ptr<const Settings> settings;
     std::shared_ptr<SnapshotHolder> snapshot{std::make_shared<SnapshotHolder>()}; ///< Latest snapshot of the control state, readable by all threads.
+    std::shared_ptr<SharedQuarantine> quarantine{std::make_shared<SharedQuarantine>()}; ///< Prompt prefixes that crash targets.
     std::shared_ptr<TargetLoadTable> loads{std::make_shared<TargetLoadTable>()}; ///< Load and health of targets.
     std::shared_ptr<MetricsRegistry> metrics{MetricsRegistry::create()};
     DecisionLog decisions;
@@ -51,6 +53,7 @@
     // Hooks through which components call each other, set before the threads start. Each may be called from any thread.
     std::function<void(TargetId target, unsigned slots)> requestYield; ///< Asks the batch owner of a target to release slots.
     std::function<void(JobRecord job)> announceJob; ///< Passes a job record that this host has written or read to control.
+    std::function<void()> announceEvidence; ///< Sends new evidence against a prompt prefix to all hosts.
     std::function<void(TargetId target)> reportTargetLeaving; ///< Reports to control that a target refuses work because it is leaving.
 };
 
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -316,6 +316,11 @@
 
 } // namespace
 
+bool isTargetEnd(const Error &error)
+{
+    return error.run == RunState::Maybe && (error.code == ErrorCode::StreamBroken || error.code == ErrorCode::SendFailed);
+}
+
 std::vector<QuarantineChange> recordSuspectRun(CrashQuarantine &state, const TargetId &target, SuspectRun run, TimePoint now)
 {
     std::vector<QuarantineChange> changes;
--- a/src/policy/crash_quarantine_func.h
+++ b/src/policy/crash_quarantine_func.h
@@ -1,12 +1,16 @@
 /** @file crash_quarantine_func.h Decides which prompt part crashes targets, and rejects its requests for a time. */
 #pragma once
 
+#include "core/error_type.h"
 #include "policy/crash_quarantine_type.h"
 
 #include <optional>
 
 namespace skylark {
 
+/** @return Whether a run that failed with @p error shows that its target closed the connection. A target that is only silent may be behind a cut. */
+[[nodiscard]] bool isTargetEnd(const Error &error);
+
 /** Adds a run of this host that its target ended with. @return Quarantines that begin. */
 [[nodiscard]] std::vector<QuarantineChange> recordSuspectRun(CrashQuarantine &state, const TargetId &target, SuspectRun run, TimePoint now);
 
--- a/src/proxy/crash_evidence.cpp
+++ b/src/proxy/crash_evidence.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-/** @return Whether a run that failed with @p error shows that its target closed the connection. A target that is only silent may be behind a cut. */
-bool isTargetEnd(const Error &error)
-{
-    return error.run == RunState::Maybe && (error.code == ErrorCode::StreamBroken || error.code == ErrorCode::SendFailed);
-}
-
 std::string_view sourceName(QuarantineSource source)
 {
     switch (source) {
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -9,6 +9,7 @@
 #include "policy/retry_func.h"
 #include "traffic/answer_func.h"
 #include "traffic/answer_stream_func.h"
+#include "traffic/crash_evidence_func.h"
 #include "traffic/target_failure_func.h"
 #include "traffic/target_view_func.h"
 
@@ -232,6 +233,8 @@
     const TimePoint startedAt = BootClock::now();
     AnswerTiming timing;
     std::optional<Error> failure;
+    RunProgress progress;
+    recordGenerationStart(impl, *context.generation);
     requestSlots(impl, context.generation->decision, reportSequence);
     {
         const OnlineStreamGuard count(*impl.context.loads, target.id);
@@ -240,6 +243,7 @@
         context.targetTime += BootClock::now() - startedAt;
         if (isOk(started)) {
             failure = co_await finishAttempt(impl, context, std::move(valueOf(started)), attempt, timeouts, timing);
+            progress = {true, timing.first == TimePoint{} ? 0 : timing.tokensAfterFirst + 1};
         } else {
             failure = errorOf(started);
             convertUnloadedError(failure);
@@ -247,10 +251,14 @@
     }
     wakeFirst(impl.queues[context.generation->model->name]);
     if (!failure) {
+        recordSoundGeneration(impl, *context.generation);
         recordServedStream(impl, context, target.id, startedAt, timing);
         co_return std::nullopt;
     }
     recordCallFailure(impl, context, target, attempt, *failure);
+    if (!context.callerGone) {
+        recordGenerationFailure(impl, *context.generation, target.id, progress, *failure);
+    }
     context.generation->triedTargets.push_back(target.id);
     co_return failure;
 }
@@ -355,6 +363,9 @@
             co_return makeError(ErrorCode::CallerGone, "caller closed its connection");
         }
         context.snapshot = impl.context.snapshot->current.load();
+        if (auto quarantined = quarantineError(impl, generation)) {
+            co_return quarantined;
+        }
         const TimePoint now = BootClock::now();
         const RouteInput input = makeRouteInput(impl, context, now);
         generation.decision = chooseTargetByMode(impl.context.settings->policyMode, input, impl.roundRobinTurn++);
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -338,7 +338,7 @@
         QuarantineFixture other;
         other.state.host.value = "other-" + std::to_string(i);
         other.now = this->now;
-        other.requests = i * 10;
+        other.requests = 10ULL * i;
         other.crash("t" + std::to_string(i), {first, bad});
         static_cast<void>(mergeReport(this->state, other.state.host, reportOf(other.state, other.now), this->now));
         this->now += 300ms;
--- a/tests/test_crash_quarantine.cpp
+++ b/tests/test_crash_quarantine.cpp
@@ -100,7 +100,7 @@
                + R"("},"body":"cXdlcnQ=","tokens":100})";
     };
     submission.body = R"({"items":[)" + item("x1", "a1:100,bad0:50,e1:9") + "," + item("x2", "a1:100,e2:9") + "]}";
-    REQUIRE(this->statusOf(std::move(submission)) == 202);
+    REQUIRE(this->statusOf(submission) == 202);
     CHECK(this->runUntil([this] {
         return this->runsOf("x2") == 1;
     }));
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -366,3 +366,48 @@
     CHECK(answerText(*answer) == words(100));
     CHECK(headerValue(answer->headers, "connection") == "close");
 }
+
+// Guards against prompts with one prefix that crash one engine after the other, and against rejecting the prompts that share less than that prefix.
+TEST_CASE_METHOD(TrafficFixture, "chat_promptPrefixCrashesTargets_isQuarantinedAndOthersAreServed")
+{
+    std::vector<StubTarget *> stubs;
+    for (unsigned i = 0; i < 4; ++i) {
+        stubs.push_back(&this->addTarget());
+        stubs.back()->cutAfter = 0;
+    }
+    this->startServer();
+    const auto send = [this](const std::string &prompt) {
+        return this->call("POST", "/v1/chat/completions", R"({"model":"brief","messages":[{"role":"user","content":")" + prompt + R"("}],"stream":false})");
+    };
+    const auto setMode = [&stubs](TargetMode mode) {
+        for (StubTarget *stub : stubs) {
+            stub->mode = mode;
+        }
+    };
+    const std::string shared(400, 'a');
+    const std::string crashing = shared + std::string(400, 'b');
+    std::string code;
+    for (unsigned i = 0; i < 12 && code != "quarantined"; ++i) {
+        setMode(TargetMode::Complete);
+        CHECK(send(shared + "sound " + std::to_string(i)).status == 200);
+        setMode(TargetMode::Cut);
+        const HttpResponse response = send(crashing + std::to_string(i));
+        code = errorMember(response, "code");
+        this->runFor(150ms);
+    }
+    CHECK(code == "quarantined");
+    setMode(TargetMode::Complete);
+    int before = 0;
+    for (const StubTarget *stub : stubs) {
+        before += stub->generations;
+    }
+    const HttpResponse rejected = send(crashing + "again");
+    CHECK(rejected.status == 503);
+    CHECK(errorMember(rejected, "run") == "no");
+    int after = 0;
+    for (const StubTarget *stub : stubs) {
+        after += stub->generations;
+    }
+    CHECK(after == before);
+    CHECK(send(shared + "sound at the end").status == 200);
+}
