Feature: A test of rate limits when all hosts send after a pause

Cause: no test had seen a larger bucket fail, because the hosts of the simulations use each token at once. Change: hosts that have been idle for a minute all send as much as they may for 4 s.

--- a/tests/test_rate_limit_policy.cpp
+++ b/tests/test_rate_limit_policy.cpp
@@ -342,6 +342,31 @@
     }
 }
 
+// Guards against hosts whose unused tokens add up to a burst over the limit.
+TEST_CASE_METHOD(RateFixture, "maySend_allHostsSendAfterAPause_boundHolds")
+{
+    for (const std::size_t count : {2U, 7U, 250U}) {
+        for (const double limit : {0.5, 3.0, 20.0}) {
+            std::vector<HostId> hosts;
+            for (std::size_t i = 0; i < count; ++i) {
+                hosts.emplace_back("h" + std::to_string(i));
+            }
+            unsigned sent = 0;
+            for (const HostId &host : hosts) {
+                RateFixture one;
+                one.table = RateLimitTable{.host = host};
+                setSenders(one.table, hosts, one.now);
+                CHECK(one.observe(limit));
+                one.now += 60s;
+                sent += one.sendAll(4s);
+            }
+            INFO("hosts " << count << " limit " << limit);
+            CHECK(sent <= 1.5 * limit * 4 + 5);
+            CHECK(sent >= limit * 4 * 0.75);
+        }
+    }
+}
+
 // Guards against many hosts that together exceed the limit of a target, each for itself or while lists of hosts differ.
 TEST_CASE("limitSimulation_hostsComeAndGo_boundHolds", "[limit]")
 {
