Codechange: One token bucket for the retry budget and the rate limits of targets

Cause: the refill of a bucket stood twice, in policy/retry and policy/rate_limit, with slightly different bounds. Change: policy/token_bucket; recordStreamSuccess() loses a parameter that it never used; a test's word for a crashing item.

--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -168,7 +168,7 @@
 {
     const TimePoint now = BootClock::now();
     endRun(state, run);
-    recordStreamSuccess(*state.context.loads, run->target, now);
+    recordStreamSuccess(*state.context.loads, run->target);
     if (tokens > 1) {
         const double tokenMs = std::chrono::duration<double, std::milli>(now - begin).count() / tokens;
         recordTokenTiming(*state.context.loads, run->target, std::nullopt, tokenMs, now);
--- a/src/policy/rate_limit.cpp
+++ b/src/policy/rate_limit.cpp
@@ -12,26 +12,26 @@
 
 constexpr std::size_t maxAnnounced = 128; ///< Observations in one announcement; others follow in the next ones.
 
-/** Adds the tokens of the time since the last refill to @p rate. */
-void refill(const RateLimitTable &table, TargetRate &rate, TimePoint now)
+/** Sets the rate of the bucket to this host's share. A host that has no share keeps no tokens. */
+void applyShare(const RateLimitTable &table, TargetRate &rate, TimePoint now)
 {
     const LimitShare share = shareOf(table, rate);
-    const double seconds = std::max(0.0, std::chrono::duration<double>(now - rate.refilledAt).count());
-    rate.tokens = share.sends ? std::min(table.settings.burst, rate.tokens + seconds * share.perSecond) : 0.0;
-    rate.refilledAt = now;
+    refillTokens(rate.bucket, now);
+    rate.bucket.perSecond = share.perSecond;
+    rate.bucket.capacity = table.settings.burst;
+    rate.bucket.tokens = share.sends ? rate.bucket.tokens : 0.0;
 }
 
 /** Puts a new limit in force. A target that had none before starts without a token. */
 void setLimit(const RateLimitTable &table, TargetRate &rate, const LimitObservation &observation, TimePoint now)
 {
-    if (rate.latest.perSecond && observation.perSecond) {
-        refill(table, rate, now);
-    } else {
-        rate.tokens = 0;
-        rate.refilledAt = now;
-        rate.rank = observation.perSecond ? rankOf(table, observation.target) : std::nullopt;
-    }
+    const bool begins = !rate.latest.perSecond && observation.perSecond;
     rate.latest = observation;
+    if (begins) {
+        rate.rank = rankOf(table, observation.target);
+        rate.bucket = {.updatedAt = now};
+    }
+    applyShare(table, rate, now);
 }
 
 } // namespace
@@ -41,12 +41,12 @@
     if (hosts == table.hosts) {
         return;
     }
-    for (auto &[target, rate] : table.targets) {
-        refill(table, rate, now);
-    }
     table.hosts = std::move(hosts);
     for (auto &[target, rate] : table.targets) {
-        rate.rank = rate.latest.perSecond ? rankOf(table, target) : std::nullopt;
+        if (rate.latest.perSecond) {
+            rate.rank = rankOf(table, target);
+            applyShare(table, rate, now);
+        }
     }
 }
 
@@ -55,8 +55,8 @@
     TargetRate &rate = table.targets[target];
     ++rate.sent;
     if (rate.latest.perSecond) {
-        refill(table, rate, now);
-        rate.tokens -= 1;
+        refillTokens(rate.bucket, now);
+        rate.bucket.tokens -= 1;
     }
 }
 
@@ -141,15 +141,9 @@
     if (found == table.targets.end() || !found->second.latest.perSecond) {
         return true;
     }
-    const TargetRate &rate = found->second;
-    const LimitShare share = shareOf(table, rate);
-    if (!share.sends || share.perSecond <= 0) {
-        return false;
-    }
-    const double waited = std::chrono::duration<double>(now - rate.refilledAt).count();
-    const double fullAfter = (1.0 - rate.tokens) / share.perSecond;
-    const double reserve = kind == StreamKind::Batch ? std::chrono::duration<double>(table.settings.batchWait).count() : 0.0;
-    return waited >= fullAfter + reserve;
+    const TokenBucket &bucket = found->second.bucket;
+    const TimePoint since = kind == StreamKind::Batch ? now - table.settings.batchWait : now;
+    return bucket.perSecond > 0 && tokensAt(bucket, since) >= 1.0;
 }
 
 } // namespace skylark
--- a/src/policy/rate_limit_type.h
+++ b/src/policy/rate_limit_type.h
@@ -4,6 +4,7 @@
 #include "core/clock_func.h"
 #include "core/id_type.h"
 #include "policy/target_load_base.h"
+#include "policy/token_bucket_func.h"
 
 #include <chrono>
 #include <map>
@@ -38,8 +39,7 @@
     TimePoint announcedAt{}; ///< When the own observation was last announced.
     std::uint64_t sent{0}; ///< Requests of this host so far.
     std::optional<std::size_t> rank; ///< This host's place among the hosts for this target, from 0; empty when it must not send. Valid while there is a limit.
-    double tokens{0}; ///< Requests that this host may send, at the time refilledAt.
-    TimePoint refilledAt{};
+    TokenBucket bucket; ///< Requests that this host may send. Valid while there is a limit.
 };
 
 /** Limits of all targets. Changed by the functions of rate_limit_func.h only. */
--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -9,15 +9,6 @@
 
 namespace {
 
-void refill(RetryBudget &budget, TimePoint now)
-{
-    if (budget.updatedAt != TimePoint{} && now > budget.updatedAt) {
-        budget.tokens += std::chrono::duration<double>(now - budget.updatedAt).count() * budget.tokensPerSecond;
-    }
-    budget.tokens = std::min(budget.tokens, budget.capacity);
-    budget.updatedAt = std::max(budget.updatedAt, now);
-}
-
 RetryDecision decide(const RetryInput &input)
 {
     if (!isTargetFailure(input.code) || input.attempts >= input.maxAttempts) {
@@ -62,17 +53,17 @@
 
 void creditRetryBudget(RetryBudget &budget, TimePoint now)
 {
-    refill(budget, now);
-    budget.tokens = std::min(budget.tokens + budget.tokensPerRequest, budget.capacity);
+    refillTokens(budget.bucket, now);
+    budget.bucket.tokens = std::min(budget.bucket.tokens + budget.tokensPerRequest, budget.bucket.capacity);
 }
 
 bool tryConsumeRetry(RetryBudget &budget, TimePoint now)
 {
-    refill(budget, now);
-    if (budget.tokens < 1.0) {
+    refillTokens(budget.bucket, now);
+    if (budget.bucket.tokens < 1.0) {
         return false;
     }
-    budget.tokens -= 1.0;
+    budget.bucket.tokens -= 1.0;
     return true;
 }
 
--- a/src/policy/retry_type.h
+++ b/src/policy/retry_type.h
@@ -3,6 +3,7 @@
 
 #include "core/clock_func.h"
 #include "core/error_type.h"
+#include "policy/token_bucket_func.h"
 
 #include <cstdint>
 #include <string_view>
@@ -11,11 +12,8 @@
 
 /** Token bucket that limits retries to a share of the requests. */
 struct RetryBudget {
-    double tokens{10.0}; ///< Each retry costs one token.
+    TokenBucket bucket{.tokens = 10.0, .perSecond = 2.0, .capacity = 50.0}; ///< Each retry costs one token; the rate lets a host with little traffic retry.
     double tokensPerRequest{0.1}; ///< Tokens added by each request.
-    double tokensPerSecond{2.0}; ///< Tokens added per second, so that a host with little traffic can retry.
-    double capacity{50.0}; ///< Largest number of tokens.
-    TimePoint updatedAt{}; ///< Time of the last refill.
 };
 
 /** State of a request after a failed attempt. */
--- a/src/policy/target_load.cpp
+++ b/src/policy/target_load.cpp
@@ -97,7 +97,7 @@
     openBreaker(load, now);
 }
 
-void recordStreamSuccess(TargetLoadTable &table, const TargetId &target, TimePoint /*now*/)
+void recordStreamSuccess(TargetLoadTable &table, const TargetId &target)
 {
     const std::scoped_lock lock(table.mutex);
     TargetLoad &load = table.loads[target];
--- a/src/policy/target_load_base.h
+++ b/src/policy/target_load_base.h
@@ -58,7 +58,7 @@
 void recordConnectionRefused(TargetLoadTable &table, const TargetId &target, TimePoint now);
 
 /** Records a success and closes the circuit breaker. */
-void recordStreamSuccess(TargetLoadTable &table, const TargetId &target, TimePoint now);
+void recordStreamSuccess(TargetLoadTable &table, const TargetId &target);
 
 /** Adds the token timing of one stream, in milliseconds, to the averages. */
 void recordTokenTiming(TargetLoadTable &table, const TargetId &target, std::optional<double> firstTokenMs, std::optional<double> tokenMs, TimePoint now);
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -210,7 +210,7 @@
 {
     constexpr double weight = 0.1; // The last twenty streams or so dominate the average.
     const TimePoint now = BootClock::now();
-    recordStreamSuccess(*impl.context.loads, target, now);
+    recordStreamSuccess(*impl.context.loads, target);
     recordTokenTiming(*impl.context.loads, target, firstTokenMs(timing, startedAt), tokenMs(timing), now);
     ModelQueue &queue = impl.queues[context.generation->model->name];
     queue.serviceMs += weight * (std::chrono::duration<double, std::milli>(now - startedAt).count() - queue.serviceMs);
--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -110,7 +110,7 @@
     state.failedResponse.reset();
     std::optional<Error> failure = isOk(result) ? failureOf(valueOf(result)) : std::optional<Error>(errorOf(result));
     if (!failure) {
-        recordStreamSuccess(*impl.context.loads, target.id, BootClock::now());
+        recordStreamSuccess(*impl.context.loads, target.id);
         context.mayHaveRun = true;
         co_return std::move(valueOf(result));
     }
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -358,9 +358,9 @@
 {
     for (const std::string id : {"e1", "e2", "e3", "e4"}) {
         this->addEngine(id, {"--slots=4", "--time_scale=10"});
-        this->engineFaults(id, R"({"die_on":"deadly"})");
+        this->engineFaults(id, R"({"die_on":"crashing"})");
     }
-    const JobId job = this->submitAccepted("evening", itemLine("bad", "deadly shape") + jobBody(60));
+    const JobId job = this->submitAccepted("evening", itemLine("bad", "crashing shape") + jobBody(60));
     REQUIRE(this->waitDone(job));
     const auto lines = this->results(job, 1);
     REQUIRE(lines.size() == 61);
--- a/tests/test_metrics.cpp
+++ b/tests/test_metrics.cpp
@@ -146,7 +146,7 @@
     }
     CHECK(loadOf(this->loads, this->target).blockedUntil > first);
     CHECK(loadOf(this->loads, this->target).blockedUntil <= this->now + 10s);
-    recordStreamSuccess(this->loads, this->target, this->now);
+    recordStreamSuccess(this->loads, this->target);
     CHECK(loadOf(this->loads, this->target).blockedUntil <= this->now);
     recordConnectionRefused(this->loads, this->target, this->now);
     CHECK(loadOf(this->loads, this->target).blockedUntil > this->now);
--- a/tests/test_retry.cpp
+++ b/tests/test_retry.cpp
@@ -77,7 +77,7 @@
 {
     const bool passed = rc::check("retries are bounded", [](const std::vector<std::uint8_t> &steps) {
         RetryBudget budget;
-        const double burst = budget.tokens;
+        const double burst = budget.bucket.tokens;
         TimePoint now(1000s);
         creditRetryBudget(budget, now);
         unsigned requests = 1;
