Fix: A rare prompt part is blamed where targets end for other reasons all the time

Cause: three crashes without a sound run between were enough, however many other crashes the part was not in. Change: a part must have been in at least a fifth of all unexplained crashes from its first to its last one; three crashes suffice at half of them, four at a third, five below.

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -171,19 +171,36 @@
     }
 }
 
-/** @return Whether the evidence suffices to quarantine @p part. */
-bool isSufficient(const CrashQuarantine &state, PromptPartId part, const PartEvidence &evidence)
+/** @return Share of the separate crashes @p all from the first to the last one of @p evidence that the part was in. */
+double shareOfCrashes(const std::vector<TimePoint> &all, const PartEvidence &evidence)
+{
+    const auto first = std::lower_bound(all.begin(), all.end(), evidence.crashes.front());
+    const auto last = std::upper_bound(all.begin(), all.end(), evidence.crashes.back());
+    const auto count = std::max<std::ptrdiff_t>(1, last - first);
+    return std::min(1.0, static_cast<double>(evidence.crashes.size()) / static_cast<double>(count));
+}
+
+/** @return Number of separate crashes that quarantine a part that was in @p share of all crashes. */
+unsigned neededCrashes(const QuarantineSettings &settings, double share)
+{
+    const double smaller = share >= 0.5 ? 0.0 : share >= 1.0 / 3.0 ? 1.0 : 2.0;
+    return std::min(settings.maxCrashes, settings.minCrashes + static_cast<unsigned>(smaller));
+}
+
+/** @return Whether the evidence suffices to quarantine @p part. @param all Times of all separate crashes that no quarantined part explains. */
+bool isSufficient(const CrashQuarantine &state, const std::vector<TimePoint> &all, PromptPartId part, const PartEvidence &evidence)
 {
     const QuarantineSettings &settings = state.settings;
     const auto earlier = state.parts.find(part);
     if (earlier != state.parts.end()) {
         return evidence.crashes.back() >= earlier->second.until;
     }
+    const double share = shareOfCrashes(all, evidence);
     const TimePoint sound = soundTime(state, part);
     const bool soundBefore = sound != TimePoint{} && evidence.crashes.front() - sound < settings.soundMemory;
-    const unsigned needed = soundBefore ? settings.minCrashesAfterSound : settings.minCrashes;
-    const bool severalRequests = evidence.requests.size() >= settings.minRequests || evidence.crashes.size() >= settings.minCrashesAfterSound;
-    return evidence.crashes.size() >= needed && severalRequests;
+    const unsigned needed = soundBefore ? settings.maxCrashes : neededCrashes(settings, share);
+    const bool severalRequests = evidence.requests.size() >= settings.minRequests || evidence.crashes.size() >= settings.maxCrashes;
+    return share >= settings.minShare && evidence.crashes.size() >= needed && severalRequests;
 }
 
 /** A part that the evidence suffices to quarantine. */
@@ -209,15 +226,20 @@
 std::optional<Candidate> mostSuspect(const CrashQuarantine &state)
 {
     std::map<PromptPartId, PartEvidence> evidence;
+    std::vector<TimePoint> all;
     for (const MergedCrash &crash : mergeCrashes(state)) {
-        if (!isExplained(state, crash)) {
-            addEvidence(evidence, state, crash);
+        if (isExplained(state, crash)) {
+            continue;
+        }
+        addEvidence(evidence, state, crash);
+        if (all.empty() || crash.at - all.back() >= state.settings.crashSpacing) {
+            all.push_back(crash.at);
         }
     }
     std::optional<Candidate> best;
     for (auto &[part, found] : evidence) {
         Candidate candidate{part, soundTime(state, part), std::move(found)};
-        if (isSufficient(state, part, candidate.evidence) && (!best || isMoreSuspect(candidate, *best))) {
+        if (isSufficient(state, all, part, candidate.evidence) && (!best || isMoreSuspect(candidate, *best))) {
             best = std::move(candidate);
         }
     }
--- a/src/policy/crash_quarantine_type.h
+++ b/src/policy/crash_quarantine_type.h
@@ -14,9 +14,11 @@
 
 /** Parameters of the quarantine. */
 struct QuarantineSettings {
-    unsigned minCrashes{3}; ///< Separate crashes that quarantine a part without any recent sound run.
-    unsigned minCrashesAfterSound{5}; ///< The same for a part that had a sound run within soundMemory before the first of them.
-    unsigned minRequests{2}; ///< Different requests that must have been involved; minCrashesAfterSound crashes are enough for one.
+    unsigned minCrashes{3}; ///< Separate crashes that quarantine a part which was in at least half of all crashes from its first to its last one.
+    unsigned maxCrashes{
+        5}; ///< Separate crashes that suffice for a part in a smaller share, in crashes of one request only, or with a sound run within soundMemory.
+    double minShare{0.2}; ///< Least share of all crashes; where targets end for other reasons all the time, a rare part is in some of them by chance.
+    unsigned minRequests{2}; ///< Different requests that must have been involved, unless there were maxCrashes.
     std::chrono::milliseconds crashSpacing{100}; ///< Targets that end within this time of one another have a common cause; they count as one crash.
     std::chrono::milliseconds reportSpread{1000}; ///< Reports of several hosts on one target within this time are about the same crash.
     std::chrono::milliseconds evidenceTime{60000}; ///< Age at which a crash no longer counts.
