Change: Evidence of crashes is in few datagrams while nothing changes

Cause: every status datagram, also the early ones after each placement, repeated up to eight crashes for a minute, and made the list of sound parts anew. Change: they are in each regular datagram for a second after a change, then in one a second, and in each one to other failure domains of a large fleet.

--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxEarlyRecipients = 64; ///< Up to this many hosts of the own failure domain learn of each placement at once.
 constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
 constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
+constexpr milliseconds reportInterval{1000}; ///< Interval of datagrams with evidence that have not changed.
+constexpr milliseconds newsTime{1000}; ///< A change is repeated in every regular datagram for this time, because some get lost.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
 constexpr milliseconds peerRemovalDelay{5000}; ///< A peer that has been neither registered nor heard from for this long is removed.
 
@@ -49,6 +51,8 @@
     std::map<HostId, Peer> peers; ///< Recipients of the status.
     asio::steady_timer timer; ///< Expires when the next datagram is due.
     bool earlyStatusScheduled{false}; ///< Whether an early datagram is scheduled.
+    TimePoint newsAt{}; ///< Time of the last change that had to be announced to all hosts.
+    TimePoint reportedAt{}; ///< Time of the last datagram with evidence.
     bool allDomainsDue{false}; ///< Whether the next datagram goes to all hosts, whatever the interval of other failure domains.
     std::map<HostId, SenderClock> clocks; ///< Clocks of the other hosts.
     TimePoint otherDomainsSentAt{}; ///< Time of the last datagram to other failure domains.
@@ -111,11 +115,8 @@
 }
 
 /** @return Recipients of the next datagram: all peers in a small fleet; in a large one those of the own failure domain, and others at a longer interval. */
-std::vector<Endpoint> nextRecipients(PeerLink::Impl &link, TimePoint now)
+std::vector<Endpoint> nextRecipients(PeerLink::Impl &link, bool includeOtherDomains, TimePoint now)
 {
-    const bool includeOtherDomains =
-        link.allDomainsDue || link.peers.size() <= smallFleetPeers || now - link.otherDomainsSentAt >= otherDomainIntervalFor(link.peers.size());
-    link.allDomainsDue = false;
     link.otherDomainsSentAt = includeOtherDomains ? now : link.otherDomainsSentAt;
     std::vector<Endpoint> endpoints;
     for (const auto &[host, peer] : link.peers) {
@@ -136,6 +137,22 @@
     tracker.otherDomainExpiry = std::max(tracker.peerExpiry, intervalsToExpiry * interval);
 }
 
+/**
+ * Adds evidence to a status: to one that goes to other failure domains in a large fleet, and otherwise at an interval that is short after a change.
+ * They would more than double the bytes of every datagram.
+ */
+void addReports(PeerLink::Impl &link, HostStatus &status, bool toOtherDomains, TimePoint now)
+{
+    const milliseconds interval = now - link.newsAt < newsTime ? minStatusInterval : reportInterval;
+    const bool rareDatagram = toOtherDomains && link.peers.size() > smallFleetPeers;
+    if (!link.allDomainsDue && !rareDatagram && now - link.reportedAt < interval) {
+        return;
+    }
+    link.allDomainsDue = false;
+    link.reportedAt = now;
+    status.quarantine = reportOf(link.proxy->quarantine, now);
+}
+
 /** Sends the host's status and schedules the next regular datagram. */
 void sendOwnStatus(const LinkPtr &link)
 {
@@ -151,10 +168,12 @@
     status.ready = isReady(*link->proxy);
     status.configRevision = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     addOwnLoad(link->proxy->loadTracker, status);
-    status.quarantine = reportOf(link->proxy->quarantine, now);
+    const bool toOtherDomains =
+        link->allDomainsDue || link->peers.size() <= smallFleetPeers || now - link->otherDomainsSentAt >= otherDomainIntervalFor(link->peers.size());
+    addReports(*link, status, toOtherDomains, now);
     status.limits = limitsToAnnounce(link->proxy->rateLimits, now);
     link->options.completeStatus(status);
-    sendStatus(*link->exchange, status, nextRecipients(*link, now));
+    sendStatus(*link->exchange, status, nextRecipients(*link, toOtherDomains, now));
     link->earlyStatusScheduled = false;
     scheduleStatus(link, statusIntervalFor(link->peers.size() <= smallFleetPeers ? link->peers.size() : countOwnDomainPeers(*link)));
 }
@@ -326,6 +345,7 @@
 
 void scheduleStatusToAll(PeerLink &link)
 {
+    link.impl->newsAt = BootClock::now();
     link.impl->allDomainsDue = true;
     scheduleEarlyStatus(link);
 }
