Change: Limits of targets are announced together with the evidence

Cause: a limit was due for announcement by a clock of its own, so that a datagram to other failure domains could lack it. Change: whenever a report is due, it has all limits that were named to this host in the last 10 s, also their end.

--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t maxEarlyRecipients = 64; ///< Up to this many hosts of the own failure domain learn of each placement at once.
 constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
 constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
-constexpr milliseconds reportInterval{1000}; ///< Interval of datagrams with evidence that have not changed.
+constexpr milliseconds reportInterval{1000}; ///< Interval of datagrams with evidence and limits that have not changed.
 constexpr milliseconds newsTime{1000}; ///< A change is repeated in every regular datagram for this time, because some get lost.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
 constexpr milliseconds peerRemovalDelay{5000}; ///< A peer that has been neither registered nor heard from for this long is removed.
@@ -52,7 +52,7 @@
     asio::steady_timer timer; ///< Expires when the next datagram is due.
     bool earlyStatusScheduled{false}; ///< Whether an early datagram is scheduled.
     TimePoint newsAt{}; ///< Time of the last change that had to be announced to all hosts.
-    TimePoint reportedAt{}; ///< Time of the last datagram with evidence.
+    TimePoint reportedAt{}; ///< Time of the last datagram with evidence and limits.
     bool allDomainsDue{false}; ///< Whether the next datagram goes to all hosts, whatever the interval of other failure domains.
     std::map<HostId, SenderClock> clocks; ///< Clocks of the other hosts.
     TimePoint otherDomainsSentAt{}; ///< Time of the last datagram to other failure domains.
@@ -138,7 +138,7 @@
 }
 
 /**
- * Adds evidence to a status: to one that goes to other failure domains in a large fleet, and otherwise at an interval that is short after a change.
+ * Adds evidence and limits to a status: to one that goes to other failure domains in a large fleet, and otherwise at an interval that is short after a change.
  * They would more than double the bytes of every datagram.
  */
 void addReports(PeerLink::Impl &link, HostStatus &status, bool toOtherDomains, TimePoint now)
@@ -151,6 +151,7 @@
     link.allDomainsDue = false;
     link.reportedAt = now;
     status.quarantine = reportOf(link.proxy->quarantine, now);
+    status.limits = limitsToAnnounce(link.proxy->rateLimits, now);
 }
 
 /** Sends the host's status and schedules the next regular datagram. */
@@ -171,7 +172,6 @@
     const bool toOtherDomains =
         link->allDomainsDue || link->peers.size() <= smallFleetPeers || now - link->otherDomainsSentAt >= otherDomainIntervalFor(link->peers.size());
     addReports(*link, status, toOtherDomains, now);
-    status.limits = limitsToAnnounce(link->proxy->rateLimits, now);
     link->options.completeStatus(status);
     sendStatus(*link->exchange, status, nextRecipients(*link, toOtherDomains, now));
     link->earlyStatusScheduled = false;
--- a/src/policy/rate_limit.cpp
+++ b/src/policy/rate_limit.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t maxAnnounced = 128; ///< Observations in one announcement; others follow in the next ones.
+constexpr std::size_t maxAnnounced = 256; ///< Observations in one announcement; bounds the size of a datagram.
 
 /** Sets the rate of the bucket to this host's share. A host that has no share keeps no tokens. */
 void applyShare(const RateLimitTable &table, TargetRate &rate, TimePoint now)
@@ -69,10 +69,8 @@
     }
     const bool changed = rate.latest.perSecond != observation.perSecond;
     setLimit(table, rate, observation, observation.at);
-    if (changed || rate.own.perSecond != observation.perSecond) {
-        rate.changedAt = observation.at;
-    }
     rate.own = observation;
+    rate.namedAt = observation.perSecond ? observation.at : rate.namedAt;
     return changed;
 }
 
@@ -87,14 +85,12 @@
     return changed;
 }
 
-std::vector<LimitObservation> limitsToAnnounce(RateLimitTable &table, TimePoint now)
+std::vector<LimitObservation> limitsToAnnounce(const RateLimitTable &table, TimePoint now)
 {
     std::vector<LimitObservation> due;
-    for (auto &[target, rate] : table.targets) {
-        const bool fresh = now - rate.changedAt < table.settings.announceTime;
-        const bool renewed = rate.own.perSecond && rate.own.at > rate.announcedAt && now - rate.announcedAt >= table.settings.announceInterval;
-        if (rate.changedAt != TimePoint{} && (fresh || renewed) && due.size() < maxAnnounced) {
-            rate.announcedAt = now;
+    for (const auto &[target, rate] : table.targets) {
+        const bool recent = rate.namedAt != TimePoint{} && now - rate.namedAt < table.settings.announceTime;
+        if (recent && due.size() < maxAnnounced) {
             due.push_back(rate.own);
         }
     }
--- a/src/policy/rate_limit_func.h
+++ b/src/policy/rate_limit_func.h
@@ -22,8 +22,8 @@
 /** Adds what another host announced. @return Whether the limit has changed. */
 [[nodiscard]] bool mergeObservation(RateLimitTable &table, const LimitObservation &observation, TimePoint now);
 
-/** @return The own observations that are due to be announced; records that they are. */
-[[nodiscard]] std::vector<LimitObservation> limitsToAnnounce(RateLimitTable &table, TimePoint now);
+/** @return The own observations of targets that have named a limit to this host lately, also that a limit has ended. */
+[[nodiscard]] std::vector<LimitObservation> limitsToAnnounce(const RateLimitTable &table, TimePoint now);
 
 /** @return The limit of @p target in requests a second; empty when it has named none. */
 [[nodiscard]] std::optional<double> limitOf(const RateLimitTable &table, const TargetId &target);
--- a/src/policy/rate_limit_type.h
+++ b/src/policy/rate_limit_type.h
@@ -27,16 +27,14 @@
     double burst{1.5}; ///< Most tokens of a host: those that accrue while it waits for a request are not lost at once.
     double minPerSecond{0.1}; ///< Least rate of the first of them, which notices the end of the limit.
     std::chrono::milliseconds batchWait{300}; ///< Batch items get a token that no online request has used for this time.
-    std::chrono::milliseconds announceTime{1000}; ///< A changed limit is in every announcement for this time, because some get lost.
-    std::chrono::milliseconds announceInterval{1000}; ///< Interval of announcements of an unchanged limit.
+    std::chrono::milliseconds announceTime{10000}; ///< Age up to which an observation is announced.
 };
 
 /** Limit of one target, and this host's use of it. */
 struct TargetRate {
     LimitObservation own; ///< Latest observation of this host; only this one is announced.
     LimitObservation latest; ///< Latest observation of any host.
-    TimePoint changedAt{}; ///< When an answer to this host last changed the limit.
-    TimePoint announcedAt{}; ///< When the own observation was last announced.
+    TimePoint namedAt{}; ///< When the target last named a limit to this host.
     std::uint64_t sent{0}; ///< Requests of this host so far.
     std::optional<std::size_t> rank; ///< This host's place among the hosts for this target, from 0; empty when it must not send. Valid while there is a limit.
     TokenBucket bucket; ///< Requests that this host may send. Valid while there is a limit.
