Fix: A common prompt part is blamed just after the start, when no host can know of a sound run

What a test saw: fleetSimulation_smallFleetManyEnds_boundHoldsAndNoSoundPartIsBlamed, SKYLARK_PROPERTY_SEED=1226 (one of 300 by hand): 885 ms after the start of all hosts three targets had ended with a run of the first part a0 that had just begun; all hosts quarantined it. Cause: a part that no host had yet seen a sound run of counted as one that never has any. Change: within 10 s of a host's start it needs five crashes, as for a part that was sound lately. The failed check now names the parts. Result: seed 1226 passes; a test of the decision.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -92,6 +92,7 @@
     impl->batch = std::move(batch);
     impl->self = *self;
     impl->context.quarantine->state.host = self->id;
+    impl->context.quarantine->state.startedAt = BootClock::now();
     impl->session = SessionId{randomIdHex()};
     impl->incarnation = static_cast<std::uint64_t>(unixNow().time_since_epoch().count());
     impl->reportSequence = impl->incarnation;
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -373,6 +373,7 @@
     host.proxy->fleet = std::make_shared<const FleetSnapshot>();
     host.proxy->random = hash64(host.session.value);
     host.proxy->quarantine.host = host.settings.host;
+    host.proxy->quarantine.startedAt = BootClock::now();
     host.proxy->rateLimits.host = host.settings.host;
     host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -196,8 +196,8 @@
         return evidence.crashes.back() >= earlier->second.until;
     }
     const double share = shareOfCrashes(all, evidence);
-    const TimePoint sound = soundTime(state, part);
-    const bool soundBefore = sound != TimePoint{} && evidence.crashes.front() - sound < settings.soundMemory;
+    const TimePoint maybeSound = std::max(soundTime(state, part), state.startedAt);
+    const bool soundBefore = maybeSound != TimePoint{} && evidence.crashes.front() - maybeSound < settings.soundMemory;
     const unsigned needed = soundBefore ? settings.maxCrashes : neededCrashes(settings, share);
     const bool severalRequests = evidence.requests.size() >= settings.minRequests || evidence.crashes.size() >= settings.maxCrashes;
     return share >= settings.minShare && evidence.crashes.size() >= needed && severalRequests;
--- a/src/policy/crash_quarantine_type.h
+++ b/src/policy/crash_quarantine_type.h
@@ -15,8 +15,8 @@
 /** Parameters of the quarantine. */
 struct QuarantineSettings {
     unsigned minCrashes{3}; ///< Separate crashes that quarantine a part which was in at least half of all crashes from its first to its last one.
-    unsigned maxCrashes{
-        5}; ///< Separate crashes that suffice for a part in a smaller share, in crashes of one request only, or with a sound run within soundMemory.
+    unsigned maxCrashes{5}; ///< Separate crashes that suffice for a part in a smaller share, in crashes of one request only, or one that may have been sound
+                            ///< within soundMemory.
     double minShare{0.2}; ///< Least share of all crashes; where targets end for other reasons all the time, a rare part is in some of them by chance.
     unsigned minRequests{2}; ///< Different requests that must have been involved, unless there were maxCrashes.
     std::chrono::milliseconds crashSpacing{100}; ///< Targets that end within this time of one another have a common cause; they count as one crash.
@@ -73,6 +73,7 @@
 struct CrashQuarantine {
     QuarantineSettings settings;
     HostId host; ///< This host; its own crashes are kept under this identifier.
+    TimePoint startedAt{}; ///< Start of the host; it knows of no sound run before.
     std::map<HostId, std::vector<TargetCrash>> crashes; ///< By the host that saw them; kept when that host is gone.
     std::map<PromptPartId, SoundTimes> soundAt; ///< Last sound runs by part.
     std::map<PromptPartId, QuarantinedPart> parts; ///< Quarantined parts, and those whose quarantine has ended without a sound run since.
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -101,6 +101,7 @@
     {
         for (unsigned i = 0; i < hostCount; ++i) {
             this->hosts[i].host.value = "h" + std::to_string(i);
+            this->hosts[i].startedAt = this->now;
         }
     }
 
@@ -253,6 +254,19 @@
         }
     }
 
+    /** @return The quarantined parts of all hosts, for messages of failed checks. */
+    [[nodiscard]] std::string describeQuarantines() const
+    {
+        std::string text;
+        for (const CrashQuarantine &host : this->hosts) {
+            for (const auto &[part, entry] : host.parts) {
+                const auto since = std::chrono::duration_cast<milliseconds>(entry.since - (TimePoint{} + 1000s));
+                text += host.host.value + ":" + hexText(part.value) + "@" + std::to_string(since.count()) + "ms ";
+            }
+        }
+        return text;
+    }
+
     /** @return Parts other than the crashing one that any host has quarantined. */
     [[nodiscard]] std::size_t wrongQuarantines() const
     {
@@ -331,6 +345,16 @@
     CHECK_FALSE(this->isQuarantined({0xcc}));
 }
 
+// Guards against a common part that is blamed before the host can know of any sound run.
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_hostHasJustStarted_moreCrashesAreNeeded")
+{
+    this->state.startedAt = this->now;
+    this->quarantineBad();
+    CHECK_FALSE(this->isQuarantined(bad));
+    this->quarantineBad();
+    CHECK(this->isQuarantined(bad));
+}
+
 // Guards against a rare part that is blamed because targets end all the time and it happened to be there.
 TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_partInFewOfManyCrashes_isNotBlamed")
 {
@@ -501,6 +525,7 @@
             fleet.run(20s);
             CHECK(fleet.crashes >= 5);
             CHECK(fleet.sentLate <= maxSentLate);
+            INFO(fleet.describeQuarantines());
             CHECK(fleet.wrongQuarantines() == 0);
         }
     }
@@ -517,6 +542,7 @@
         INFO("seed " << seed);
         fleet.run(30s);
         CHECK(fleet.sentLate <= maxSentLate);
+        INFO(fleet.describeQuarantines());
         CHECK(fleet.wrongQuarantines() == 0);
     }
 }
@@ -529,6 +555,7 @@
         fleet.endsPerSecond = 8;
         INFO("seed " << seed);
         fleet.run(30s);
+        INFO(fleet.describeQuarantines());
         CHECK(fleet.wrongQuarantines() == 0);
     }
 }
