Fix: The last allowed run of a request is waited for until its deadline

What callers saw: with max_attempts 2 and two sound targets that are silent for a while, a stream that had begun was aborted (neither answer nor refusal), and a request without an answer yet got 502, although time was left. Cause: readTimeout() allowed a move while runs < maxAttempts, but runs counts the runs that have ended, so the run in progress was not counted. Evidence: the new test against the code before fails in all three sections, "REQUIRE( isOk(answer) ) ... partial message" for the begun stream and "REQUIRE( valueOf(answer).status == 200 ) ... 502 (0x1f6) == 200" for the two others. Change: silence ends a run only if a further run is allowed after it. The stand-in of a replica can fall silent for a time within a stream. Result: test_silence passes (29 assertions), test_forward passes (421 assertions in 29 test cases).

--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -101,13 +101,13 @@
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
 
-/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and the request may be sent to another target; at most 0 when it is over.
- */
+/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and a further run is allowed after the current one; at most 0 when it is
+ * over. */
 milliseconds readTimeout(const Forwarding &forwarding, milliseconds maxWait)
 {
     const milliseconds left = timeLeft(forwarding);
-    const bool retryAllowed = isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts;
-    return retryAllowed ? std::min(left, maxWait) : left;
+    const bool runLeft = isRepeatable(*forwarding.route) && forwarding.runs + 1 < forwarding.route->maxAttempts;
+    return runLeft ? std::min(left, maxWait) : left;
 }
 
 /** Relays a stream to the caller event by event. */
@@ -159,8 +159,7 @@
     const bool repeatable = isRepeatable(*forwarding.route);
     TargetRequestParams params{target.id, std::max(milliseconds(1), timeLeft(forwarding)), forwarding.splitter.lastId};
     HttpRequest request = proxy.wire.encode(forwarding.call, params);
-    const milliseconds firstAnswerTimeout =
-        forwarding.route->kind == CallKind::Stream || repeatable ? readTimeout(forwarding, maxFirstAnswerWait) : timeLeft(forwarding);
+    const milliseconds firstAnswerTimeout = readTimeout(forwarding, maxFirstAnswerWait);
     const HttpTimeouts timeouts{std::min(targetConnectTimeout, params.budget), params.budget, std::max(milliseconds(1), firstAnswerTimeout), params.budget};
     const ConnectionUse use = repeatable ? ConnectionUse::Pooled : ConnectionUse::Fresh;
     forwarding.abort = std::make_shared<HttpAbortHandle>();
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -98,6 +98,9 @@
             co_return;
         }
         ++run->events;
+        if (plan.silentAfter == run->events) {
+            co_await sleepFor(plan.silence);
+        }
         if (plan.stallAfter == number) {
             co_await sendBytesSlowly(responder, run);
             co_return;
--- a/standins/replica_base.h
+++ b/standins/replica_base.h
@@ -22,6 +22,8 @@
     bool crashesAtBegin{false}; ///< Whether the replica closes all of its connections once it has sent the head of the response.
     bool breakInsideEvent{false}; ///< Whether the first bytes of the next event are sent before the connection is closed.
     unsigned stallAfter{0}; ///< Number of the event after which only a byte comes now and then, until the caller closes; 0 for never.
+    unsigned silentAfter{0}; ///< Number of events sent in this run after which nothing is sent for @c silence; 0 for never.
+    std::chrono::milliseconds silence{0}; ///< Length of the pause.
     bool endless{false}; ///< Whether a body of filler without end follows the head, until the caller closes.
     bool wrongId{false}; ///< Whether the response carries another request's id.
     bool omitsSignature{false}; ///< Whether the signature header is left out.
--- /dev/null
+++ b/tests/test_silence.cpp
@@ -0,0 +1,83 @@
+/** @file test_silence.cpp Forwarding of requests to replicas that are silent for a while, and waiting of streams that have begun. */
+#include "proxy/event_splitter_base.h"
+#include "support/entry_fixture.h"
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Two replicas and one host that forwards requests to them. */
+struct SilenceFixture : EntryFixture {
+    Replica &first{this->addReplica("i-1")};
+    Replica &second{this->addReplica("i-2")};
+    EntryTestHost host{*this, "front-1", false}; ///< Host without a job runner.
+
+    SilenceFixture()
+    {
+        for (RouteRule &rule : this->config->routes) {
+            rule.timeout = 8s;
+        }
+        this->host.publish({});
+    }
+
+    /** Makes the requests on both replicas follow @p plans in the order of their arrival, and all later ones the last plan. */
+    void setPlans(const std::vector<ReplicaPlan> &plans)
+    {
+        const auto seen = std::make_shared<std::size_t>(0);
+        for (const auto &replica : this->replicas) {
+            replica->plan = [seen, plans](const HttpRequest & /*request*/, unsigned /*number*/) {
+                return plans[std::min((*seen)++, plans.size() - 1)];
+            };
+        }
+    }
+
+    /** Sends a request and requires an answer. @return Its body; of a stream the data of all events, joined by line feeds. */
+    std::string textOf(const std::string &id, const std::string &path, std::chrono::milliseconds callerTimeout = 8s)
+    {
+        const HttpTimeouts patient{500ms, 2s, 10s, 10s};
+        const HttpRequest request = EntryTestHost::request(id, path, callerTimeout);
+        const auto answer = this->run(httpCall(this->http, this->host.endpoint, request, patient, ConnectionUse::Fresh));
+        INFO("error " << (isOk(answer) ? "none" : errorOf(answer).detail));
+        REQUIRE(isOk(answer));
+        REQUIRE(valueOf(answer).status == 200);
+        if (headerValue(valueOf(answer).headers, "Content-Type") != "text/event-stream") {
+            return valueOf(answer).body;
+        }
+        EventSplitter splitter;
+        auto events = splitEvents(splitter, valueOf(answer).body);
+        REQUIRE(isOk(events));
+        std::string text;
+        for (const StreamEvent &event : valueOf(events)) {
+            text += (text.empty() ? "" : "\n") + event.data;
+        }
+        return text;
+    }
+};
+
+} // namespace
+
+// Guards against a request that gets no answer because its last allowed run is cut while its target is silent.
+TEST_CASE_METHOD(SilenceFixture, "forward_lastRunIsSilent_isWaitedForUntilTheDeadline")
+{
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+        CHECK(this->runsOf("s1") == 2);
+    }
+    SECTION("before the first answer of a stream")
+    {
+        this->setPlans({{.firstDelay = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+        CHECK(this->runsOf("s1") == 2);
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 2500ms}});
+        CHECK(this->textOf("q1", "/lookup/x") == wholeText("q1", 10));
+        CHECK(this->runsOf("q1") == 2);
+    }
+}
