--- /dev/null
+++ b/src/policy/silence_func.h
@@ -0,0 +1,18 @@
+/** @file silence_func.h How long a silent target is waited for. */
+#pragma once
+
+#include "core/error_type.h"
+#include "policy/silence_type.h"
+
+namespace skylark {
+
+/**
+ * @return How long the target may be silent before the request moves to another one, at most the time left. A whole answer for which little time is left moves
+ * while there is still time for another target.
+ */
+[[nodiscard]] std::chrono::milliseconds silenceLimit(const SilenceInput &input);
+
+/** @return Whether @p error is a silence that is normal for a target. @param silence How long the target had been silent. */
+[[nodiscard]] bool isSoundSilence(const Error &error, std::chrono::milliseconds silence);
+
+} // namespace skylark
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -4,6 +4,7 @@
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
 #include "fleet/route_match_func.h"
+#include "policy/silence_func.h"
 #include "proxy/forwarding_base.h"
 
 #include <algorithm>
@@ -37,7 +38,8 @@
     forwarding.runs += attempt.end == AttemptEnd::Failed ? 1 : 0;
     forwarding.refusals += attempt.end == AttemptEnd::NotRun ? 1 : 0;
     recordFailedRun(proxy, target.id, forwarding.call.prompt, forwarding.progress, attempt.error);
-    if (!attempt.answer) {
+    const milliseconds silence = elapsedSince(forwarding.progressAt);
+    if (!attempt.answer && !isSoundSilence(attempt.error, silence)) {
         recordTargetFailure(proxy, target);
     }
     logEvent(EventKind::AttemptFailed,
@@ -47,6 +49,7 @@
               {"run", attempt.end == AttemptEnd::NotRun ? "no" : "maybe"},
               {"detail", attempt.error.detail},
               {"ran_ms", elapsedSince(begun).count()},
+              {"silent_ms", silence.count()},
               {"events", forwarding.events},
               {"phase", runPhaseName(phaseOf(forwarding.progress))},
               {"prompt_parts", promptPartsText(forwarding.call.prompt)}});
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -1,4 +1,5 @@
 /** @file forward_attempt.cpp One attempt of a request on a target: sends it, and relays the answer as it arrives. */
+#include "policy/silence_func.h"
 #include "proxy/forwarding_base.h"
 
 #include <algorithm>
@@ -11,10 +12,6 @@
 
 namespace {
 
-/** Time to wait for the first answer to a repeatable request before another target is tried. Queueing at a target delays an answer by far less. */
-constexpr milliseconds maxFirstAnswerWait{1200};
-/** Gap within a resumable stream after which another target continues it; a step of a target takes a few milliseconds. */
-constexpr milliseconds maxEventGap{700};
 constexpr std::size_t maxAnswerBytes = std::size_t{16} << 20U; ///< Maximum size of an answer that is not a stream; bounds the memory that a target can take.
 constexpr std::size_t maxRefusalBytes = std::size_t{64} << 10U; ///< Maximum size of the body of an answer that says that the request did not run.
 
@@ -101,23 +98,22 @@
     co_return co_await writeChunk(forwarding.responder, std::move(bytes));
 }
 
-/** @return Timeout of the next read: the time left, or @p maxWait if that is shorter and a further run is allowed after the current one; at most 0 when it is
- * over. */
-milliseconds readTimeout(const Forwarding &forwarding, milliseconds maxWait)
+/** @return Timeout of the next read from the target, which has been silent since Forwarding::progressAt; at most 0 when it is over. */
+milliseconds readTimeout(const Forwarding &forwarding)
 {
-    const milliseconds left = timeLeft(forwarding);
-    const bool runLeft = isRepeatable(*forwarding.route) && forwarding.runs + 1 < forwarding.route->maxAttempts;
-    return runLeft ? std::min(left, maxWait) : left;
+    const RouteRule &route = *forwarding.route;
+    SilenceInput input{.stream = route.kind == CallKind::Stream, .timeLeft = timeLeft(forwarding)};
+    input.mayMove = isRepeatable(route) && forwarding.runs + 1 < route.maxAttempts;
+    const milliseconds limit = silenceLimit(input);
+    return input.mayMove ? std::min(input.timeLeft, limit - elapsedSince(forwarding.progressAt)) : limit;
 }
 
 /** Relays a stream to the caller event by event. */
 asio::awaitable<Attempt> relayStream(Forwarding &forwarding, HttpExchange &exchange)
 {
     forwarding.splitter.partial.clear();
-    bool anyEvent = false;
-    TimePoint progressAt = BootClock::now(); // Only events are progress: a stalled target may still send a byte now and then.
     for (;;) {
-        const milliseconds timeout = readTimeout(forwarding, (anyEvent ? maxEventGap : maxFirstAnswerWait) - elapsedSince(progressAt));
+        const milliseconds timeout = readTimeout(forwarding);
         if (timeout.count() <= 0) {
             httpAbort(exchange);
             co_return failedAttempt(forwarding, makeError(ErrorCode::IdleTimeout, "bytes, but no event in time", RunState::Maybe));
@@ -133,11 +129,10 @@
         if (!isOk(events)) {
             co_return failedAttempt(forwarding, errorOf(events));
         }
-        anyEvent = anyEvent || !valueOf(events).empty();
         if (valueOf(events).empty()) {
             continue;
         }
-        progressAt = BootClock::now();
+        forwarding.progressAt = BootClock::now();
         const auto sent = co_await sendStreamEvents(forwarding, exchange, std::move(valueOf(events)));
         if (!isOk(sent)) {
             co_return Attempt{AttemptEnd::CallerGone, makeError(ErrorCode::CallerGone, "caller closed the connection while events were sent"), {}};
@@ -159,12 +154,13 @@
     const bool repeatable = isRepeatable(*forwarding.route);
     TargetRequestParams params{target.id, std::max(milliseconds(1), timeLeft(forwarding)), forwarding.splitter.lastId};
     HttpRequest request = proxy.wire.encode(forwarding.call, params);
-    const milliseconds firstAnswerTimeout = readTimeout(forwarding, maxFirstAnswerWait);
-    const HttpTimeouts timeouts{std::min(targetConnectTimeout, params.budget), params.budget, std::max(milliseconds(1), firstAnswerTimeout), params.budget};
+    const TimePoint sentAt = BootClock::now();
+    forwarding.progressAt = sentAt;
+    const milliseconds firstAnswerTimeout = std::max(milliseconds(1), readTimeout(forwarding));
+    const HttpTimeouts timeouts{std::min(targetConnectTimeout, params.budget), params.budget, firstAnswerTimeout, params.budget};
     const ConnectionUse use = repeatable ? ConnectionUse::Pooled : ConnectionUse::Fresh;
     forwarding.abort = std::make_shared<HttpAbortHandle>();
     forwarding.progress = {};
-    const TimePoint sentAt = BootClock::now();
     recordSend(proxy.rateLimits, target.id, sentAt);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, use, forwarding.abort);
     if (!isOk(opened)) {
@@ -183,6 +179,7 @@
         co_return failedAttempt(forwarding, makeError(ErrorCode::ResponseMismatch, answerHead.requestId, RunState::Maybe));
     }
     forwarding.progress.answerBegun = true;
+    forwarding.progressAt = BootClock::now();
     forwarding.currentExchange = &exchange;
     const bool stream = forwarding.route->kind == CallKind::Stream && exchange.status == 200;
     // Not a conditional expression: g++ 12 destroys the temporaries of a co_await in one twice.
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -28,6 +28,8 @@
     std::uint64_t events{0}; ///< Number of events forwarded to the caller.
     TimePoint lastEventAt{}; ///< When the last event was forwarded.
     std::chrono::milliseconds longestGap{0}; ///< Longest time between two writes of events to the caller.
+    /** Last progress of the current attempt: sending the request, the head of the answer, or an event; other bytes are none. */
+    TimePoint progressAt{};
     RunProgress progress; ///< Progress of the current or most recent attempt.
     bool started{false}; ///< Whether sending the answer to the caller has begun.
     std::optional<TimePoint> firstAt; ///< When the first event or the complete answer was received; empty before.
