Codechange: The HTTP server in files for accepting, reading requests and sending responses

The state of a connection is in http_connection_base.h, reading a request within its limits in http_request_reader.cpp, sending a response in http_response.cpp.

--- /dev/null
+++ b/src/http/http_connection_base.h
@@ -0,0 +1,34 @@
+/** @file http_connection_base.h State of an HTTP server and of its connections. */
+#pragma once
+
+#include "http/http_server_func.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <set>
+
+namespace skylark {
+
+/** State shared by the acceptor and the connections. */
+struct HttpServer::Impl {
+    boost::asio::ip::tcp::acceptor acceptor; ///< Listening socket.
+    HttpServerOptions options;
+    HttpHandler handler;
+    std::set<HttpServerConnection *> connections; ///< Open connections.
+    std::size_t active{0}; ///< Number of requests being handled.
+    bool closing{false}; ///< Whether responses have "Connection: close".
+};
+
+/** Connection of one caller. */
+struct HttpServerConnection {
+    boost::beast::tcp_stream stream; ///< Socket with timeouts.
+    boost::beast::flat_buffer buffer; ///< Bytes received but not parsed yet.
+    std::weak_ptr<HttpServer::Impl> server;
+    std::chrono::milliseconds writeTimeout{}; ///< Time limit of one write.
+    std::function<void()> callerGone; ///< Called once if the caller closes the connection before the response is complete.
+    bool busy{false}; ///< Whether a request is being read or handled.
+    bool keepAlive{true}; ///< Whether the connection stays open after the current response.
+    std::uint64_t requestNumber{0}; ///< Number of the current request, so that a watch for an earlier request does not act on this one.
+};
+
+} // namespace skylark
--- /dev/null
+++ b/src/http/http_request_reader.cpp
@@ -0,0 +1,157 @@
+/** @file http_request_reader.cpp Reads the requests of a connection, within the limits of the server. */
+#include "http/http_request_reader_func.h"
+
+#include "core/table/error_table.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readBytes = 4096; ///< Maximum size in bytes of a read outside the HTTP parser.
+/** Time limit for reading the rest of a rejected request: closing a connection with unread data resets it, and the caller loses the response. */
+constexpr std::chrono::milliseconds lingerTime{500};
+
+HttpRequest convertRequest(http::request<http::string_body> message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+/** Closes the sending side, then reads and discards what the caller still sends, for at most lingerTime. */
+asio::awaitable<void> drainInput(std::shared_ptr<HttpServerConnection> connection)
+{
+    beast::error_code ignored;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection->stream.expires_after(lingerTime);
+    for (;;) {
+        connection->buffer.clear();
+        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readBytes), awaitTuple);
+        if (error) {
+            co_return;
+        }
+    }
+}
+
+/** Sends an error response for a request that could not be read, and makes the connection close. */
+asio::awaitable<void> rejectRequest(const std::shared_ptr<HttpServerConnection> &connection, const HttpServerOptions &options, Error error)
+{
+    HttpResponder responder{connection, false, false};
+    connection->keepAlive = false;
+    HttpResponse response;
+    response.status = errorInfo(error.code).status;
+    if (options.renderError) {
+        response = options.renderError(error);
+    }
+    co_await sendResponse(responder, std::move(response));
+    co_await drainInput(connection);
+}
+
+/** Reads a request head. If @p timeout passes, returns beast::error::timeout and leaves the connection open, so that an error response can be sent. */
+asio::awaitable<beast::error_code> readHead(std::shared_ptr<HttpServerConnection> connection,
+                                            std::chrono::milliseconds timeout,
+                                            http::request_parser<http::string_body> &parser)
+{
+    struct Deadline {
+        bool over{false}; ///< Whether reading has ended, so that the timer does nothing.
+        bool expired{false}; ///< Whether the deadline passed before reading ended.
+    };
+    const auto deadline = std::make_shared<Deadline>();
+    asio::steady_timer timer(connection->stream.get_executor(), timeout);
+    connection->stream.expires_never();
+    timer.async_wait([connection, deadline](const beast::error_code &cancelled) {
+        if (!cancelled && !deadline->over) {
+            deadline->expired = true;
+            beast::error_code ignored;
+            connection->stream.socket().cancel(ignored);
+        }
+    });
+    const auto [error, bytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
+    deadline->over = true;
+    const beast::error_code timedOut = beast::error::timeout;
+    const beast::error_code outcome = error;
+    co_return outcome && deadline->expired ? timedOut : outcome;
+}
+
+/** @return The error with which a request with this head is rejected, or nothing if it is acceptable. */
+std::optional<Error> findHeadError(const http::request<http::string_body> &message, std::size_t maxBody, const beast::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return makeError(ErrorCode::HeaderTimeout, "request head did not arrive in time");
+    }
+    if (error == http::error::header_limit) {
+        return makeError(ErrorCode::HeaderTooLarge, "request head exceeds the size limit");
+    }
+    if (error == http::error::body_limit) {
+        return makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(maxBody) + " bytes");
+    }
+    if (error) {
+        return makeError(ErrorCode::InvalidRequest, error.message());
+    }
+    if (message.count(http::field::host) > 1) {
+        return makeError(ErrorCode::InvalidRequest, "more than one Host header");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, const HttpServerOptions &options)
+{
+    if (connection->buffer.size() == 0) {
+        connection->stream.expires_after(options.keepAlive);
+        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readBytes), awaitTuple);
+        if (error) {
+            co_return std::nullopt;
+        }
+        connection->buffer.commit(bytes);
+    }
+    connection->busy = true;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(options.maxBody);
+    parser.header_limit(options.maxHeader);
+    const beast::error_code headError = co_await readHead(connection, options.headTimeout, parser);
+    if (headError == http::error::end_of_stream || headError == asio::error::connection_reset) {
+        co_return std::nullopt;
+    }
+    if (const auto rejection = findHeadError(parser.get(), options.maxBody, headError)) {
+        co_await rejectRequest(connection, options, *rejection);
+        co_return std::nullopt;
+    }
+    connection->stream.expires_after(options.bodyTimeout);
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, 11);
+        const auto [error, bytes] = co_await http::async_write(connection->stream, proceed, awaitTuple);
+        if (error) {
+            co_return std::nullopt;
+        }
+    }
+    const auto [bodyError, bodyBytes] = co_await http::async_read(connection->stream, connection->buffer, parser, awaitTuple);
+    if (bodyError == http::error::body_limit) {
+        co_await rejectRequest(connection, options, makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(options.maxBody) + " bytes"));
+        co_return std::nullopt;
+    }
+    if (bodyError) {
+        co_return std::nullopt;
+    }
+    connection->keepAlive = parser.get().keep_alive();
+    co_return convertRequest(parser.release());
+}
+
+} // namespace skylark
--- /dev/null
+++ b/src/http/http_request_reader_func.h
@@ -0,0 +1,11 @@
+/** @file http_request_reader_func.h Reads the requests of a connection to an HTTP server. */
+#pragma once
+
+#include "http/http_connection_base.h"
+
+namespace skylark {
+
+/** Reads one request. @return Nothing if the connection was closed or the request was rejected. */
+boost::asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, const HttpServerOptions &options);
+
+} // namespace skylark
--- /dev/null
+++ b/src/http/http_response.cpp
@@ -0,0 +1,105 @@
+/** @file http_response.cpp Sends the response to one request of a connection. */
+#include "http/http_connection_base.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+
+bool isClosing(const HttpServerConnection &connection)
+{
+    const auto server = connection.server.lock();
+    return !server || server->closing;
+}
+
+Result<Done> writeResult(HttpServerConnection &connection, const beast::error_code &error)
+{
+    if (!error) {
+        return Done{};
+    }
+    connection.keepAlive = false;
+    return makeError(ErrorCode::CallerGone, error.message(), RunState::Maybe);
+}
+
+template<typename Message>
+void setHeaders(Message &message, const HttpHeaders &headers)
+{
+    for (const HttpHeader &header : headers) {
+        message.insert(header.name, header.value);
+    }
+}
+
+} // namespace
+
+asio::awaitable<Result<Done>> sendResponse(HttpResponder &responder, HttpResponse response)
+{
+    const auto connection = responder.connection;
+    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+    setHeaders(message, response.headers);
+    message.body() = std::move(response.body);
+    connection->keepAlive = connection->keepAlive && !isClosing(*connection);
+    message.keep_alive(connection->keepAlive);
+    message.prepare_payload();
+    responder.started = true;
+    connection->stream.expires_after(connection->writeTimeout);
+    const auto [error, bytes] = co_await http::async_write(connection->stream, message, awaitTuple);
+    responder.finished = !error;
+    co_return writeResult(*connection, error);
+}
+
+asio::awaitable<Result<Done>> startStream(HttpResponder &responder, int status, HttpHeaders headers)
+{
+    const auto connection = responder.connection;
+    http::response<http::empty_body> message(static_cast<http::status>(status), 11);
+    setHeaders(message, headers);
+    connection->keepAlive = connection->keepAlive && !isClosing(*connection);
+    message.keep_alive(connection->keepAlive);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    responder.started = true;
+    connection->stream.expires_after(connection->writeTimeout);
+    const auto [error, bytes] = co_await http::async_write_header(connection->stream, serializer, awaitTuple);
+    co_return writeResult(*connection, error);
+}
+
+asio::awaitable<Result<Done>> writeChunk(HttpResponder &responder, std::string data)
+{
+    const auto connection = responder.connection;
+    if (data.empty()) {
+        co_return Done{};
+    }
+    connection->stream.expires_after(connection->writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(connection->stream, http::make_chunk(asio::buffer(data)), awaitTuple);
+    co_return writeResult(*connection, error);
+}
+
+asio::awaitable<Result<Done>> finishStream(HttpResponder &responder)
+{
+    const auto connection = responder.connection;
+    connection->stream.expires_after(connection->writeTimeout);
+    const auto [error, bytes] = co_await asio::async_write(connection->stream, http::make_chunk_last(), awaitTuple);
+    responder.finished = !error;
+    co_return writeResult(*connection, error);
+}
+
+void onCallerDisconnect(HttpResponder &responder, std::function<void()> action)
+{
+    responder.connection->callerGone = std::move(action);
+}
+
+void abortConnection(HttpResponder &responder)
+{
+    responder.connection->keepAlive = false;
+    responder.connection->stream.close();
+}
+
+} // namespace skylark
