Fix: The idle limit closes connections on which a request arrived during a stall

Callers saw a reset instead of an answer when the process had not run for longer than the rest of the idle limit and more than 128 connections became readable meanwhile. The timer of the idle wait closed the socket without a look at what had arrived; up to 128 ready sockets are read first, in one call of epoll_wait, the others are closed. The wait is now cancelled, not the connection closed, and the connection goes on if bytes are there. The deadline of the head uses the same timer, which repeats, because a cancellation between two steps of a read had no effect.

--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 namespace skylark {
 
@@ -63,32 +64,76 @@
     co_await drainInput(connection);
 }
 
+constexpr std::chrono::milliseconds repeatDelay{50}; ///< Until a read that was between two of its steps at its deadline is cancelled again.
+
+/** What a read from a socket would find. */
+enum class SocketInput : std::uint8_t {
+    Nothing, ///< The read would wait.
+    Bytes, ///< Bytes have arrived.
+    Closed, ///< The caller has closed or reset the connection.
+};
+
+SocketInput peekInput(HttpServerConnection &connection)
+{
+    char byte = 0;
+    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return SocketInput::Bytes;
+    }
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
+}
+
+/** Cancels the operations on a connection's socket at a time, until the deadline is destroyed. The connection stays open. */
+struct ReadDeadline {
+    asio::steady_timer timer;
+    std::weak_ptr<HttpServerConnection> connection;
+    bool expired{false}; ///< Whether operations were cancelled.
+
+    static std::shared_ptr<ReadDeadline> create(const std::shared_ptr<HttpServerConnection> &connection, std::chrono::milliseconds timeout)
+    {
+        auto deadline = std::make_shared<ReadDeadline>(ReadDeadline{asio::steady_timer(connection->stream.get_executor()), connection});
+        connection->stream.expires_never();
+        startTimer(deadline, timeout);
+        return deadline;
+    }
+
+    static void startTimer(const std::shared_ptr<ReadDeadline> &deadline, std::chrono::milliseconds delay)
+    {
+        deadline->timer.expires_after(delay);
+        deadline->timer.async_wait([weak = std::weak_ptr<ReadDeadline>(deadline)](const beast::error_code &cancelled) {
+            const auto strong = weak.lock();
+            const auto owner = strong ? strong->connection.lock() : nullptr;
+            if (cancelled || !owner) {
+                return;
+            }
+            strong->expired = true;
+            beast::error_code ignored;
+            owner->stream.socket().cancel(ignored);
+            startTimer(strong, repeatDelay);
+        });
+    }
+};
+
 /** Reads a request head. If @p timeout passes, returns beast::error::timeout and leaves the connection open, so that an error response can be sent. */
 asio::awaitable<beast::error_code> readHead(std::shared_ptr<HttpServerConnection> connection,
                                             std::chrono::milliseconds timeout,
                                             http::request_parser<http::string_body> &parser)
 {
-    struct Deadline {
-        bool over{false}; ///< Whether reading has ended, so that the timer does nothing.
-        bool expired{false}; ///< Whether the deadline passed before reading ended.
-    };
-    const auto deadline = std::make_shared<Deadline>();
-    asio::steady_timer timer(connection->stream.get_executor(), timeout);
-    connection->stream.expires_never();
-    timer.async_wait([connection, deadline](const beast::error_code &cancelled) {
-        if (!cancelled && !deadline->over) {
-            deadline->expired = true;
-            beast::error_code ignored;
-            connection->stream.socket().cancel(ignored);
-        }
-    });
+    const auto deadline = ReadDeadline::create(connection, timeout);
     const auto [error, bytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
-    deadline->over = true;
     const beast::error_code timedOut = beast::error::timeout;
     const beast::error_code outcome = error;
     co_return outcome && deadline->expired ? timedOut : outcome;
 }
 
+/** Waits for the first bytes of a request. @return Whether there are any; otherwise the caller has closed the connection, or it was idle for too long. */
+asio::awaitable<bool> waitForInput(std::shared_ptr<HttpServerConnection> connection, std::chrono::milliseconds idleLimit)
+{
+    const auto deadline = ReadDeadline::create(connection, idleLimit);
+    const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+    co_return !error || peekInput(*connection) == SocketInput::Bytes;
+}
+
 /** @return The error with which a request with this head is rejected, or nothing if it is acceptable. */
 std::optional<Error> findHeadError(const http::request<http::string_body> &message, std::size_t maxBody, const beast::error_code &error)
 {
@@ -115,7 +160,9 @@
 asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, const HttpServerOptions &options)
 {
     if (connection->buffer.size() == 0) {
-        connection->stream.expires_after(options.keepAlive);
+        if (!co_await waitForInput(connection, options.keepAlive)) {
+            co_return std::nullopt;
+        }
         const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readBytes), awaitTuple);
         if (error) {
             co_return std::nullopt;
--- /dev/null
+++ b/tests/test_http_connection.cpp
@@ -0,0 +1,170 @@
+/** @file test_http_connection.cpp Tests that each request that has arrived is answered, whatever happens to its connection. */
+#include "http/http_server_func.h"
+#include "support/process_func.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <stdexcept>
+#include <thread>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/** A caller that writes raw bytes. The server sees them only when the loop of the fixture runs. */
+struct RawCaller {
+    tcp::socket socket;
+    std::string received; ///< All bytes received.
+    bool closed{false}; ///< Whether the server closed or reset the connection.
+
+    RawCaller(asio::io_context &loop, const Endpoint &endpoint)
+        : socket(loop)
+    {
+        this->socket.connect({asio::ip::make_address(endpoint.address), endpoint.port});
+        this->socket.non_blocking(true);
+    }
+
+    void write(const std::string &bytes)
+    {
+        boost::system::error_code error;
+        asio::write(this->socket, asio::buffer(bytes), error);
+        CHECK_FALSE(error);
+    }
+
+    /** Adds what has arrived to received. */
+    void poll()
+    {
+        std::array<char, 4096> bytes{};
+        boost::system::error_code error;
+        while (!error) {
+            this->received.append(bytes.data(), this->socket.read_some(asio::buffer(bytes), error));
+        }
+        this->closed = this->closed || error != asio::error::would_block;
+    }
+
+    /** @return How many times @p text was received. */
+    [[nodiscard]] std::size_t count(const std::string &text) const
+    {
+        std::size_t found = 0;
+        for (std::size_t at = this->received.find(text); at != std::string::npos; at = this->received.find(text, at + 1)) {
+            ++found;
+        }
+        return found;
+    }
+};
+
+const std::string plainRequest = "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string okLine = "HTTP/1.1 200 OK";
+
+/** A server with short limits. */
+struct HttpConnectionFixture : TestLoop {
+    HttpServerOptions options;
+    std::unique_ptr<HttpServer> server; ///< Null until listen().
+    Endpoint endpoint{"127.0.0.1", 0}; ///< Address of the server; the port is set by listen().
+    int requests{0}; ///< Number of requests that reached the handler.
+
+    HttpConnectionFixture()
+    {
+        this->options.listen = this->endpoint;
+        this->options.maxBody = 1000;
+        this->options.bodyTimeout = 150ms;
+        this->options.keepAlive = 200ms;
+    }
+
+    void listen()
+    {
+        auto created = HttpServer::create(this->loop.get_executor(), this->options, [this](HttpRequest request, HttpResponder &responder) {
+            return this->handle(std::move(request), responder);
+        });
+        REQUIRE(isOk(created));
+        this->server = std::move(valueOf(created));
+        this->endpoint.port = listenPort(*this->server);
+    }
+
+    asio::awaitable<void> handle(HttpRequest request, HttpResponder &responder)
+    {
+        ++this->requests;
+        const std::string path(targetPath(request.target));
+        if (path == "/slow") {
+            asio::steady_timer timer(this->loop, 100ms);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        } else if (path == "/throw") {
+            throw std::runtime_error("handler failed");
+        } else if (path == "/nothing") {
+            co_return;
+        }
+        HttpResponse response;
+        response.body = request.body;
+        co_await sendResponse(responder, std::move(response));
+    }
+
+    [[nodiscard]] std::unique_ptr<RawCaller> connect()
+    {
+        return std::make_unique<RawCaller>(this->loop, this->endpoint);
+    }
+
+    /** @return A connection that is kept after one answered request. */
+    [[nodiscard]] std::unique_ptr<RawCaller> connectKept()
+    {
+        auto caller = this->connect();
+        caller->write(plainRequest);
+        CHECK(this->waitFor(*caller, okLine));
+        caller->received.clear();
+        return caller;
+    }
+
+    /** Runs the loop until @p caller has received @p text. @return Whether it did within a second. */
+    [[nodiscard]] bool waitFor(RawCaller &caller, const std::string &text)
+    {
+        return this->runUntil(
+                   [&caller, &text] {
+                       caller.poll();
+                       return caller.closed || caller.received.find(text) != std::string::npos;
+                   },
+                   1s)
+               && caller.received.find(text) != std::string::npos;
+    }
+
+    /** Runs the loop until the server closes the connection. @return Whether it did within @p limit. */
+    [[nodiscard]] bool waitClosed(RawCaller &caller, std::chrono::milliseconds limit = 1s)
+    {
+        return this->runUntil(
+            [&caller] {
+                caller.poll();
+                return caller.closed;
+            },
+            limit);
+    }
+};
+
+} // namespace
+
+// Guards against the idle limit closing connections on which requests arrived while the process did not run.
+TEST_CASE_METHOD(HttpConnectionFixture, "idleConnections_requestsArriveDuringStall_areAnswered")
+{
+    this->listen();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write(plainRequest);
+    }
+    for (const auto &caller : callers) {
+        REQUIRE(this->waitFor(*caller, okLine));
+        caller->received.clear();
+    }
+    std::this_thread::sleep_for(300ms);
+    for (const auto &caller : callers) {
+        caller->write(plainRequest);
+    }
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, okLine));
+    }
+}
