Fix: A stop closes kept connections whose next request has arrived but was not read

At a stop, callers saw a reset of a kept connection although the host had their whole request in its socket: closeIdleConnections() closed every connection whose coroutine had not resumed yet, without a look at the socket. The server now remembers that idle connections are closed and wakes their waits; each coroutine answers what has arrived, or closes. A new connection without a request yet has 500 ms, since its request is in transit.

--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -17,6 +17,7 @@
     std::set<HttpServerConnection *> connections; ///< Open connections.
     std::size_t active{0}; ///< Number of requests being handled.
     bool closing{false}; ///< Whether responses have "Connection: close".
+    bool closeIdle{false}; ///< Whether connections without a request are closed.
 };
 
 /** Connection of one caller. */
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -126,12 +126,32 @@
     co_return outcome && deadline->expired ? timedOut : outcome;
 }
 
+/** @return How long @p connection may wait for the first bytes of a request. */
+std::chrono::milliseconds idleLimit(const HttpServer::Impl &server, const HttpServerConnection &connection)
+{
+    constexpr std::chrono::milliseconds firstRequestTime{500}; // The request of a new connection is in transit.
+    if (!server.closeIdle) {
+        return server.options.keepAlive;
+    }
+    return connection.requestNumber == 0 ? firstRequestTime : std::chrono::milliseconds(0);
+}
+
 /** Waits for the first bytes of a request. @return Whether there are any; otherwise the caller has closed the connection, or it was idle for too long. */
-asio::awaitable<bool> waitForInput(std::shared_ptr<HttpServerConnection> connection, std::chrono::milliseconds idleLimit)
+asio::awaitable<bool> waitForInput(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
 {
-    const auto deadline = ReadDeadline::create(connection, idleLimit);
-    const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
-    co_return !error || peekInput(*connection) == SocketInput::Bytes;
+    const auto idleSince = std::chrono::steady_clock::now();
+    for (;;) {
+        const auto left = idleSince + idleLimit(*server, *connection) - std::chrono::steady_clock::now();
+        const SocketInput input = peekInput(*connection);
+        if (left.count() <= 0 || input != SocketInput::Nothing) {
+            co_return input == SocketInput::Bytes;
+        }
+        const auto deadline = ReadDeadline::create(connection, std::chrono::ceil<std::chrono::milliseconds>(left));
+        const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+        if (!error) {
+            co_return true;
+        }
+    }
 }
 
 /** @return The error with which a request with this head is rejected, or nothing if it is acceptable. */
@@ -157,10 +177,11 @@
 
 } // namespace
 
-asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, const HttpServerOptions &options)
+asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
 {
+    const HttpServerOptions &options = server->options;
     if (connection->buffer.size() == 0) {
-        if (!co_await waitForInput(connection, options.keepAlive)) {
+        if (!co_await waitForInput(connection, server)) {
             co_return std::nullopt;
         }
         const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readBytes), awaitTuple);
--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -6,6 +6,6 @@
 namespace skylark {
 
 /** Reads one request. @return Nothing if the connection was closed or the request was rejected. */
-boost::asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, const HttpServerOptions &options);
+boost::asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server);
 
 } // namespace skylark
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -81,7 +81,7 @@
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     while (connection->keepAlive) {
         connection->busy = false;
-        std::optional<HttpRequest> request = co_await readRequest(connection, impl->options);
+        std::optional<HttpRequest> request = co_await readRequest(connection, impl);
         if (!request) {
             break;
         }
@@ -174,9 +174,12 @@
 
 void closeIdleConnections(HttpServer &server)
 {
+    server.impl->closeIdle = true;
     for (HttpServerConnection *connection : server.impl->connections) {
         if (!connection->busy) {
-            connection->stream.close();
+            // Its coroutine answers a request that has arrived meanwhile, or closes the connection.
+            beast::error_code ignored;
+            connection->stream.socket().cancel(ignored);
         }
     }
 }
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -75,7 +75,7 @@
 /** Stops accepting connections; running requests continue. */
 void stopAccepting(HttpServer &server);
 
-/** Closes connections without a running request. */
+/** Closes connections on which no request has arrived, from now on as soon as they have no request. */
 void closeIdleConnections(HttpServer &server);
 
 /** @return Number of requests being handled. */
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -168,3 +168,19 @@
         CHECK(this->waitFor(*caller, okLine));
     }
 }
+
+// Guards against closing a kept connection at a stop although a request on it has arrived and was not read yet.
+TEST_CASE_METHOD(HttpConnectionFixture, "closeIdleConnections_requestNotReadYet_isAnsweredThenClosed")
+{
+    this->listen();
+    const auto caller = this->connectKept();
+    const auto idle = this->connectKept();
+    caller->write(plainRequest);
+    announceClose(*this->server);
+    closeIdleConnections(*this->server);
+    CHECK(this->waitFor(*caller, okLine));
+    CHECK(caller->count("Connection: close") == 1);
+    CHECK(this->waitClosed(*caller));
+    CHECK(this->waitClosed(*idle, 50ms));
+    CHECK(idle->received.empty());
+}
