Fix: A stop drops connections that wait in the listen backlog, with their requests

At a stop, callers whose connection was established by the kernel, but not accepted yet, got a reset although their request was in this host's socket. stopAccepting() closed the listening socket at once, and the kernel resets what waits there. Before: stopAccepting_requestInBacklog_isAnswered, 'CHECK( this->waitFor(*caller, okLine) ) with expansion: false' for each of 20 connections. The backlog is accepted first; the requests are answered with Connection: close, and connections without one are closed. After: test_http_connection passes (1253 assertions in 3 cases), test_http too. The idle wait looks at the socket only after it was woken, one system call less a request.

--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -142,15 +142,17 @@
     const auto idleSince = std::chrono::steady_clock::now();
     for (;;) {
         const auto left = idleSince + idleLimit(*server, *connection) - std::chrono::steady_clock::now();
+        if (left.count() > 0) {
+            const auto deadline = ReadDeadline::create(connection, std::chrono::ceil<std::chrono::milliseconds>(left));
+            const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+            if (!error) {
+                co_return true;
+            }
+        }
         const SocketInput input = peekInput(*connection);
-        if (left.count() <= 0 || input != SocketInput::Nothing) {
+        if (input != SocketInput::Nothing || std::chrono::steady_clock::now() >= idleSince + idleLimit(*server, *connection)) {
             co_return input == SocketInput::Bytes;
         }
-        const auto deadline = ReadDeadline::create(connection, std::chrono::ceil<std::chrono::milliseconds>(left));
-        const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
-        if (!error) {
-            co_return true;
-        }
     }
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -91,6 +91,14 @@
     connection->stream.close();
 }
 
+/** Starts to serve a new connection, unless there are too many. */
+void startConnection(const std::shared_ptr<HttpServer::Impl> &impl, tcp::socket socket)
+{
+    if (impl->connections.size() < impl->options.maxConnections) {
+        asio::co_spawn(impl->acceptor.get_executor(), serveConnection(impl, std::move(socket)), asio::detached);
+    }
+}
+
 asio::awaitable<void> acceptLoop(std::shared_ptr<HttpServer::Impl> impl)
 {
     while (impl->acceptor.is_open()) {
@@ -98,10 +106,22 @@
         if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
             co_return;
         }
-        if (error || impl->connections.size() >= impl->options.maxConnections) {
-            continue;
+        if (!error) {
+            startConnection(impl, std::move(socket));
+        }
+    }
+}
+
+/** Accepts the connections that the kernel has established already: closing the listening socket would reset them with their requests. */
+void acceptBacklog(const std::shared_ptr<HttpServer::Impl> &impl)
+{
+    beast::error_code error;
+    impl->acceptor.non_blocking(true, error);
+    for (int accepted = 0; !error && accepted < asio::socket_base::max_listen_connections; ++accepted) {
+        tcp::socket socket = impl->acceptor.accept(error);
+        if (!error) {
+            startConnection(impl, std::move(socket));
         }
-        asio::co_spawn(impl->acceptor.get_executor(), serveConnection(impl, std::move(socket)), asio::detached);
     }
 }
 
@@ -168,6 +188,7 @@
 
 void stopAccepting(HttpServer &server)
 {
+    acceptBacklog(server.impl);
     beast::error_code ignored;
     server.impl->acceptor.close(ignored);
 }
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -72,7 +72,7 @@
 /** Marks the server as stopping: every further response has "Connection: close". New connections are still accepted. */
 void announceClose(HttpServer &server);
 
-/** Stops accepting connections; running requests continue. */
+/** Stops accepting connections after those that are established already; running requests continue. */
 void stopAccepting(HttpServer &server);
 
 /** Closes connections on which no request has arrived, from now on as soon as they have no request. */
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -184,3 +184,21 @@
     CHECK(this->waitClosed(*idle, 50ms));
     CHECK(idle->received.empty());
 }
+
+// Guards against dropping connections, with their requests, that the kernel had established before the server stopped to accept.
+TEST_CASE_METHOD(HttpConnectionFixture, "stopAccepting_requestInBacklog_isAnswered")
+{
+    this->listen();
+    this->runFor(10ms);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write(plainRequest);
+    }
+    announceClose(*this->server);
+    stopAccepting(*this->server);
+    closeIdleConnections(*this->server);
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, okLine));
+    }
+}
