--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -160,8 +160,7 @@
     TargetEntry &entry = valueOf(decoded);
     impl.expiredTargets.erase(id);
     const auto found = impl.usableTargets.find(id);
-    const bool same = found != impl.usableTargets.end() && found->second.leaving == entry.leaving && found->second.endpoint == entry.endpoint
-                      && found->second.service == entry.service && found->second.slots == entry.slots && found->second.domain == entry.domain;
+    const bool same = found != impl.usableTargets.end() && found->second == entry;
     if (same) {
         return false;
     }
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -1,6 +1,7 @@
 /** @file fleet_type.h Routes, targets and hosts as known to a host that forwards requests. */
 #pragma once
 
+#include "core/clock_func.h"
 #include "core/id_type.h"
 #include "http/http_type.h"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,12 +71,15 @@
 
 /** One live target. */
 struct TargetEntry {
-    TargetId id; ///< Identifier of this instance of the target; new at each start.
+    TargetId id; ///< Identifier of this instance of the target; mostly new at each start.
     ServiceId service; ///< Service that the target belongs to.
     Endpoint endpoint; ///< Address for requests.
     DomainId domain; ///< Failure domain of the target.
     unsigned slots{1}; ///< Requests that the target runs concurrently.
-    bool leaving{false}; ///< Whether the target is shutting down and accepts no new requests.
+    bool leaving{false}; ///< Whether the entry says that the target is shutting down and accepts no new requests.
+    std::optional<UnixTime> born{}; ///< Start of the target, which tells two lifetimes under one identifier apart; empty when the entry does not say.
+
+    bool operator==(const TargetEntry &other) const = default;
 };
 
 /** Targets by identifier; immutable once published. */
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -331,6 +331,31 @@
     }));
 }
 
+// Guards against a restart of a target under its identifier that the traffic thread never learns of, because the rest of the entry is as before.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_targetRestartsUnderItsIdentifier_snapshotHasItsNewStart")
+{
+    const auto putBorn = [this](std::int64_t born) {
+        putKey(*this->store,
+               "servers/i-1",
+               R"({"service":"s","address":"127.0.0.1:9000","zone":"north","slots":4,"state":"ready","born":)" + std::to_string(born) + "}");
+    };
+    const auto isBorn = [this](std::chrono::milliseconds born) {
+        const auto &targets = this->snapshot->targets;
+        return targets && targets->contains(TargetId{"i-1"}) && targets->at(TargetId{"i-1"}).born == UnixTime(born);
+    };
+    putBorn(1764892000123);
+    this->start();
+    REQUIRE(this->runUntil([&] {
+        return isBorn(1764892000123ms);
+    }));
+    putBorn(1764892009999);
+    CHECK(this->runUntil(
+        [&] {
+            return isBorn(1764892009999ms);
+        },
+        3s));
+}
+
 TEST_CASE_METHOD(ControllerFixture, "fleetController_invalidTargetEntries_areIgnored")
 {
     this->start();
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -126,6 +126,24 @@
     }
 }
 
+TEST_CASE("targetEntry_startOfTheTarget_isReadOrTheEntryIsRefused", "[documents]")
+{
+    const auto decode = [](const std::string &members) {
+        return platform::decodeTarget("i-1", R"({"service":"s","address":"127.0.0.1:9000","zone":"z","slots":4,"state":"ready")" + members + "}");
+    };
+    for (const char *whole : {R"(,"born":1764892000123)", R"(,"born":1764892000123.0)"}) {
+        const auto entry = decode(whole);
+        REQUIRE(isOk(entry));
+        CHECK(valueOf(entry).born == UnixTime(1764892000123ms));
+    }
+    const auto without = decode("");
+    REQUIRE(isOk(without));
+    CHECK_FALSE(valueOf(without).born);
+    for (const char *invalid : {R"(,"born":"1764892000123")", R"(,"born":1.5)", R"(,"born":-1)", R"(,"born":null)", R"(,"born":1e300)"}) {
+        CHECK_FALSE(isOk(decode(invalid)));
+    }
+}
+
 TEST_CASE("call_toATarget_hasSystemHeadersAndNoHopByHopHeaders", "[calls]")
 {
     const CallWire wire = platform::makeCallWire();
