Test: Child processes of tests inherit no connections of the test program

A host process that a test starts while connections are open inherited their descriptors, as Asio's sockets are not close-on-exec. Change: the child closes all descriptors above standard error before it executes the program.

--- a/tests/support/process_func.cpp
+++ b/tests/support/process_func.cpp
@@ -45,6 +45,8 @@
             ::dup2(output, STDERR_FILENO);
         }
     }
+    // Connections of the parent would otherwise stay open in the child after the parent has closed them.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(program, arguments);
     ::_exit(127);
 }
