--- /dev/null
+++ b/tests/support/soak_verdict.cpp
@@ -0,0 +1,239 @@
+/** @file soak_verdict.cpp Finds requests of a soak test that ended in a way that hosts must not cause. */
+#include "support/soak_verdict_func.h"
+
+#include "replica_base.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+namespace skylark::test {
+
+using namespace skylark::standin;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t maxAttempts = 2; ///< Value of all routes of the site.
+constexpr milliseconds overlapLimit{400}; ///< Time for which a run may go on after the request has begun to run elsewhere.
+constexpr milliseconds timerSlack{20}; ///< Difference between the caller's and the host's view of the time that a request has taken.
+
+/** One request with all that is known of it. */
+struct JudgedRequest {
+    const SoakSite &site;
+    const SoakRecord &record;
+    const std::vector<ScriptedRun> &runs; ///< In order of their begin.
+};
+
+bool isStream(const SoakRecord &record)
+{
+    return record.call.route == "chat" || record.call.route == "tell";
+}
+
+bool isRepeatable(const SoakRecord &record)
+{
+    return record.call.route == "chat" || record.call.route == "lookup";
+}
+
+/** @return How late the event loop of the test was at most between @p from and @p until. */
+milliseconds longestStall(const SoakSite &site, TimePoint from, TimePoint until)
+{
+    milliseconds longest{0};
+    for (const auto &[at, late] : site.stalls) {
+        longest = at >= from && at - late <= until ? std::max(longest, late) : longest;
+    }
+    return longest;
+}
+
+/** @return Whether the caller's budget or the timeout of the route was over when the request ended. */
+bool isTimeOver(const JudgedRequest &request)
+{
+    const SoakRecord &record = request.record;
+    const milliseconds limit = std::min(record.call.budget, routeTimeoutAt(request.site, record.call.route, record.startedAt));
+    return record.endedAt - record.sentAt >= limit - timerSlack - longestStall(request.site, record.startedAt, record.endedAt);
+}
+
+/** @return Whether a target broke the request off, or crashed when it may have been about to run it. */
+bool isTargetsFault(const JudgedRequest &request)
+{
+    const auto &runs = request.runs;
+    const bool broken = std::any_of(runs.begin(), runs.end(), [](const ScriptedRun &run) {
+        return run.brokenOff;
+    });
+    const std::size_t attempts = isRepeatable(request.record) ? maxAttempts : 1;
+    if (broken || runs.size() >= attempts) {
+        return broken;
+    }
+    for (const auto *group : {&request.site.targets, &request.site.crashedTargets}) {
+        for (const auto &target : *group) {
+            if (target->crashedAt && *target->crashedAt + 50ms >= request.record.startedAt && *target->crashedAt <= request.record.endedAt) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+/** @return Whether the request's host had got SIGTERM when the request ended. */
+bool isHostStopping(const JudgedRequest &request)
+{
+    const auto &stops = request.site.hosts[request.record.host].stops;
+    return std::any_of(stops.begin(), stops.end(), [&](TimePoint stop) {
+        return stop <= request.record.endedAt && request.record.startedAt <= stop + soakStopLimit;
+    });
+}
+
+/** @return Whether the connection had been idle for longer than callers may rely on. */
+bool isIdleTooLong(const JudgedRequest &request)
+{
+    const SoakRecord &record = request.record;
+    if (!record.idleSince) {
+        return false;
+    }
+    const auto idle = duration_cast<milliseconds>(record.sentAt - record.call.pause - *record.idleSince);
+    return idle + longestStall(request.site, *record.idleSince - 50ms, record.sentAt) > idleLimitAt(request.site, record.startedAt) * 4 / 5;
+}
+
+std::string streamText(const std::string &id)
+{
+    std::string text;
+    for (unsigned number = 1; number <= soakEvents; ++number) {
+        text += "id: " + std::to_string(number) + "\ndata: " + eventData(id, number) + "\n\n";
+    }
+    return text;
+}
+
+/** @return What is wrong with a whole response, or nothing. */
+std::string answerFailure(const JudgedRequest &request)
+{
+    const SoakRecord &record = request.record;
+    const std::string &id = record.call.id;
+    if (record.status == 200) {
+        const std::string expected = isStream(record) ? streamText(id) : wholeText(id, soakEvents);
+        return record.signature != "signature-of-" + id ? "success of another request" : record.body != expected ? "wrong body that looks complete" : "";
+    }
+    if (!record.signature.empty()) {
+        return "failure with a target's signature";
+    }
+    const bool refusal = record.status == 503 || record.status == 429 || record.status == 408 || record.status == 421;
+    if (refusal) {
+        return !request.runs.empty() && !isRepeatable(record) ? "refused, but ran" : "";
+    }
+    if (record.status < 500) {
+        return "denied";
+    }
+    return !request.runs.empty() && !isTargetsFault(request) && !isTimeOver(request) ? "failed, although its targets were sound" : "";
+}
+
+/** @return What is wrong with the end of a request that got no whole response, or nothing; adds an allowed end to the counts. */
+std::string closeFailure(const JudgedRequest &request, SoakVerdict &verdict)
+{
+    const SoakRecord &record = request.record;
+    const bool read = record.end != SoakEnd::ClosedUnread && record.end != SoakEnd::NotSent;
+    const char *excuse = nullptr;
+    if (!read && request.runs.empty()) {
+        excuse = isHostStopping(request) ? "unread at a stop" : isIdleTooLong(request) ? "unread past the idle limit" : nullptr;
+    } else {
+        excuse = isTargetsFault(request) ? "target broke off" : isTimeOver(request) ? "time over" : nullptr;
+    }
+    if (excuse != nullptr) {
+        ++verdict.counts[excuse];
+        return {};
+    }
+    return read ? "lost" : !request.runs.empty() ? "lost after it was passed on" : "closed unread within the idle limit";
+}
+
+/** @return How a request ran too often, or nothing. */
+std::string runFailure(const JudgedRequest &request)
+{
+    const auto &runs = request.runs;
+    const auto sound = std::count_if(runs.begin(), runs.end(), [](const ScriptedRun &run) {
+        return !run.brokenOff;
+    });
+    if (!isRepeatable(request.record) && runs.size() > 1) {
+        return "ran twice";
+    }
+    if (static_cast<std::size_t>(sound) > maxAttempts) {
+        return "ran more often than allowed";
+    }
+    for (std::size_t i = 1; i < runs.size(); ++i) {
+        const TimePoint limit = runs[i].beganAt + overlapLimit;
+        const bool works = !runs[i - 1].endedAt || *runs[i - 1].endedAt > limit + longestStall(request.site, runs[i].beganAt, limit + 1s);
+        if (works) {
+            return "ran elsewhere while a target still worked on it";
+        }
+    }
+    return {};
+}
+
+std::string describe(const JudgedRequest &request, const std::string &failure)
+{
+    const SoakRecord &record = request.record;
+    std::ostringstream text;
+    text << failure << ": " << record.call.id << " on " << record.call.route << " at " << request.site.hosts[record.host].name << ", end "
+         << soakEndName(record.end) << ", status " << record.status << ", took " << duration_cast<milliseconds>(record.endedAt - record.sentAt).count()
+         << " ms, longest gap " << record.longestGap.count() << " ms, body " << record.body.size() << " bytes";
+    if (record.idleSince) {
+        text << ", idle before " << duration_cast<milliseconds>(record.startedAt - *record.idleSince).count() << " ms of "
+             << idleLimitAt(request.site, record.startedAt).count();
+    }
+    for (const auto &run : request.runs) {
+        text << "; run at " << run.service << " from " << duration_cast<milliseconds>(run.beganAt - record.sentAt).count() << " ms to "
+             << (run.endedAt ? duration_cast<milliseconds>(*run.endedAt - record.sentAt).count() : -1) << " ms after event " << run.lastEventId
+             << (run.brokenOff ? ", broken off" : "");
+    }
+    text << (isHostStopping(request) ? "; host stopping" : "");
+    return text.str();
+}
+
+std::map<std::string, std::vector<ScriptedRun>> allRuns(const SoakSite &site)
+{
+    std::map<std::string, std::vector<ScriptedRun>> byId;
+    for (const auto *group : {&site.targets, &site.crashedTargets}) {
+        for (const auto &target : *group) {
+            for (const auto &run : target->runs) {
+                byId[run->id].push_back(*run);
+            }
+        }
+    }
+    for (auto &[id, runs] : byId) {
+        std::sort(runs.begin(), runs.end(), [](const ScriptedRun &a, const ScriptedRun &b) {
+            return a.beganAt < b.beganAt;
+        });
+    }
+    return byId;
+}
+
+void judgeRequest(const JudgedRequest &request, SoakVerdict &verdict)
+{
+    const SoakRecord &record = request.record;
+    ++verdict.counts["requests"];
+    ++verdict.counts[record.end == SoakEnd::Answered ? "status " + std::to_string(record.status) : soakEndName(record.end)];
+    const std::string ended = record.end == SoakEnd::Answered ? answerFailure(request) : closeFailure(request, verdict);
+    for (const std::string &failure : {ended, runFailure(request)}) {
+        if (!failure.empty()) {
+            verdict.failures.push_back(describe(request, failure));
+        }
+    }
+}
+
+} // namespace
+
+SoakVerdict judgeSoak(const SoakSite &site, const std::vector<SoakRecord> &records)
+{
+    SoakVerdict verdict;
+    verdict.failures = site.problems;
+    auto runs = allRuns(site);
+    for (const SoakRecord &record : records) {
+        judgeRequest({site, record, runs[record.call.id]}, verdict);
+        runs.erase(record.call.id);
+    }
+    for (const auto &[id, unasked] : runs) {
+        verdict.failures.push_back("ran, but no caller sent it: " + id);
+    }
+    return verdict;
+}
+
+} // namespace skylark::test
