Test: Soaks of several processes use addresses of their own

What was seen: a second soak on the machine failed at once, 'REQUIRE( this->run(waitReady(*this, host)) )', because the port of metrics is fixed for an address.

--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <fstream>
+#include <unistd.h>
 
 namespace skylark::test {
 
@@ -231,6 +232,13 @@
     }
 }
 
+/** @return Loopback address number @p number of this test process: the port of metrics is fixed, and several such tests may run at once. */
+std::string loopbackAddress(unsigned number)
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(100 + number) + '.' + std::to_string(process / 250 % 250) + '.' + std::to_string(1 + process % 250);
+}
+
 /** @return The first of the configurations that may be in force at @p at. */
 std::size_t firstInForce(const SoakSite &site, TimePoint at)
 {
@@ -255,8 +263,8 @@
     for (const char *service : {"llm", "llm", "llm", "llm", "llm-b", "llm-b", "llm-b", "ledger", "ledger", "ledger"}) {
         startTarget(*this, service);
     }
-    addHost(*this, "front-1", "127.0.0.4");
-    addHost(*this, "front-2", "127.0.0.5");
+    addHost(*this, "front-1", loopbackAddress(1));
+    addHost(*this, "front-2", loopbackAddress(2));
     for (SoakHost &host : this->hosts) {
         startHost(host);
         REQUIRE(this->run(waitReady(*this, host)));
