Fix: A silent target is left only if another one can take the request

What callers saw: a look-up at the only target of a service got 502 after 1.6 s of silence, and one that moved to a full target at once; a stream was sent to the silent target a second time while its first run there went on. Cause: the limit of a silence did not ask whether there is another target, and after it a request without a place was failed like one whose target broke. Evidence: the new tests against the code before fail in all four sections, "CHECK( this->runsOf("s1") == 1 ) ... 2 == 1", "REQUIRE( valueOf(answer).status == 200 ) ... 502 (0x1f6) == 200" (twice) and "CHECK( this->first.runs.size() == 1 ) ... 2 == 1". Change: a request without another target waits until its deadline; one that moves after a silence waits for a place elsewhere. runOn() is split from runAttempts(). Result: test_silence passes (123 assertions in 7 cases), test_forward (421 in 29).

--- a/src/policy/silence.cpp
+++ b/src/policy/silence.cpp
@@ -22,9 +22,14 @@
     return std::min(available, maxSoundSilence + schedulingMargin);
 }
 
+bool isSilence(const Error &error)
+{
+    return error.code == ErrorCode::FirstByteTimeout || error.code == ErrorCode::IdleTimeout;
+}
+
 bool isSoundSilence(const Error &error, milliseconds silence)
 {
-    return (error.code == ErrorCode::FirstByteTimeout || error.code == ErrorCode::IdleTimeout) && silence <= maxSoundSilence;
+    return isSilence(error) && silence <= maxSoundSilence;
 }
 
 } // namespace skylark
--- a/src/policy/silence_func.h
+++ b/src/policy/silence_func.h
@@ -12,6 +12,9 @@
  */
 [[nodiscard]] std::chrono::milliseconds silenceLimit(const SilenceInput &input);
 
+/** @return Whether @p error means that a target sent nothing, or nothing of use, in time. */
+[[nodiscard]] bool isSilence(const Error &error);
+
 /** @return Whether @p error is a silence that is normal for a target. @param silence How long the target had been silent. */
 [[nodiscard]] bool isSoundSilence(const Error &error, std::chrono::milliseconds silence);
 
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -67,6 +67,53 @@
     return forwarding.runs == 0 || (isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts);
 }
 
+/** @return Whether another target than @p target may run the request after it, as far as is known when it is sent there. */
+bool mayMoveFrom(const Forwarding &forwarding, const TargetId &target, const std::vector<BalanceCandidate> &candidates)
+{
+    if (!isRepeatable(*forwarding.route) || forwarding.runs + 1 >= forwarding.route->maxAttempts) {
+        return false;
+    }
+    return std::any_of(candidates.begin(), candidates.end(), [&](const BalanceCandidate &candidate) {
+        return candidate.id != target && (forwarding.started || !candidate.tried);
+    });
+}
+
+/** @return Whether a request that no target can take now waits for one: if the caller already has part of the answer, or other targets are full while the last
+ * one is silent. */
+bool waitsForTarget(const Forwarding &forwarding, const Attempt &last, BalanceReason reason)
+{
+    const bool movesAfterSilence = forwarding.runs > 0 && isSilence(last.error) && reason != BalanceReason::NoTarget;
+    return (forwarding.started || movesAfterSilence) && mayRetryElsewhere(forwarding);
+}
+
+/** Sends the request to the chosen target, relays the answer, and records the result. */
+asio::awaitable<Attempt> runOn(Forwarding &forwarding, TargetEntry target, BalanceChoice choice)
+{
+    Proxy &proxy = *forwarding.proxy;
+    const TimePoint begun = BootClock::now();
+    forwarding.target = target.id;
+    Attempt attempt;
+    {
+        const InFlightGuard inFlight(loadTrackerOf(forwarding.proxy), target.id, false);
+        proxy.onLoadChange(choice.reason == BalanceReason::FreeSlot ? LoadChange::FreeSlotTaken : LoadChange::SlotNeeded);
+        logSampled(EventKind::Placed,
+                   forwarding.call.id.value,
+                   {{"route", forwarding.route->name},
+                    {"target", target.id.value},
+                    {"reason", balanceReasonName(choice.reason)},
+                    {"online", choice.online},
+                    {"batch", choice.batch},
+                    {"peers_age_ms", oldestStatusAge(proxy.loadTracker, begun).count()},
+                    {"attempt", forwarding.runs + forwarding.refusals + 1},
+                    {"config", forwarding.config->version.value},
+                    {"left_ms", timeLeft(forwarding).count()}});
+        recordTrial(proxy.quarantine, forwarding.call.prompt, begun);
+        attempt = co_await attemptOn(forwarding, target);
+    }
+    recordAttempt(forwarding, target, attempt, begun, choice.reason);
+    co_return attempt;
+}
+
 /** Sends the request to one target after another until the caller has a final answer or has closed its connection. */
 asio::awaitable<void> runAttempts(Forwarding &forwarding)
 {
@@ -85,9 +132,10 @@
             recordOutcome(forwarding, 503, "refused");
             co_return;
         }
-        if (unplaced && forwarding.started && mayRetryElsewhere(forwarding)) {
-            // The caller already has part of the answer: wait for a target that can continue the stream.
-            forwarding.tried.clear();
+        if (unplaced && waitsForTarget(forwarding, last, choice.reason)) {
+            if (choice.reason == BalanceReason::NoTarget || !isSilence(last.error)) {
+                forwarding.tried.clear();
+            }
             co_await sleepFor(placementRetryInterval);
             continue;
         }
@@ -95,27 +143,8 @@
             co_await failRequest(forwarding, last);
             co_return;
         }
-        const TargetEntry target = proxy.fleet->targets->at(choice.target);
-        const TimePoint begun = BootClock::now();
-        forwarding.target = target.id;
-        {
-            const InFlightGuard inFlight(loadTrackerOf(forwarding.proxy), target.id, false);
-            proxy.onLoadChange(choice.reason == BalanceReason::FreeSlot ? LoadChange::FreeSlotTaken : LoadChange::SlotNeeded);
-            logSampled(EventKind::Placed,
-                       forwarding.call.id.value,
-                       {{"route", forwarding.route->name},
-                        {"target", target.id.value},
-                        {"reason", balanceReasonName(choice.reason)},
-                        {"online", choice.online},
-                        {"batch", choice.batch},
-                        {"peers_age_ms", oldestStatusAge(proxy.loadTracker, begun).count()},
-                        {"attempt", forwarding.runs + forwarding.refusals + 1},
-                        {"config", forwarding.config->version.value},
-                        {"left_ms", timeLeft(forwarding).count()}});
-            recordTrial(proxy.quarantine, forwarding.call.prompt, begun);
-            last = co_await attemptOn(forwarding, target);
-        }
-        recordAttempt(forwarding, target, last, begun, choice.reason);
+        forwarding.mayMove = mayMoveFrom(forwarding, choice.target, candidates);
+        last = co_await runOn(forwarding, proxy.fleet->targets->at(choice.target), choice);
         if (last.end == AttemptEnd::Answered) {
             co_return;
         }
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -101,11 +101,10 @@
 /** @return Timeout of the next read from the target, which has been silent since Forwarding::progressAt; at most 0 when it is over. */
 milliseconds readTimeout(const Forwarding &forwarding)
 {
-    const RouteRule &route = *forwarding.route;
-    SilenceInput input{.stream = route.kind == CallKind::Stream, .timeLeft = timeLeft(forwarding)};
-    input.mayMove = isRepeatable(route) && forwarding.runs + 1 < route.maxAttempts;
-    const milliseconds limit = silenceLimit(input);
-    return input.mayMove ? std::min(input.timeLeft, limit - elapsedSince(forwarding.progressAt)) : limit;
+    const bool stream = forwarding.route->kind == CallKind::Stream;
+    const milliseconds left = timeLeft(forwarding);
+    const milliseconds limit = silenceLimit({.mayMove = forwarding.mayMove, .stream = stream, .timeLeft = left});
+    return forwarding.mayMove ? std::min(left, limit - elapsedSince(forwarding.progressAt)) : limit;
 }
 
 /** Relays a stream to the caller event by event. */
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -30,6 +30,7 @@
     std::chrono::milliseconds longestGap{0}; ///< Longest time between two writes of events to the caller.
     /** Last progress of the current attempt: sending the request, the head of the answer, or an event; other bytes are none. */
     TimePoint progressAt{};
+    bool mayMove{false}; ///< Whether another target may run the request after the current attempt.
     RunProgress progress; ///< Progress of the current or most recent attempt.
     bool started{false}; ///< Whether sending the answer to the caller has begun.
     std::optional<TimePoint> firstAt; ///< When the first event or the complete answer was received; empty before.
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -1,9 +1,12 @@
 /** @file test_silence.cpp Forwarding of requests to replicas that are silent for a while, and waiting of streams that have begun. */
+#include "core/async_sleep_func.h"
 #include "policy/silence_func.h"
 #include "proxy/event_splitter_base.h"
 #include "support/entry_fixture.h"
 #include "support/property_seed.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <rapidcheck.h>
 
 using namespace skylark;
@@ -157,3 +160,45 @@
     CHECK_FALSE(isSoundSilence(makeError(ErrorCode::StreamBroken, "", RunState::Maybe), 0ms));
     CHECK_FALSE(isSoundSilence(makeError(ErrorCode::ConnectTimeout, "", RunState::No), 0ms));
 }
+
+// Guards against a request that is taken from a silent target although no other one could run it.
+TEST_CASE_METHOD(SilenceFixture, "forward_onlyTargetIsSilent_isWaitedForUntilTheDeadline")
+{
+    this->targets->erase(TargetId{"i-2"});
+    this->host.publish({});
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 2500ms}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->runsOf("s1") == 1);
+}
+
+// Guards against a request that fails, or runs again on the silent target, because the other one is full when it moves.
+TEST_CASE_METHOD(SilenceFixture, "forward_otherTargetIsFullAfterASilence_requestWaitsForAPlaceThere")
+{
+    TargetCounts &load = this->host.proxy->loadTracker.own[TargetId{"i-2"}];
+    load.online = 8;
+    auto freePlaces = [&load]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(2s);
+        load.online = 0;
+    };
+    boost::asio::co_spawn(this->loop, freePlaces(), boost::asio::detached);
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 5s}, {}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 5s}, {.stream = false}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->first.runs.size() == 1);
+    CHECK(this->second.runs.size() == 1);
+}
