Fix: A stream that has begun is not given up after six refusals

What callers saw: a stream that had to continue elsewhere was aborted as soon as six attempts had been refused, which took some milliseconds, although its deadline was seconds away and a run was left. Cause: the bound of refusals, meant for requests that can be answered 503, also held for streams that can only be broken off. Evidence: the new test against the code before fails with "REQUIRE( isOk(answer) ) ... partial message". Change: after six refusals a begun stream is sent at intervals of 40 to 320 ms until its deadline, which is checked once, before each attempt; the line "resumed" is written when a target is chosen.

--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -18,8 +18,10 @@
 namespace {
 
 constexpr milliseconds defaultCallerTimeout{30000}; ///< Applies when the caller names none; a shorter timeout of the route still applies.
-constexpr milliseconds placementRetryInterval{20}; ///< Interval of retries while no target can continue a stream.
-constexpr unsigned maxTargetRefusals = 6; ///< Attempts that did not run on their target after which the request is not sent to another one.
+constexpr milliseconds placementRetryInterval{20}; ///< First interval of retries while no target can continue a stream.
+constexpr unsigned maxRetryDoublings = 4; ///< Bounds the interval at 320 ms.
+/** Attempts that did not run on their target after which the request is not sent to another one; a stream that has begun is sent at longer intervals. */
+constexpr unsigned maxTargetRefusals = 6;
 
 /** Updates the request and the target's health with the result of an attempt, and logs a failure. @param begun When the attempt began. */
 void recordAttempt(Forwarding &forwarding, const TargetEntry &target, const Attempt &attempt, TimePoint begun, BalanceReason reason)
@@ -56,12 +58,12 @@
 }
 
 /**
- * @return Whether a failed request may be sent to another target: time is left, fewer than maxTargetRefusals attempts did not run, and the route allows a
- * further run if an attempt may have run.
+ * @return Whether a failed request may be sent to another target: time is left, fewer than maxTargetRefusals attempts did not run unless the caller already has
+ * part of the answer, and the route allows a further run if an attempt may have run.
  */
 bool mayRetryElsewhere(const Forwarding &forwarding)
 {
-    if (timeLeft(forwarding).count() <= 0 || forwarding.refusals >= maxTargetRefusals) {
+    if (timeLeft(forwarding).count() <= 0 || (!forwarding.started && forwarding.refusals >= maxTargetRefusals)) {
         return false;
     }
     return forwarding.runs == 0 || (isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts);
@@ -83,7 +85,14 @@
 bool waitsForTarget(const Forwarding &forwarding, const Attempt &last, BalanceReason reason)
 {
     const bool movesAfterSilence = forwarding.runs > 0 && isSilence(last.error) && reason != BalanceReason::NoTarget;
-    return (forwarding.started || movesAfterSilence) && mayRetryElsewhere(forwarding);
+    return forwarding.started || movesAfterSilence;
+}
+
+/** @return Delay before the next attempt to place the request; it grows with the number of refusals. */
+milliseconds placementRetryDelay(const Forwarding &forwarding)
+{
+    const unsigned doublings = std::min(forwarding.refusals / maxTargetRefusals, maxRetryDoublings);
+    return std::clamp(timeLeft(forwarding), milliseconds(1), placementRetryInterval * (1U << doublings));
 }
 
 /** Sends the request to the chosen target, relays the answer, and records the result. */
@@ -120,6 +129,11 @@
     Proxy &proxy = *forwarding.proxy;
     Attempt last;
     while (!forwarding.callerGone) {
+        const bool attempted = forwarding.runs > 0 || forwarding.refusals > 0;
+        if (attempted && !mayRetryElsewhere(forwarding)) {
+            co_await failRequest(forwarding, last);
+            co_return;
+        }
         if (const auto left = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now())) {
             co_await refuseQuarantined(forwarding, last, *left);
             co_return;
@@ -127,7 +141,7 @@
         const auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
         const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(proxy.random));
         const bool unplaced = choice.target.empty();
-        if (unplaced && forwarding.runs == 0 && forwarding.refusals == 0) {
+        if (unplaced && !attempted) {
             co_await refuseUnplaced(forwarding, candidates, choice.reason);
             recordOutcome(forwarding, 503, "refused");
             co_return;
@@ -136,13 +150,16 @@
             if (choice.reason == BalanceReason::NoTarget || !isSilence(last.error)) {
                 forwarding.tried.clear();
             }
-            co_await sleepFor(placementRetryInterval);
+            co_await sleepFor(placementRetryDelay(forwarding));
             continue;
         }
         if (unplaced) {
             co_await failRequest(forwarding, last);
             co_return;
         }
+        if (forwarding.started) {
+            logEvent(EventKind::Resumed, forwarding.call.id.value, {{"after", forwarding.splitter.lastId}});
+        }
         forwarding.mayMove = mayMoveFrom(forwarding, choice.target, candidates);
         last = co_await runOn(forwarding, proxy.fleet->targets->at(choice.target), choice);
         if (last.end == AttemptEnd::Answered) {
@@ -151,12 +168,8 @@
         if (last.end == AttemptEnd::CallerGone) {
             break;
         }
-        if (!mayRetryElsewhere(forwarding)) {
-            co_await failRequest(forwarding, last);
-            co_return;
-        }
-        if (forwarding.started) {
-            logEvent(EventKind::Resumed, forwarding.call.id.value, {{"after", forwarding.splitter.lastId}});
+        if (forwarding.started && forwarding.refusals >= maxTargetRefusals) {
+            co_await sleepFor(placementRetryDelay(forwarding));
         }
     }
     abortConnection(forwarding.responder);
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -202,3 +202,25 @@
     CHECK(this->first.runs.size() == 1);
     CHECK(this->second.runs.size() == 1);
 }
+
+// Guards against a stream that is given up with time left, because the targets refuse to continue it for a while.
+TEST_CASE_METHOD(SilenceFixture, "forward_begunStreamIsRefusedForAWhile_continuesBeforeItsDeadline")
+{
+    constexpr unsigned mostRefusals = 24;
+    const TimePoint begun = BootClock::now();
+    const auto refusals = std::make_shared<unsigned>(0);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [begun, refusals, this](const HttpRequest & /*request*/, unsigned /*number*/) {
+            if (this->runsOf("s1") == 0) {
+                return ReplicaPlan{.breakAfter = 3};
+            }
+            const bool refuses = BootClock::now() - begun < 1500ms;
+            *refusals += refuses ? 1 : 0;
+            return refuses ? ReplicaPlan{.status = 503} : ReplicaPlan{};
+        };
+    }
+    CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    CHECK(this->runsOf("s1") == 2);
+    CHECK(*refusals > 6);
+    CHECK(*refusals <= mostRefusals);
+}
