Fix: A begun stream whose prompt is quarantined waits for the end of the quarantine until its deadline

What callers saw: a stream whose target broke it off was aborted at once when a part of its prompt was quarantined in between, also where the quarantine was wrong and a sound run ended it a moment later. Cause: between two runs, refuseQuarantined() failed the request, and for a stream that has begun this means closing the connection. Evidence: the new tests against the code before fail with "REQUIRE( isOk(answer) ) ... false" and "CHECK( BootClock::now() - begun >= 1100ms ) ... 16026125ns >= 1100ms". Change: the begun stream waits. It does not run again while the quarantine lasts, because that could end another target; then it ends at its deadline. Result: test_silence passes (151 assertions in 10 cases), test_forward (421 in 29), test_crash_quarantine (228 in 4).

--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -134,8 +134,14 @@
             co_await failRequest(forwarding, last);
             co_return;
         }
-        if (const auto left = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now())) {
-            co_await refuseQuarantined(forwarding, last, *left);
+        const auto quarantined = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now());
+        if (quarantined && forwarding.started) {
+            // A sound run elsewhere may end the quarantine before the deadline.
+            co_await sleepFor(placementRetryDelay(forwarding));
+            continue;
+        }
+        if (quarantined) {
+            co_await refuseQuarantined(forwarding, last, *quarantined);
             co_return;
         }
         const auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -224,3 +224,49 @@
     CHECK(*refusals > 6);
     CHECK(*refusals <= mostRefusals);
 }
+
+/** A stream with a quarantined prompt part, whose target breaks it off. */
+struct QuarantinedStreamFixture : SilenceFixture {
+    PromptParts prompt{{PromptPartId{0xbad}}, {PromptPartId{0xf1}}};
+
+    QuarantinedStreamFixture()
+    {
+        for (Replica *replica : {&this->first, &this->second}) {
+            replica->plan = [this](const HttpRequest & /*request*/, unsigned /*number*/) {
+                const bool begun = this->runsOf("s1") > 0;
+                applyStoredQuarantine(*this->host.proxy, this->prompt.shared.front(), 60s, 1);
+                return begun ? ReplicaPlan{} : ReplicaPlan{.breakAfter = 3};
+            };
+        }
+    }
+
+    Result<HttpResponse> callStream(milliseconds callerTimeout)
+    {
+        HttpRequest request = EntryTestHost::request("s1", "/chat/x", callerTimeout);
+        request.headers.push_back({"X-Skylarkstage-Prompt-Prefix", "bad:100,f1:20"});
+        return this->call(this->host.endpoint, std::move(request));
+    }
+};
+
+// Guards against a begun stream that is given up because its prompt is quarantined for a while.
+TEST_CASE_METHOD(QuarantinedStreamFixture, "forward_quarantineOfABegunStreamIsLifted_streamContinues")
+{
+    auto lift = [this]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(800ms);
+        recordSoundRun(*this->host.proxy, this->prompt);
+    };
+    boost::asio::co_spawn(this->loop, lift(), boost::asio::detached);
+    const auto answer = this->callStream(5s);
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).body.find(eventData("s1", 10)) != std::string::npos);
+    CHECK(this->runsOf("s1") == 2);
+}
+
+// Guards against a second run of a prompt that crashes targets.
+TEST_CASE_METHOD(QuarantinedStreamFixture, "forward_quarantineOfABegunStreamLasts_streamEndsAtItsDeadline")
+{
+    const TimePoint begun = BootClock::now();
+    CHECK_FALSE(isOk(this->callStream(1200ms)));
+    CHECK(BootClock::now() - begun >= 1100ms);
+    CHECK(this->runsOf("s1") == 1);
+}
