--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -1,9 +1,12 @@
 /** @file test_silence.cpp Forwarding of requests to replicas that are silent for a while, and waiting of streams that have begun. */
+#include "core/async_sleep_func.h"
 #include "policy/silence_func.h"
 #include "proxy/event_splitter_base.h"
 #include "support/entry_fixture.h"
 #include "support/property_seed.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <rapidcheck.h>
 
 using namespace skylark;
@@ -157,3 +160,113 @@
     CHECK_FALSE(isSoundSilence(makeError(ErrorCode::StreamBroken, "", RunState::Maybe), 0ms));
     CHECK_FALSE(isSoundSilence(makeError(ErrorCode::ConnectTimeout, "", RunState::No), 0ms));
 }
+
+// Guards against a request that is taken from a silent target although no other one could run it.
+TEST_CASE_METHOD(SilenceFixture, "forward_onlyTargetIsSilent_isWaitedForUntilTheDeadline")
+{
+    this->targets->erase(TargetId{"i-2"});
+    this->host.publish({});
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 2500ms}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->runsOf("s1") == 1);
+}
+
+// Guards against a request that fails, or runs again on the silent target, because the other one is full when it moves.
+TEST_CASE_METHOD(SilenceFixture, "forward_otherTargetIsFullAfterASilence_requestWaitsForAPlaceThere")
+{
+    TargetCounts &load = this->host.proxy->loadTracker.own[TargetId{"i-2"}];
+    load.online = 8;
+    auto freePlaces = [&load]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(2s);
+        load.online = 0;
+    };
+    boost::asio::co_spawn(this->loop, freePlaces(), boost::asio::detached);
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 5s}, {}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 5s}, {.stream = false}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->first.runs.size() == 1);
+    CHECK(this->second.runs.size() == 1);
+}
+
+// Guards against a stream that is given up with time left, because the targets refuse to continue it for a while.
+TEST_CASE_METHOD(SilenceFixture, "forward_begunStreamIsRefusedForAWhile_continuesBeforeItsDeadline")
+{
+    constexpr unsigned mostRefusals = 24;
+    const TimePoint begun = BootClock::now();
+    const auto refusals = std::make_shared<unsigned>(0);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [begun, refusals, this](const HttpRequest & /*request*/, unsigned /*number*/) {
+            if (this->runsOf("s1") == 0) {
+                return ReplicaPlan{.breakAfter = 3};
+            }
+            const bool refuses = BootClock::now() - begun < 1500ms;
+            *refusals += refuses ? 1 : 0;
+            return refuses ? ReplicaPlan{.status = 503} : ReplicaPlan{};
+        };
+    }
+    CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    CHECK(this->runsOf("s1") == 2);
+    CHECK(*refusals > 6);
+    CHECK(*refusals <= mostRefusals);
+}
+
+/** A stream with a quarantined prompt part, whose target breaks it off. */
+struct QuarantinedStreamFixture : SilenceFixture {
+    PromptParts prompt{{PromptPartId{0xbad}}, {PromptPartId{0xf1}}};
+
+    QuarantinedStreamFixture()
+    {
+        for (Replica *replica : {&this->first, &this->second}) {
+            replica->plan = [this](const HttpRequest & /*request*/, unsigned /*number*/) {
+                const bool begun = this->runsOf("s1") > 0;
+                applyStoredQuarantine(*this->host.proxy, this->prompt.shared.front(), 60s, 1);
+                return begun ? ReplicaPlan{} : ReplicaPlan{.breakAfter = 3};
+            };
+        }
+    }
+
+    Result<HttpResponse> callStream(milliseconds callerTimeout)
+    {
+        HttpRequest request = EntryTestHost::request("s1", "/chat/x", callerTimeout);
+        request.headers.push_back({"X-Skylarkstage-Prompt-Prefix", "bad:100,f1:20"});
+        return this->call(this->host.endpoint, std::move(request));
+    }
+};
+
+// Guards against a begun stream that is given up because its prompt is quarantined for a while.
+TEST_CASE_METHOD(QuarantinedStreamFixture, "forward_quarantineOfABegunStreamIsLifted_streamContinues")
+{
+    auto lift = [this]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(800ms);
+        recordSoundRun(*this->host.proxy, this->prompt);
+    };
+    boost::asio::co_spawn(this->loop, lift(), boost::asio::detached);
+    const auto answer = this->callStream(5s);
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).body.find(eventData("s1", 10)) != std::string::npos);
+    CHECK(this->runsOf("s1") == 2);
+}
+
+// Guards against a second run of a prompt that crashes targets.
+TEST_CASE_METHOD(QuarantinedStreamFixture, "forward_quarantineOfABegunStreamLasts_streamEndsAtItsDeadline")
+{
+    const TimePoint begun = BootClock::now();
+    CHECK_FALSE(isOk(this->callStream(1200ms)));
+    CHECK(BootClock::now() - begun >= 1100ms);
+    CHECK(this->runsOf("s1") == 1);
+}
