Fix: A request whose handler throws or sends nothing is left without an answer

Callers waited until their own timeout: the exception left the detached coroutine of the connection, the connection stayed open and was not served any more, and the request counted as running forever, so that a stop waited for it until its limit. A handler that ends without a response closed the connection without a word. Before: handler_throwsOrSendsNothing_callerGets500, 'CHECK( this->waitFor(*caller, "HTTP/1.1 500") ) with expansion: false', 'CHECK( this->waitClosed(*caller) ) with expansion: false' and 'activeRequests(*this->server) == 0 with expansion: 1 == 0'. Both now end in status 500, which promises nothing, on a connection that is closed, and the exception is logged as unexpected_error. The number of running requests is counted from the states of the connections, so nothing can be left in it.

--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -15,11 +15,18 @@
     HttpServerOptions options;
     HttpHandler handler;
     std::set<HttpServerConnection *> connections; ///< Open connections.
-    std::size_t active{0}; ///< Number of requests being handled.
     bool closing{false}; ///< Whether responses have "Connection: close".
     bool closeIdle{false}; ///< Whether connections without a request are closed.
 };
 
+/** What a connection is used for. */
+enum class ConnectionState : std::uint8_t {
+    Idle, ///< Waits for a request.
+    Reading, ///< Receives a request.
+    Handling, ///< The handler runs and has sent nothing yet.
+    Responding, ///< A response is being sent.
+};
+
 /** Connection of one caller. */
 struct HttpServerConnection {
     boost::beast::tcp_stream stream; ///< Socket with timeouts.
@@ -27,7 +34,7 @@
     std::weak_ptr<HttpServer::Impl> server;
     std::chrono::milliseconds writeTimeout{}; ///< Time limit of one write.
     std::function<void()> callerGone; ///< Called once if the caller closes the connection before the response is complete.
-    bool busy{false}; ///< Whether a request is being read or handled.
+    ConnectionState state{ConnectionState::Idle};
     bool keepAlive{true}; ///< Whether the connection stays open after the current response.
     std::uint64_t requestNumber{0}; ///< Number of the current request, so that a watch for an earlier request does not act on this one.
 };
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -192,7 +192,7 @@
         }
         connection->buffer.commit(bytes);
     }
-    connection->busy = true;
+    connection->state = ConnectionState::Reading;
     http::request_parser<http::string_body> parser;
     parser.body_limit(options.maxBody);
     parser.header_limit(options.maxHeader);
--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -50,6 +50,7 @@
     message.keep_alive(connection->keepAlive);
     message.prepare_payload();
     responder.started = true;
+    connection->state = ConnectionState::Responding;
     connection->stream.expires_after(connection->writeTimeout);
     const auto [error, bytes] = co_await http::async_write(connection->stream, message, awaitTuple);
     responder.finished = !error;
@@ -66,6 +67,7 @@
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
     responder.started = true;
+    connection->state = ConnectionState::Responding;
     connection->stream.expires_after(connection->writeTimeout);
     const auto [error, bytes] = co_await http::async_write_header(connection->stream, serializer, awaitTuple);
     co_return writeResult(*connection, error);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,7 +1,10 @@
 /** @file http_server.cpp HTTP server over Boost.Beast: accepts connections and runs the handler for each request. */
+#include "core/event_log_func.h"
+#include "core/table/error_table.h"
 #include "http/http_connection_base.h"
 #include "http/http_request_reader_func.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,7 +26,7 @@
 {
     const std::uint64_t number = connection->requestNumber;
     connection->stream.socket().async_wait(tcp::socket::wait_read, [connection, number](const beast::error_code &error) {
-        if (error || !connection->busy || connection->requestNumber != number) {
+        if (error || connection->state == ConnectionState::Idle || connection->requestNumber != number) {
             return;
         }
         char byte = 0;
@@ -36,18 +39,24 @@
     });
 }
 
-/** Runs the handler for one request. If it does not finish the response, the connection is not kept alive. */
+/** Runs the handler for one request. A handler that ends without a response, or with an exception, is answered for with status 500. */
 asio::awaitable<void> handleRequest(const std::shared_ptr<HttpServer::Impl> &impl, std::shared_ptr<HttpServerConnection> connection, HttpRequest request)
 {
     HttpResponder responder{connection, false, false};
     ++connection->requestNumber;
-    ++impl->active;
+    connection->state = ConnectionState::Handling;
     watchForDisconnect(connection);
-    co_await impl->handler(std::move(request), responder);
-    --impl->active;
+    try {
+        co_await impl->handler(std::move(request), responder);
+    } catch (const std::exception &error) {
+        logEvent(EventKind::UnexpectedError, {}, {{"thread", "http"}, {"detail", error.what()}});
+    }
     connection->callerGone = nullptr;
-    if (!responder.finished) {
-        connection->keepAlive = false;
+    connection->keepAlive = connection->keepAlive && responder.finished;
+    if (!responder.started && connection->stream.socket().is_open()) {
+        HttpResponse response;
+        response.status = errorInfo(ErrorCode::Internal).status;
+        co_await sendResponse(responder, std::move(response));
     }
     beast::error_code ignored;
     connection->stream.socket().cancel(ignored);
@@ -80,7 +89,7 @@
     beast::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     while (connection->keepAlive) {
-        connection->busy = false;
+        connection->state = ConnectionState::Idle;
         std::optional<HttpRequest> request = co_await readRequest(connection, impl);
         if (!request) {
             break;
@@ -150,7 +159,7 @@
         return makeError(ErrorCode::InvalidSettings, options.listen.address + ":" + std::to_string(options.listen.port) + ": " + error.message());
     }
     auto server = std::make_unique<HttpServer>();
-    server->impl = std::make_shared<Impl>(Impl{std::move(acceptor), std::move(options), std::move(handler), {}, 0, false});
+    server->impl = std::make_shared<Impl>(Impl{std::move(acceptor), std::move(options), std::move(handler)});
     asio::co_spawn(executor, acceptLoop(server->impl), asio::detached);
     return server;
 }
@@ -197,7 +206,7 @@
 {
     server.impl->closeIdle = true;
     for (HttpServerConnection *connection : server.impl->connections) {
-        if (!connection->busy) {
+        if (connection->state == ConnectionState::Idle) {
             // Its coroutine answers a request that has arrived meanwhile, or closes the connection.
             beast::error_code ignored;
             connection->stream.socket().cancel(ignored);
@@ -207,7 +216,10 @@
 
 std::size_t activeRequests(const HttpServer &server)
 {
-    return server.impl->active;
+    const auto &connections = server.impl->connections;
+    return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(), [](const HttpServerConnection *connection) {
+        return connection->state == ConnectionState::Handling || connection->state == ConnectionState::Responding;
+    }));
 }
 
 } // namespace skylark
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -202,3 +202,22 @@
         CHECK(this->waitFor(*caller, okLine));
     }
 }
+
+// Guards against a handler's exception or missing response that ends the connection without an answer and counts as a running request forever.
+TEST_CASE_METHOD(HttpConnectionFixture, "handler_throwsOrSendsNothing_callerGets500")
+{
+    this->listen();
+    for (const std::string path : {"/throw", "/nothing"}) {
+        const auto caller = this->connect();
+        caller->write("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        try {
+            CHECK(this->waitFor(*caller, "HTTP/1.1 500"));
+        } catch (const std::exception &error) {
+            FAIL_CHECK("the exception left the handler: " << error.what());
+        }
+        CHECK(this->waitClosed(*caller));
+        CHECK(caller->count("Connection: close") == 1);
+        this->runFor(10ms);
+        CHECK(activeRequests(*this->server) == 0);
+    }
+}
