Fix: A stop ends while requests are still being read

At a stop, callers whose request was still on its way (a long body, a slow link) lost the connection without an answer 2.5 s after the signal, though the stop limit was seconds away. The wait counted only requests that a handler runs, so a host without such requests exited at once. Before: host_stoppedWhileReadingARequest_answersIt, 'CHECK( caller.count("HTTP/1.1 200 OK") == 1 ) with expansion: 0 == 1', nothing received. The stop now waits until no connection is open: those without a request are closed at once, each of the others after its answer. The limit of the wait is unchanged. After: both tests host_stopped* pass (58 assertions).

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -306,7 +306,7 @@
             stopAccepting(*host.callerServer);
             closeIdleConnections(*host.callerServer);
         }
-        const bool idle = activeRequests(*host.callerServer) == 0 && activeItems(*host.runner) == 0;
+        const bool idle = openConnections(*host.callerServer) == 0 && activeItems(*host.runner) == 0;
         if (now >= waitUntil || (idle && closed)) {
             break;
         }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -214,6 +214,11 @@
     }
 }
 
+std::size_t openConnections(const HttpServer &server)
+{
+    return server.impl->connections.size();
+}
+
 std::size_t activeRequests(const HttpServer &server)
 {
     const auto &connections = server.impl->connections;
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -78,6 +78,9 @@
 /** Closes connections on which no request has arrived, from now on as soon as they have no request. */
 void closeIdleConnections(HttpServer &server);
 
+/** @return Number of open connections, with and without a request. */
+[[nodiscard]] std::size_t openConnections(const HttpServer &server);
+
 /** @return Number of requests being handled. */
 [[nodiscard]] std::size_t activeRequests(const HttpServer &server);
 
--- a/tests/test_entry_host.cpp
+++ b/tests/test_entry_host.cpp
@@ -5,6 +5,7 @@
 #include "names.h"
 #include "replica_base.h"
 #include "support/process_func.h"
+#include "support/raw_caller.h"
 
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -270,6 +271,26 @@
     CHECK(this->logged("j1", "job_claimed"));
 }
 
+// Guards against a stop that ends while a host still reads a request, because only requests that run were counted.
+TEST_CASE_METHOD(HostProcessFixture, "host_stoppedWhileReadingARequest_answersIt")
+{
+    RawCaller caller(this->loop, this->hosts[0].callers);
+    caller.write("POST /order/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n" + std::string(platform::headerRequestId) + ": r1\r\n\r\nab");
+    this->runFor(100ms);
+    sendSignal(*this->hosts[0].process, SIGTERM);
+    this->runFor(3500ms);
+    caller.write("cd");
+    CHECK(this->runUntil(
+        [&caller] {
+            caller.poll();
+            return caller.closed;
+        },
+        3s));
+    INFO(caller.received);
+    CHECK(caller.count("HTTP/1.1 200 OK") == 1);
+    CHECK(waitExit(*this->hosts[0].process, 9s) == 0);
+}
+
 TEST_CASE_METHOD(HostProcessFixture, "host_killed_itsJobIsFinishedByTheOther")
 {
     auto job = this->call(this->hosts[0].callers, request("j1", "/batch/j1", jobBody(4)));
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -1,13 +1,11 @@
 /** @file test_http_connection.cpp Tests that each request that has arrived is answered, whatever happens to its connection. */
 #include "http/http_server_func.h"
 #include "support/process_func.h"
+#include "support/raw_caller.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <stdexcept>
 #include <thread>
 
@@ -15,52 +13,9 @@
 using namespace skylark::test;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 namespace {
 
-/** A caller that writes raw bytes. The server sees them only when the loop of the fixture runs. */
-struct RawCaller {
-    tcp::socket socket;
-    std::string received; ///< All bytes received.
-    bool closed{false}; ///< Whether the server closed or reset the connection.
-
-    RawCaller(asio::io_context &loop, const Endpoint &endpoint)
-        : socket(loop)
-    {
-        this->socket.connect({asio::ip::make_address(endpoint.address), endpoint.port});
-        this->socket.non_blocking(true);
-    }
-
-    void write(const std::string &bytes)
-    {
-        boost::system::error_code error;
-        asio::write(this->socket, asio::buffer(bytes), error);
-        CHECK_FALSE(error);
-    }
-
-    /** Adds what has arrived to received. */
-    void poll()
-    {
-        std::array<char, 4096> bytes{};
-        boost::system::error_code error;
-        while (!error) {
-            this->received.append(bytes.data(), this->socket.read_some(asio::buffer(bytes), error));
-        }
-        this->closed = this->closed || error != asio::error::would_block;
-    }
-
-    /** @return How many times @p text was received. */
-    [[nodiscard]] std::size_t count(const std::string &text) const
-    {
-        std::size_t found = 0;
-        for (std::size_t at = this->received.find(text); at != std::string::npos; at = this->received.find(text, at + 1)) {
-            ++found;
-        }
-        return found;
-    }
-};
-
 const std::string plainRequest = "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n";
 const std::string okLine = "HTTP/1.1 200 OK";
 
