Fix: A prompt part before the crashing one is quarantined for a target that ended by itself

Cause: a part with one more crash was blamed before a more specific one, and the one that reached the needed number first was blamed at once. Change: a part is not blamed while one further back in the prompt was in most of its crashes and fewer than minCrashes are left without it. The rest is then no evidence of its own; the other part is blamed, or more evidence is awaited. A part on trial is not affected. Test: recordSuspectRun_earlierPartIsInOneMoreCrash_onlyTheCrashingPartIsQuarantined; without the change "CHECK_FALSE( this->isQuarantined({0xcc}) )" fails, as does "CHECK( this->isQuarantined(bad) )".

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -222,6 +222,26 @@
     return left.evidence.depth > right.evidence.depth;
 }
 
+/** @return How many of @p crashes are no further than @p spacing from one of @p others. */
+std::size_t countCommon(const std::vector<TimePoint> &crashes, const std::vector<TimePoint> &others, milliseconds spacing)
+{
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](TimePoint at) {
+        return std::any_of(others.begin(), others.end(), [&](TimePoint other) {
+            return std::chrono::abs(at - other) < spacing;
+        });
+    }));
+}
+
+/** @return Whether a part further back in the prompt was in most crashes of @p candidate, and the rest may be coincidence. */
+bool isBetterExplained(const std::map<PromptPartId, PartEvidence> &evidence, const QuarantineSettings &settings, const PartEvidence &candidate)
+{
+    const std::vector<TimePoint> &crashes = candidate.crashes;
+    return std::any_of(evidence.begin(), evidence.end(), [&](const auto &other) {
+        const std::size_t common = countCommon(crashes, other.second.crashes, settings.crashSpacing);
+        return other.second.depth > candidate.depth && 2 * common > crashes.size() && crashes.size() - common < settings.minCrashes;
+    });
+}
+
 /** @return The part to blame first for the crashes that no quarantined part explains; empty if the evidence against none suffices. */
 std::optional<Candidate> mostSuspect(const CrashQuarantine &state)
 {
@@ -237,9 +257,13 @@
         }
     }
     std::optional<Candidate> best;
-    for (auto &[part, found] : evidence) {
-        Candidate candidate{part, soundTime(state, part), std::move(found)};
-        if (isSufficient(state, all, part, candidate.evidence) && (!best || isMoreSuspect(candidate, *best))) {
+    for (const auto &[part, found] : evidence) {
+        const bool isNew = !state.parts.contains(part);
+        if (!isSufficient(state, all, part, found) || (isNew && isBetterExplained(evidence, state.settings, found))) {
+            continue;
+        }
+        Candidate candidate{part, soundTime(state, part), found};
+        if (!best || isMoreSuspect(candidate, *best)) {
             best = std::move(candidate);
         }
     }
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -377,6 +377,30 @@
     CHECK(this->isQuarantined(bad));
 }
 
+// Guards against blaming a part that stands before the crashing one, because a target with a sound run of it ended by itself.
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_earlierPartIsInOneMoreCrash_onlyTheCrashingPartIsQuarantined")
+{
+    this->crash("t1", {first, {0xcc}});
+    this->now += 300ms;
+    this->crash("t2", {first, {0xcc}, bad});
+    this->now += 300ms;
+    this->crash("t3", {first, {0xcc}, bad});
+    CHECK_FALSE(this->isQuarantined({0xcc}));
+    this->now += 300ms;
+    this->crash("t4", {first, {0xcc}, bad});
+    CHECK(this->isQuarantined(bad));
+    CHECK_FALSE(this->isQuarantined({0xcc}));
+}
+
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_partFollowedByDifferentOnes_isQuarantined")
+{
+    for (unsigned i = 0; i < 3; ++i) {
+        this->crash("t" + std::to_string(i), {bad, {0xcc00 + i}});
+        this->now += 300ms;
+    }
+    CHECK(this->isQuarantined(bad));
+}
+
 // Guards against evidence that is lost because each host sees one crash only.
 TEST_CASE_METHOD(QuarantineFixture, "mergeReport_eachHostSawOneCrash_quarantinesThePart")
 {
