Fix: A target that says in an answer that it leaves gets no further requests from the host

A target that leaves says so in all of its answers. Nothing read it: only the list in the store stopped a host from sending, so a host that is cut off from the store went on sending online requests, repeats, resumed streams and waiting requests to it, until the target refused or was gone.

Change: readAnswerHead reads the header, except from an instance that the request was not meant for (421, or an answer that names another instance). readAnswer records it from the head of every answer, also of refusals, errors and streams, before anything is decided. src/fleet/leaving_targets keeps it by identifier and start: an entry that is removed and comes back is still avoided, one with a later start serves again; without a start the address decides. A target that is not listed is forgotten after ten minutes. isLeaving() is the one place that joins it with what the entry says; the candidates of a request use it, so first attempts, repeats, resumption and waiting requests do. Idle connections to the address are closed, and the connection that brought the news is not reused.

--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -29,7 +29,7 @@
     EventInfo{EventKind::DependencyBack, "store", "dependency_back", "dependency down_ms"},
     EventInfo{EventKind::ConfigAdopted, "config", "config_adopted", "version before source routes"},
     EventInfo{EventKind::ConfigRefused, "config", "config_refused", "in_force detail"},
-    EventInfo{EventKind::TargetChanged, "targets", "target_changed", "state service domain address"},
+    EventInfo{EventKind::TargetChanged, "targets", "target_changed", "state source service domain address"},
     EventInfo{EventKind::TargetRefused, "targets", "target_refused", "detail"},
     EventInfo{EventKind::PeerChanged, "peers", "peer_changed", "state domain address"},
     EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -90,19 +90,11 @@
 void applySnapshot(EntryHost &host, const SnapshotPtr &snapshot)
 {
     const auto before = host.proxy->fleet;
-    host.proxy->fleet = snapshot;
+    applyFleet(*host.proxy, snapshot);
     if (snapshot->config && snapshot->config != before->config) {
         const CallerLimits &limits = snapshot->config->limits;
         updateLimits(*host.callerServer, static_cast<std::uint32_t>(limits.maxHeaderBytes), limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout);
     }
-    if (snapshot->targets && snapshot->targets != before->targets) {
-        const auto isGone = [&snapshot](const auto &entry) {
-            return !snapshot->targets->contains(entry.first);
-        };
-        std::erase_if(host.proxy->health, isGone);
-        std::erase_if(host.proxy->rateLimits.targets, isGone);
-    }
-    updateSenders(*host.proxy);
     host.jobs->mirror->options.pollInterval = jobCheckIntervalFor(snapshot->peers.size() + 1);
     updatePeers(*host.peers);
     logReadiness(host);
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -137,16 +137,6 @@
     publish(impl);
 }
 
-void logTarget(std::string_view state, const TargetEntry &entry)
-{
-    logEvent(EventKind::TargetChanged,
-             entry.id.value,
-             {{"state", state},
-              {"service", entry.service.value},
-              {"domain", entry.domain.value},
-              {"address", entry.endpoint.address + ":" + std::to_string(entry.endpoint.port)}});
-}
-
 /** Applies a target's entry; an entry that cannot be decoded removes the target. @return Whether usableTargets has changed. */
 bool applyTarget(FleetController::Impl &impl, const TargetId &id, const KvItem &item)
 {
@@ -164,7 +154,7 @@
     if (same) {
         return false;
     }
-    logTarget(entry.leaving ? "leaving" : "ready", entry);
+    logTargetChange(entry, entry.leaving ? "leaving" : "ready", "store");
     impl.usableTargets[id] = std::move(entry);
     return true;
 }
@@ -177,7 +167,7 @@
     if (found == impl.usableTargets.end()) {
         return false;
     }
-    logTarget("gone", found->second);
+    logTargetChange(found->second, "gone", "store");
     impl.usableTargets.erase(found);
     return true;
 }
@@ -369,6 +359,17 @@
 
 } // namespace
 
+void logTargetChange(const TargetEntry &target, std::string_view state, std::string_view source)
+{
+    logEvent(EventKind::TargetChanged,
+             target.id.value,
+             {{"state", state},
+              {"source", source},
+              {"service", target.service.value},
+              {"domain", target.domain.value},
+              {"address", target.endpoint.address + ":" + std::to_string(target.endpoint.port)}});
+}
+
 std::unique_ptr<FleetController> FleetController::create(const asio::any_io_executor &executor,
                                                          std::shared_ptr<const KvStore> store,
                                                          FleetWire wire,
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -42,6 +42,9 @@
 
 using SnapshotPtr = std::shared_ptr<const FleetSnapshot>;
 
+/** Logs a change of a target. @param state New state: ready, leaving or gone. @param source Where it was learned: store or answer. */
+void logTargetChange(const TargetEntry &target, std::string_view state, std::string_view source);
+
 /** Keeps the host's entry in the service and publishes snapshots of the fleet. All functions must be called on its executor. */
 struct FleetController {
     struct Impl;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -313,6 +313,11 @@
     co_return std::optional<std::string>();
 }
 
+void httpCloseAfterUse(HttpExchange &exchange)
+{
+    exchange.client.reset();
+}
+
 void httpAbort(HttpExchange &exchange)
 {
     if (exchange.connection) {
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -50,7 +50,7 @@
     HttpHeaders headers; ///< Header fields of the response.
     Endpoint endpoint; ///< Address of the peer.
     HttpConnectionPtr connection; ///< Null after the end of the body or a failure.
-    std::weak_ptr<HttpClient> client; ///< Client to whose pool the connection returns.
+    std::weak_ptr<HttpClient> client; ///< Client to whose pool the connection returns; empty when it is not to be reused.
 };
 
 /**
@@ -68,6 +68,9 @@
 /** Reads the next part of the body. @return An empty optional at the end, after which the connection may be reused. */
 boost::asio::awaitable<Result<std::optional<std::string>>> httpRead(HttpExchange &exchange, std::chrono::milliseconds idleTimeout);
 
+/** Makes the client close the exchange's connection at the end of the body rather than reuse it. */
+void httpCloseAfterUse(HttpExchange &exchange);
+
 /** Closes the exchange's connection; a pending httpRead() returns ErrorCode::Cancelled. Must be called on the client's thread. */
 void httpAbort(HttpExchange &exchange);
 
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -115,9 +115,8 @@
         co_return errorOf(opened);
     }
     HttpExchange &exchange = valueOf(opened);
-    const AnswerHead head = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
+    const AnswerHead head = readAnswer(proxy, target, exchange, sentAt);
     const int status = exchange.status;
-    recordAnswerHead(proxy, target.id, head, sentAt);
     if (head.notRun) {
         co_await drainResponse(exchange);
         co_return makeError(ErrorCode::TargetOverloaded, std::to_string(status), RunState::No);
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -64,6 +64,8 @@
     bool notRun{false}; ///< Whether the target says that it did not run the request.
     bool signedByTarget{false}; ///< Whether the answer carries the target's signature.
     std::optional<double> rateLimit; ///< Requests a second that the target takes from all hosts together; empty when it names no limit.
+    bool leaving{false}; ///< Whether the target says that it is shutting down; false when another instance may have answered.
+    TargetId instance; ///< Target instance that answered; empty when the answer does not name one.
     std::string requestId; ///< Request that the answer belongs to; empty when the answer does not name one.
 };
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -172,8 +172,7 @@
         co_return failedAttempt(forwarding, errorOf(opened));
     }
     HttpExchange &exchange = valueOf(opened);
-    const AnswerHead answerHead = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
-    recordAnswerHead(proxy, target.id, answerHead, sentAt);
+    const AnswerHead answerHead = readAnswer(proxy, target, exchange, sentAt);
     if (answerHead.notRun) {
         auto rest = co_await readBody(forwarding, exchange, maxRefusalBytes);
         const std::string detail = std::to_string(exchange.status) + (isOk(rest) ? "" : ", reading the body failed");
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/fleet_controller_func.h"
+#include "fleet/leaving_targets_base.h"
 #include "fleet/load_tracker_base.h"
 #include "http/http_client_func.h"
 #include "http/http_server_func.h"
@@ -46,6 +47,7 @@
     SnapshotPtr fleet; ///< Latest snapshot published by the control thread; never null.
     LoadTracker loadTracker; ///< Requests in flight on each target, of all hosts.
     std::map<TargetId, TargetHealth> health; ///< Health of the targets that requests were sent to.
+    LeavingTargets leavingTargets; ///< Targets that have said in an answer that they are leaving.
     RateLimitTable rateLimits; ///< Rate limits that targets have named.
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
     std::function<void()> onUrgentNews; ///< Schedules an early announcement to the hosts of all failure domains; may be empty.
@@ -83,11 +85,20 @@
  */
 [[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
 
+/** Replaces the snapshot of the fleet, and forgets what was learned of targets that are not listed any more. */
+void applyFleet(Proxy &proxy, SnapshotPtr snapshot);
+
+/**
+ * Reads the head of an answer and records what @p target says of itself in it: its rate limit, and whether it is leaving.
+ * @param sentAt When the request was sent.
+ */
+[[nodiscard]] AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, TimePoint sentAt);
+
 /**
  * Records the rate limit that an answer names, or that it names none.
  * @param sentAt When the request was sent.
  */
-void recordAnswerHead(Proxy &proxy, const TargetId &target, const AnswerHead &head, TimePoint sentAt);
+void recordLimit(Proxy &proxy, const TargetId &target, const AnswerHead &head, TimePoint sentAt);
 
 /** Adds a limit that another host announced; ignored for a target that is not known. */
 void applyLimit(Proxy &proxy, const LimitObservation &observation);
--- /dev/null
+++ b/src/proxy/target_answer.cpp
@@ -0,0 +1,56 @@
+/** @file target_answer.cpp What targets say of themselves in their answers, and what the list of targets says of them. */
+#include "proxy/proxy_base.h"
+
+#include <utility>
+
+namespace skylark {
+
+namespace {
+
+/** Records that @p target has said that it is leaving. Its idle connections are closed; no request may use the connection of @p exchange again. */
+void recordLeavingTarget(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange)
+{
+    const TimePoint now = BootClock::now();
+    if (recordLeaving(proxy.leavingTargets, target, now)) {
+        logTargetChange(target, "leaving", "answer");
+        addCounter(*proxy.metrics, "skylark_leaving_targets_total");
+    }
+    httpCloseIdle(*proxy.http, target.endpoint, now);
+    httpCloseAfterUse(exchange);
+}
+
+/** Forgets what was learned of targets that are not listed any more. */
+void forgetUnlistedTargets(Proxy &proxy)
+{
+    const TargetMap &listed = *proxy.fleet->targets;
+    const auto isGone = [&listed](const auto &entry) {
+        return !listed.contains(entry.first);
+    };
+    std::erase_if(proxy.health, isGone);
+    std::erase_if(proxy.rateLimits.targets, isGone);
+    forgetGoneTargets(proxy.leavingTargets, listed, BootClock::now());
+}
+
+} // namespace
+
+AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, TimePoint sentAt)
+{
+    AnswerHead head = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
+    const bool isFromTarget = head.instance.empty() || head.instance == target.id;
+    if (head.leaving && isFromTarget) {
+        recordLeavingTarget(proxy, target, exchange);
+    }
+    recordLimit(proxy, target.id, head, sentAt);
+    return head;
+}
+
+void applyFleet(Proxy &proxy, SnapshotPtr snapshot)
+{
+    const SnapshotPtr before = std::exchange(proxy.fleet, std::move(snapshot));
+    if (proxy.fleet->targets && proxy.fleet->targets != before->targets) {
+        forgetUnlistedTargets(proxy);
+    }
+    updateSenders(proxy);
+}
+
+} // namespace skylark
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -79,7 +79,7 @@
     const double median = medianFirstAnswer(proxy, service);
     const auto ages = oldestStatusAges(proxy.loadTracker, now);
     for (const auto &[id, entry] : *proxy.fleet->targets) {
-        if (entry.service != service || entry.leaving) {
+        if (entry.service != service || isLeaving(proxy.leavingTargets, entry)) {
             continue;
         }
         const TargetCounts counts = countsOf(proxy.loadTracker, id, now);
--- a/src/proxy/target_limit.cpp
+++ b/src/proxy/target_limit.cpp
@@ -39,7 +39,7 @@
     setSenders(proxy.rateLimits, std::move(hosts), BootClock::now());
 }
 
-void recordAnswerHead(Proxy &proxy, const TargetId &target, const AnswerHead &head, TimePoint sentAt)
+void recordLimit(Proxy &proxy, const TargetId &target, const AnswerHead &head, TimePoint sentAt)
 {
     if (head.notRun && !head.rateLimit) {
         return;
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -22,6 +22,12 @@
     return number;
 }
 
+/** @return The headers that all responses of @p replica have. */
+HttpHeaders commonHeaders(const Replica &replica)
+{
+    return replica.leaving ? HttpHeaders{{std::string(headerServerLeaving), "1"}} : HttpHeaders{};
+}
+
 HttpHeaders responseHeaders(const ReplicaPlan &plan, const std::string &id)
 {
     HttpHeaders headers{{std::string(headerRequestId), plan.wrongId ? "another-request" : id}};
@@ -34,11 +40,13 @@
 }
 
 /** Sends a response that says that the request was not executed. */
-asio::awaitable<void> refuse(HttpResponder &responder, int status, const std::string &id)
+asio::awaitable<void> refuse(const Replica &replica, HttpResponder &responder, int status, const std::string &id)
 {
     HttpResponse response;
     response.status = status;
-    response.headers = {{std::string(headerRequestId), id}, {std::string(headerNotExecuted), "1"}};
+    response.headers = commonHeaders(replica);
+    response.headers.push_back({std::string(headerRequestId), id});
+    response.headers.push_back({std::string(headerNotExecuted), "1"});
     co_await sendResponse(responder, std::move(response));
 }
 
@@ -144,12 +152,14 @@
     const unsigned number = replica->arrivals++;
     const std::string_view expected = headerValue(request.headers, headerExpectInstance);
     if (!expected.empty() && expected != replica->id) {
-        co_await refuse(responder, 421, id);
+        co_await refuse(*replica, responder, 421, id);
         co_return;
     }
-    const ReplicaPlan plan = replica->plan ? replica->plan(request, number) : ReplicaPlan{};
+    ReplicaPlan plan = replica->plan ? replica->plan(request, number) : ReplicaPlan{};
+    const HttpHeaders common = commonHeaders(*replica);
+    plan.headers.insert(plan.headers.end(), common.begin(), common.end());
     if (plan.status == 503 || plan.status == 429) {
-        co_await refuse(responder, plan.status, id);
+        co_await refuse(*replica, responder, plan.status, id);
         co_return;
     }
     auto run = std::make_shared<ReplicaRun>();
--- a/standins/replica_base.h
+++ b/standins/replica_base.h
@@ -49,6 +49,7 @@
 struct Replica {
     std::string id; ///< Instance id. A request that expects another instance is refused with status 421.
     std::function<ReplicaPlan(const HttpRequest &request, unsigned number)> plan; ///< Plan of the request with this number, counted from 0; empty for defaults.
+    bool leaving{false}; ///< Whether all responses, refusals included, say that the replica is shutting down.
     std::vector<std::shared_ptr<ReplicaRun>> runs; ///< Requests that were executed, in order of arrival.
     unsigned arrivals{0}; ///< Number of requests received, including refused ones.
     unsigned active{0}; ///< Number of requests being executed.
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -104,6 +104,7 @@
         this->proxy->wire = platform::makeCallWire();
         this->proxy->http = HttpClient::create(executor);
         this->proxy->metrics = MetricsRegistry::create();
+        this->proxy->fleet = std::make_shared<const FleetSnapshot>();
         this->proxy->onLoadChange = [this](LoadChange /*change*/) {
             if (this->runner) {
                 yieldToOnline(*this->runner);
@@ -141,8 +142,7 @@
         for (const SessionId &session : registered) {
             snapshot->peers.push_back({HostId{"of-" + session.value}, session, DomainId{"north"}, {"127.0.0.1", 1}});
         }
-        this->proxy->fleet = std::move(snapshot);
-        updateSenders(*this->proxy);
+        applyFleet(*this->proxy, std::move(snapshot));
     }
 
     /** @return A POST request with the platform's headers. @param callerTimeout Time that the caller waits for the answer. */
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -197,6 +197,20 @@
     CHECK_FALSE(wire.readAnswerHead(500, {{"X-Skylarkstage-Request-Id", "q"}}).notRun);
 }
 
+// Guards against a target that is taken as leaving because another instance at its address says so.
+TEST_CASE("answerHead_saysThatTheTargetLeaves_unlessAnotherInstanceMayHaveAnswered", "[calls]")
+{
+    const CallWire wire = platform::makeCallWire();
+    for (const int status : {200, 404, 429, 500, 503}) {
+        CHECK(wire.readAnswerHead(status, {{"server-leaving", "1"}}).leaving);
+        CHECK_FALSE(wire.readAnswerHead(status, {}).leaving);
+        CHECK_FALSE(wire.readAnswerHead(status, {{"Server-Leaving", "0"}}).leaving);
+    }
+    CHECK_FALSE(wire.readAnswerHead(421, {{"Server-Leaving", "1"}}).leaving);
+    CHECK(wire.readAnswerHead(200, {{"X-Skylarkstage-Instance-Id", "i-2"}}).instance == TargetId{"i-2"});
+    CHECK(wire.readAnswerHead(200, {}).instance.empty());
+}
+
 TEST_CASE("submission_items_areDecodedOrNamed", "[jobs]")
 {
     const CallWire wire = platform::makeCallWire();
