Fix: Batch items keep away from targets that have said that they leave

Batch items went on reaching a target that had said in an answer that it leaves: the slots that items may take were filtered by the list of targets alone.

Change: takesBatch() uses isLeaving() like the candidates of online requests. The news may come from an online answer, an item's answer, an error or a refusal.

--- a/src/job/job_slots.cpp
+++ b/src/job/job_slots.cpp
@@ -24,7 +24,7 @@
 {
     const auto health = runner.proxy->health.find(target.id);
     const bool suspect = health != runner.proxy->health.end() && now < health->second.suspectUntil;
-    return !target.leaving && !suspect && services.contains(target.service);
+    return !isLeaving(runner.proxy->leavingTargets, target) && !suspect && services.contains(target.service);
 }
 
 /** @return Load of @p target. The batch items of other hosts are not told apart by the order of preemption. */
--- a/tests/test_leaving_target.cpp
+++ b/tests/test_leaving_target.cpp
@@ -378,3 +378,34 @@
     }));
     CHECK(this->leaving.arrivals == 0);
 }
+
+TEST_CASE_METHOD(LeavingFixture, "item_targetSaidItLeaves_runsElsewhere")
+{
+    this->hearFromLeaving();
+    this->submitJob("j1", 8);
+    CHECK(this->runUntil([this] {
+        return this->other.runs.size() == 8;
+    }));
+    CHECK(this->leaving.arrivals == 1);
+}
+
+// Guards against items that go on reaching a target which said that it leaves in the answer to an item, or in a refusal of one.
+TEST_CASE_METHOD(LeavingFixture, "item_answerToAnItemSaysTargetLeaves_getsNoFurtherItemOrRequest")
+{
+    setPlan(this->leaving, {.status = GENERATE(200, 500, 503), .events = 2});
+    this->submitJob("j1", 1);
+    REQUIRE(this->runUntil([this] {
+        return this->leaving.arrivals == 1;
+    }));
+    this->runFor(100ms);
+    this->submitJob("j2", 3);
+    this->runFor(500ms);
+    CHECK(this->leaving.arrivals == 1);
+    setPlan(this->other, {.events = 2});
+    this->listOther();
+    CHECK(this->sendMany() == manyRequests);
+    CHECK(this->runUntil([this] {
+        return this->other.runs.size() >= manyRequests + 3;
+    }));
+    CHECK(this->leaving.arrivals == 1);
+}
