Fix: A target that reads no further part of a request is silent, not crashed

What callers saw: 503 for sound prompts could follow, because a request whose body a silent target did not read until the deadline was evidence that a part of its prompt crashes targets; the target was marked as failing, too. Cause: httpOpen() reported a timeout while sending as SendFailed, like a reset, and isTargetEnd() counts SendFailed. Change: a timeout while sending is IdleTimeout.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -271,9 +271,11 @@
     connection->stream.expires_after(timeouts.send);
     const auto [error, sent] = co_await http::async_write(connection->stream, message, awaitTuple);
     if (error) {
-        const RunState run = sent == 0 ? RunState::No : RunState::Maybe;
-        const ErrorCode code = sent == 0 ? ErrorCode::ConnectFailed : ErrorCode::SendFailed;
-        co_return transportError(error, code, code, run, endpoint);
+        if (sent == 0) {
+            co_return transportError(error, ErrorCode::ConnectFailed, ErrorCode::ConnectFailed, RunState::No, endpoint);
+        }
+        // A peer that reads no further is silent, but has not closed the connection.
+        co_return transportError(error, ErrorCode::IdleTimeout, ErrorCode::SendFailed, RunState::Maybe, endpoint);
     }
     const auto head = co_await readHead(*connection, endpoint, timeouts.firstByte);
     if (connection->aborted) {
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <rapidcheck.h>
 
 using namespace skylark;
@@ -270,3 +272,59 @@
     CHECK(BootClock::now() - begun >= 1100ms);
     CHECK(this->runsOf("s1") == 1);
 }
+
+/** A target that accepts connections but reads nothing. */
+struct DeafTarget {
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::vector<boost::asio::ip::tcp::socket> accepted;
+
+    explicit DeafTarget(boost::asio::io_context &loop)
+        : acceptor(loop)
+    {
+        using boost::asio::ip::tcp;
+        this->acceptor.open(tcp::v4());
+        this->acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        this->acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+        this->acceptor.listen();
+        boost::asio::co_spawn(loop, this->serve(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        for (;;) {
+            this->accepted.push_back(co_await this->acceptor.async_accept(boost::asio::use_awaitable));
+        }
+    }
+};
+
+/** A request with a body that does not fit into the buffers of a connection, for a target that reads nothing. */
+struct DeafTargetFixture : SilenceFixture {
+    DeafTarget deaf{loop};
+
+    DeafTargetFixture()
+    {
+        this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", this->deaf.acceptor.local_endpoint().port()};
+        this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 5; // The request goes to the other target first.
+        this->host.publish({});
+        this->setPlans({{.stream = false}});
+    }
+
+    Result<HttpResponse> sendLongBody(const std::string &path, milliseconds callerTimeout)
+    {
+        HttpRequest request = EntryTestHost::request("q1", path, callerTimeout);
+        request.headers.push_back({"X-Skylarkstage-Prompt-Prefix", "aaa:100,f1:20"});
+        request.body.assign(std::size_t{4} << 20U, 'x');
+        return this->run(httpCall(this->http, this->host.endpoint, request, HttpTimeouts{500ms, 10s, 10s, 10s}, ConnectionUse::Fresh));
+    }
+};
+
+// Guards against a target that is counted as crashed by the request, because it reads no further part of the body before the deadline.
+TEST_CASE_METHOD(DeafTargetFixture, "forward_targetReadsNothing_isNoCrashOfTheTarget")
+{
+    const auto answer = this->sendLongBody("/order/x", 900ms);
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).status == 504);
+    CHECK(this->deaf.accepted.size() == 1);
+    CHECK(this->host.proxy->quarantine.crashes.empty());
+    CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
+}
