Fix: A caller that reads slowly is no silence of the target

What callers saw: a stream was aborted, or continued at another target, because the caller had read nothing for a while; the sound target was marked as failing. Cause: the silence was measured from the arrival of the event, before it was written to the caller, and a write waits until the caller reads. Change: the silence is measured from the end of the write.

--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -131,8 +131,8 @@
         if (valueOf(events).empty()) {
             continue;
         }
-        forwarding.progressAt = BootClock::now();
         const auto sent = co_await sendStreamEvents(forwarding, exchange, std::move(valueOf(events)));
+        forwarding.progressAt = BootClock::now(); // Waiting for a slow caller is no silence of the target.
         if (!isOk(sent)) {
             co_return Attempt{AttemptEnd::CallerGone, makeError(ErrorCode::CallerGone, "caller closed the connection while events were sent"), {}};
         }
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -5,10 +5,14 @@
 #include "support/entry_fixture.h"
 #include "support/property_seed.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <rapidcheck.h>
 
 using namespace skylark;
@@ -328,3 +332,56 @@
     CHECK(this->host.proxy->quarantine.crashes.empty());
     CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
 }
+
+/** A target that answers each request with a long stream as fast as the connection takes it. */
+struct LongStreamTarget {
+    static constexpr unsigned eventCount = 64;
+    static constexpr std::size_t eventBytes = std::size_t{256} << 10U;
+    boost::asio::ip::tcp::acceptor acceptor;
+
+    explicit LongStreamTarget(boost::asio::io_context &loop)
+        : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        boost::asio::co_spawn(loop, this->serve(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        std::string answer = "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: s1\r\nX-Skylarkstage-Server-Signature: x\r\n\r\n";
+        for (unsigned number = 1; number <= eventCount; ++number) {
+            answer += "id: " + std::to_string(number) + "\ndata: " + std::string(eventBytes, 'x') + "\n\n";
+        }
+        for (;;) {
+            auto socket = co_await this->acceptor.async_accept(boost::asio::use_awaitable);
+            std::array<char, 8192> request{};
+            co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+            co_await boost::asio::async_write(socket, boost::asio::buffer(answer), boost::asio::use_awaitable);
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both);
+        }
+    }
+};
+
+// Guards against a sound target that is cut and blamed because the caller reads slowly.
+TEST_CASE_METHOD(SilenceFixture, "forward_callerReadsNothingForAWhile_isNoSilenceOfTheTarget")
+{
+    using boost::asio::ip::tcp;
+    LongStreamTarget target(this->loop);
+    this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", target.acceptor.local_endpoint().port()};
+    this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 5; // The request goes to the other target first.
+    this->host.publish({});
+    auto readLate = [this]() -> boost::asio::awaitable<std::size_t> {
+        tcp::socket socket(this->loop);
+        co_await socket.async_connect({boost::asio::ip::make_address("127.0.0.1"), this->host.endpoint.port}, boost::asio::use_awaitable);
+        const std::string request =
+            "POST /chat/x HTTP/1.1\r\nHost: h.example\r\nX-Skylarkstage-Request-Id: s1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        co_await boost::asio::async_write(socket, boost::asio::buffer(request), boost::asio::use_awaitable);
+        co_await sleepFor(2500ms);
+        std::string answer;
+        boost::system::error_code error;
+        co_await boost::asio::async_read(socket, boost::asio::dynamic_buffer(answer), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        co_return answer.ends_with("\r\n0\r\n\r\n") ? answer.size() : 0;
+    };
+    CHECK(this->run(readLate()) > LongStreamTarget::eventCount * LongStreamTarget::eventBytes);
+    CHECK(this->second.runs.empty());
+    CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
+}
