--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -22,7 +22,9 @@
 constexpr milliseconds otherTimeout{8000}; ///< Timeout of the routes whose timeout does not change.
 constexpr milliseconds processPollInterval{20};
 constexpr unsigned targetSlots = 16;
+constexpr unsigned firstHostAddress = 3; ///< The hosts use the addresses of 127.0.0.0/24 after this one; other tests use those before it.
 constexpr milliseconds loopTick{5};
+constexpr milliseconds slowStep{40}; ///< Delay before each event of an answer that is slow.
 
 json::object routeObject(const std::string &name, const std::string &kind, const std::string &service, milliseconds timeout, bool resumable)
 {
@@ -102,6 +104,7 @@
 {
     AnswerScript script{.stream = !request.target.starts_with("/order/") && !request.target.starts_with("/lookup/"), .events = soakEvents};
     script.firstDelay = drawTime(site.random, 5ms, 40ms);
+    script.step = drawNumber(site.random, 1, 15) == 1 ? slowStep : script.step;
     script.endsWithConnection = drawNumber(site.random, 1, 10) == 1;
     script.refused = drawNumber(site.random, 1, 50) == 1;
     script.crashes = headerValue(request.headers, platform::headerPromptParts).starts_with("dead");
@@ -243,7 +246,7 @@
 
 } // namespace
 
-SoakSite::SoakSite(std::uint64_t seed, std::filesystem::path where)
+SoakSite::SoakSite(std::uint64_t seed, unsigned hostCount, std::filesystem::path where)
     : folder(std::move(where))
     , random(seed)
 {
@@ -252,11 +255,14 @@
     REQUIRE(isOk(served));
     this->storeServer = std::move(valueOf(served));
     writeConfig(*this, {});
-    for (const char *service : {"llm", "llm", "llm", "llm", "llm-b", "llm-b", "llm-b", "ledger", "ledger", "ledger"}) {
-        startTarget(*this, service);
+    for (unsigned round = 0; round < (hostCount + 1) / 2; ++round) {
+        for (const char *service : {"llm", "llm", "llm", "llm", "llm-b", "llm-b", "llm-b", "ledger", "ledger", "ledger"}) {
+            startTarget(*this, service);
+        }
+    }
+    for (unsigned number = 1; number <= hostCount; ++number) {
+        addHost(*this, "front-" + std::to_string(number), "127.0.0." + std::to_string(firstHostAddress + number));
     }
-    addHost(*this, "front-1", "127.0.0.4");
-    addHost(*this, "front-2", "127.0.0.5");
     for (SoakHost &host : this->hosts) {
         startHost(host);
         REQUIRE(this->run(waitReady(*this, host)));
@@ -305,14 +311,11 @@
     }
 }
 
-asio::awaitable<void> signalHosts(SoakSite &site)
+asio::awaitable<void> restartHosts(SoakSite &site)
 {
     std::size_t next = drawNumber(site.random, 0, site.hosts.size() - 1);
     while (!site.ending) {
-        for (auto signals = drawNumber(site.random, 1, 4); signals > 0 && !site.ending; --signals) {
-            co_await sleepFor(drawTime(site.random, 200ms, 900ms));
-            sendSignal(*site.hosts[drawNumber(site.random, 0, site.hosts.size() - 1)].process, SIGHUP);
-        }
+        co_await sleepFor(drawTime(site.random, 300ms, 2000ms));
         if (!site.ending) {
             co_await restartHost(site, site.hosts[next]);
         }
@@ -320,6 +323,19 @@
     }
 }
 
+asio::awaitable<void> reloadHosts(SoakSite &site)
+{
+    while (!site.ending) {
+        co_await sleepFor(drawTime(site.random, 100ms, 800ms));
+        SoakHost &host = site.hosts[drawNumber(site.random, 0, site.hosts.size() - 1)];
+        // A process that is not ready may not handle signals yet.
+        if (host.ready) {
+            std::ofstream(host.settings, std::ios::app) << "# changed\n";
+            sendSignal(*host.process, SIGHUP);
+        }
+    }
+}
+
 asio::awaitable<void> watchLoop(SoakSite &site)
 {
     while (!site.ending) {
--- a/tests/support/soak_site.h
+++ b/tests/support/soak_site.h
@@ -72,7 +72,7 @@
     bool ending{false}; ///< Whether the operator makes no further changes.
 
     /** Starts store, targets and hosts and waits until the hosts are ready. */
-    SoakSite(std::uint64_t seed, std::filesystem::path folder);
+    SoakSite(std::uint64_t seed, unsigned hostCount, std::filesystem::path folder);
     SoakSite(const SoakSite &) = delete;
     SoakSite &operator=(const SoakSite &) = delete;
     ~SoakSite();
@@ -90,8 +90,11 @@
 /** Makes targets silent, slow or crash now and then, several at once, until SoakSite::ending is set. */
 boost::asio::awaitable<void> troubleTargets(SoakSite &site);
 
-/** Sends SIGHUP to hosts now and then, and stops and restarts one host after the other, until SoakSite::ending is set. */
-boost::asio::awaitable<void> signalHosts(SoakSite &site);
+/** Stops one host after the other by SIGTERM and starts it again, until SoakSite::ending is set. */
+boost::asio::awaitable<void> restartHosts(SoakSite &site);
+
+/** Changes the settings file of a host now and then and sends SIGHUP, also while it stops, until SoakSite::ending is set. */
+boost::asio::awaitable<void> reloadHosts(SoakSite &site);
 
 /** Records in SoakSite::stalls how late the event loop runs, until SoakSite::ending is set. */
 boost::asio::awaitable<void> watchLoop(SoakSite &site);
--- a/tests/test_host_soak.cpp
+++ b/tests/test_host_soak.cpp
@@ -20,9 +20,9 @@
 constexpr milliseconds settleLimit{12000}; ///< Time for the last requests and restarts to end.
 constexpr milliseconds hostCloseDelay{2500}; ///< Time after SIGTERM at which a host closes its idle connections.
 constexpr milliseconds waitStep{50};
-constexpr unsigned busyCallers = 40;
-constexpr unsigned parkedCallers = 240;
-constexpr unsigned freshCallers = 6;
+constexpr unsigned busyCallers = 20; ///< Callers for each host.
+constexpr unsigned parkedCallers = 120; ///< Likewise.
+constexpr unsigned freshCallers = 3; ///< Likewise.
 
 /** All callers of a run. */
 struct Callers {
@@ -181,19 +181,27 @@
 
 void startCallers(Callers &callers)
 {
-    callers.active = busyCallers + parkedCallers + freshCallers;
-    const std::uint64_t base = callers.seed * 1000;
-    for (unsigned i = 0; i < busyCallers; ++i) {
-        asio::co_spawn(callers.site.loop, reuseConnections(callers, base + i, idleBusy), asio::detached);
+    const auto hosts = static_cast<unsigned>(callers.site.hosts.size());
+    callers.active = hosts * (busyCallers + parkedCallers + freshCallers);
+    std::mt19937_64 seeds(callers.seed);
+    for (unsigned i = 0; i < hosts * busyCallers; ++i) {
+        asio::co_spawn(callers.site.loop, reuseConnections(callers, seeds(), idleBusy), asio::detached);
     }
-    for (unsigned i = 0; i < parkedCallers; ++i) {
-        asio::co_spawn(callers.site.loop, reuseConnections(callers, base + busyCallers + i, idleParked), asio::detached);
+    for (unsigned i = 0; i < hosts * parkedCallers; ++i) {
+        asio::co_spawn(callers.site.loop, reuseConnections(callers, seeds(), idleParked), asio::detached);
     }
-    for (unsigned i = 0; i < freshCallers; ++i) {
-        asio::co_spawn(callers.site.loop, useFreshConnections(callers, base + busyCallers + parkedCallers + i), asio::detached);
+    for (unsigned i = 0; i < hosts * freshCallers; ++i) {
+        asio::co_spawn(callers.site.loop, useFreshConnections(callers, seeds()), asio::detached);
     }
 }
 
+/** @return The number of host processes: SKYLARK_SOAK_HOSTS, or 2 if it is not set. */
+unsigned hostCount()
+{
+    const char *text = std::getenv("SKYLARK_SOAK_HOSTS");
+    return text == nullptr ? 2 : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
 void printCounts(std::uint64_t seed, const Callers &callers, const SoakVerdict &verdict)
 {
     std::cout << "seed " << seed << ": " << verdict.failures.size() << " failures, configurations " << callers.site.configs.size() << ", closed while idle "
@@ -209,14 +217,14 @@
 
     SoakVerdict play(std::uint64_t seed) const
     {
-        SoakSite site(seed, this->folder / std::to_string(seed));
+        SoakSite site(seed, hostCount(), this->folder / std::to_string(seed));
         Callers callers{site, seed};
         startCallers(callers);
         unsigned running = 0;
         const auto ended = [&running](const std::exception_ptr & /*failure*/) {
             --running;
         };
-        for (const auto task : {watchLoop, runOperator, troubleTargets, signalHosts}) {
+        for (const auto task : {watchLoop, runOperator, troubleTargets, restartHosts, reloadHosts}) {
             ++running;
             asio::co_spawn(site.loop, task(site), ended);
         }
@@ -247,8 +255,8 @@
 TEST_CASE_METHOD(HostSoakFixture, "hosts_changesSignalsAndSilentTargets_eachRequestIsAnsweredOrRefused")
 {
     for (std::uint64_t seed = propertySeed(); seed < propertySeed() + propertyRuns(3); ++seed) {
-        const SoakVerdict verdict = this->play(seed);
         INFO("seed " << seed << ", logs in " << this->folder.string());
+        const SoakVerdict verdict = this->play(seed);
         for (const std::string &failure : verdict.failures) {
             UNSCOPED_INFO(failure);
         }
