--- /dev/null
+++ b/src/http/http_request_reader.cpp
@@ -0,0 +1,227 @@
+/** @file http_request_reader.cpp Reads the requests of a connection, within the limits of the server. */
+#include "http/http_request_reader_func.h"
+
+#include "core/table/error_table.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <sys/socket.h>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readBytes = 4096; ///< Maximum size in bytes of a read outside the HTTP parser.
+/** Time limit for reading the rest of a rejected request: closing a connection with unread data resets it, and the caller loses the response. */
+constexpr std::chrono::milliseconds lingerTime{500};
+
+HttpRequest convertRequest(http::request<http::string_body> message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message) {
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+/** Closes the sending side, then reads and discards what the caller still sends, for at most lingerTime. */
+asio::awaitable<void> drainInput(std::shared_ptr<HttpServerConnection> connection)
+{
+    beast::error_code ignored;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection->stream.expires_after(lingerTime);
+    for (;;) {
+        connection->buffer.clear();
+        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readBytes), awaitTuple);
+        if (error) {
+            co_return;
+        }
+    }
+}
+
+/** Sends an error response for a request that could not be read, and makes the connection close. */
+asio::awaitable<void> rejectRequest(const std::shared_ptr<HttpServerConnection> &connection, const HttpServerOptions &options, Error error)
+{
+    HttpResponder responder{connection, false, false};
+    connection->keepAlive = false;
+    HttpResponse response;
+    response.status = errorInfo(error.code).status;
+    if (options.renderError) {
+        response = options.renderError(error);
+    }
+    co_await sendResponse(responder, std::move(response));
+    co_await drainInput(connection);
+}
+
+constexpr std::chrono::milliseconds repeatDelay{50}; ///< Until a read that was between two of its steps at its deadline is cancelled again.
+
+/** What a read from a socket would find. */
+enum class SocketInput : std::uint8_t {
+    Nothing, ///< The read would wait.
+    Bytes, ///< Bytes have arrived.
+    Closed, ///< The caller has closed or reset the connection.
+};
+
+SocketInput peekInput(HttpServerConnection &connection)
+{
+    char byte = 0;
+    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return SocketInput::Bytes;
+    }
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
+}
+
+/** Cancels the operations on a connection's socket at a time, until the deadline is destroyed. The connection stays open. */
+struct ReadDeadline {
+    asio::steady_timer timer;
+    std::weak_ptr<HttpServerConnection> connection;
+    bool expired{false}; ///< Whether operations were cancelled.
+
+    static std::shared_ptr<ReadDeadline> create(const std::shared_ptr<HttpServerConnection> &connection, std::chrono::milliseconds timeout)
+    {
+        auto deadline = std::make_shared<ReadDeadline>(ReadDeadline{asio::steady_timer(connection->stream.get_executor()), connection});
+        connection->stream.expires_never();
+        startTimer(deadline, timeout);
+        return deadline;
+    }
+
+    static void startTimer(const std::shared_ptr<ReadDeadline> &deadline, std::chrono::milliseconds delay)
+    {
+        deadline->timer.expires_after(delay);
+        deadline->timer.async_wait([weak = std::weak_ptr<ReadDeadline>(deadline)](const beast::error_code &cancelled) {
+            const auto strong = weak.lock();
+            const auto owner = strong ? strong->connection.lock() : nullptr;
+            if (cancelled || !owner) {
+                return;
+            }
+            strong->expired = true;
+            beast::error_code ignored;
+            owner->stream.socket().cancel(ignored);
+            startTimer(strong, repeatDelay);
+        });
+    }
+};
+
+/** Reads a request head. If @p timeout passes, returns beast::error::timeout and leaves the connection open, so that an error response can be sent. */
+asio::awaitable<beast::error_code> readHead(std::shared_ptr<HttpServerConnection> connection,
+                                            std::chrono::milliseconds timeout,
+                                            http::request_parser<http::string_body> &parser)
+{
+    const auto deadline = ReadDeadline::create(connection, timeout);
+    const auto [error, bytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
+    const beast::error_code timedOut = beast::error::timeout;
+    const beast::error_code outcome = error;
+    co_return outcome && deadline->expired ? timedOut : outcome;
+}
+
+/** @return How long @p connection may wait for the first bytes of a request. */
+std::chrono::milliseconds idleLimit(const HttpServer::Impl &server, const HttpServerConnection &connection)
+{
+    constexpr std::chrono::milliseconds firstRequestTime{500}; // The request of a new connection is in transit.
+    if (!server.closeIdle) {
+        return server.options.keepAlive;
+    }
+    return connection.requestNumber == 0 ? firstRequestTime : std::chrono::milliseconds(0);
+}
+
+/** Waits for the first bytes of a request. @return Whether there are any; otherwise the caller has closed the connection, or it was idle for too long. */
+asio::awaitable<bool> waitForInput(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
+{
+    const auto idleSince = std::chrono::steady_clock::now();
+    for (;;) {
+        const auto left = idleSince + idleLimit(*server, *connection) - std::chrono::steady_clock::now();
+        if (left.count() > 0) {
+            const auto deadline = ReadDeadline::create(connection, std::chrono::ceil<std::chrono::milliseconds>(left));
+            const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+            if (!error) {
+                co_return true;
+            }
+        }
+        const SocketInput input = peekInput(*connection);
+        if (input != SocketInput::Nothing || std::chrono::steady_clock::now() >= idleSince + idleLimit(*server, *connection)) {
+            co_return input == SocketInput::Bytes;
+        }
+    }
+}
+
+/** @return The error with which a request with this head is rejected, or nothing if it is acceptable. */
+std::optional<Error> findHeadError(const http::request<http::string_body> &message, std::size_t maxBody, const beast::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return makeError(ErrorCode::HeaderTimeout, "request head did not arrive in time");
+    }
+    if (error == http::error::header_limit) {
+        return makeError(ErrorCode::HeaderTooLarge, "request head exceeds the size limit");
+    }
+    if (error == http::error::body_limit) {
+        return makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(maxBody) + " bytes");
+    }
+    if (error) {
+        return makeError(ErrorCode::InvalidRequest, error.message());
+    }
+    if (message.count(http::field::host) > 1) {
+        return makeError(ErrorCode::InvalidRequest, "more than one Host header");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
+{
+    const HttpServerOptions &options = server->options;
+    if (connection->buffer.size() == 0) {
+        if (!co_await waitForInput(connection, server)) {
+            co_return std::nullopt;
+        }
+        const auto [error, bytes] = co_await connection->stream.async_read_some(connection->buffer.prepare(readBytes), awaitTuple);
+        if (error) {
+            co_return std::nullopt;
+        }
+        connection->buffer.commit(bytes);
+    }
+    connection->state = ConnectionState::Reading;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(options.maxBody);
+    parser.header_limit(options.maxHeader);
+    const beast::error_code headError = co_await readHead(connection, options.headTimeout, parser);
+    if (headError == http::error::end_of_stream || headError == asio::error::connection_reset) {
+        co_return std::nullopt;
+    }
+    if (const auto rejection = findHeadError(parser.get(), options.maxBody, headError)) {
+        co_await rejectRequest(connection, options, *rejection);
+        co_return std::nullopt;
+    }
+    connection->stream.expires_after(options.bodyTimeout);
+    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, 11);
+        const auto [error, bytes] = co_await http::async_write(connection->stream, proceed, awaitTuple);
+        if (error) {
+            co_return std::nullopt;
+        }
+    }
+    const auto [bodyError, bodyBytes] = co_await http::async_read(connection->stream, connection->buffer, parser, awaitTuple);
+    if (bodyError == http::error::body_limit) {
+        co_await rejectRequest(connection, options, makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(options.maxBody) + " bytes"));
+        co_return std::nullopt;
+    }
+    if (bodyError) {
+        co_return std::nullopt;
+    }
+    connection->keepAlive = parser.get().keep_alive();
+    co_return convertRequest(parser.release());
+}
+
+} // namespace skylark
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -4,6 +4,7 @@
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
 #include "fleet/route_match_func.h"
+#include "policy/silence_func.h"
 #include "proxy/forwarding_base.h"
 
 #include <algorithm>
@@ -17,8 +18,10 @@
 namespace {
 
 constexpr milliseconds defaultCallerTimeout{30000}; ///< Applies when the caller names none; a shorter timeout of the route still applies.
-constexpr milliseconds placementRetryInterval{20}; ///< Interval of retries while no target can continue a stream.
-constexpr unsigned maxTargetRefusals = 6; ///< Attempts that did not run on their target after which the request is not sent to another one.
+constexpr milliseconds placementRetryInterval{20}; ///< First interval of retries while no target can continue a stream.
+constexpr unsigned maxRetryDoublings = 4; ///< Bounds the interval at 320 ms.
+/** Attempts that did not run on their target after which the request is not sent to another one; a stream that has begun is sent at longer intervals. */
+constexpr unsigned maxTargetRefusals = 6;
 
 /** Updates the request and the target's health with the result of an attempt, and logs a failure. @param begun When the attempt began. */
 void recordAttempt(Forwarding &forwarding, const TargetEntry &target, const Attempt &attempt, TimePoint begun, BalanceReason reason)
@@ -37,7 +40,8 @@
     forwarding.runs += attempt.end == AttemptEnd::Failed ? 1 : 0;
     forwarding.refusals += attempt.end == AttemptEnd::NotRun ? 1 : 0;
     recordFailedRun(proxy, target.id, forwarding.call.prompt, forwarding.progress, attempt.error);
-    if (!attempt.answer) {
+    const milliseconds silence = elapsedSince(forwarding.progressAt);
+    if (!attempt.answer && !isSoundSilence(attempt.error, silence)) {
         recordTargetFailure(proxy, target);
     }
     logEvent(EventKind::AttemptFailed,
@@ -47,84 +51,131 @@
               {"run", attempt.end == AttemptEnd::NotRun ? "no" : "maybe"},
               {"detail", attempt.error.detail},
               {"ran_ms", elapsedSince(begun).count()},
+              {"silent_ms", silence.count()},
               {"events", forwarding.events},
               {"phase", runPhaseName(phaseOf(forwarding.progress))},
               {"prompt_parts", promptPartsText(forwarding.call.prompt)}});
 }
 
 /**
- * @return Whether a failed request may be sent to another target: time is left, fewer than maxTargetRefusals attempts did not run, and the route allows a
- * further run if an attempt may have run.
+ * @return Whether a failed request may be sent to another target: time is left, fewer than maxTargetRefusals attempts did not run unless the caller already has
+ * part of the answer, and the route allows a further run if an attempt may have run.
  */
 bool mayRetryElsewhere(const Forwarding &forwarding)
 {
-    if (timeLeft(forwarding).count() <= 0 || forwarding.refusals >= maxTargetRefusals) {
+    if (timeLeft(forwarding).count() <= 0 || (!forwarding.started && forwarding.refusals >= maxTargetRefusals)) {
         return false;
     }
     return forwarding.runs == 0 || (isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts);
 }
 
+/** @return Whether another target than @p target may run the request after it, as far as is known when it is sent there. */
+bool mayMoveFrom(const Forwarding &forwarding, const TargetId &target, const std::vector<BalanceCandidate> &candidates)
+{
+    if (!isRepeatable(*forwarding.route) || forwarding.runs + 1 >= forwarding.route->maxAttempts) {
+        return false;
+    }
+    return std::any_of(candidates.begin(), candidates.end(), [&](const BalanceCandidate &candidate) {
+        return candidate.id != target && (forwarding.started || !candidate.tried);
+    });
+}
+
+/** @return Whether a request that no target can take now waits for one: if the caller already has part of the answer, or other targets are full while the last
+ * one is silent. */
+bool waitsForTarget(const Forwarding &forwarding, const Attempt &last, BalanceReason reason)
+{
+    const bool movesAfterSilence = forwarding.runs > 0 && isSilence(last.error) && reason != BalanceReason::NoTarget;
+    return forwarding.started || movesAfterSilence;
+}
+
+/** @return Delay before the next attempt to place the request; it grows with the number of refusals. */
+milliseconds placementRetryDelay(const Forwarding &forwarding)
+{
+    const unsigned doublings = std::min(forwarding.refusals / maxTargetRefusals, maxRetryDoublings);
+    return std::clamp(timeLeft(forwarding), milliseconds(1), placementRetryInterval * (1U << doublings));
+}
+
+/** Sends the request to the chosen target, relays the answer, and records the result. */
+asio::awaitable<Attempt> runOn(Forwarding &forwarding, TargetEntry target, BalanceChoice choice)
+{
+    Proxy &proxy = *forwarding.proxy;
+    const TimePoint begun = BootClock::now();
+    forwarding.target = target.id;
+    Attempt attempt;
+    {
+        const InFlightGuard inFlight(loadTrackerOf(forwarding.proxy), target.id, false);
+        proxy.onLoadChange(choice.reason == BalanceReason::FreeSlot ? LoadChange::FreeSlotTaken : LoadChange::SlotNeeded);
+        logSampled(EventKind::Placed,
+                   forwarding.call.id.value,
+                   {{"route", forwarding.route->name},
+                    {"target", target.id.value},
+                    {"reason", balanceReasonName(choice.reason)},
+                    {"online", choice.online},
+                    {"batch", choice.batch},
+                    {"peers_age_ms", oldestStatusAge(proxy.loadTracker, begun).count()},
+                    {"attempt", forwarding.runs + forwarding.refusals + 1},
+                    {"config", forwarding.config->version.value},
+                    {"left_ms", timeLeft(forwarding).count()}});
+        recordTrial(proxy.quarantine, forwarding.call.prompt, begun);
+        attempt = co_await attemptOn(forwarding, target);
+    }
+    recordAttempt(forwarding, target, attempt, begun, choice.reason);
+    co_return attempt;
+}
+
 /** Sends the request to one target after another until the caller has a final answer or has closed its connection. */
 asio::awaitable<void> runAttempts(Forwarding &forwarding)
 {
     Proxy &proxy = *forwarding.proxy;
     Attempt last;
     while (!forwarding.callerGone) {
-        if (const auto left = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now())) {
-            co_await refuseQuarantined(forwarding, last, *left);
+        const bool attempted = forwarding.runs > 0 || forwarding.refusals > 0;
+        if (attempted && !mayRetryElsewhere(forwarding)) {
+            co_await failRequest(forwarding, last);
+            co_return;
+        }
+        const auto quarantined = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now());
+        if (quarantined && forwarding.started) {
+            // A sound run elsewhere may end the quarantine before the deadline.
+            co_await sleepFor(placementRetryDelay(forwarding));
+            continue;
+        }
+        if (quarantined) {
+            co_await refuseQuarantined(forwarding, last, *quarantined);
             co_return;
         }
         const auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
         const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(proxy.random));
         const bool unplaced = choice.target.empty();
-        if (unplaced && forwarding.runs == 0 && forwarding.refusals == 0) {
+        if (unplaced && !attempted) {
             co_await refuseUnplaced(forwarding, candidates, choice.reason);
             recordOutcome(forwarding, 503, "refused");
             co_return;
         }
-        if (unplaced && forwarding.started && mayRetryElsewhere(forwarding)) {
-            // The caller already has part of the answer: wait for a target that can continue the stream.
-            forwarding.tried.clear();
-            co_await sleepFor(placementRetryInterval);
+        if (unplaced && waitsForTarget(forwarding, last, choice.reason)) {
+            if (choice.reason == BalanceReason::NoTarget || !isSilence(last.error)) {
+                forwarding.tried.clear();
+            }
+            co_await sleepFor(placementRetryDelay(forwarding));
             continue;
         }
         if (unplaced) {
             co_await failRequest(forwarding, last);
             co_return;
         }
-        const TargetEntry target = proxy.fleet->targets->at(choice.target);
-        const TimePoint begun = BootClock::now();
-        forwarding.target = target.id;
-        {
-            const InFlightGuard inFlight(loadTrackerOf(forwarding.proxy), target.id, false);
-            proxy.onLoadChange(choice.reason == BalanceReason::FreeSlot ? LoadChange::FreeSlotTaken : LoadChange::SlotNeeded);
-            logSampled(EventKind::Placed,
-                       forwarding.call.id.value,
-                       {{"route", forwarding.route->name},
-                        {"target", target.id.value},
-                        {"reason", balanceReasonName(choice.reason)},
-                        {"online", choice.online},
-                        {"batch", choice.batch},
-                        {"peers_age_ms", oldestStatusAge(proxy.loadTracker, begun).count()},
-                        {"attempt", forwarding.runs + forwarding.refusals + 1},
-                        {"config", forwarding.config->version.value},
-                        {"left_ms", timeLeft(forwarding).count()}});
-            recordTrial(proxy.quarantine, forwarding.call.prompt, begun);
-            last = co_await attemptOn(forwarding, target);
+        if (forwarding.started) {
+            logEvent(EventKind::Resumed, forwarding.call.id.value, {{"after", forwarding.splitter.lastId}});
         }
-        recordAttempt(forwarding, target, last, begun, choice.reason);
+        forwarding.mayMove = mayMoveFrom(forwarding, choice.target, candidates);
+        last = co_await runOn(forwarding, proxy.fleet->targets->at(choice.target), choice);
         if (last.end == AttemptEnd::Answered) {
             co_return;
         }
         if (last.end == AttemptEnd::CallerGone) {
             break;
         }
-        if (!mayRetryElsewhere(forwarding)) {
-            co_await failRequest(forwarding, last);
-            co_return;
-        }
-        if (forwarding.started) {
-            logEvent(EventKind::Resumed, forwarding.call.id.value, {{"after", forwarding.splitter.lastId}});
+        if (forwarding.started && forwarding.refusals >= maxTargetRefusals) {
+            co_await sleepFor(placementRetryDelay(forwarding));
         }
     }
     abortConnection(forwarding.responder);
--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <fstream>
+#include <unistd.h>
 
 namespace skylark::test {
 
@@ -22,7 +23,6 @@
 constexpr milliseconds otherTimeout{8000}; ///< Timeout of the routes whose timeout does not change.
 constexpr milliseconds processPollInterval{20};
 constexpr unsigned targetSlots = 16;
-constexpr unsigned firstHostAddress = 3; ///< The hosts use the addresses of 127.0.0.0/24 after this one; other tests use those before it.
 constexpr milliseconds loopTick{5};
 constexpr milliseconds slowStep{40}; ///< Delay before each event of an answer that is slow.
 
@@ -234,6 +234,13 @@
     }
 }
 
+/** @return Loopback address number @p number of this test process: the port of metrics is fixed, and several such tests may run at once. */
+std::string loopbackAddress(unsigned number)
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(100 + number) + '.' + std::to_string(process / 250 % 250) + '.' + std::to_string(1 + process % 250);
+}
+
 /** @return The first of the configurations that may be in force at @p at. */
 std::size_t firstInForce(const SoakSite &site, TimePoint at)
 {
@@ -261,7 +268,7 @@
         }
     }
     for (unsigned number = 1; number <= hostCount; ++number) {
-        addHost(*this, "front-" + std::to_string(number), "127.0.0." + std::to_string(firstHostAddress + number));
+        addHost(*this, "front-" + std::to_string(number), loopbackAddress(number));
     }
     for (SoakHost &host : this->hosts) {
         startHost(host);
--- /dev/null
+++ b/tests/test_http_connection.cpp
@@ -0,0 +1,178 @@
+/** @file test_http_connection.cpp Tests that each request that has arrived is answered, whatever happens to its connection. */
+#include "http/http_server_func.h"
+#include "support/process_func.h"
+#include "support/raw_caller.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
+#include <thread>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string plainRequest = "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string okLine = "HTTP/1.1 200 OK";
+
+/** A server with short limits. */
+struct HttpConnectionFixture : TestLoop {
+    HttpServerOptions options;
+    std::unique_ptr<HttpServer> server; ///< Null until listen().
+    Endpoint endpoint{"127.0.0.1", 0}; ///< Address of the server; the port is set by listen().
+    int requests{0}; ///< Number of requests that reached the handler.
+
+    HttpConnectionFixture()
+    {
+        this->options.listen = this->endpoint;
+        this->options.maxBody = 1000;
+        this->options.bodyTimeout = 150ms;
+        this->options.keepAlive = 200ms;
+    }
+
+    void listen()
+    {
+        auto created = HttpServer::create(this->loop.get_executor(), this->options, [this](HttpRequest request, HttpResponder &responder) {
+            return this->handle(std::move(request), responder);
+        });
+        REQUIRE(isOk(created));
+        this->server = std::move(valueOf(created));
+        this->endpoint.port = listenPort(*this->server);
+    }
+
+    asio::awaitable<void> handle(HttpRequest request, HttpResponder &responder)
+    {
+        ++this->requests;
+        const std::string path(targetPath(request.target));
+        if (path == "/slow") {
+            asio::steady_timer timer(this->loop, 100ms);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        } else if (path == "/throw") {
+            throw std::runtime_error("handler failed");
+        } else if (path == "/nothing") {
+            co_return;
+        }
+        HttpResponse response;
+        response.body = request.body;
+        co_await sendResponse(responder, std::move(response));
+    }
+
+    [[nodiscard]] std::unique_ptr<RawCaller> connect()
+    {
+        return std::make_unique<RawCaller>(this->loop, this->endpoint);
+    }
+
+    /** @return A connection that is kept after one answered request. */
+    [[nodiscard]] std::unique_ptr<RawCaller> connectKept()
+    {
+        auto caller = this->connect();
+        caller->write(plainRequest);
+        CHECK(this->waitFor(*caller, okLine));
+        caller->received.clear();
+        return caller;
+    }
+
+    /** Runs the loop until @p caller has received @p text. @return Whether it did within a second. */
+    [[nodiscard]] bool waitFor(RawCaller &caller, const std::string &text)
+    {
+        return this->runUntil(
+                   [&caller, &text] {
+                       caller.poll();
+                       return caller.closed || caller.received.find(text) != std::string::npos;
+                   },
+                   1s)
+               && caller.received.find(text) != std::string::npos;
+    }
+
+    /** Runs the loop until the server closes the connection. @return Whether it did within @p limit. */
+    [[nodiscard]] bool waitClosed(RawCaller &caller, std::chrono::milliseconds limit = 1s)
+    {
+        return this->runUntil(
+            [&caller] {
+                caller.poll();
+                return caller.closed;
+            },
+            limit);
+    }
+};
+
+} // namespace
+
+// Guards against the idle limit closing connections on which requests arrived while the process did not run.
+TEST_CASE_METHOD(HttpConnectionFixture, "idleConnections_requestsArriveDuringStall_areAnswered")
+{
+    this->listen();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write(plainRequest);
+    }
+    for (const auto &caller : callers) {
+        REQUIRE(this->waitFor(*caller, okLine));
+        caller->received.clear();
+    }
+    std::this_thread::sleep_for(300ms);
+    for (const auto &caller : callers) {
+        caller->write(plainRequest);
+    }
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, okLine));
+    }
+}
+
+// Guards against closing a kept connection at a stop although a request on it has arrived and was not read yet.
+TEST_CASE_METHOD(HttpConnectionFixture, "closeIdleConnections_requestNotReadYet_isAnsweredThenClosed")
+{
+    this->listen();
+    const auto caller = this->connectKept();
+    const auto idle = this->connectKept();
+    caller->write(plainRequest);
+    announceClose(*this->server);
+    closeIdleConnections(*this->server);
+    CHECK(this->waitFor(*caller, okLine));
+    CHECK(caller->count("Connection: close") == 1);
+    CHECK(this->waitClosed(*caller));
+    CHECK(this->waitClosed(*idle, 50ms));
+    CHECK(idle->received.empty());
+}
+
+// Guards against dropping connections, with their requests, that the kernel had established before the server stopped to accept.
+TEST_CASE_METHOD(HttpConnectionFixture, "stopAccepting_requestInBacklog_isAnswered")
+{
+    this->listen();
+    this->runFor(10ms);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 20; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write(plainRequest);
+    }
+    announceClose(*this->server);
+    stopAccepting(*this->server);
+    closeIdleConnections(*this->server);
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, okLine));
+    }
+}
+
+// Guards against a handler's exception or missing response that ends the connection without an answer and counts as a running request forever.
+TEST_CASE_METHOD(HttpConnectionFixture, "handler_throwsOrSendsNothing_callerGets500")
+{
+    this->listen();
+    for (const std::string path : {"/throw", "/nothing"}) {
+        const auto caller = this->connect();
+        caller->write("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        try {
+            CHECK(this->waitFor(*caller, "HTTP/1.1 500"));
+        } catch (const std::exception &error) {
+            FAIL_CHECK("the exception left the handler: " << error.what());
+        }
+        CHECK(this->waitClosed(*caller));
+        CHECK(caller->count("Connection: close") == 1);
+        this->runFor(10ms);
+        CHECK(activeRequests(*this->server) == 0);
+    }
+}
--- /dev/null
+++ b/tests/test_silence.cpp
@@ -0,0 +1,272 @@
+/** @file test_silence.cpp Forwarding of requests to replicas that are silent for a while, and waiting of streams that have begun. */
+#include "core/async_sleep_func.h"
+#include "policy/silence_func.h"
+#include "proxy/event_splitter_base.h"
+#include "support/entry_fixture.h"
+#include "support/property_seed.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <rapidcheck.h>
+
+using namespace skylark;
+using namespace skylark::test;
+using namespace skylark::standin;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Two replicas and one host that forwards requests to them. */
+struct SilenceFixture : EntryFixture {
+    Replica &first{this->addReplica("i-1")};
+    Replica &second{this->addReplica("i-2")};
+    EntryTestHost host{*this, "front-1", false}; ///< Host without a job runner.
+
+    SilenceFixture()
+    {
+        for (RouteRule &rule : this->config->routes) {
+            rule.timeout = 8s;
+        }
+        this->host.publish({});
+    }
+
+    /** Makes the requests on both replicas follow @p plans in the order of their arrival, and all later ones the last plan. */
+    void setPlans(const std::vector<ReplicaPlan> &plans)
+    {
+        const auto seen = std::make_shared<std::size_t>(0);
+        for (const auto &replica : this->replicas) {
+            replica->plan = [seen, plans](const HttpRequest & /*request*/, unsigned /*number*/) {
+                return plans[std::min((*seen)++, plans.size() - 1)];
+            };
+        }
+    }
+
+    /** Sends a request and requires an answer. @return Its body; of a stream the data of all events, joined by line feeds. */
+    std::string textOf(const std::string &id, const std::string &path, milliseconds callerTimeout = 8s)
+    {
+        const HttpTimeouts patient{500ms, 2s, 10s, 10s};
+        const HttpRequest request = EntryTestHost::request(id, path, callerTimeout);
+        const auto answer = this->run(httpCall(this->http, this->host.endpoint, request, patient, ConnectionUse::Fresh));
+        INFO("error " << (isOk(answer) ? "none" : errorOf(answer).detail));
+        REQUIRE(isOk(answer));
+        REQUIRE(valueOf(answer).status == 200);
+        if (headerValue(valueOf(answer).headers, "Content-Type") != "text/event-stream") {
+            return valueOf(answer).body;
+        }
+        EventSplitter splitter;
+        auto events = splitEvents(splitter, valueOf(answer).body);
+        REQUIRE(isOk(events));
+        std::string text;
+        for (const StreamEvent &event : valueOf(events)) {
+            text += (text.empty() ? "" : "\n") + event.data;
+        }
+        return text;
+    }
+};
+
+} // namespace
+
+// Guards against a request that gets no answer because its last allowed run is cut while its target is silent.
+TEST_CASE_METHOD(SilenceFixture, "forward_lastRunIsSilent_isWaitedForUntilTheDeadline")
+{
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+        CHECK(this->runsOf("s1") == 2);
+    }
+    SECTION("before the first answer of a stream")
+    {
+        this->setPlans({{.firstDelay = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+        CHECK(this->runsOf("s1") == 2);
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 2500ms}});
+        CHECK(this->textOf("q1", "/lookup/x") == wholeText("q1", 10));
+        CHECK(this->runsOf("q1") == 2);
+    }
+}
+
+// Guards against a sound target that is cut, blamed or replaced because it is silent for a second or so.
+TEST_CASE_METHOD(SilenceFixture, "forward_soundTargetIsSilentForAWhile_isWaitedFor")
+{
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 1400ms}, {}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before the first answer of a stream")
+    {
+        this->setPlans({{.firstDelay = 1400ms}, {}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 1400ms}, {.stream = false}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->runsOf("s1") == 1);
+    for (const auto &[id, health] : this->host.proxy->health) {
+        CHECK(health.suspectUntil == TimePoint{});
+    }
+}
+
+// Guards against a repeatable request that spends all of its short time on a silent target, and against blame for a silence that is normal.
+TEST_CASE_METHOD(SilenceFixture, "forward_silentTargetAndLittleTime_anotherOneAnswersAndNoneIsBlamed")
+{
+    this->setPlans({{.stream = false, .firstDelay = 3s}, {.stream = false}});
+    CHECK(this->textOf("q1", "/lookup/x", 900ms) == wholeText("q1", 10));
+    CHECK(this->runsOf("q1") == 2);
+    this->setPlans({{.stream = false, .firstDelay = 3s}});
+    const auto answer = this->call(this->host.endpoint, EntryTestHost::request("o1", "/order/x", 300ms));
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).status == 504);
+    CHECK(this->runsOf("o1") == 1);
+    for (const auto &[id, health] : this->host.proxy->health) {
+        CHECK(health.failures == 0);
+    }
+}
+
+// Guards against a limit that cuts sound targets, one that callers of streams do not wait for, and one that leaves no time for another target.
+TEST_CASE("silenceLimit_anyRequest_isBetweenSoundSilenceAndTheGapThatCallersAccept", "[silence]")
+{
+    seedRapidCheck();
+    constexpr milliseconds shortestAcceptedGap{2000};
+    CHECK(rc::check("limit of the silence", [=] {
+        SilenceInput input{.mayMove = *rc::gen::arbitrary<bool>(), .stream = *rc::gen::arbitrary<bool>()};
+        input.timeLeft = milliseconds(*rc::gen::inRange(0, 10000));
+        const milliseconds limit = silenceLimit(input);
+        if (!input.mayMove) {
+            RC_ASSERT(limit == input.timeLeft);
+            return;
+        }
+        RC_ASSERT(limit <= input.timeLeft);
+        RC_ASSERT(limit <= shortestAcceptedGap - 300ms);
+        RC_ASSERT(input.stream || limit <= input.timeLeft * 2 / 3);
+        const milliseconds leastTime = input.stream ? maxSoundSilence : maxSoundSilence * 3 / 2;
+        RC_ASSERT(input.timeLeft <= leastTime || limit > maxSoundSilence - 1ms);
+    }));
+}
+
+TEST_CASE("isSoundSilence_anyError_onlyForShortSilences", "[silence]")
+{
+    for (const ErrorCode code : {ErrorCode::FirstByteTimeout, ErrorCode::IdleTimeout}) {
+        CHECK(isSoundSilence(makeError(code, "", RunState::Maybe), maxSoundSilence));
+        CHECK_FALSE(isSoundSilence(makeError(code, "", RunState::Maybe), maxSoundSilence + 1ms));
+    }
+    CHECK_FALSE(isSoundSilence(makeError(ErrorCode::StreamBroken, "", RunState::Maybe), 0ms));
+    CHECK_FALSE(isSoundSilence(makeError(ErrorCode::ConnectTimeout, "", RunState::No), 0ms));
+}
+
+// Guards against a request that is taken from a silent target although no other one could run it.
+TEST_CASE_METHOD(SilenceFixture, "forward_onlyTargetIsSilent_isWaitedForUntilTheDeadline")
+{
+    this->targets->erase(TargetId{"i-2"});
+    this->host.publish({});
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 2500ms}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 2500ms}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->runsOf("s1") == 1);
+}
+
+// Guards against a request that fails, or runs again on the silent target, because the other one is full when it moves.
+TEST_CASE_METHOD(SilenceFixture, "forward_otherTargetIsFullAfterASilence_requestWaitsForAPlaceThere")
+{
+    TargetCounts &load = this->host.proxy->loadTracker.own[TargetId{"i-2"}];
+    load.online = 8;
+    auto freePlaces = [&load]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(2s);
+        load.online = 0;
+    };
+    boost::asio::co_spawn(this->loop, freePlaces(), boost::asio::detached);
+    SECTION("within a stream")
+    {
+        this->setPlans({{.silentAfter = 3, .silence = 5s}, {}});
+        CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    }
+    SECTION("before a whole answer")
+    {
+        this->setPlans({{.stream = false, .firstDelay = 5s}, {.stream = false}});
+        CHECK(this->textOf("s1", "/lookup/x") == wholeText("s1", 10));
+    }
+    CHECK(this->first.runs.size() == 1);
+    CHECK(this->second.runs.size() == 1);
+}
+
+// Guards against a stream that is given up with time left, because the targets refuse to continue it for a while.
+TEST_CASE_METHOD(SilenceFixture, "forward_begunStreamIsRefusedForAWhile_continuesBeforeItsDeadline")
+{
+    constexpr unsigned mostRefusals = 24;
+    const TimePoint begun = BootClock::now();
+    const auto refusals = std::make_shared<unsigned>(0);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [begun, refusals, this](const HttpRequest & /*request*/, unsigned /*number*/) {
+            if (this->runsOf("s1") == 0) {
+                return ReplicaPlan{.breakAfter = 3};
+            }
+            const bool refuses = BootClock::now() - begun < 1500ms;
+            *refusals += refuses ? 1 : 0;
+            return refuses ? ReplicaPlan{.status = 503} : ReplicaPlan{};
+        };
+    }
+    CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    CHECK(this->runsOf("s1") == 2);
+    CHECK(*refusals > 6);
+    CHECK(*refusals <= mostRefusals);
+}
+
+/** A stream with a quarantined prompt part, whose target breaks it off. */
+struct QuarantinedStreamFixture : SilenceFixture {
+    PromptParts prompt{{PromptPartId{0xbad}}, {PromptPartId{0xf1}}};
+
+    QuarantinedStreamFixture()
+    {
+        for (Replica *replica : {&this->first, &this->second}) {
+            replica->plan = [this](const HttpRequest & /*request*/, unsigned /*number*/) {
+                const bool begun = this->runsOf("s1") > 0;
+                applyStoredQuarantine(*this->host.proxy, this->prompt.shared.front(), 60s, 1);
+                return begun ? ReplicaPlan{} : ReplicaPlan{.breakAfter = 3};
+            };
+        }
+    }
+
+    Result<HttpResponse> callStream(milliseconds callerTimeout)
+    {
+        HttpRequest request = EntryTestHost::request("s1", "/chat/x", callerTimeout);
+        request.headers.push_back({"X-Skylarkstage-Prompt-Prefix", "bad:100,f1:20"});
+        return this->call(this->host.endpoint, std::move(request));
+    }
+};
+
+// Guards against a begun stream that is given up because its prompt is quarantined for a while.
+TEST_CASE_METHOD(QuarantinedStreamFixture, "forward_quarantineOfABegunStreamIsLifted_streamContinues")
+{
+    auto lift = [this]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(800ms);
+        recordSoundRun(*this->host.proxy, this->prompt);
+    };
+    boost::asio::co_spawn(this->loop, lift(), boost::asio::detached);
+    const auto answer = this->callStream(5s);
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).body.find(eventData("s1", 10)) != std::string::npos);
+    CHECK(this->runsOf("s1") == 2);
+}
+
+// Guards against a second run of a prompt that crashes targets.
+TEST_CASE_METHOD(QuarantinedStreamFixture, "forward_quarantineOfABegunStreamLasts_streamEndsAtItsDeadline")
+{
+    const TimePoint begun = BootClock::now();
+    CHECK_FALSE(isOk(this->callStream(1200ms)));
+    CHECK(BootClock::now() - begun >= 1100ms);
+    CHECK(this->runsOf("s1") == 1);
+}
