Change: New requests prefer other targets while a target is silent

What callers saw: a target that hangs kept getting its share of the new requests; those with a short deadline each ended with 504, because a silence that a sound target may need does not mark the target as failing. Cause: placement knew only of failures that had been recorded, not of requests that wait in vain. Evidence: the new test against the code before fails with "CHECK( silent.runs.size() == 1 ) ... 5 == 1": four of eight requests went to the silent target. Change: a target that has not responded to any request of this host for 0.5 s comes after every free slot elsewhere, before a queue and before a target with recent failures. It ends with the first answer or event, and is forgotten after 3.2 s, so that one request in a while tries again. Result: test_silence passes (269 assertions in 14 cases), test_forward (421 in 29), test_spread (77468 in 14), test_jobs (1212 in 32), test_crash_quarantine (228 in 4).

--- a/src/policy/load_balance.cpp
+++ b/src/policy/load_balance.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds maxFreshAge{150}; ///< Counts up to this age are as good as own ones: one status interval and the transmission.
 constexpr double ageCost = 1.0 / 700.0; ///< Added for each millisecond of age beyond maxFreshAge: an online request holds its slot for 700 ms.
 constexpr double suspectCost = 4.0; ///< Added after a recent failure: a suspect target is used only when all others are full.
+constexpr double silentCost = 2.5; ///< Added while the target is silent: it is used before a request must wait elsewhere.
 constexpr double tieBreakRange = 0.02; ///< Range of the random part of a score, which breaks ties.
 constexpr std::chrono::milliseconds minRefusalDelay{200}; ///< Shortest retry delay: one step of the targets and the way back to the caller.
 constexpr unsigned percent = 100;
@@ -40,6 +41,7 @@
     value += reason == BalanceReason::BatchYields ? preemptionCost : 0.0;
     value += reason == BalanceReason::Queued ? queueCost : 0.0;
     value += candidate.sameDomain ? 0.0 : otherDomainCost + ageCost * static_cast<double>(std::max(candidate.countsAge - maxFreshAge, {}).count());
+    value += candidate.silent ? silentCost : 0.0;
     value += candidate.suspect ? suspectCost : 0.0;
     return value + tieBreakRange * static_cast<double>(nextRandom(random) >> 11U) / static_cast<double>(1ULL << 53U);
 }
--- a/src/policy/load_balance_type.h
+++ b/src/policy/load_balance_type.h
@@ -18,6 +18,7 @@
     bool sameDomain{true}; ///< Whether it is in this host's failure domain.
     std::chrono::milliseconds countsAge{0}; ///< Age of the oldest counts announced by a host of its failure domain.
     bool suspect{false}; ///< Whether it failed recently.
+    bool silent{false}; ///< Whether it has not responded for a while to requests that wait for it.
     bool tried{false}; ///< Whether this request failed on it.
     bool rateLimited{false}; ///< Whether this host must not send it a request now, because of the target's rate limit.
     double slowness{1.0}; ///< Time to the first answer divided by the median of the service; 1 when unknown.
--- a/src/policy/silence.cpp
+++ b/src/policy/silence.cpp
@@ -11,6 +11,9 @@
 
 constexpr milliseconds schedulingMargin{100}; ///< Delay of an answer in either process and on the way.
 
+constexpr milliseconds avoidedSilence{500}; ///< Silence after which new requests prefer other targets.
+constexpr milliseconds silenceMemory{3200}; ///< Age at which a silence is forgotten; the longest time for which a target is avoided after failures.
+
 } // namespace
 
 milliseconds silenceLimit(const SilenceInput &input)
@@ -32,4 +35,21 @@
     return isSilence(error) && silence <= maxSoundSilence;
 }
 
+void beginWait(TargetSilence &silence, TimePoint now)
+{
+    if (silence.since == TimePoint{} || now - silence.since >= silenceMemory) {
+        silence.since = now;
+    }
+}
+
+void endWait(TargetSilence &silence)
+{
+    silence.since = {};
+}
+
+bool isSilent(const TargetSilence &silence, TimePoint now)
+{
+    return silence.since != TimePoint{} && now - silence.since >= avoidedSilence && now - silence.since < silenceMemory;
+}
+
 } // namespace skylark
--- a/src/policy/silence_func.h
+++ b/src/policy/silence_func.h
@@ -18,4 +18,13 @@
 /** @return Whether @p error is a silence that is normal for a target. @param silence How long the target had been silent. */
 [[nodiscard]] bool isSoundSilence(const Error &error, std::chrono::milliseconds silence);
 
+/** Records that a request is sent. */
+void beginWait(TargetSilence &silence, TimePoint now);
+
+/** Records that the target has responded to a request: with the head of an answer or an event. */
+void endWait(TargetSilence &silence);
+
+/** @return Whether the target has been silent for so long that new requests should prefer others; for a few seconds, after which it is tried again. */
+[[nodiscard]] bool isSilent(const TargetSilence &silence, TimePoint now);
+
 } // namespace skylark
--- a/src/policy/silence_type.h
+++ b/src/policy/silence_type.h
@@ -1,12 +1,19 @@
 /** @file silence_type.h Input of the decision how long a silent target is waited for. */
 #pragma once
 
+#include "core/clock_func.h"
+
 #include <chrono>
 
 namespace skylark {
 
 constexpr std::chrono::milliseconds maxSoundSilence{1500}; ///< Longest silence that is normal for a target; a longer one counts as a failure.
 
+/** Silence of a target during all requests of this host. */
+struct TargetSilence {
+    TimePoint since{}; ///< When the first request was sent after which the target did not respond; TimePoint{} when it has responded since the last one.
+};
+
 /** A request that waits for its target. */
 struct SilenceInput {
     bool mayMove{false}; ///< Whether another target may run the request after this one.
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -4,7 +4,6 @@
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
 #include "fleet/route_match_func.h"
-#include "policy/silence_func.h"
 #include "proxy/forwarding_base.h"
 
 #include <algorithm>
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -1,5 +1,4 @@
 /** @file forward_attempt.cpp One attempt of a request on a target: sends it, and relays the answer as it arrives. */
-#include "policy/silence_func.h"
 #include "proxy/forwarding_base.h"
 
 #include <algorithm>
@@ -131,6 +130,7 @@
         if (valueOf(events).empty()) {
             continue;
         }
+        endWait(forwarding.proxy->health[forwarding.target].silence);
         const auto sent = co_await sendStreamEvents(forwarding, exchange, std::move(valueOf(events)));
         forwarding.progressAt = BootClock::now(); // Waiting for a slow caller is no silence of the target.
         if (!isOk(sent)) {
@@ -145,6 +145,15 @@
     co_return Attempt{AttemptEnd::Answered, {}, {}};
 }
 
+/** Ends the silence of a target that has responded, or that did not get the time to. */
+void recordResponse(TargetHealth &health, const Result<HttpExchange> &opened)
+{
+    const bool isStillSilent = !isOk(opened) && (isSilence(errorOf(opened)) || isSilent(health.silence, BootClock::now()));
+    if (!isStillSilent) {
+        endWait(health.silence);
+    }
+}
+
 } // namespace
 
 asio::awaitable<Attempt> attemptOn(Forwarding &forwarding, TargetEntry target)
@@ -161,7 +170,9 @@
     forwarding.abort = std::make_shared<HttpAbortHandle>();
     forwarding.progress = {};
     recordSend(proxy.rateLimits, target.id, sentAt);
+    beginWait(proxy.health[target.id].silence, sentAt);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, use, forwarding.abort);
+    recordResponse(proxy.health[target.id], opened);
     if (!isOk(opened)) {
         co_return failedAttempt(forwarding, errorOf(opened));
     }
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -9,6 +9,7 @@
 #include "policy/crash_quarantine_func.h"
 #include "policy/load_balance_func.h"
 #include "policy/rate_limit_func.h"
+#include "policy/silence_func.h"
 #include "proxy/call_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -28,6 +29,7 @@
 struct TargetHealth {
     unsigned failures{0}; ///< Consecutive failures.
     TimePoint suspectUntil{}; ///< The target is avoided until this time.
+    TargetSilence silence; ///< Whether it responds to online requests.
     double firstAnswerMs{0}; ///< Moving average of the time to the first answer, over requests that found a free slot; 0 when unknown.
 };
 
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -90,6 +90,7 @@
         candidate.rateLimited = !maySend(proxy.rateLimits, id, StreamKind::Online, now);
         candidate.tried = std::find(tried.begin(), tried.end(), id) != tried.end();
         if (const auto found = proxy.health.find(id); found != proxy.health.end()) {
+            candidate.silent = isSilent(found->second.silence, now);
             candidate.suspect = now < found->second.suspectUntil;
             candidate.slowness = slownessOf(found->second, median);
         }
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -157,6 +157,22 @@
     }));
 }
 
+TEST_CASE("isSilent_requestsWaitForTheTarget_fromHalfASecondUntilItRespondsOrIsForgotten", "[silence]")
+{
+    const TimePoint begin = TimePoint{} + 1h;
+    TargetSilence silence;
+    CHECK_FALSE(isSilent(silence, begin));
+    beginWait(silence, begin);
+    CHECK_FALSE(isSilent(silence, begin + 499ms));
+    beginWait(silence, begin + 499ms);
+    CHECK(isSilent(silence, begin + 500ms));
+    CHECK_FALSE(isSilent(silence, begin + 3200ms));
+    beginWait(silence, begin + 3200ms);
+    CHECK(isSilent(silence, begin + 3700ms));
+    endWait(silence);
+    CHECK_FALSE(isSilent(silence, begin + 3700ms));
+}
+
 TEST_CASE("isSoundSilence_anyError_onlyForShortSilences", "[silence]")
 {
     for (const ErrorCode code : {ErrorCode::FirstByteTimeout, ErrorCode::IdleTimeout}) {
@@ -385,3 +401,27 @@
     CHECK(this->second.runs.empty());
     CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
 }
+
+// Guards against new requests that keep going to a target while it is silent, and against avoiding it once it answers again.
+TEST_CASE_METHOD(SilenceFixture, "forward_targetIsSilent_newRequestsPreferOthersUntilItAnswers")
+{
+    this->setPlans({{.stream = false, .firstDelay = 800ms}, {.stream = false}});
+    const auto late = this->call(this->host.endpoint, EntryTestHost::request("o1", "/order/x", 600ms));
+    REQUIRE(isOk(late));
+    REQUIRE(valueOf(late).status == 504);
+    Replica &silent = this->first.runs.empty() ? this->second : this->first;
+    constexpr unsigned requestCount = 8;
+    for (unsigned i = 0; i < requestCount; ++i) {
+        CHECK(this->textOf("r" + std::to_string(i), "/order/x") == wholeText("r" + std::to_string(i), 10));
+    }
+    CHECK(silent.runs.size() == 1);
+    this->host.proxy->loadTracker.own[TargetId{silent.id == "i-1" ? "i-2" : "i-1"}].online = 6; // The other target is full.
+    for (unsigned i = 0; i < requestCount; ++i) {
+        CHECK(this->textOf("s" + std::to_string(i), "/order/x") == wholeText("s" + std::to_string(i), 10));
+    }
+    CHECK(silent.runs.size() == 1 + requestCount);
+    for (const BalanceCandidate &candidate : candidatesOf(*this->host.proxy, ServiceId{"llm"}, {}, DomainId{"north"})) {
+        CHECK_FALSE(candidate.silent);
+        CHECK_FALSE(candidate.suspect);
+    }
+}
--- a/tests/test_spread.cpp
+++ b/tests/test_spread.cpp
@@ -136,6 +136,17 @@
     CHECK(this->choose().target.value == "a");
 }
 
+TEST_CASE_METHOD(BalanceFixture, "balanceRequest_silentTarget_isUsedBeforeARequestWaitsElsewhere")
+{
+    this->candidates[0].silent = true;
+    this->candidates[1].online = 7;
+    CHECK(this->choose().target.value == "b");
+    this->candidates[1].online = 8;
+    CHECK(this->choose().target.value == "a");
+    this->candidates[1] = {.id = TargetId{"b"}, .slots = 8, .suspect = true};
+    CHECK(this->choose().target.value == "a");
+}
+
 TEST_CASE_METHOD(BalanceFixture, "balanceRequest_equalLoad_prefersOwnFailureDomain")
 {
     this->candidates[0].sameDomain = false;
