Fix: A host that reaches its stop limit exits without a word to callers that wait

At the stop limit, callers whose request still ran or waited, such as long polls of job results, got a closed connection and nothing else. Just before it exits, the host now answers each request without a response: 504 where the handler runs, which promises nothing, and 503 where the request was still being read, since it will not run. A response that has begun is left alone.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -323,7 +323,9 @@
         co_await sleepFor(stopPollInterval);
     }
     const auto waited = std::chrono::duration_cast<milliseconds>(BootClock::now() - stopStartedAt);
-    logEvent(EventKind::Stopped, {}, {{"active", activeRequests(*host.callerServer)}, {"waited_ms", waited.count()}});
+    const std::size_t unfinished = activeRequests(*host.callerServer);
+    answerUnfinished(*host.callerServer);
+    logEvent(EventKind::Stopped, {}, {{"active", unfinished}, {"waited_ms", waited.count()}});
     exitProcess(EXIT_SUCCESS);
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -214,6 +214,23 @@
     }
 }
 
+void answerUnfinished(HttpServer &server)
+{
+    static constexpr std::string_view notRun = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    static constexpr std::string_view mayHaveRun = "HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    for (HttpServerConnection *connection : server.impl->connections) {
+        const bool reading = connection->state == ConnectionState::Reading;
+        if (!reading && connection->state != ConnectionState::Handling) {
+            continue;
+        }
+        beast::error_code ignored;
+        const std::string_view answer = reading ? notRun : mayHaveRun;
+        connection->state = ConnectionState::Responding;
+        ::send(connection->stream.socket().native_handle(), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+}
+
 std::size_t openConnections(const HttpServer &server)
 {
     return server.impl->connections.size();
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -78,6 +78,12 @@
 /** Closes connections on which no request has arrived, from now on as soon as they have no request. */
 void closeIdleConnections(HttpServer &server);
 
+/**
+ * Answers the requests without a response just before the process exits: 503 to those that are still being read, since they will not run, and 504 to those that
+ * are being handled. Their handlers can send nothing afterwards.
+ */
+void answerUnfinished(HttpServer &server);
+
 /** @return Number of open connections, with and without a request. */
 [[nodiscard]] std::size_t openConnections(const HttpServer &server);
 
--- a/tests/test_entry_host.cpp
+++ b/tests/test_entry_host.cpp
@@ -291,6 +291,31 @@
     CHECK(waitExit(*this->hosts[0].process, 9s) == 0);
 }
 
+// Guards against a host that exits at its stop limit without a word to the callers that still wait.
+TEST_CASE_METHOD(HostProcessFixture, "host_stopLimitBeforeTheResponse_callerGets504")
+{
+    std::ifstream current(this->hosts[0].settings);
+    std::string settings((std::istreambuf_iterator<char>(current)), {});
+    settings.replace(settings.find("grace_s = 8"), std::string("grace_s = 8").size(), "grace_s = 1");
+    std::ofstream(this->hosts[0].settings) << settings;
+    sendSignal(*this->hosts[0].process, SIGHUP);
+    REQUIRE(this->runUntil(
+        [this] {
+            return this->logged("", "reload");
+        },
+        5s));
+    REQUIRE(isOk(this->call(this->hosts[0].callers, request("j1", "/batch/j1", jobBody(1)))));
+    RawCaller caller(this->loop, this->hosts[0].callers);
+    caller.write("GET /-/lots/j1?after=0 HTTP/1.1\r\nHost: h.example\r\n" + std::string(platform::headerWait) + ": 1000\r\n\r\n");
+    this->runFor(100ms);
+    sendSignal(*this->hosts[0].process, SIGTERM);
+    CHECK(waitExit(*this->hosts[0].process, 3s) == 0);
+    caller.poll();
+    CHECK(caller.closed);
+    INFO(caller.received);
+    CHECK(caller.count("HTTP/1.1 504 Gateway Timeout") == 1);
+}
+
 TEST_CASE_METHOD(HostProcessFixture, "host_killed_itsJobIsFinishedByTheOther")
 {
     auto job = this->call(this->hosts[0].callers, request("j1", "/batch/j1", jobBody(4)));
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -53,6 +53,11 @@
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         } else if (path == "/throw") {
             throw std::runtime_error("handler failed");
+        } else if (path == "/stream") {
+            co_await startStream(responder, 200, {});
+            asio::steady_timer timer(this->loop, 1s);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            co_return;
         } else if (path == "/nothing") {
             co_return;
         }
@@ -176,3 +181,27 @@
         CHECK(activeRequests(*this->server) == 0);
     }
 }
+
+// Guards against a host that exits at its stop limit without a word to the callers that still wait.
+TEST_CASE_METHOD(HttpConnectionFixture, "answerUnfinished_requestsRunningOrBeingRead_areAnsweredByTheirState")
+{
+    this->listen();
+    const auto running = this->connect();
+    const auto reading = this->connect();
+    const auto streaming = this->connect();
+    const auto idle = this->connectKept();
+    running->write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    reading->write("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    streaming->write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(this->waitFor(*streaming, okLine));
+    answerUnfinished(*this->server);
+    CHECK(this->waitClosed(*running));
+    CHECK(running->count("HTTP/1.1 504") == 1);
+    CHECK(running->count("HTTP/1.1") == 1);
+    CHECK(this->waitClosed(*reading));
+    CHECK(reading->count("HTTP/1.1 503") == 1);
+    idle->poll();
+    CHECK(idle->received.empty());
+    streaming->poll();
+    CHECK(streaming->count("HTTP/1.1") == 1);
+}
