Fix: Connections over the limit are dropped without an answer

Callers beyond the limit of connections got a reset, and could not know that their request had not run; nothing told them when to come back. Before: connections_overTheLimit_areRefusedWith503, 'CHECK( this->waitFor(*caller, "HTTP/1.1 503") ) with expansion: false', 300 of 406 assertions. A request on such a connection is refused with 503, Retry-After 0.5 s and Connection: close once its first bytes are there, without being read whole; the rest is drained so that the response is not lost. At most 64 are refused at once; further connections wait in the listen backlog. After: test_http_connection passes (2591 assertions in 8 cases).

--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -15,6 +15,7 @@
     HttpServerOptions options;
     HttpHandler handler;
     std::set<HttpServerConnection *> connections; ///< Open connections.
+    std::size_t refusing{0}; ///< Number of connections over the limit that are being refused.
     bool closing{false}; ///< Whether responses have "Connection: close".
     bool closeIdle{false}; ///< Whether connections without a request are closed.
 };
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -60,6 +60,9 @@
     if (options.renderError) {
         response = options.renderError(error);
     }
+    if (error.code == ErrorCode::NotReady && headerValue(response.headers, "Retry-After").empty()) {
+        response.headers.push_back({"Retry-After", "0.5"});
+    }
     co_await sendResponse(responder, std::move(response));
     co_await drainInput(connection);
 }
@@ -204,6 +207,18 @@
 
 } // namespace
 
+asio::awaitable<void> refuseConnection(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
+{
+    constexpr std::chrono::milliseconds requestTime{1000}; // A response before the request would not be taken for its response.
+    {
+        const auto deadline = ReadDeadline::create(connection, requestTime);
+        co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+    }
+    if (peekInput(*connection) == SocketInput::Bytes) {
+        co_await rejectRequest(connection, server->options, makeError(ErrorCode::NotReady, "too many connections"));
+    }
+}
+
 asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
 {
     const HttpServerOptions &options = server->options;
--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -8,4 +8,7 @@
 /** Reads one request. @return Nothing if the connection was closed or the request was rejected. */
 boost::asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server);
 
+/** Refuses the first request of a connection with 503 without reading it whole. */
+boost::asio::awaitable<void> refuseConnection(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server);
+
 } // namespace skylark
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,4 +1,5 @@
 /** @file http_server.cpp HTTP server over Boost.Beast: accepts connections and runs the handler for each request. */
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/table/error_table.h"
 #include "http/http_connection_base.h"
@@ -20,6 +21,8 @@
 namespace {
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t maxRefusing = 64; ///< Connections over the limit that are refused at the same time.
+constexpr std::chrono::milliseconds acceptRetryDelay{20}; ///< Delay of the next connection while too many are being refused.
 
 /** Waits until the socket is readable, and calls HttpServerConnection::callerGone if the caller has closed or reset the connection. */
 void watchForDisconnect(const std::shared_ptr<HttpServerConnection> &connection)
@@ -81,13 +84,26 @@
     }
 };
 
-asio::awaitable<void> serveConnection(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
+std::shared_ptr<HttpServerConnection> makeConnection(const std::shared_ptr<HttpServer::Impl> &impl, tcp::socket socket)
 {
     auto connection =
         std::make_shared<HttpServerConnection>(HttpServerConnection{beast::tcp_stream(std::move(socket)), {}, impl, impl->options.writeTimeout, {}});
-    const ConnectionRegistration registration(impl, connection.get());
     beast::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    return connection;
+}
+
+void closeConnection(HttpServerConnection &connection)
+{
+    beast::error_code ignored;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    connection.stream.close();
+}
+
+asio::awaitable<void> serveConnection(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
+{
+    const auto connection = makeConnection(impl, std::move(socket));
+    const ConnectionRegistration registration(impl, connection.get());
     while (connection->keepAlive) {
         connection->state = ConnectionState::Idle;
         std::optional<HttpRequest> request = co_await readRequest(connection, impl);
@@ -96,18 +112,28 @@
         }
         co_await handleRequest(impl, connection, std::move(*request));
     }
-    connection->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    connection->stream.close();
+    closeConnection(*connection);
+}
+
+/** Refuses a connection over the limit. */
+asio::awaitable<void> turnAway(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
+{
+    const auto connection = makeConnection(impl, std::move(socket));
+    ++impl->refusing;
+    co_await refuseConnection(connection, impl);
+    --impl->refusing;
+    closeConnection(*connection);
 }
 
-/** Starts to serve a new connection, unless there are too many. */
+/** Starts to serve a new connection, or to refuse it if there are too many. */
 void startConnection(const std::shared_ptr<HttpServer::Impl> &impl, tcp::socket socket)
 {
-    if (impl->connections.size() < impl->options.maxConnections) {
-        asio::co_spawn(impl->acceptor.get_executor(), serveConnection(impl, std::move(socket)), asio::detached);
-    }
+    const bool accepted = impl->connections.size() < impl->options.maxConnections;
+    auto task = accepted ? serveConnection(impl, std::move(socket)) : turnAway(impl, std::move(socket));
+    asio::co_spawn(impl->acceptor.get_executor(), std::move(task), asio::detached);
 }
 
+/** Accepts connections while the server listens. What cannot be accepted or refused yet waits in the listen backlog. */
 asio::awaitable<void> acceptLoop(std::shared_ptr<HttpServer::Impl> impl)
 {
     while (impl->acceptor.is_open()) {
@@ -118,6 +144,9 @@
         if (!error) {
             startConnection(impl, std::move(socket));
         }
+        while (impl->refusing >= maxRefusing) {
+            co_await sleepFor(acceptRetryDelay);
+        }
     }
 }
 
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -237,3 +237,24 @@
         CHECK(this->waitFor(*caller, "abcd"));
     }
 }
+
+// Guards against connections over the limit being dropped without an answer.
+TEST_CASE_METHOD(HttpConnectionFixture, "connections_overTheLimit_areRefusedWith503")
+{
+    this->options.maxConnections = 2;
+    this->options.keepAlive = 10s;
+    this->listen();
+    const auto first = this->connectKept();
+    const auto second = this->connectKept();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 100; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write(plainRequest);
+    }
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, "HTTP/1.1 503"));
+        CHECK(caller->count("Retry-After: ") == 1);
+        CHECK(caller->count("Connection: close") == 1);
+    }
+    CHECK(this->requests == 2);
+}
