Fix: A lack of file descriptors makes the accept loop spin

While the process had no file descriptor left, each failed accept was repeated at once: requests that ran got little processor time, and their answers came late. Before: accept_noDescriptorLeft_pausesAndGoesOnLater, 'CHECK( handlers < 50 ) with expansion: 63389 < 50' within 100 ms. The loop pauses for 20 ms after a failure; the connection stays in the backlog and is answered afterwards. After: test_http_connection passes (2599 assertions in 9 cases), test_http too.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -22,7 +22,7 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t maxRefusing = 64; ///< Connections over the limit that are refused at the same time.
-constexpr std::chrono::milliseconds acceptRetryDelay{20}; ///< Delay of the next connection while too many are being refused.
+constexpr std::chrono::milliseconds acceptRetryDelay{20}; ///< Delay after a failure to accept, such as a lack of file descriptors.
 
 /** Waits until the socket is readable, and calls HttpServerConnection::callerGone if the caller has closed or reset the connection. */
 void watchForDisconnect(const std::shared_ptr<HttpServerConnection> &connection)
@@ -144,8 +144,9 @@
         if (!error) {
             startConnection(impl, std::move(socket));
         }
-        while (impl->refusing >= maxRefusing) {
+        while (error || impl->refusing >= maxRefusing) {
             co_await sleepFor(acceptRetryDelay);
+            error.clear();
         }
     }
 }
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace skylark;
 using namespace skylark::test;
@@ -258,3 +260,23 @@
     }
     CHECK(this->requests == 2);
 }
+
+// Guards against an accept loop that keeps the processor busy while the process has no file descriptor left.
+TEST_CASE_METHOD(HttpConnectionFixture, "accept_noDescriptorLeft_pausesAndGoesOnLater")
+{
+    this->listen();
+    this->runFor(10ms);
+    const auto caller = this->connect();
+    caller->write(plainRequest);
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const int lowestFree = ::dup(0);
+    REQUIRE(::close(lowestFree) == 0);
+    const rlimit none{static_cast<rlim_t>(lowestFree), limit.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    this->loop.restart();
+    const std::size_t handlers = this->loop.run_for(100ms);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    CHECK(handlers < 50);
+    CHECK(this->waitFor(*caller, okLine));
+}
