--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -20,7 +20,7 @@
     std::chrono::milliseconds bodyTimeout{30000}; ///< Time to receive a request body.
     std::chrono::milliseconds keepAlive{60000}; ///< Time after which an idle connection is closed.
     std::chrono::milliseconds writeTimeout{10000}; ///< Time limit of one write, so that a slow caller cannot hold a response forever.
-    std::size_t maxConnections{4096}; ///< Further connections are closed at once.
+    std::size_t maxConnections{4096}; ///< Requests on further connections are refused with 503.
     std::function<HttpResponse(const Error &)> renderError; ///< Renders errors of reading a request (400, 408, 413, 431); null sends an empty body.
 };
 
@@ -78,6 +78,12 @@
 /** Closes connections on which no request has arrived, from now on as soon as they have no request. */
 void closeIdleConnections(HttpServer &server);
 
+/**
+ * Answers the requests without a response just before the process exits: 503 to those that are still being read, since they will not run, and 504 to those that
+ * are being handled. Their handlers can send nothing afterwards.
+ */
+void answerUnfinished(HttpServer &server);
+
 /** @return Number of open connections, with and without a request. */
 [[nodiscard]] std::size_t openConnections(const HttpServer &server);
 
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
+#include <sys/resource.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace skylark;
 using namespace skylark::test;
@@ -53,6 +55,11 @@
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         } else if (path == "/throw") {
             throw std::runtime_error("handler failed");
+        } else if (path == "/stream") {
+            co_await startStream(responder, 200, {});
+            asio::steady_timer timer(this->loop, 1s);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            co_return;
         } else if (path == "/nothing") {
             co_return;
         }
@@ -176,3 +183,100 @@
         CHECK(activeRequests(*this->server) == 0);
     }
 }
+
+// Guards against a host that exits at its stop limit without a word to the callers that still wait.
+TEST_CASE_METHOD(HttpConnectionFixture, "answerUnfinished_requestsRunningOrBeingRead_areAnsweredByTheirState")
+{
+    this->listen();
+    const auto running = this->connect();
+    const auto reading = this->connect();
+    const auto streaming = this->connect();
+    const auto idle = this->connectKept();
+    running->write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    reading->write("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    streaming->write("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(this->waitFor(*streaming, okLine));
+    answerUnfinished(*this->server);
+    CHECK(this->waitClosed(*running));
+    CHECK(running->count("HTTP/1.1 504") == 1);
+    CHECK(running->count("HTTP/1.1") == 1);
+    CHECK(this->waitClosed(*reading));
+    CHECK(reading->count("HTTP/1.1 503") == 1);
+    idle->poll();
+    CHECK(idle->received.empty());
+    streaming->poll();
+    CHECK(streaming->count("HTTP/1.1") == 1);
+}
+
+// Guards against a body that comes too late, or is malformed, ending the connection without an answer.
+TEST_CASE_METHOD(HttpConnectionFixture, "requestBody_lateOrMalformed_isRefusedAsNotRun")
+{
+    this->listen();
+    const auto late = this->connect();
+    late->write("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    const auto malformed = this->connect();
+    malformed->write("POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+    CHECK(this->waitFor(*late, "HTTP/1.1 408"));
+    CHECK(this->waitFor(*malformed, "HTTP/1.1 400"));
+    CHECK(this->requests == 0);
+}
+
+// Guards against the body timeout ending a request whose last bytes had arrived while the process did not run.
+TEST_CASE_METHOD(HttpConnectionFixture, "requestBody_restArrivesDuringStall_isAnswered")
+{
+    this->listen();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 300; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab");
+    }
+    this->runFor(100ms);
+    std::this_thread::sleep_for(200ms);
+    for (const auto &caller : callers) {
+        caller->write("cd");
+    }
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, "abcd"));
+    }
+}
+
+// Guards against connections over the limit being dropped without an answer.
+TEST_CASE_METHOD(HttpConnectionFixture, "connections_overTheLimit_areRefusedWith503")
+{
+    this->options.maxConnections = 2;
+    this->options.keepAlive = 10s;
+    this->listen();
+    const auto first = this->connectKept();
+    const auto second = this->connectKept();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int i = 0; i < 100; ++i) {
+        callers.push_back(this->connect());
+        callers.back()->write(plainRequest);
+    }
+    for (const auto &caller : callers) {
+        CHECK(this->waitFor(*caller, "HTTP/1.1 503"));
+        CHECK(caller->count("Retry-After: ") == 1);
+        CHECK(caller->count("Connection: close") == 1);
+    }
+    CHECK(this->requests == 2);
+}
+
+// Guards against an accept loop that keeps the processor busy while the process has no file descriptor left.
+TEST_CASE_METHOD(HttpConnectionFixture, "accept_noDescriptorLeft_pausesAndGoesOnLater")
+{
+    this->listen();
+    this->runFor(10ms);
+    const auto caller = this->connect();
+    caller->write(plainRequest);
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const int lowestFree = ::dup(0);
+    REQUIRE(::close(lowestFree) == 0);
+    const rlimit none{static_cast<rlim_t>(lowestFree), limit.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    this->loop.restart();
+    const std::size_t handlers = this->loop.run_for(100ms);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    CHECK(handlers < 50);
+    CHECK(this->waitFor(*caller, okLine));
+}
