Fix: Requests with the crashing prompt part are sent late because the second target that a request ends does not count

Trace: targets ended at 120, 160 (request 7, first and second run), 285, 325 (17), 1785, 1825 (101), 5165, 5205 (327) and 5470 ms; all hosts had just started, so five separate crashes were needed, and each pair counted once: the sixth target had ended at 1825 ms, the part was quarantined at 5470 ms. Cause: ends within 100 ms count once, since one cause may end many targets at a moment. But a request runs on its second target only after the first has ended, and its answer began there, so the second end is evidence of its own. Change: an end within 100 ms of the last one that counts is separate if a run of the same request had begun in both; for one request this counts once, so that equal prompts on many targets that end at one moment are no five crashes. The crashes of all parts, of which a part must have been in a share, are counted alike. Three different requests are needed below five crashes instead of two, so that one request that lost two targets by chance does not bring the first threshold nearer. Tests: recordSuspectRun_requestsEndTheirSecondTargetToo_eachTargetCounts; before, "CHECK( this->isQuarantined(bad) )" fails. Two more guard against what trials of this change did wrong: recordSuspectRun_oneRequestLosesTwoTargets_isNotEnoughWithASecondRequest (with two requests, "CHECK_FALSE( this->isQuarantined({0xcc}) )" fails) and recordSuspectRun_targetsWithTheSameRequestEndAtOneMoment_areNotFiveCrashes (without the limit, "CHECK_FALSE( this->isQuarantined(first) )" fails).

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -27,10 +27,16 @@
     std::vector<const SuspectRun *> runs;
 };
 
+/** Separate crashes and the requests that were in them. */
+struct CrashSeries {
+    std::vector<TimePoint> crashes; ///< In order of time.
+    std::map<PromptPartId, TimePoint> requests; ///< Last crash by the last part of the request.
+    PromptPartId lastRepeated; ///< Last part of the last request that ended two targets in turn; it counts no third time.
+};
+
 /** Crashes that count against one part. */
 struct PartEvidence {
-    std::vector<TimePoint> crashes; ///< In order of time.
-    std::set<PromptPartId> requests; ///< Last parts of the requests involved.
+    CrashSeries series;
     std::size_t depth{0}; ///< Position of the part in the prompt.
 };
 
@@ -146,8 +152,28 @@
     });
 }
 
+/** @return Whether the request of @p run was in the last crash of @p series already: it ended two targets in turn, which no cause in common explains. */
+bool isRepeated(const CrashSeries &series, const SuspectRun &run, TimePoint at)
+{
+    const auto earlier = series.requests.find(run.prompt.own);
+    const bool endedLast = earlier != series.requests.end() && earlier->second >= series.crashes.back() && earlier->second < at;
+    return endedLast && run.phase == RunPhase::Begun && series.lastRepeated != run.prompt.own;
+}
+
+/** Adds a run in the crash at @p at, which is separate from the last one when enough time has passed or the same request was in both. */
+void addToSeries(CrashSeries &series, const QuarantineSettings &settings, const SuspectRun &run, TimePoint at)
+{
+    if (series.crashes.empty() || at - series.crashes.back() >= settings.crashSpacing) {
+        series.crashes.push_back(at);
+    } else if (isRepeated(series, run, at)) {
+        series.crashes.push_back(at);
+        series.lastRepeated = run.prompt.own;
+    }
+    series.requests[run.prompt.own] = at;
+}
+
 /** Adds the runs that may have caused @p crash: those whose answer had just begun, or, where there are none, those that waited. */
-void addEvidence(std::map<PromptPartId, PartEvidence> &evidence, const CrashQuarantine &state, const MergedCrash &crash)
+void addEvidence(std::map<PromptPartId, PartEvidence> &evidence, CrashSeries &all, const CrashQuarantine &state, const MergedCrash &crash)
 {
     const bool anyBegun = std::any_of(crash.runs.begin(), crash.runs.end(), [](const SuspectRun *run) {
         return run->phase == RunPhase::Begun;
@@ -156,28 +182,26 @@
         if (anyBegun && run->phase != RunPhase::Begun) {
             continue;
         }
+        addToSeries(all, state.settings, *run, crash.at);
         for (std::size_t i = 0; i < run->prompt.shared.size(); ++i) {
             const PromptPartId part = run->prompt.shared[i];
             if (crash.at <= soundTime(state, part)) {
                 continue;
             }
             PartEvidence &entry = evidence[part];
-            if (entry.crashes.empty() || crash.at - entry.crashes.back() >= state.settings.crashSpacing) {
-                entry.crashes.push_back(crash.at);
-            }
-            entry.requests.insert(run->prompt.own);
+            addToSeries(entry.series, state.settings, *run, crash.at);
             entry.depth = std::max(entry.depth, i);
         }
     }
 }
 
-/** @return Share of the separate crashes @p all from the first to the last one of @p evidence that the part was in. */
-double shareOfCrashes(const std::vector<TimePoint> &all, const PartEvidence &evidence)
+/** @return Share of the separate crashes @p all from the first to the last one of @p series that the part was in. */
+double shareOfCrashes(const CrashSeries &all, const CrashSeries &series)
 {
-    const auto first = std::lower_bound(all.begin(), all.end(), evidence.crashes.front());
-    const auto last = std::upper_bound(all.begin(), all.end(), evidence.crashes.back());
+    const auto first = std::lower_bound(all.crashes.begin(), all.crashes.end(), series.crashes.front());
+    const auto last = std::upper_bound(all.crashes.begin(), all.crashes.end(), series.crashes.back());
     const auto count = std::max<std::ptrdiff_t>(1, last - first);
-    return std::min(1.0, static_cast<double>(evidence.crashes.size()) / static_cast<double>(count));
+    return std::min(1.0, static_cast<double>(series.crashes.size()) / static_cast<double>(count));
 }
 
 /** @return Number of separate crashes that quarantine a part that was in @p share of all crashes. */
@@ -187,20 +211,20 @@
     return std::min(settings.maxCrashes, settings.minCrashes + static_cast<unsigned>(smaller));
 }
 
-/** @return Whether the evidence suffices to quarantine @p part. @param all Times of all separate crashes that no quarantined part explains. */
-bool isSufficient(const CrashQuarantine &state, const std::vector<TimePoint> &all, PromptPartId part, const PartEvidence &evidence)
+/** @return Whether @p series suffices to quarantine @p part. @param all All separate crashes that no quarantined part explains. */
+bool isSufficient(const CrashQuarantine &state, const CrashSeries &all, PromptPartId part, const CrashSeries &series)
 {
     const QuarantineSettings &settings = state.settings;
     const auto earlier = state.parts.find(part);
     if (earlier != state.parts.end()) {
-        return evidence.crashes.back() >= earlier->second.until;
+        return series.crashes.back() >= earlier->second.until;
     }
-    const double share = shareOfCrashes(all, evidence);
+    const double share = shareOfCrashes(all, series);
     const TimePoint maybeSound = std::max(soundTime(state, part), state.startedAt);
-    const bool soundBefore = maybeSound != TimePoint{} && evidence.crashes.front() - maybeSound < settings.soundMemory;
+    const bool soundBefore = maybeSound != TimePoint{} && series.crashes.front() - maybeSound < settings.soundMemory;
     const unsigned needed = soundBefore ? settings.maxCrashes : neededCrashes(settings, share);
-    const bool severalRequests = evidence.requests.size() >= settings.minRequests || evidence.crashes.size() >= settings.maxCrashes;
-    return share >= settings.minShare && evidence.crashes.size() >= needed && severalRequests;
+    const bool severalRequests = series.requests.size() >= settings.minRequests || series.crashes.size() >= settings.maxCrashes;
+    return share >= settings.minShare && series.crashes.size() >= needed && severalRequests;
 }
 
 /** A part that the evidence suffices to quarantine. */
@@ -216,8 +240,8 @@
     if (left.soundAt != right.soundAt) {
         return left.soundAt < right.soundAt;
     }
-    if (left.evidence.crashes.size() != right.evidence.crashes.size()) {
-        return left.evidence.crashes.size() > right.evidence.crashes.size();
+    if (left.evidence.series.crashes.size() != right.evidence.series.crashes.size()) {
+        return left.evidence.series.crashes.size() > right.evidence.series.crashes.size();
     }
     return left.evidence.depth > right.evidence.depth;
 }
@@ -235,9 +259,9 @@
 /** @return Whether a part further back in the prompt was in most crashes of @p candidate, and the rest may be coincidence. */
 bool isBetterExplained(const std::map<PromptPartId, PartEvidence> &evidence, const QuarantineSettings &settings, const PartEvidence &candidate)
 {
-    const std::vector<TimePoint> &crashes = candidate.crashes;
+    const std::vector<TimePoint> &crashes = candidate.series.crashes;
     return std::any_of(evidence.begin(), evidence.end(), [&](const auto &other) {
-        const std::size_t common = countCommon(crashes, other.second.crashes, settings.crashSpacing);
+        const std::size_t common = countCommon(crashes, other.second.series.crashes, settings.crashSpacing);
         return other.second.depth > candidate.depth && 2 * common > crashes.size() && crashes.size() - common < settings.minCrashes;
     });
 }
@@ -246,20 +270,17 @@
 std::optional<Candidate> mostSuspect(const CrashQuarantine &state)
 {
     std::map<PromptPartId, PartEvidence> evidence;
-    std::vector<TimePoint> all;
+    CrashSeries all;
     for (const MergedCrash &crash : mergeCrashes(state)) {
         if (isExplained(state, crash)) {
             continue;
         }
-        addEvidence(evidence, state, crash);
-        if (all.empty() || crash.at - all.back() >= state.settings.crashSpacing) {
-            all.push_back(crash.at);
-        }
+        addEvidence(evidence, all, state, crash);
     }
     std::optional<Candidate> best;
     for (const auto &[part, found] : evidence) {
         const bool isNew = !state.parts.contains(part);
-        if (!isSufficient(state, all, part, found) || (isNew && isBetterExplained(evidence, state.settings, found))) {
+        if (!isSufficient(state, all, part, found.series) || (isNew && isBetterExplained(evidence, state.settings, found))) {
             continue;
         }
         Candidate candidate{part, soundTime(state, part), found};
@@ -275,14 +296,14 @@
     QuarantinedPart &entry = state.parts[candidate.part];
     entry.rounds = entry.part == PromptPartId{} ? 1 : entry.rounds + 1;
     entry.part = candidate.part;
-    entry.since = candidate.evidence.crashes.back();
+    entry.since = candidate.evidence.series.crashes.back();
     const auto doublings = std::min(entry.rounds - 1, 10U);
     entry.until = entry.since + std::min(state.settings.maxQuarantine, state.settings.firstQuarantine * (1U << doublings));
     return {entry,
             true,
             QuarantineSource::Evidence,
-            static_cast<unsigned>(candidate.evidence.crashes.size()),
-            static_cast<unsigned>(candidate.evidence.requests.size())};
+            static_cast<unsigned>(candidate.evidence.series.crashes.size()),
+            static_cast<unsigned>(candidate.evidence.series.requests.size())};
 }
 
 /** Quarantines parts until no further one is to be blamed. Each explains the crashes that it was present in. */
--- a/src/policy/crash_quarantine_type.h
+++ b/src/policy/crash_quarantine_type.h
@@ -18,8 +18,9 @@
     unsigned maxCrashes{5}; ///< Separate crashes that suffice for a part in a smaller share, in crashes of one request only, or one that may have been sound
                             ///< within soundMemory.
     double minShare{0.2}; ///< Least share of all crashes; where targets end for other reasons all the time, a rare part is in some of them by chance.
-    unsigned minRequests{2}; ///< Different requests that must have been involved, unless there were maxCrashes.
-    std::chrono::milliseconds crashSpacing{100}; ///< Targets that end within this time of one another have a common cause; they count as one crash.
+    unsigned minRequests{3}; ///< Different requests that must have been involved, unless there were maxCrashes.
+    std::chrono::milliseconds crashSpacing{
+        100}; ///< Targets that end within this time have a common cause and count as one crash, unless one request ended both.
     std::chrono::milliseconds reportSpread{1000}; ///< Reports of several hosts on one target within this time are about the same crash.
     std::chrono::milliseconds evidenceTime{60000}; ///< Age at which a crash no longer counts.
     std::chrono::milliseconds soundMemory{10000};
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -324,6 +324,16 @@
     CHECK_FALSE(this->isQuarantined(first));
 }
 
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_targetsWithTheSameRequestEndAtOneMoment_areNotFiveCrashes")
+{
+    const SuspectRun run{this->prompt({first}), RunPhase::Begun};
+    for (unsigned i = 0; i < 12; ++i) {
+        static_cast<void>(recordSuspectRun(this->state, TargetId{"t" + std::to_string(i)}, run, this->now));
+        this->now += 5ms;
+    }
+    CHECK_FALSE(this->isQuarantined(first));
+}
+
 TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_runsThatHadStreamed_areNotBlamed")
 {
     for (unsigned i = 0; i < 12; ++i) {
@@ -377,6 +387,33 @@
     CHECK(this->isQuarantined(bad));
 }
 
+// Guards against a second target that counts for nothing because the same request ended it soon after the first.
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_requestsEndTheirSecondTargetToo_eachTargetCounts")
+{
+    this->state.startedAt = this->now;
+    for (unsigned i = 0; i < 3; ++i) {
+        CHECK_FALSE(this->isQuarantined(bad));
+        const SuspectRun run{this->prompt({first, bad}), RunPhase::Begun};
+        static_cast<void>(recordSuspectRun(this->state, TargetId{"a" + std::to_string(i)}, run, this->now));
+        this->now += 40ms;
+        static_cast<void>(recordSuspectRun(this->state, TargetId{"b" + std::to_string(i)}, run, this->now));
+        this->now += 300ms;
+    }
+    CHECK(this->isQuarantined(bad));
+}
+
+// Guards against blaming a rare part because two targets in turn ended by themselves under one request with it.
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_oneRequestLosesTwoTargets_isNotEnoughWithASecondRequest")
+{
+    const SuspectRun run{this->prompt({{0xcc}}), RunPhase::Begun};
+    static_cast<void>(recordSuspectRun(this->state, TargetId{"t1"}, run, this->now));
+    this->now += 90ms;
+    static_cast<void>(recordSuspectRun(this->state, TargetId{"t2"}, run, this->now));
+    this->now += 5s;
+    this->crash("t3", {{0xcc}}, RunPhase::Waiting);
+    CHECK_FALSE(this->isQuarantined({0xcc}));
+}
+
 // Guards against blaming a part that stands before the crashing one, because a target with a sound run of it ended by itself.
 TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_earlierPartIsInOneMoreCrash_onlyTheCrashingPartIsQuarantined")
 {
