Test: The stub target closes its connection itself when it cuts a call

What a test saw: serviceCall_notRepeatableCutAfterSending_oneExecutionRunMaybe and serviceCall_keyOfCallWithUnknownOutcome_notRunAgain, '500 == 502'. Cause: the stub cut calls by a handler that ends without a response, which the server now answers with 500. Change: it aborts the connection, as the other stand-ins do; the checks are unchanged.

--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -69,6 +69,7 @@
         co_return;
     }
     if (request.method == "DELETE" && this->mode == TargetMode::Silent) {
+        abortConnection(responder);
         co_return;
     }
     if (request.method == "DELETE") {
@@ -97,6 +98,7 @@
         co_await this->waitForDisconnect(responder);
     }
     if (this->mode != TargetMode::Complete) {
+        abortConnection(responder);
         co_return;
     }
     response.body = "served " + request.target + " " + request.body;
