Test: The soak of hosts has jobs with long polls, bodies in chunks and of up to 100 kB, and the stop limit as an allowed end

Callers submit jobs and read their results with long polls; bodies come in chunks at times, a tenth is 1 to 100 kB, and heads and bodies are cut at any byte; targets check that each body is the caller's; results of jobs must be whole and listed once. A request that came within 3 s of SIGTERM and is still worked on in the last sixth of the stop limit may be cut; the check excuses exactly that.

--- a/tests/support/soak_site.h
+++ b/tests/support/soak_site.h
@@ -14,6 +14,8 @@
 inline constexpr std::chrono::milliseconds soakAdoptionTime{2000}; ///< Time after a change of the configuration in which a host may still use the previous one.
 inline constexpr std::chrono::milliseconds soakStopLimit{8000}; ///< Time after SIGTERM within which a host must have ended.
 inline constexpr unsigned soakEvents = 40; ///< Number of events of each answer.
+inline constexpr const char *soakBodySizeHeader = "X-Body-Size"; ///< Header in which callers name the size of a body.
+inline constexpr const char *soakItemPrefix = "item-"; ///< Prefix of the identifiers of items of jobs.
 
 /** Kind of a change of the configuration. */
 enum class SoakChange : std::uint8_t {
