--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -79,7 +79,7 @@
     const double median = medianFirstAnswer(proxy, service);
     const auto ages = oldestStatusAges(proxy.loadTracker, now);
     for (const auto &[id, entry] : *proxy.fleet->targets) {
-        if (entry.service != service || entry.leaving) {
+        if (entry.service != service || isLeaving(proxy.leavingTargets, entry)) {
             continue;
         }
         const TargetCounts counts = countsOf(proxy.loadTracker, id, now);
@@ -90,6 +90,7 @@
         candidate.rateLimited = !maySend(proxy.rateLimits, id, StreamKind::Online, now);
         candidate.tried = std::find(tried.begin(), tried.end(), id) != tried.end();
         if (const auto found = proxy.health.find(id); found != proxy.health.end()) {
+            candidate.silent = isSilent(found->second.silence, now);
             candidate.suspect = now < found->second.suspectUntil;
             candidate.slowness = slownessOf(found->second, median);
         }
