Test: Silence of a target does not count as a failed attempt of an item

No fault was found: an item waits 2 s for the next event, more than a sound target needs, and only an answer of 500 counts as a failed attempt (handleFailedRun), so that as many silent runs as max_attempts allows do not end it.

--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -637,3 +637,31 @@
     REQUIRE(read.size() == 1);
     CHECK(std::string(read.at(0).at("text").get_string()) == wholeText("j1-0", 10));
 }
+
+// Guards against an item that moves or counts as failed because its target is silent.
+TEST_CASE_METHOD(JobsFixture, "item_targetIsSilent_isNotCountedAsFailed")
+{
+    ReplicaPlan silent{.silentAfter = 3, .silence = 1400ms};
+    std::size_t silentRuns = 1;
+    std::size_t expectedRuns = 1;
+    SECTION("sound target")
+    {
+    }
+    SECTION("as many targets that hang as the route allows attempts")
+    {
+        silent.silence = 4s;
+        silentRuns = 2;
+        expectedRuns = 3;
+    }
+    const auto seen = std::make_shared<std::size_t>(0);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [seen, silent, silentRuns](const HttpRequest & /*request*/, unsigned /*number*/) {
+            return (*seen)++ < silentRuns ? silent : ReplicaPlan{};
+        };
+    }
+    this->submit(*this->a, "j1", 1);
+    const auto read = this->results(*this->a, "j1", 1, 10s);
+    REQUIRE(read.size() == 1);
+    CHECK(std::string(read.at(0).at("text").get_string()) == wholeText("j1-0", 10));
+    CHECK(this->runsOf("j1-0") == expectedRuns);
+}
