Fix: After a doubtful silence no request uses the idle connections that were open before

What callers saw: since a silence of up to 1.5 s is no failure of the target, requests with little time could each end on another of its silent connections. Cause: only recordTargetFailure() closed idle connections. Change: recordSilence() closes them once a request has ended after 0.5 s of silence, and counts silences per target; the target stays sound.

--- a/src/policy/silence.cpp
+++ b/src/policy/silence.cpp
@@ -11,7 +11,6 @@
 
 constexpr milliseconds schedulingMargin{100}; ///< Delay of an answer in either process and on the way.
 
-constexpr milliseconds avoidedSilence{500}; ///< Silence after which new requests prefer other targets.
 constexpr milliseconds silenceMemory{3200}; ///< Age at which a silence is forgotten; the longest time for which a target is avoided after failures.
 
 } // namespace
@@ -49,7 +48,7 @@
 
 bool isSilent(const TargetSilence &silence, TimePoint now)
 {
-    return silence.since != TimePoint{} && now - silence.since >= avoidedSilence && now - silence.since < silenceMemory;
+    return silence.since != TimePoint{} && now - silence.since >= doubtfulSilence && now - silence.since < silenceMemory;
 }
 
 } // namespace skylark
--- a/src/policy/silence_type.h
+++ b/src/policy/silence_type.h
@@ -9,6 +9,8 @@
 
 constexpr std::chrono::milliseconds maxSoundSilence{1500}; ///< Longest silence that is normal for a target; a longer one counts as a failure.
 
+constexpr std::chrono::milliseconds doubtfulSilence{500}; ///< Silence after which new requests prefer other targets and other connections.
+
 /** Silence of a target during all requests of this host. */
 struct TargetSilence {
     TimePoint since{}; ///< When the first request was sent after which the target did not respond; TimePoint{} when it has responded since the last one.
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -40,7 +40,9 @@
     forwarding.refusals += attempt.end == AttemptEnd::NotRun ? 1 : 0;
     recordFailedRun(proxy, target.id, forwarding.call.prompt, forwarding.progress, attempt.error);
     const milliseconds silence = elapsedSince(forwarding.progressAt);
-    if (!attempt.answer && !isSoundSilence(attempt.error, silence)) {
+    if (isSoundSilence(attempt.error, silence)) {
+        recordSilence(proxy, target, silence);
+    } else if (!attempt.answer) {
         recordTargetFailure(proxy, target);
     }
     logEvent(EventKind::AttemptFailed,
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -75,6 +75,9 @@
  */
 void recordTargetFailure(Proxy &proxy, const TargetEntry &target);
 
+/** Records that a request ended while its target was silent, which a sound target can be. Idle connections to its address are closed if it was for long. */
+void recordSilence(Proxy &proxy, const TargetEntry &target, std::chrono::milliseconds silence);
+
 /** Divides the rate limits of targets among all registered hosts that are not about to stop. */
 void updateSenders(Proxy &proxy);
 
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -69,6 +69,14 @@
     addCounter(*proxy.metrics, "skylark_target_failures_total", {{"target", target.id.value}});
 }
 
+void recordSilence(Proxy &proxy, const TargetEntry &target, std::chrono::milliseconds silence)
+{
+    if (silence >= doubtfulSilence) {
+        httpCloseIdle(*proxy.http, target.endpoint, BootClock::now());
+    }
+    addCounter(*proxy.metrics, "skylark_target_silences_total", {{"target", target.id.value}});
+}
+
 std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain)
 {
     std::vector<BalanceCandidate> candidates;
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -425,3 +425,22 @@
         CHECK_FALSE(candidate.suspect);
     }
 }
+
+// Guards against requests that use one silent connection after the other, because each has too little time to mark the target as failing.
+TEST_CASE_METHOD(SilenceFixture, "forward_requestEndsInASilence_idleConnectionsToTheTargetAreClosed")
+{
+    this->targets->erase(TargetId{"i-2"});
+    this->host.publish({});
+    const auto idleCount = [this] {
+        return this->host.proxy->http->idle[this->targets->at(TargetId{"i-1"}).endpoint].size();
+    };
+    this->setPlans({{.stream = false}, {.stream = false, .firstDelay = 100ms}, {.stream = false, .firstDelay = 5s}});
+    CHECK(this->textOf("q1", "/lookup/x") == wholeText("q1", 10));
+    CHECK(this->textOf("o1", "/order/x") == wholeText("o1", 10)); // Uses a connection of its own.
+    REQUIRE(idleCount() == 2);
+    const auto silent = this->call(this->host.endpoint, EntryTestHost::request("q2", "/lookup/x", 700ms));
+    REQUIRE(isOk(silent));
+    CHECK(valueOf(silent).status == 504);
+    CHECK(idleCount() == 0);
+    CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
+}
