Fix: A shorter idle limit closes connections that callers still use by the previous one

Beside a change of the configuration that shortens the idle limit, callers that did not know of it yet sent their next request on a connection that was just being closed. Callers reuse connections for a part of the limit that they know. Before: idleLimit_changed_waitingConnectionsKeepTheLongerOne, 'CHECK( this->waitFor(*caller, okLine) ) with expansion: false' for a connection used 0.5 s after its last response, with the limit changed from 1 s to 0.2 s. The other direction, a limit that grows, passed before this commit: the idle wait already looks up the limit again when it ends. For as long as a connection may have been idle at the change, the longer limit holds; the first limits replace defaults that no caller knows, at once. After: test_http_connection (2613 assertions in 10 cases) and test_caller_input (75) pass.

--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -17,6 +17,9 @@
     std::set<HttpServerConnection *> connections; ///< Open connections.
     std::size_t refusing{0}; ///< Number of connections over the limit that are being refused.
     bool closing{false}; ///< Whether responses have "Connection: close".
+    bool limitsUpdated{false}; ///< Whether the limits are no longer the ones of create(), which callers do not know.
+    std::chrono::milliseconds longerKeepAlive{0}; ///< Idle limit that callers may still rely on after a change.
+    std::chrono::steady_clock::time_point longerUntil; ///< End of longerKeepAlive.
     bool closeIdle{false}; ///< Whether connections without a request are closed.
 };
 
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -155,7 +155,7 @@
 {
     constexpr std::chrono::milliseconds firstRequestTime{500}; // The request of a new connection is in transit.
     if (!server.closeIdle) {
-        return server.options.keepAlive;
+        return keepAliveInForce(server);
     }
     return connection.requestNumber == 0 ? firstRequestTime : std::chrono::milliseconds(0);
 }
@@ -207,6 +207,12 @@
 
 } // namespace
 
+std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server)
+{
+    const std::chrono::milliseconds current = server.options.keepAlive;
+    return std::chrono::steady_clock::now() < server.longerUntil ? std::max(server.longerKeepAlive, current) : current;
+}
+
 asio::awaitable<void> refuseConnection(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
 {
     constexpr std::chrono::milliseconds requestTime{1000}; // A response before the request would not be taken for its response.
--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -5,6 +5,9 @@
 
 namespace skylark {
 
+/** @return The idle limit; after a change the longer of both for as long as connections may have been idle at the change. */
+[[nodiscard]] std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server);
+
 /** Reads one request. @return Nothing if the connection was closed or the request was rejected. */
 boost::asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server);
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -211,6 +211,11 @@
     options.maxHeader = maxHeader;
     options.maxBody = maxBody;
     options.headTimeout = headTimeout;
+    if (server.impl->limitsUpdated && keepAlive != options.keepAlive) {
+        server.impl->longerKeepAlive = std::max(keepAliveInForce(*server.impl), keepAlive);
+        server.impl->longerUntil = std::chrono::steady_clock::now() + server.impl->longerKeepAlive;
+    }
+    server.impl->limitsUpdated = true;
     options.keepAlive = keepAlive;
 }
 
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -63,7 +63,8 @@
     ~HttpServer();
 };
 
-/** Changes the limits on requests, not the listening address. A request that is being read keeps the previous limits. */
+/** Changes the limits on requests, not the listening address. A request that is being read keeps the previous limits, and a connection that waits keeps the
+ * longer idle limit. */
 void updateLimits(HttpServer &server, std::uint32_t maxHeader, std::size_t maxBody, std::chrono::milliseconds headTimeout, std::chrono::milliseconds keepAlive);
 
 /** @return The port that @p server listens on. */
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -280,3 +280,25 @@
     CHECK(handlers < 50);
     CHECK(this->waitFor(*caller, okLine));
 }
+
+// Guards against a change of the idle limit that closes waiting connections earlier than the previous or the new limit lets callers expect.
+TEST_CASE_METHOD(HttpConnectionFixture, "idleLimit_changed_waitingConnectionsKeepTheLongerOne")
+{
+    this->listen();
+    const auto grown = this->connectKept();
+    updateLimits(*this->server, 8192, 1000, 5s, 1s);
+    this->runFor(500ms);
+    grown->write(plainRequest);
+    CHECK(this->waitFor(*grown, okLine));
+    grown->received.clear();
+    updateLimits(*this->server, 8192, 1000, 5s, 200ms);
+    const auto later = this->connectKept();
+    this->runFor(500ms);
+    for (RawCaller *caller : {grown.get(), later.get()}) {
+        caller->write(plainRequest);
+        CHECK(this->waitFor(*caller, okLine));
+    }
+    this->runFor(600ms);
+    const auto shortened = this->connectKept();
+    CHECK(this->waitClosed(*shortened, 400ms));
+}
