Fix: skylarkd sends nothing more to a target that refuses because it is draining

A target that refused a request with the code "draining" was only asked for its load report, which is some hundred ms old: while that did not say so, each further request went there, was refused and used up the retry budget, so that callers of services saw 429 although another target was free. Half a minute after the refusal the target got requests again without being asked, also when the host is cut off from the list of targets. Batch searched the text of the error for the word.

Change: Error says whether the target refused because it is leaving, read once from the refusal (isDrainingRefusal) for generations, service calls and batch items. An online refusal marks the target at once, closes its idle connections and reports it to control. A mark older than 30 s is no longer dropped: the target is asked, and serves again when its load report says that it is not draining.

--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -94,7 +94,7 @@
     BatchTarget &target = state.targets[run.target];
     if (error.code == ErrorCode::TargetOverloaded) {
         target.pausedUntil = now + std::clamp<std::chrono::milliseconds>(error.retryAfter.value_or(targetBackoff), targetBackoff, std::chrono::seconds(5));
-        if (error.detail.find("draining") != std::string::npos && state.context.reportTargetLeaving) {
+        if (error.targetLeaving && state.context.reportTargetLeaving) {
             state.context.reportTargetLeaving(run.target);
         }
         return;
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -83,6 +83,7 @@
     RunState run{RunState::No}; ///< Whether the request may have run.
     std::string param; ///< Invalid parameter or its position; empty if none.
     std::optional<std::chrono::milliseconds> retryAfter; ///< Suggested delay before a retry, if any.
+    bool targetLeaving{false}; ///< Whether the target refused the request because it is leaving.
 };
 
 } // namespace skylark
--- a/src/engine/engine_call.cpp
+++ b/src/engine/engine_call.cpp
@@ -97,12 +97,23 @@
 
 } // namespace
 
+bool isDrainingRefusal(const HttpResponse &response)
+{
+    if (response.status != 503 || !isMarkedNotRun(response)) {
+        return false;
+    }
+    const auto body = parseJsonObject(response.body);
+    const json::value *error = body ? body->if_contains("error") : nullptr;
+    return error != nullptr && error->is_object() && stringMember(error->get_object(), "code") == "draining";
+}
+
 Error engineStatusError(const HttpResponse &response)
 {
     const std::string detail = std::to_string(response.status) + " " + response.body.substr(0, maxDetailBytes);
     const bool notRun = isMarkedNotRun(response);
     if (response.status == 429 || (response.status == 503 && notRun)) {
         Error error = makeError(ErrorCode::TargetOverloaded, detail);
+        error.targetLeaving = isDrainingRefusal(response);
         const std::string_view wait = headerValue(response.headers, "retry-after");
         if (!wait.empty()) {
             error.retryAfter = std::chrono::seconds(parseNumber<unsigned>(wait, 10));
--- a/src/engine/engine_response_func.h
+++ b/src/engine/engine_response_func.h
@@ -9,6 +9,9 @@
 
 namespace skylark {
 
+/** @return Whether a response of status 503 says that the target did not run the request because it is draining. */
+[[nodiscard]] bool isDrainingRefusal(const HttpResponse &response);
+
 /** @return The error for an engine's response with a status other than 200. Its detail begins with the status, followed by the start of the body. */
 [[nodiscard]] Error engineStatusError(const HttpResponse &response);
 
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -304,7 +304,7 @@
     }
     for (const TargetView &view : context.snapshot->targets) {
         if (view.info.id == decision.target) {
-            SKY_INVARIANT(Promise::LeavingTarget, !isLeaving(impl, view, BootClock::now()));
+            SKY_INVARIANT(Promise::LeavingTarget, !isLeaving(impl, view));
             co_return co_await attemptOnTarget(impl, context, view.info, view.report.sequence);
         }
     }
--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -4,6 +4,7 @@
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
 #include "core/table/error_table.h"
+#include "engine/engine_response_func.h"
 #include "policy/retry_func.h"
 #include "traffic/answer_stream_func.h"
 #include "traffic/error_render_func.h"
@@ -75,7 +76,9 @@
 std::optional<Error> failureOf(const HttpResponse &response)
 {
     if (response.status == 503 && !headerValue(response.headers, "x-not-run").empty()) {
-        return makeError(ErrorCode::TargetOverloaded, "service reported that it did not run the call");
+        Error error = makeError(ErrorCode::TargetOverloaded, "service reported that it did not run the call");
+        error.targetLeaving = isDrainingRefusal(response);
+        return error;
     }
     if (response.status >= 500) {
         return makeError(ErrorCode::TargetFailed, "service answered " + std::to_string(response.status), RunState::Maybe);
--- a/src/traffic/target_failure.cpp
+++ b/src/traffic/target_failure.cpp
@@ -17,6 +17,8 @@
 
 /** Minimum interval between checks whether a target that refuses calls is leaving. */
 constexpr std::chrono::milliseconds drainCheckInterval{200};
+/** Time after which a target that was marked as leaving is asked again; the list of targets and the load reports show it by then. */
+constexpr std::chrono::seconds leavingRetention{30};
 
 HttpTimeouts shortTimeouts()
 {
@@ -24,20 +26,46 @@
     return {milliseconds(300), milliseconds(300), milliseconds(500), milliseconds(500)};
 }
 
-/** Reads the load report of @p target, and reports the target as leaving if it is draining. */
+/** Records that @p target is leaving: it gets no new work, and its idle connections are closed. @param source How it was learned; logged. */
+void markLeaving(CallerServer::Impl &impl, const TargetInfo &target, std::string_view source)
+{
+    const TimePoint now = BootClock::now();
+    impl.leavingSince[target.id] = now;
+    httpCloseIdle(*impl.http, target.endpoint, now);
+    logDecision(impl.context.decisions, "route", {}, "target " + target.id.value + " is leaving: its " + std::string(source) + " says draining");
+    if (impl.context.reportTargetLeaving) {
+        impl.context.reportTargetLeaving(target.id);
+    }
+}
+
+/** Reads the load report of @p target. A draining target is leaving; one that is not draining serves again unless it was marked as leaving lately. */
 asio::awaitable<void> checkDraining(std::shared_ptr<CallerServer::Impl> impl, TargetInfo target)
 {
     const auto report = co_await readLoad(impl->http, target.endpoint, shortTimeouts());
-    if (!isOk(report) || !valueOf(report).draining) {
+    if (!isOk(report)) {
         co_return;
     }
-    impl->leavingSince[target.id] = BootClock::now();
-    logDecision(impl->context.decisions, "route", {}, "target " + target.id.value + " is leaving: its load report says draining");
-    if (impl->context.reportTargetLeaving) {
-        impl->context.reportTargetLeaving(target.id);
+    if (valueOf(report).draining) {
+        markLeaving(*impl, target, "load report");
+    } else if (isLeavingDoubtful(*impl, target.id, BootClock::now())) {
+        impl->leavingSince.erase(target.id);
     }
 }
 
+/** Asks the engine to cancel an attempt by id, as it may not see the closed connection. */
+asio::awaitable<void> cancelUnresponsive(std::shared_ptr<HttpClient> http, Endpoint endpoint, RequestId attempt)
+{
+    co_await cancelGenerate(std::move(http), std::move(endpoint), std::move(attempt), shortTimeouts());
+}
+
+} // namespace
+
+bool isLeavingDoubtful(const CallerServer::Impl &impl, const TargetId &target, TimePoint now)
+{
+    const auto found = impl.leavingSince.find(target);
+    return found != impl.leavingSince.end() && now - found->second >= leavingRetention;
+}
+
 void startDrainCheck(CallerServer::Impl &impl, const TargetInfo &target)
 {
     const TimePoint now = BootClock::now();
@@ -49,14 +77,6 @@
     asio::co_spawn(impl.http->executor, checkDraining(impl.shared_from_this(), target), asio::detached);
 }
 
-/** Asks the engine to cancel an attempt by id, as it may not see the closed connection. */
-asio::awaitable<void> cancelUnresponsive(std::shared_ptr<HttpClient> http, Endpoint endpoint, RequestId attempt)
-{
-    co_await cancelGenerate(std::move(http), std::move(endpoint), std::move(attempt), shortTimeouts());
-}
-
-} // namespace
-
 bool isUnresponsive(ErrorCode code)
 {
     return code == ErrorCode::FirstByteTimeout || code == ErrorCode::IdleTimeout || code == ErrorCode::ConnectTimeout || code == ErrorCode::SendFailed;
@@ -83,6 +103,10 @@
     if (error.run == RunState::Maybe && isUnresponsive(error.code) && target.kind == TargetKind::Engine) {
         asio::co_spawn(impl.http->executor, cancelUnresponsive(impl.http, target.endpoint, attempt), asio::detached);
     }
+    if (error.targetLeaving) {
+        markLeaving(impl, target, "refusal");
+        return;
+    }
     if (error.code == ErrorCode::TargetOverloaded) {
         startDrainCheck(impl, target);
         return;
--- a/src/traffic/target_failure_func.h
+++ b/src/traffic/target_failure_func.h
@@ -9,10 +9,16 @@
 /**
  * Records a failed call to a target: whether the request may have run and, unless the caller is gone, the health of the target.
  * After a timeout the pooled connections of the target are closed and the engine is asked to cancel @p attempt; after a refusal the
- * target is asked whether it is leaving.
+ * target counts as leaving if it says that it is draining, and is asked otherwise.
  */
 void recordCallFailure(CallerServer::Impl &impl, RequestContext &context, const TargetInfo &target, const RequestId &attempt, const Error &error);
 
+/** @return Whether @p target was marked as leaving so long ago that it must be asked again. */
+[[nodiscard]] bool isLeavingDoubtful(const CallerServer::Impl &impl, const TargetId &target, TimePoint now);
+
+/** Asks @p target whether it is draining, unless it was asked just before. It counts as leaving, or serves again, as it answers. */
+void startDrainCheck(CallerServer::Impl &impl, const TargetInfo &target);
+
 /** Closes the idle pooled connections to @p endpoint after a timeout, so that the next request opens a new one. */
 void dropSilentConnections(CallerServer::Impl &impl, const Endpoint &endpoint);
 
--- a/src/traffic/target_view.cpp
+++ b/src/traffic/target_view.cpp
@@ -4,6 +4,7 @@
 #include "core/hash_func.h"
 #include "policy/baseline_func.h"
 #include "policy/routing_func.h"
+#include "traffic/target_failure_func.h"
 
 #include <algorithm>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-/** A target found to be leaving counts as leaving this long; after that the host list and the load reports show it, or the target is back in service. */
-constexpr std::chrono::seconds leavingRetention{30};
-
 bool contains(const std::vector<TargetId> &targets, const TargetId &target)
 {
     return std::find(targets.begin(), targets.end(), target) != targets.end();
@@ -28,12 +26,21 @@
     return pending && view.batchOwner != snapshot.self.id ? found->second.slots : 0;
 }
 
+/** @return As isLeaving(). A target that was marked as leaving long ago is asked whether it still is. */
+bool checkLeaving(CallerServer::Impl &impl, const TargetView &view, TimePoint now)
+{
+    if (isLeavingDoubtful(impl, view.info.id, now)) {
+        startDrainCheck(impl, view.info);
+    }
+    return isLeaving(impl, view);
+}
+
 RouteCandidate makeCandidate(CallerServer::Impl &impl, const RequestContext &context, const TargetView &view, TimePoint now)
 {
     const TargetLoad load = loadOf(*impl.context.loads, view.info.id);
     RouteCandidate candidate;
     candidate.id = view.info.id;
-    candidate.leaving = isLeaving(impl, view, now);
+    candidate.leaving = checkLeaving(impl, view, now);
     candidate.blocked = load.blockedUntil > now;
     candidate.tried = contains(context.generation->triedTargets, view.info.id);
     candidate.slots = view.report.slots;
@@ -129,13 +136,9 @@
     });
 }
 
-bool isLeaving(const CallerServer::Impl &impl, const TargetView &view, TimePoint now)
+bool isLeaving(const CallerServer::Impl &impl, const TargetView &view)
 {
-    if (view.leaving || view.info.leaving || view.report.draining) {
-        return true;
-    }
-    const auto found = impl.leavingSince.find(view.info.id);
-    return found != impl.leavingSince.end() && now - found->second < leavingRetention;
+    return view.leaving || view.info.leaving || view.report.draining || impl.leavingSince.contains(view.info.id);
 }
 
 RouteInput makeRouteInput(CallerServer::Impl &impl, const RequestContext &context, TimePoint now)
@@ -174,7 +177,7 @@
     const TargetView *best = nullptr;
     std::pair<bool, std::uint64_t> bestRank;
     for (const TargetView &view : snapshot.targets) {
-        if (view.info.kind != TargetKind::Service || view.info.service != name || isLeaving(impl, view, now)) {
+        if (view.info.kind != TargetKind::Service || view.info.service != name || checkLeaving(impl, view, now)) {
             continue;
         }
         const TargetLoad load = loadOf(*impl.context.loads, view.info.id);
--- a/src/traffic/target_view_func.h
+++ b/src/traffic/target_view_func.h
@@ -12,8 +12,8 @@
 /** @return Whether @p view is an engine that has the model in its version and the adapter loaded. An empty version or @p adapter matches any. */
 [[nodiscard]] bool hasModel(const TargetView &view, const ModelSpec &model, const std::string &adapter);
 
-/** @return Whether @p view is leaving and takes no new work, according to the host list, its load report or a check by this host. */
-[[nodiscard]] bool isLeaving(const CallerServer::Impl &impl, const TargetView &view, TimePoint now);
+/** @return Whether @p view is leaving and takes no new work, according to the host list, its load report, a refusal or a check by this host. */
+[[nodiscard]] bool isLeaving(const CallerServer::Impl &impl, const TargetView &view);
 
 /** @return The input of the routing decision for the next attempt of @p context. */
 [[nodiscard]] RouteInput makeRouteInput(CallerServer::Impl &impl, const RequestContext &context, TimePoint now);
--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -79,6 +79,7 @@
     if (this->mode == TargetMode::NotRun) {
         response.status = 503;
         response.headers.push_back({"x-not-run", "1"});
+        response.body = this->refusesAsDraining ? R"({"error":{"code":"draining","message":"target is draining"}})" : "";
         co_await sendResponse(responder, std::move(response));
         co_return;
     }
--- a/tests/test_engine.cpp
+++ b/tests/test_engine.cpp
@@ -202,10 +202,13 @@
     CHECK(failed.error->run == RunState::Maybe);
     GenerateCall unknown = this->makeCall("x", 2);
     unknown.body.replace(unknown.body.find("drafter"), 7, "missing");
-    CHECK(codeOf(this->generate(unknown)) == ErrorCode::TargetOverloaded);
+    const Generated unloaded = this->generate(unknown);
+    CHECK(codeOf(unloaded) == ErrorCode::TargetOverloaded);
+    CHECK_FALSE(unloaded.error->targetLeaving);
     this->setFaults(R"({"draining":true})");
     const Generated draining = this->generate(this->makeCall("x", 2));
     CHECK(codeOf(draining) == ErrorCode::TargetOverloaded);
+    CHECK(draining.error->targetLeaving);
     CHECK(draining.error->run == RunState::No);
     CHECK(valueOf(this->run(readLoad(this->http, this->endpoint, this->timeouts))).draining);
     CHECK(this->stat("started") == 0);
--- a/tests/test_service_calls.cpp
+++ b/tests/test_service_calls.cpp
@@ -54,6 +54,19 @@
     CHECK(this->calls() == 1);
 }
 
+// Guards against calls to a service target that has refused one because it is draining.
+TEST_CASE_METHOD(ServiceFixture, "serviceCall_refusalSaysTargetDrains_avoidedAtOnce")
+{
+    this->first.mode = TargetMode::NotRun;
+    this->first.refusesAsDraining = true;
+    this->startServer();
+    for (int i = 0; i < 20; ++i) {
+        CHECK(this->postOrder("one mask", {}).status == 200);
+        this->runFor(20ms);
+    }
+    CHECK(this->first.requests.size() <= 1);
+}
+
 TEST_CASE_METHOD(ServiceFixture, "serviceCall_repeatableCut_answeredByAnotherTarget")
 {
     this->first.mode = TargetMode::Cut;
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -176,6 +176,55 @@
     CHECK(draining.requests.size() == before);
 }
 
+// Guards against requests to a target that has refused one because it is draining, while its load report is too old to say so.
+TEST_CASE_METHOD(TrafficFixture, "chat_refusalSaysTargetDrains_avoidedAtOnce")
+{
+    StubTarget &draining = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    draining.mode = TargetMode::NotRun;
+    draining.refusesAsDraining = true;
+    this->startServer();
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(this->leaving == std::vector<std::string>{"t1"});
+    this->runFor(300ms);
+    for (int i = 0; i < 5; ++i) {
+        CHECK(answerText(this->chat(false)) == words(10));
+    }
+    CHECK(draining.requests.size() == 1);
+}
+
+// Guards against requests to a draining target half a minute after its refusal, when the host is cut off from the list of targets.
+TEST_CASE_METHOD(TrafficFixture, "chat_refusalOfDrainingTargetIsLongAgo_avoidedUntilItsReportSaysOtherwise")
+{
+    StubTarget &draining = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    draining.draining = true;
+    this->startServer();
+    this->server->impl->leavingSince[TargetId{"t1"}] = BootClock::now() - 60s;
+    CHECK(answerText(this->chat(false)) == words(10));
+    this->runFor(300ms);
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(draining.requests.empty());
+    draining.draining = false;
+    this->server->impl->leavingSince[TargetId{"t1"}] = BootClock::now() - 60s;
+    this->runFor(300ms);
+    CHECK(answerText(this->chat(false)) == words(10));
+    this->runFor(300ms);
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(draining.requests.size() == 1);
+}
+
+TEST_CASE_METHOD(TrafficFixture, "chat_targetJustFull_isNotTakenAsLeaving")
+{
+    StubTarget &full = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    full.mode = TargetMode::NotRun;
+    this->startServer();
+    CHECK(answerText(this->chat(false)) == words(10));
+    this->runFor(300ms);
+    CHECK(this->leaving.empty());
+}
+
 // The caller disconnects before the first token, and in the middle of an answer. The connection to the target must be closed, so that the
 // target stops generating, and the stream must no longer be counted.
 TEST_CASE_METHOD(TrafficFixture, "chat_callerDisconnects_targetConnectionClosed")
