Codechange: The control thread's record of a target has a name of its own

fleet/fleet_type.h and control/control_impl_base.h both defined skylark::TargetEntry, with different members. No program links both today, so nothing was seen to fail; one that did would have one definition of std::map<TargetId, TargetEntry> for two layouts. The control thread's is now ControlTarget. test_control passes (10 cases), skylarkd builds.

--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -77,7 +77,7 @@
     return array;
 }
 
-json::object targetView(const Control::Impl &control, const TargetEntry &target)
+json::object targetView(const Control::Impl &control, const ControlTarget &target)
 {
     const TargetLoad load = loadOf(*control.context.loads, target.info.id);
     return {{"id", target.info.id.value},
--- a/src/control/control_impl_base.h
+++ b/src/control/control_impl_base.h
@@ -32,7 +32,7 @@
 };
 
 /** State of a target of this host's failure domain. */
-struct TargetEntry {
+struct ControlTarget {
     TargetInfo info; ///< From the platform's target list.
     LoadReport report; ///< Last load report, polled by this host or received from a peer.
     HostId reporter; ///< Host that polled the target for this report.
@@ -75,7 +75,7 @@
     bool sessionEnded{false}; ///< Set by endSession(); the controllers return.
     std::map<HostId, HostEntry> hosts; ///< All hosts of the settings except this one.
     MembershipView members; ///< Status and liveness of the other hosts.
-    std::map<TargetId, TargetEntry> targets; ///< Targets of this failure domain only.
+    std::map<TargetId, ControlTarget> targets; ///< Targets of this failure domain only.
     std::vector<TargetInfo> targetList; ///< Last target list, of all failure domains.
     bool targetsKnown{false}; ///< Whether a target list was ever received.
     TimePoint targetsKnownAt{}; ///< Time of the first target list.
--- a/src/control/controller_func.h
+++ b/src/control/controller_func.h
@@ -118,7 +118,7 @@
 [[nodiscard]] std::vector<std::pair<ModelId, unsigned>> freeSlotsByModel(const Control::Impl &control);
 
 /** @return Whether this host has learned that the target is leaving from the target list, from its own load poll or from a refusal, not only from a peer. */
-[[nodiscard]] bool observedLeaving(const Control::Impl &control, const TargetEntry &target, TimePoint now);
+[[nodiscard]] bool observedLeaving(const Control::Impl &control, const ControlTarget &target, TimePoint now);
 
 /** Serialises a target list for peers. */
 [[nodiscard]] std::string targetsToJson(const std::vector<TargetInfo> &list);
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -50,7 +50,7 @@
 }
 
 /** Stores a load report and updates the baseline of the step time. @param reporter Host that polled the target. */
-void storeReport(Control::Impl &control, TargetEntry &target, LoadReport report, const HostId &reporter)
+void storeReport(Control::Impl &control, ControlTarget &target, LoadReport report, const HostId &reporter)
 {
     report.receivedAt = BootClock::now();
     if (report.stepMs > 0) {
@@ -70,7 +70,7 @@
     if (found == control->targets.end()) {
         co_return;
     }
-    TargetEntry &target = found->second;
+    ControlTarget &target = found->second;
     target.polling = false;
     if (!isOk(report)) {
         VLOG(1) << "[member] load of target " << id.value << " could not be read; " << errorOf(report).detail;
@@ -84,7 +84,7 @@
 
 } // namespace
 
-bool observedLeaving(const Control::Impl &control, const TargetEntry &target, TimePoint now)
+bool observedLeaving(const Control::Impl &control, const ControlTarget &target, TimePoint now)
 {
     const bool draining = target.report.draining && target.reporter == control.self.id;
     return target.info.leaving || draining || now < target.leavingUntil;
@@ -104,7 +104,7 @@
         if (found == control.targets.end() || status.report.sequence == 0 || found->second.owner == control.self.id) {
             continue;
         }
-        TargetEntry &target = found->second;
+        ControlTarget &target = found->second;
         if (target.reporter == sender.info.id && status.report.sequence <= target.report.sequence) {
             continue;
         }
--- a/src/control/target_list.cpp
+++ b/src/control/target_list.cpp
@@ -72,7 +72,7 @@
 
 void applyTargetList(const ControlPtr &control, std::vector<TargetInfo> list)
 {
-    std::map<TargetId, TargetEntry> next;
+    std::map<TargetId, ControlTarget> next;
     for (const TargetInfo &info : list) {
         if (info.domain != control->self.domain) {
             continue;
