--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -197,6 +197,14 @@
     CHECK_FALSE(wire.readAnswerHead(500, {{"X-Skylarkstage-Request-Id", "q"}}).notRun);
 }
 
+// Guards against a rate limit of another instance, at an address that has changed hands, that is taken as the target's own.
+TEST_CASE("answerHead_ofAnotherInstance_namesNoRateLimit", "[calls]")
+{
+    const CallWire wire = platform::makeCallWire();
+    CHECK(wire.readAnswerHead(503, {{"Server-Limit", "2.5"}}).rateLimit == 2.5);
+    CHECK_FALSE(wire.readAnswerHead(421, {{"Server-Limit", "2.5"}}).rateLimit);
+}
+
 // Guards against a target that is taken as leaving because another instance at its address says so.
 TEST_CASE("answerHead_saysThatTheTargetLeaves_unlessAnotherInstanceMayHaveAnswered", "[calls]")
 {
