Fix: A sound prompt part is quarantined while the hosts that accused it wait seconds to report its sound runs

No target crashed under any part. Cause: a suspect run is announced at once, but a sound run that refutes it only with the next regular report, up to 3 s later. Change: a host that announced a crash with a part also announces the first sound run of that part after it at once; hosts that saw no such crash do not, so that there are at most as many early reports as crashes at a host and parts in them. skylarkd does the same.

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -367,6 +367,13 @@
     return true;
 }
 
+bool holdsPart(const TargetCrash &crash, PromptPartId part)
+{
+    return std::any_of(crash.runs.begin(), crash.runs.end(), [&](const SuspectRun &run) {
+        return std::find(run.prompt.shared.begin(), run.prompt.shared.end(), part) != run.prompt.shared.end();
+    });
+}
+
 /** @return Parts of the crashes that still count, which all hosts need to know sound runs of. */
 std::set<PromptPartId> suspectParts(const CrashQuarantine &state)
 {
@@ -406,6 +413,21 @@
     return changes;
 }
 
+bool isAccused(const CrashQuarantine &state, const PromptParts &prompt)
+{
+    const auto own = state.crashes.find(state.host);
+    if (own == state.crashes.end()) {
+        return false;
+    }
+    return std::any_of(prompt.shared.begin(), prompt.shared.end(), [&](PromptPartId part) {
+        const auto sound = state.soundAt.find(part);
+        const TimePoint soundAt = sound == state.soundAt.end() ? TimePoint{} : sound->second.own;
+        return std::any_of(own->second.begin(), own->second.end(), [&](const TargetCrash &crash) {
+            return crash.at > soundAt && holdsPart(crash, part);
+        });
+    });
+}
+
 std::vector<QuarantineChange> recordSoundRun(CrashQuarantine &state, const PromptParts &prompt, TimePoint now)
 {
     std::vector<QuarantineChange> changes;
--- a/src/policy/crash_quarantine_func.h
+++ b/src/policy/crash_quarantine_func.h
@@ -14,6 +14,9 @@
 /** Adds a run of this host that its target ended with. @return Quarantines that begin. */
 [[nodiscard]] std::vector<QuarantineChange> recordSuspectRun(CrashQuarantine &state, const TargetId &target, SuspectRun run, TimePoint now);
 
+/** @return Whether this host announced a crash with a part of @p prompt and no sound run since; the others need to know at once of the next one. */
+[[nodiscard]] bool isAccused(const CrashQuarantine &state, const PromptParts &prompt);
+
 /** Records that a run with @p prompt was sound. @return Quarantines that end. */
 [[nodiscard]] std::vector<QuarantineChange> recordSoundRun(CrashQuarantine &state, const PromptParts &prompt, TimePoint now);
 
--- a/src/proxy/crash_evidence.cpp
+++ b/src/proxy/crash_evidence.cpp
@@ -72,9 +72,10 @@
 
 void recordSoundRun(Proxy &proxy, const PromptParts &prompt)
 {
+    const bool wasAccused = isAccused(proxy.quarantine, prompt);
     const auto changes = recordSoundRun(proxy.quarantine, prompt, BootClock::now());
     reportChanges(proxy, changes);
-    if (!changes.empty()) {
+    if (wasAccused || !changes.empty()) {
         announceToAll(proxy);
     }
 }
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -76,12 +76,15 @@
 void recordSoundGeneration(CallerServer::Impl &impl, const Generation &generation)
 {
     SharedQuarantine &shared = *impl.context.quarantine;
+    const PromptParts prompt = promptPartsOf(generation);
+    bool wasAccused = false;
     std::vector<QuarantineChange> changes;
     {
         const std::scoped_lock lock(shared.mutex);
-        changes = recordSoundRun(shared.state, promptPartsOf(generation), BootClock::now());
+        wasAccused = isAccused(shared.state, prompt);
+        changes = recordSoundRun(shared.state, prompt, BootClock::now());
     }
-    if (!changes.empty()) {
+    if (wasAccused || !changes.empty()) {
         reportChanges(impl, changes);
     }
 }
