Fix: A stop closes a connection on which the next request has arrived already

At a stop, callers that had sent their next request before the response to the previous one came lost it: the response said Connection: close, and the request, in the buffer of the connection or in its socket, was dropped with it. A response announces the close only if nothing of a next request has arrived. The look at the socket is shared by the three places that need it.

--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -69,23 +69,6 @@
 
 constexpr std::chrono::milliseconds repeatDelay{50}; ///< Until a read that was between two of its steps at its deadline is cancelled again.
 
-/** What a read from a socket would find. */
-enum class SocketInput : std::uint8_t {
-    Nothing, ///< The read would wait.
-    Bytes, ///< Bytes have arrived.
-    Closed, ///< The caller has closed or reset the connection.
-};
-
-SocketInput peekInput(HttpServerConnection &connection)
-{
-    char byte = 0;
-    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got > 0) {
-        return SocketInput::Bytes;
-    }
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
-}
-
 /** Cancels the operations on a connection's socket at a time, until the deadline is destroyed. The connection stays open. */
 struct ReadDeadline {
     asio::steady_timer timer;
@@ -207,6 +190,16 @@
 
 } // namespace
 
+SocketInput peekInput(HttpServerConnection &connection)
+{
+    char byte = 0;
+    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return SocketInput::Bytes;
+    }
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
+}
+
 std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server)
 {
     const std::chrono::milliseconds current = server.options.keepAlive;
--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -1,5 +1,5 @@
 /** @file http_response.cpp Sends the response to one request of a connection. */
-#include "http/http_connection_base.h"
+#include "http/http_request_reader_func.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,10 +15,12 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 
-bool isClosing(const HttpServerConnection &connection)
+/** @return Whether the connection is closed after the current response. A stop waits for the next request if it has arrived already. */
+bool isClosing(HttpServerConnection &connection)
 {
     const auto server = connection.server.lock();
-    return !server || server->closing;
+    const bool stopping = !server || server->closing;
+    return stopping && connection.buffer.size() == 0 && peekInput(connection) != SocketInput::Bytes;
 }
 
 Result<Done> writeResult(HttpServerConnection &connection, const beast::error_code &error)
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -32,10 +32,7 @@
         if (error || connection->state == ConnectionState::Idle || connection->requestNumber != number) {
             return;
         }
-        char byte = 0;
-        const auto got = ::recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool disconnected = got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        if (disconnected && connection->callerGone) {
+        if (peekInput(*connection) == SocketInput::Closed && connection->callerGone) {
             const auto action = std::exchange(connection->callerGone, nullptr);
             action();
         }
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -302,3 +302,23 @@
     const auto shortened = this->connectKept();
     CHECK(this->waitClosed(*shortened, 400ms));
 }
+
+// Guards against answering a request with Connection: close although the next one on the connection has arrived, which is then dropped.
+TEST_CASE_METHOD(HttpConnectionFixture, "announceClose_nextRequestHasArrived_isAnsweredBeforeTheClose")
+{
+    this->listen();
+    const auto pipelined = this->connect();
+    const auto unread = this->connect();
+    const std::string slow = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
+    pipelined->write(slow + plainRequest);
+    unread->write(slow);
+    this->runFor(30ms);
+    unread->write(plainRequest);
+    announceClose(*this->server);
+    for (RawCaller *caller : {pipelined.get(), unread.get()}) {
+        CHECK(this->waitFor(*caller, "Connection: close"));
+        CHECK(this->waitClosed(*caller));
+        CHECK(caller->count(okLine) == 2);
+        CHECK(caller->count("Connection: close") == 1);
+    }
+}
