--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -5,6 +5,7 @@
 #include "core/event_log_func.h"
 #include "core/event_loop_func.h"
 #include "core/hash_func.h"
+#include "core/table/error_table.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
 #include "job/job_peer_func.h"
@@ -146,6 +147,9 @@
     HttpServerOptions options;
     options.listen = host.settings.callers;
     options.maxConnections = host.settings.maxDescriptors > 2 * reservedDescriptors ? host.settings.maxDescriptors - reservedDescriptors : reservedDescriptors;
+    options.onUnserved = [&host](ErrorCode cause) {
+        addCounter(*host.metrics, "skylark_unserved_requests_total", {{"cause", errorInfo(cause).name}});
+    };
     auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler({host.proxy, host.jobs, host.settings.domain}));
     if (!isOk(callers)) {
         return errorOf(callers);
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -55,6 +55,7 @@
 {
     HttpResponder responder{connection, false, false};
     connection->keepAlive = false;
+    reportUnserved(options, error.code);
     HttpResponse response;
     response.status = errorInfo(error.code).status;
     if (options.renderError) {
@@ -190,6 +191,13 @@
 
 } // namespace
 
+void reportUnserved(const HttpServerOptions &options, ErrorCode cause)
+{
+    if (options.onUnserved) {
+        options.onUnserved(cause);
+    }
+}
+
 SocketInput peekInput(HttpServerConnection &connection)
 {
     char byte = 0;
@@ -262,6 +270,7 @@
         return readBody(connection, parser);
     });
     if (isConnectionLost(bodyError)) {
+        reportUnserved(options, ErrorCode::CallerGone);
         co_return std::nullopt;
     }
     if (const auto bodyRejection = findReadError(maxBody, bodyError)) {
--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -12,6 +12,9 @@
     Closed, ///< The caller has closed or reset the connection.
 };
 
+/** Reports a request that did not reach the handler, or got no response from it. */
+void reportUnserved(const HttpServerOptions &options, ErrorCode cause);
+
 /** Looks at the socket of @p connection without reading from it. */
 [[nodiscard]] SocketInput peekInput(HttpServerConnection &connection);
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -54,6 +54,7 @@
     connection->callerGone = nullptr;
     connection->keepAlive = connection->keepAlive && responder.finished;
     if (!responder.started && connection->stream.socket().is_open()) {
+        reportUnserved(impl->options, ErrorCode::Internal);
         HttpResponse response;
         response.status = errorInfo(ErrorCode::Internal).status;
         co_await sendResponse(responder, std::move(response));
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -22,6 +22,7 @@
     std::chrono::milliseconds writeTimeout{10000}; ///< Time limit of one write, so that a slow caller cannot hold a response forever.
     std::size_t maxConnections{4096}; ///< Requests on further connections are refused with 503.
     std::function<HttpResponse(const Error &)> renderError; ///< Renders errors of reading a request (400, 408, 413, 431); null sends an empty body.
+    std::function<void(ErrorCode)> onUnserved; ///< Called for each request that did not reach the handler, or got no response from it; may be null.
 };
 
 struct HttpServerConnection;
--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -35,6 +35,7 @@
     MetricInfo{"skylark_first_answer_seconds", "Time from the arrival of a request to its answer or first event."},
     MetricInfo{"skylark_refusals_total", "Requests refused as not run, by route and reason."},
     MetricInfo{"skylark_own_failures_total", "Failures that this host answered itself, by status and reason."},
+    MetricInfo{"skylark_unserved_requests_total", "Requests that were not read whole or got no response from their handler, by cause."},
     MetricInfo{"skylark_items_total", "Batch items that ended on this host, by outcome."},
     MetricInfo{"skylark_items_yielded_total", "Batch items that gave their slot up to online requests."},
     MetricInfo{"skylark_store_failures_total", "Failed calls to the store, by error."},
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <map>
 #include <stdexcept>
 #include <sys/resource.h>
 #include <thread>
@@ -27,6 +28,7 @@
     std::unique_ptr<HttpServer> server; ///< Null until listen().
     Endpoint endpoint{"127.0.0.1", 0}; ///< Address of the server; the port is set by listen().
     int requests{0}; ///< Number of requests that reached the handler.
+    std::map<ErrorCode, int> unserved; ///< Number of reports of the server by cause.
 
     HttpConnectionFixture()
     {
@@ -34,6 +36,9 @@
         this->options.maxBody = 1000;
         this->options.bodyTimeout = 150ms;
         this->options.keepAlive = 200ms;
+        this->options.onUnserved = [this](ErrorCode cause) {
+            ++this->unserved[cause];
+        };
     }
 
     void listen()
@@ -182,6 +187,7 @@
         this->runFor(10ms);
         CHECK(activeRequests(*this->server) == 0);
     }
+    CHECK(this->unserved[ErrorCode::Internal] == 2);
 }
 
 // Guards against a host that exits at its stop limit without a word to the callers that still wait.
@@ -219,6 +225,7 @@
     CHECK(this->waitFor(*late, "HTTP/1.1 408"));
     CHECK(this->waitFor(*malformed, "HTTP/1.1 400"));
     CHECK(this->requests == 0);
+    CHECK(this->unserved == std::map<ErrorCode, int>{{ErrorCode::HeaderTimeout, 1}, {ErrorCode::InvalidRequest, 1}});
 }
 
 // Guards against the body timeout ending a request whose last bytes had arrived while the process did not run.
@@ -259,6 +266,7 @@
         CHECK(caller->count("Connection: close") == 1);
     }
     CHECK(this->requests == 2);
+    CHECK(this->unserved[ErrorCode::NotReady] == 100);
 }
 
 // Guards against an accept loop that keeps the processor busy while the process has no file descriptor left.
