--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -55,6 +55,7 @@
 {
     HttpResponder responder{connection, false, false};
     connection->keepAlive = false;
+    reportUnserved(options, error.code);
     HttpResponse response;
     response.status = errorInfo(error.code).status;
     if (options.renderError) {
@@ -69,23 +70,6 @@
 
 constexpr std::chrono::milliseconds repeatDelay{50}; ///< Until a read that was between two of its steps at its deadline is cancelled again.
 
-/** What a read from a socket would find. */
-enum class SocketInput : std::uint8_t {
-    Nothing, ///< The read would wait.
-    Bytes, ///< Bytes have arrived.
-    Closed, ///< The caller has closed or reset the connection.
-};
-
-SocketInput peekInput(HttpServerConnection &connection)
-{
-    char byte = 0;
-    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got > 0) {
-        return SocketInput::Bytes;
-    }
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
-}
-
 /** Cancels the operations on a connection's socket at a time, until the deadline is destroyed. The connection stays open. */
 struct ReadDeadline {
     asio::steady_timer timer;
@@ -207,6 +191,23 @@
 
 } // namespace
 
+void reportUnserved(const HttpServerOptions &options, ErrorCode cause)
+{
+    if (options.onUnserved) {
+        options.onUnserved(cause);
+    }
+}
+
+SocketInput peekInput(HttpServerConnection &connection)
+{
+    char byte = 0;
+    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return SocketInput::Bytes;
+    }
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
+}
+
 std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server)
 {
     const std::chrono::milliseconds current = server.options.keepAlive;
@@ -269,6 +270,7 @@
         return readBody(connection, parser);
     });
     if (isConnectionLost(bodyError)) {
+        reportUnserved(options, ErrorCode::CallerGone);
         co_return std::nullopt;
     }
     if (const auto bodyRejection = findReadError(maxBody, bodyError)) {
