Fix: A request that left a silent target fails with time left, because the other target refuses it

Cause: whether the request waits for a target was asked of its last attempt, which by then was the refusal, not the silence. Evidence: forward_otherTargetRefusesAfterASilence_requestIsServedBeforeItsDeadline before: 'REQUIRE( valueOf(answer).status == 200 ) ... 502 == 200'. Change: the request remembers that it left a silent target, and on which targets it ran: while it waits, those that refused it are candidates again, the silent one only where there is no other.

--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds defaultCallerTimeout{30000}; ///< Applies when the caller names none; a shorter timeout of the route still applies.
 constexpr milliseconds placementRetryInterval{20}; ///< First interval of retries while no target can continue a stream.
 constexpr unsigned maxRetryDoublings = 4; ///< Bounds the interval at 320 ms.
-/** Attempts that did not run on their target after which the request is not sent to another one; a stream that has begun is sent at longer intervals. */
+/** Attempts that did not run on their target after which the request is not sent to another one; one that waits for a target is sent at longer intervals. */
 constexpr unsigned maxTargetRefusals = 6;
 
 /** Updates the request and the target's health with the result of an attempt, and logs a failure. @param begun When the attempt began. */
@@ -36,6 +36,10 @@
         return;
     }
     forwarding.tried.push_back(target.id);
+    if (attempt.end == AttemptEnd::Failed) {
+        forwarding.ranOn.push_back(target.id);
+        forwarding.leftSilentTarget = forwarding.leftSilentTarget || isSilence(attempt.error);
+    }
     forwarding.runs += attempt.end == AttemptEnd::Failed ? 1 : 0;
     forwarding.refusals += attempt.end == AttemptEnd::NotRun ? 1 : 0;
     recordFailedRun(proxy, target.id, forwarding.call.prompt, forwarding.progress, attempt.error);
@@ -58,13 +62,20 @@
               {"prompt_parts", promptPartsText(forwarding.call.prompt)}});
 }
 
+/** @return Whether the request waits for a target while none can take it: the caller already has part of the answer, or the request left a sound target that
+ * was silent. */
+bool waitsForTarget(const Forwarding &forwarding)
+{
+    return forwarding.started || forwarding.leftSilentTarget;
+}
+
 /**
- * @return Whether a failed request may be sent to another target: time is left, fewer than maxTargetRefusals attempts did not run unless the caller already has
- * part of the answer, and the route allows a further run if an attempt may have run.
+ * @return Whether a failed request may be sent to another target: time is left, fewer than maxTargetRefusals attempts did not run unless it waits for a
+ * target, and the route allows a further run if an attempt may have run.
  */
 bool mayRetryElsewhere(const Forwarding &forwarding)
 {
-    if (timeLeft(forwarding).count() <= 0 || (!forwarding.started && forwarding.refusals >= maxTargetRefusals)) {
+    if (timeLeft(forwarding).count() <= 0 || (!waitsForTarget(forwarding) && forwarding.refusals >= maxTargetRefusals)) {
         return false;
     }
     return forwarding.runs == 0 || (isRepeatable(*forwarding.route) && forwarding.runs < forwarding.route->maxAttempts);
@@ -81,12 +92,15 @@
     });
 }
 
-/** @return Whether a request that no target can take now waits for one: if the caller already has part of the answer, or other targets are full while the last
- * one is silent. */
-bool waitsForTarget(const Forwarding &forwarding, const Attempt &last, BalanceReason reason)
+/** Makes targets candidates again: those that refused the request; where there is no other, or after a failure that was no silence, also those that ran it. */
+void reconsiderTargets(Forwarding &forwarding, BalanceReason reason)
 {
-    const bool movesAfterSilence = forwarding.runs > 0 && isSilence(last.error) && reason != BalanceReason::NoTarget;
-    return forwarding.started || movesAfterSilence;
+    const bool noneRefused = forwarding.tried == forwarding.ranOn;
+    if (!forwarding.leftSilentTarget || (noneRefused && reason == BalanceReason::NoTarget)) {
+        forwarding.tried.clear();
+    } else {
+        forwarding.tried = forwarding.ranOn;
+    }
 }
 
 /** @return Delay before the next attempt to place the request; it grows with the number of refusals. */
@@ -153,10 +167,9 @@
             recordOutcome(forwarding, 503, "refused");
             co_return;
         }
-        if (unplaced && waitsForTarget(forwarding, last, choice.reason)) {
-            if (choice.reason == BalanceReason::NoTarget || !isSilence(last.error)) {
-                forwarding.tried.clear();
-            }
+        const bool noneListed = choice.reason == BalanceReason::NoTarget && forwarding.tried.empty();
+        if (unplaced && (forwarding.started || (waitsForTarget(forwarding) && !noneListed))) {
+            reconsiderTargets(forwarding, choice.reason);
             co_await sleepFor(placementRetryDelay(forwarding));
             continue;
         }
@@ -175,7 +188,7 @@
         if (last.end == AttemptEnd::CallerGone) {
             break;
         }
-        if (forwarding.started && forwarding.refusals >= maxTargetRefusals) {
+        if (waitsForTarget(forwarding) && forwarding.refusals >= maxTargetRefusals) {
             co_await sleepFor(placementRetryDelay(forwarding));
         }
     }
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -225,6 +225,21 @@
     CHECK(this->second.runs.size() == 1);
 }
 
+// Guards against a request that left a silent target and fails with time left, because the other target refuses it for a while.
+TEST_CASE_METHOD(SilenceFixture, "forward_otherTargetRefusesAfterASilence_requestIsServedBeforeItsDeadline")
+{
+    this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 5; // The request goes to the other target first.
+    const TimePoint begun = BootClock::now();
+    this->first.plan = [](const HttpRequest & /*request*/, unsigned /*number*/) {
+        return ReplicaPlan{.stream = false, .firstDelay = 5s};
+    };
+    this->second.plan = [begun](const HttpRequest & /*request*/, unsigned /*number*/) {
+        return ReplicaPlan{.status = BootClock::now() - begun < 2s ? 503 : 200, .stream = false};
+    };
+    CHECK(this->textOf("q1", "/lookup/x", 3s) == wholeText("q1", 10));
+    CHECK(this->first.runs.size() == 1);
+}
+
 // Guards against a stream that is given up with time left, because the targets refuse to continue it for a while.
 TEST_CASE_METHOD(SilenceFixture, "forward_begunStreamIsRefusedForAWhile_continuesBeforeItsDeadline")
 {
