--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -277,6 +277,13 @@
     std::_Exit(code);
 }
 
+/** Gives up the jobs of the host and sets @p released; calls to the store may take longer than a stop. */
+asio::awaitable<void> releaseAllJobs(EntryHost &host, bool &released)
+{
+    co_await releaseJobs(*host.runner);
+    released = true;
+}
+
 /**
  * Shuts down gracefully: reports not ready, gives up jobs, waits for running requests and stored results, removes the host's entry and exits. New requests are
  * accepted until the load balancer has had time to notice. The wait ends stopMargin before the stop limit.
@@ -290,7 +297,8 @@
     logReadiness(host);
     announceClose(*host.callerServer);
     scheduleEarlyStatus(*host.peers);
-    co_await releaseJobs(*host.runner);
+    bool released = false; // Lives as long as the process: this function does not return.
+    asio::co_spawn(host.traffic, releaseAllJobs(host, released), asio::detached);
     const TimePoint waitUntil = stopStartedAt + host.settings.stopLimit - stopMargin;
     bool closed = false;
     for (;;) {
@@ -302,7 +310,7 @@
             stopAccepting(*host.callerServer);
             closeIdleConnections(*host.callerServer);
         }
-        const bool idle = openConnections(*host.callerServer) == 0 && activeItems(*host.runner) == 0;
+        const bool idle = released && openConnections(*host.callerServer) == 0 && activeItems(*host.runner) == 0;
         if (now >= waitUntil || (idle && closed)) {
             break;
         }
--- a/tests/test_entry_host.cpp
+++ b/tests/test_entry_host.cpp
@@ -291,6 +291,28 @@
     CHECK(waitExit(*this->hosts[0].process, 9s) == 0);
 }
 
+// Guards against a stop that lasts until the process is killed, because jobs are released one after the other while the store does not answer.
+TEST_CASE_METHOD(HostProcessFixture, "host_stoppedWhileTheStoreIsSilent_exitsWithinItsStopLimit")
+{
+    for (const char *job : {"j1", "j2", "j3", "j4"}) {
+        REQUIRE(isOk(this->call(this->hosts[0].callers, request(job, std::string("/batch/") + job, jobBody(2)))));
+    }
+    RawCaller idle(this->loop, this->hosts[0].callers);
+    this->runFor(200ms);
+    sendSignal(*this->platformProcess.process, SIGSTOP);
+    const TimePoint begun = BootClock::now();
+    sendSignal(*this->hosts[0].process, SIGTERM);
+    CHECK(this->runUntil(
+        [&idle] {
+            idle.poll();
+            return idle.closed;
+        },
+        4s));
+    CHECK(waitExit(*this->hosts[0].process, 10s) == 0);
+    CHECK(BootClock::now() - begun < 8s);
+    sendSignal(*this->platformProcess.process, SIGCONT);
+}
+
 // Guards against a host that exits at its stop limit without a word to the callers that still wait.
 TEST_CASE_METHOD(HostProcessFixture, "host_stopLimitBeforeTheResponse_callerGets504")
 {
