Fix: skylarkd ends a stop while requests are still being read

Cause: drainCallers() counted only requests that run, so it returned at once without any. Evidence: drainCallers_requestIsBeingRead_waitsForIt before: 'CHECK( received.starts_with("HTTP/1.1 200") ) with expansion: false'. Change: it waits until no connection is open, for at most the same time; idle ones are closed at once and others after their answer.

--- a/src/traffic/caller_server.cpp
+++ b/src/traffic/caller_server.cpp
@@ -164,12 +164,11 @@
     stopAccepting(*impl->server);
     asio::steady_timer timer(impl->http->executor);
     const TimePoint end = BootClock::now() + timeout;
-    while (activeRequests(*impl->server) > 0 && BootClock::now() < end) {
-        closeIdleConnections(*impl->server);
+    closeIdleConnections(*impl->server);
+    while (openConnections(*impl->server) > 0 && BootClock::now() < end) {
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    closeIdleConnections(*impl->server);
     co_return activeRequests(*impl->server);
 }
 
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -1,7 +1,13 @@
 /** @file test_traffic.cpp Tests of the callers' server: online generations on stand-in targets. */
+#include "core/async_sleep_func.h"
 #include "support/traffic_fixture.h"
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 using namespace skylark;
@@ -416,6 +422,32 @@
     CHECK(headerValue(answer->headers, "connection") == "close");
 }
 
+// Guards against a stop that ends while a host still reads a request, because only requests that run were counted.
+TEST_CASE_METHOD(TrafficFixture, "drainCallers_requestIsBeingRead_waitsForIt")
+{
+    this->addTarget();
+    this->startServer();
+    std::string received;
+    const auto callSlowly = [this, &received]() -> asio::awaitable<void> {
+        asio::ip::tcp::socket socket(this->context.online);
+        co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), this->endpoint().port}, asio::use_awaitable);
+        const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}]})";
+        const std::string head =
+            "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(head + body.substr(0, 5)), asio::use_awaitable);
+        co_await sleepFor(100ms);
+        co_await asio::async_write(socket, asio::buffer(body.substr(5)), asio::use_awaitable);
+        boost::system::error_code error;
+        co_await asio::async_read(socket, asio::dynamic_buffer(received), asio::redirect_error(asio::use_awaitable, error));
+    };
+    asio::co_spawn(this->context.online, callSlowly(), asio::detached);
+    this->runFor(50ms);
+    announceStop(*this->server);
+    CHECK(this->run(drainCallers(*this->server, 10s)) == 0);
+    this->runFor(50ms);
+    CHECK(received.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against prompts with one prefix that crash one engine after the other, and against rejecting the prompts that share less than that prefix.
 TEST_CASE_METHOD(TrafficFixture, "chat_promptPrefixCrashesTargets_isQuarantinedAndOthersAreServed")
 {
