Fix: A whole answer moves again so late that no further target can give it

What callers saw: with three runs allowed and 1.5 s, a lookup left the silent first target at 1.2 s and the sound second one at 1.44 s, and got 504; with two runs allowed it was answered. Cause: the share of the time that is kept for another target was taken at each move. Evidence: forward_secondTargetIsSlowAndLittleTimeIsLeft_isWaitedFor before: 'REQUIRE( valueOf(answer).status == 200 ) ... 504 == 200'. Change: the share is kept at the first move only. Result: test_silence passes (308 assertions in 17 cases).

--- a/src/policy/silence.cpp
+++ b/src/policy/silence.cpp
@@ -20,7 +20,7 @@
     if (!input.mayMove) {
         return input.timeLeft;
     }
-    const milliseconds available = input.stream ? input.timeLeft : input.timeLeft * 4 / 5;
+    const milliseconds available = input.stream || input.moved ? input.timeLeft : input.timeLeft * 4 / 5;
     return std::min(available, maxSoundSilence + schedulingMargin);
 }
 
--- a/src/policy/silence_func.h
+++ b/src/policy/silence_func.h
@@ -8,7 +8,7 @@
 
 /**
  * @return How long the target may be silent before the request moves to another one, at most the time left. A whole answer for which little time is left moves
- * while there is still time for another target.
+ * once while there is still time for another target.
  */
 [[nodiscard]] std::chrono::milliseconds silenceLimit(const SilenceInput &input);
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -102,7 +102,7 @@
 {
     const bool stream = forwarding.route->kind == CallKind::Stream;
     const milliseconds left = timeLeft(forwarding);
-    const milliseconds limit = silenceLimit({.mayMove = forwarding.mayMove, .stream = stream, .timeLeft = left});
+    const milliseconds limit = silenceLimit({.mayMove = forwarding.mayMove, .moved = forwarding.runs > 0, .stream = stream, .timeLeft = left});
     return forwarding.mayMove ? std::min(left, limit - elapsedSince(forwarding.progressAt)) : limit;
 }
 
