Codechange: Names in the usual terms for a refused connection and for a target that reads nothing

Cause: read-through as a newcomer: turnAway() and DeafTarget were metaphors, and the comment on the targets that a request has tried did not say what becomes of them. Change: refuseOverLimit(), NonReadingTarget, and the comment. No logic changed.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -114,7 +114,7 @@
 }
 
 /** Refuses a connection over the limit. */
-asio::awaitable<void> turnAway(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
+asio::awaitable<void> refuseOverLimit(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
 {
     const auto connection = makeConnection(impl, std::move(socket));
     ++impl->refusing;
@@ -127,7 +127,7 @@
 void startConnection(const std::shared_ptr<HttpServer::Impl> &impl, tcp::socket socket)
 {
     const bool accepted = impl->connections.size() < impl->options.maxConnections;
-    auto task = accepted ? serveConnection(impl, std::move(socket)) : turnAway(impl, std::move(socket));
+    auto task = accepted ? serveConnection(impl, std::move(socket)) : refuseOverLimit(impl, std::move(socket));
     asio::co_spawn(impl->acceptor.get_executor(), std::move(task), asio::detached);
 }
 
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -21,7 +21,7 @@
     TimePoint arrivedAt{};
     TimePoint deadline{}; ///< When the caller must have the final answer.
     TargetId target; ///< Target of the current or most recent attempt.
-    std::vector<TargetId> tried; ///< Targets on which an attempt failed; it is reconsidered when no other one is left.
+    std::vector<TargetId> tried; ///< Targets that are no candidates because an attempt on them failed; reduced or cleared while the request waits for a target.
     std::vector<TargetId> ranOn; ///< Targets on which it may have run without a complete answer.
     bool leftSilentTarget{false}; ///< Whether a run was given up because its target was silent.
     unsigned runs{0}; ///< Failed attempts that may have run on their target.
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -332,11 +332,11 @@
 }
 
 /** A target that accepts connections but reads nothing. */
-struct DeafTarget {
+struct NonReadingTarget {
     boost::asio::ip::tcp::acceptor acceptor;
     std::vector<boost::asio::ip::tcp::socket> accepted;
 
-    explicit DeafTarget(boost::asio::io_context &loop)
+    explicit NonReadingTarget(boost::asio::io_context &loop)
         : acceptor(loop)
     {
         using boost::asio::ip::tcp;
@@ -356,12 +356,12 @@
 };
 
 /** A request with a body that does not fit into the buffers of a connection, for a target that reads nothing. */
-struct DeafTargetFixture : SilenceFixture {
-    DeafTarget deaf{loop};
+struct NonReadingTargetFixture : SilenceFixture {
+    NonReadingTarget nonReading{loop};
 
-    DeafTargetFixture()
+    NonReadingTargetFixture()
     {
-        this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", this->deaf.acceptor.local_endpoint().port()};
+        this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", this->nonReading.acceptor.local_endpoint().port()};
         this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 5; // The request goes to the other target first.
         this->host.publish({});
         this->setPlans({{.stream = false}});
@@ -377,12 +377,12 @@
 };
 
 // Guards against a target that is counted as crashed by the request, because it reads no further part of the body before the deadline.
-TEST_CASE_METHOD(DeafTargetFixture, "forward_targetReadsNothing_isNoCrashOfTheTarget")
+TEST_CASE_METHOD(NonReadingTargetFixture, "forward_targetReadsNothing_isNoCrashOfTheTarget")
 {
     const auto answer = this->sendLongBody("/order/x", 900ms);
     REQUIRE(isOk(answer));
     CHECK(valueOf(answer).status == 504);
-    CHECK(this->deaf.accepted.size() == 1);
+    CHECK(this->nonReading.accepted.size() == 1);
     CHECK(this->host.proxy->quarantine.crashes.empty());
     CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
 }
