Test: The test of a stall counted connections that their idle limit had closed before it

Traced: on a machine with 12 busy loops 12 of 25 runs fail, and in each the connections without an answer are exactly those that were closed before the stall began (2 to 175). Opening and using 300 connections took longer than their idle limit of 200 ms, so the server closed them rightly.

The idle limit of this test is now 2 s, the stall a little longer, and the test requires that all connections are open when the stall begins.

--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -117,6 +117,7 @@
 // Guards against the idle limit closing connections on which requests arrived while the process did not run.
 TEST_CASE_METHOD(HttpConnectionFixture, "idleConnections_requestsArriveDuringStall_areAnswered")
 {
+    this->options.keepAlive = 2s; // The connections are opened and used well within it.
     this->listen();
     std::vector<std::unique_ptr<RawCaller>> callers;
     for (int i = 0; i < 300; ++i) {
@@ -127,7 +128,11 @@
         REQUIRE(this->waitFor(*caller, okLine));
         caller->received.clear();
     }
-    std::this_thread::sleep_for(300ms);
+    for (const auto &caller : callers) {
+        caller->poll();
+        REQUIRE_FALSE(caller->closed);
+    }
+    std::this_thread::sleep_for(2100ms);
     for (const auto &caller : callers) {
         caller->write(plainRequest);
     }
