Fix: skylarkd's batch takes a sound silence of an engine for its end

What callers saw: items whose streams broke off on an engine that was then silent for 1.2 s ran one after another, each alone on an engine, and the engine counted as dead for them. A sound target may be silent for 1.5 s (src/policy/silence). Cause: after a broken stream the batch reads the load report of the engine with limits of 0.7 s for its begin and between two reads. Change: the limits of that report are maxSoundSilence and 0.1 s for its way; the limits of the connection are unchanged.

--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -4,6 +4,7 @@
 #include "core/invariant_func.h"
 #include "policy/claim_func.h"
 #include "policy/item_attempt_func.h"
+#include "policy/silence_type.h"
 
 #include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -20,9 +21,9 @@
 
 constexpr auto targetBackoff = std::chrono::milliseconds(250); ///< Pause of a target after a refusal or failure; half the interval of load reports.
 constexpr auto yieldCapDuration = std::chrono::milliseconds(600); ///< Covers the time until another host's next status datagram counts its online requests.
-/** Timeouts of the load report that tells whether a target died. */
-constexpr HttpTimeouts probeTimeouts{
-    std::chrono::milliseconds(300), std::chrono::milliseconds(300), std::chrono::milliseconds(700), std::chrono::milliseconds(700)};
+constexpr auto probeSilence = maxSoundSilence + std::chrono::milliseconds(100); ///< Longer than a sound silence, by the time that the report is under way.
+/** Timeouts of the load report that tells whether a target ended. */
+constexpr HttpTimeouts probeTimeouts{std::chrono::milliseconds(300), std::chrono::milliseconds(300), probeSilence, probeSilence};
 
 /** Limits of the runs of an item, from the configuration of its workspace. */
 struct RunLimits {
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -2,6 +2,7 @@
 #include "batch/batch_record_func.h"
 #include "batch/job_parse_func.h"
 #include "support/batch_host.h"
+#include "support/silent_engine.h"
 
 #include <csignal>
 #include <set>
@@ -373,6 +374,16 @@
     CHECK(alive >= 1);
 }
 
+// Guards against a sound silence of an engine that is taken for its end, so that the items that broke off there run one after another.
+TEST_CASE_METHOD(BatchFixture, "job_engineIsSilentAfterBrokenStreams_itemsStillRunTogether")
+{
+    const auto engine = SilentEngine::create(this->host().context.batch.get_executor(), 4, 1200ms);
+    this->host().addTarget("e1", engine->endpoint());
+    const JobId job = this->submitAccepted("evening", jobBody(4));
+    REQUIRE(this->waitDone(job));
+    CHECK(engine->mostActive == 4);
+}
+
 // Guards against writing a completion twice, or dropping its group, when the answer to the write was lost.
 TEST_CASE_METHOD(BatchFixture, "job_allWriteAnswersLost_completesOnce")
 {
