--- a/standins/scripted_target.cpp
+++ b/standins/scripted_target.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace skylark::standin {
@@ -28,6 +29,7 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds pollInterval{20}; ///< Interval of the checks whether the caller is still connected.
+constexpr milliseconds leastDelay{20}; ///< Time between arrival and read of a request from which it is recorded.
 
 /** Connection and request that an answer belongs to. */
 struct Answering {
@@ -52,6 +54,25 @@
     return got > 0 || (got < 0 && errno == EAGAIN);
 }
 
+/** @return Time since the last byte arrived at the socket, by the clock of the system's network stack. */
+milliseconds timeSinceArrival(tcp::socket &socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    const int failed = ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &length);
+    return milliseconds(failed == 0 ? info.tcpi_last_data_recv : 0);
+}
+
+/** Records a request that has just been read if it arrived some time ago. */
+void recordLateRead(ScriptedTarget &target, tcp::socket &socket, const HttpRequest &request)
+{
+    const milliseconds delay = timeSinceArrival(socket);
+    if (delay >= leastDelay) {
+        const TimePoint now = BootClock::now();
+        target.lateReads.push_back({std::string(headerValue(request.headers, headerRequestId)), now - delay, now});
+    }
+}
+
 /** Waits for @p duration and until the target is no longer silent. @return Whether the caller is still connected. */
 asio::awaitable<bool> pauseAnswer(Answering &answering, milliseconds duration)
 {
@@ -215,7 +236,9 @@
         if (error) {
             break;
         }
-        open = co_await answerRequest(target, socket, convertRequest(message));
+        HttpRequest request = convertRequest(message);
+        recordLateRead(*target, socket, request);
+        open = co_await answerRequest(target, socket, std::move(request));
     }
     target->sockets.erase(&socket);
 }
--- a/standins/scripted_target_base.h
+++ b/standins/scripted_target_base.h
@@ -38,6 +38,13 @@
     bool brokenOff{false}; ///< Whether the target itself broke the answer off.
 };
 
+/** Record of a request that lay in the socket of a target for a while before the target read it, because its event loop was busy. */
+struct LateRead {
+    std::string id; ///< Request id.
+    TimePoint arrivedAt; ///< When the last byte arrived at the socket.
+    TimePoint readAt; ///< When the target had read the whole request.
+};
+
 /** The target; not thread-safe, used only on the thread of its executor. */
 struct ScriptedTarget {
     boost::asio::any_io_executor executor;
@@ -49,6 +56,7 @@
     std::optional<TimePoint> crashedAt; ///< When the target crashed; nothing while it is alive.
     TimePoint silentUntil{}; ///< Time until which the target sends nothing, although it goes on working.
     std::vector<std::shared_ptr<ScriptedRun>> runs; ///< Requests that were executed, in order of arrival.
+    std::vector<LateRead> lateReads; ///< Requests that were read at least 20 ms after their arrival, executed or refused.
 
     /** Starts a target on a free port of 127.0.0.1. @return Null if it cannot listen. */
     static std::shared_ptr<ScriptedTarget> create(const boost::asio::any_io_executor &executor, std::string id, std::string service);
