Test: The soak draws a request that crashes its targets (red, by hand)

Change: with SKYLARK_SOAK_CRASHES=1 two callers send such a request on a plain service (lookup or order) and two on a streaming route (chat or tell), by the seed. A target crashes before its answer or within it, and is replaced after up to 3.8 s. The verdict allows three runs that arrived at targets later than 3 s after the third crash; all other requests are judged as before. Crashed targets are now replaced side by side: one after the other took too long with several. Records of targets have a module of their own.

--- a/standins/scripted_target.cpp
+++ b/standins/scripted_target.cpp
@@ -125,6 +125,7 @@
 {
     answering.run->brokenOff = true;
     if (answering.script.crashes) {
+        answering.run->crashedTarget = true;
         crashTarget(*answering.target);
     } else {
         resetSocket(answering.socket);
@@ -172,6 +173,10 @@
 asio::awaitable<bool> execute(Answering &answering)
 {
     bool complete = co_await pauseAnswer(answering, answering.script.firstDelay);
+    if (complete && answering.script.crashes && answering.script.breakAfter == 0) {
+        breakOff(answering);
+        complete = false;
+    }
     if (complete && answering.script.stream) {
         complete = co_await sendEvents(answering);
     } else if (complete) {
--- a/standins/scripted_target_base.h
+++ b/standins/scripted_target_base.h
@@ -25,7 +25,7 @@
     std::chrono::milliseconds firstDelay{0}; ///< Delay before the answer begins.
     bool endsWithConnection{false}; ///< Whether the answer has neither a length nor chunks and ends when its connection closes.
     unsigned breakAfter{0}; ///< Number of the event after which the connection is reset; 0 for never.
-    bool crashes{false}; ///< Whether the target crashes once the answer has begun.
+    bool crashes{false}; ///< Whether the target crashes: after the event of breakAfter, or before its answer begins if that is 0.
 };
 
 /** Record of one request that the target executed. */
@@ -36,6 +36,7 @@
     std::optional<TimePoint> endedAt; ///< When it stopped working on it; nothing while it works.
     unsigned lastEventId{0}; ///< Event after which the answer was asked to continue.
     bool brokenOff{false}; ///< Whether the target itself broke the answer off.
+    bool crashedTarget{false}; ///< Whether the target crashed under this run.
 };
 
 /** Record of a request that lay in the socket of a target for a while before the target read it, because its event loop was busy. */
--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -4,6 +4,7 @@
 #include "core/async_sleep_func.h"
 #include "names.h"
 #include "support/soak_client_func.h"
+#include "support/soak_crash_func.h"
 
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
@@ -110,7 +111,7 @@
     const std::string id(headerValue(request.headers, platform::headerRequestId));
     const std::string size(headerValue(request.headers, soakBodySizeHeader));
     const bool intact = size == std::to_string(request.body.size()) && request.body == soakBody(id, request.body.size());
-    if (!intact && !request.target.starts_with("/job/")) {
+    if (!intact && !isCrashInducing(request.body) && !request.target.starts_with("/job/")) {
         site.problems.push_back("another body than the caller's: " + id);
     }
 }
@@ -127,6 +128,11 @@
     if (script.crashes || drawNumber(site.random, 1, 60) == 1) {
         script.breakAfter = static_cast<unsigned>(drawNumber(site.random, 1, soakEvents - 1));
     }
+    if (isCrashInducing(request.body)) {
+        script.crashes = true;
+        script.refused = false;
+        script.breakAfter = drawNumber(site.random, 0, 1) == 0 ? 0 : script.breakAfter + 1;
+    }
     return script;
 }
 
@@ -148,23 +154,28 @@
     site.targets.push_back(std::move(target));
 }
 
-/** Replaces the crashed targets by new ones after a while. */
+/** Removes the entry of a crashed target after a while and starts a new target in its place. */
+asio::awaitable<void> replaceTarget(SoakSite &site, std::shared_ptr<ScriptedTarget> crashed)
+{
+    co_await sleepFor(drawTime(site.random, 200ms, 800ms));
+    removeKey(*site.store, std::string(platform::prefixTargets) + crashed->id);
+    co_await sleepFor(drawTime(site.random, 0ms, site.longestRestart));
+    startTarget(site, crashed->service);
+}
+
+/** Replaces the crashed targets by new ones, each after a while of its own. */
 asio::awaitable<void> replaceCrashed(SoakSite &site)
 {
     while (!site.ending) {
         co_await sleepFor(100ms);
-        for (std::size_t i = 0; i < site.targets.size(); ++i) {
-            const auto target = site.targets[i];
-            if (target->acceptor.is_open()) {
-                continue;
-            }
-            site.targets.erase(site.targets.begin() + static_cast<std::ptrdiff_t>(i));
-            site.crashedTargets.push_back(target);
-            co_await sleepFor(drawTime(site.random, 200ms, 800ms));
-            removeKey(*site.store, std::string(platform::prefixTargets) + target->id);
-            startTarget(site, target->service);
-            break;
+        const auto crashed = std::stable_partition(site.targets.begin(), site.targets.end(), [](const auto &target) {
+            return target->acceptor.is_open();
+        });
+        for (auto each = crashed; each != site.targets.end(); ++each) {
+            site.crashedTargets.push_back(*each);
+            asio::co_spawn(site.loop, replaceTarget(site, *each), asio::detached);
         }
+        site.targets.erase(crashed, site.targets.end());
     }
 }
 
@@ -326,7 +337,7 @@
     asio::co_spawn(site.loop, replaceCrashed(site), asio::detached);
     while (!site.ending) {
         co_await sleepFor(drawTime(site.random, 200ms, 800ms));
-        if (drawNumber(site.random, 1, 5) > 1) {
+        if (site.targets.empty() || drawNumber(site.random, 1, 5) > 1) {
             co_await silenceTargets(site);
         } else {
             crashTarget(*site.targets[drawNumber(site.random, 0, site.targets.size() - 1)]);
--- a/tests/support/soak_site.h
+++ b/tests/support/soak_site.h
@@ -70,6 +70,7 @@
     std::vector<WrittenConfig> configs; ///< In order of writing.
     std::vector<std::pair<TimePoint, std::chrono::milliseconds>> stalls; ///< Times at which the event loop of the test was late, and by how much.
     std::vector<std::string> problems; ///< Host processes that ended in the wrong way.
+    std::chrono::milliseconds longestRestart{0}; ///< Longest time between the removal of a crashed target and the start of the one in its place.
     unsigned targetNumber{0}; ///< Number of targets started so far.
     bool ending{false}; ///< Whether the operator makes no further changes.
 
--- a/tests/support/soak_verdict.cpp
+++ b/tests/support/soak_verdict.cpp
@@ -2,6 +2,8 @@
 #include "support/soak_verdict_func.h"
 
 #include "replica_base.h"
+#include "support/soak_crash_func.h"
+#include "support/soak_records_func.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
@@ -31,12 +33,6 @@
     const std::vector<LateRead> &lateReads; ///< Reads of it that targets made late.
 };
 
-/** Runs and late reads of one request at all targets. */
-struct TargetRecords {
-    std::vector<ScriptedRun> runs; ///< In order of their begin.
-    std::vector<LateRead> lateReads;
-};
-
 /** Time in which the process of the test kept a request waiting. */
 struct Delay {
     TimePoint from;
@@ -287,28 +283,6 @@
     return text.str();
 }
 
-/** @return All records of the targets by the id of the request. */
-std::map<std::string, TargetRecords> targetRecords(const SoakSite &site)
-{
-    std::map<std::string, TargetRecords> byId;
-    for (const auto *group : {&site.targets, &site.crashedTargets}) {
-        for (const auto &target : *group) {
-            for (const auto &run : target->runs) {
-                byId[run->id].runs.push_back(*run);
-            }
-            for (const LateRead &read : target->lateReads) {
-                byId[read.id].lateReads.push_back(read);
-            }
-        }
-    }
-    for (auto &[id, records] : byId) {
-        std::sort(records.runs.begin(), records.runs.end(), [](const ScriptedRun &a, const ScriptedRun &b) {
-            return a.beganAt < b.beganAt;
-        });
-    }
-    return byId;
-}
-
 /** @return When a caller would have given up because nothing arrived for too long; nothing if it would not. */
 std::optional<TimePoint> silentTooLongAt(const JudgedRequest &request)
 {
@@ -374,6 +348,9 @@
     SoakVerdict verdict;
     verdict.failures = site.problems;
     auto byId = targetRecords(site);
+    for (const std::string &failure : crashBudgetFailures(records, byId)) {
+        verdict.failures.push_back(failure);
+    }
     for (const SoakRecord &record : records) {
         const TargetRecords &known = byId[record.call.id];
         judgeRequest({site, record, known.runs, known.lateReads}, verdict);
--- a/tests/test_host_soak.cpp
+++ b/tests/test_host_soak.cpp
@@ -2,6 +2,7 @@
 #include "core/async_sleep_func.h"
 #include "names.h"
 #include "support/property_seed.h"
+#include "support/soak_crash_func.h"
 #include "support/soak_verdict_func.h"
 
 #include <boost/asio/detached.hpp>
@@ -26,6 +27,9 @@
 constexpr unsigned freshCallers = 3; ///< Likewise.
 constexpr unsigned jobCallers = 2; ///< Likewise.
 constexpr unsigned jobItems = 3;
+constexpr unsigned crashingCallers = 2; ///< Senders of each crash-inducing request.
+constexpr bool crashesByDefault = false; ///< Whether callers send crash-inducing requests if SKYLARK_SOAK_CRASHES is not set.
+constexpr milliseconds longestCrashRestart{3000}; ///< Longest time without a replacement for a target, beside crash-inducing requests.
 
 /** All callers of a run. */
 struct Callers {
@@ -247,6 +251,33 @@
     --callers.active;
 }
 
+/** Sends the crash-inducing request of a route at one host after another. */
+asio::awaitable<void> repeatCrashingRequest(Callers &callers, std::uint64_t seed, std::string route)
+{
+    Caller caller{std::mt19937_64(seed)};
+    while (!callers.ending) {
+        co_await sleepFor(drawTime(caller.random, 100ms, 700ms));
+        SoakCall call = crashingCall(route, "crash-" + std::to_string(callers.seed) + "-" + std::to_string(callers.calls++));
+        co_await sendFresh(callers, caller, std::move(call));
+    }
+    --callers.active;
+}
+
+/** Starts the senders of one crash-inducing request on a plain service and of one on a streaming route. */
+void startCrashingCallers(Callers &callers)
+{
+    callers.site.longestRestart = longestCrashRestart;
+    std::mt19937_64 random(callers.seed);
+    const std::string plain = drawNumber(random, 0, 1) == 0 ? "lookup" : "order";
+    const std::string streaming = drawNumber(random, 0, 1) == 0 ? "chat" : "tell";
+    for (const std::string &route : {plain, streaming}) {
+        for (unsigned i = 0; i < crashingCallers; ++i) {
+            ++callers.active;
+            asio::co_spawn(callers.site.loop, repeatCrashingRequest(callers, random(), route), asio::detached);
+        }
+    }
+}
+
 void startCallers(Callers &callers)
 {
     const auto hosts = static_cast<unsigned>(callers.site.hosts.size());
@@ -273,6 +304,13 @@
     return text == nullptr ? 2 : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
 }
 
+/** @return Whether callers send crash-inducing requests: SKYLARK_SOAK_CRASHES is 1, or not set and they do by default. */
+bool sendsCrashingRequests()
+{
+    const char *text = std::getenv("SKYLARK_SOAK_CRASHES");
+    return text == nullptr ? crashesByDefault : std::string_view(text) == "1";
+}
+
 void printCounts(std::uint64_t seed, const Callers &callers, const SoakVerdict &verdict)
 {
     std::cout << "seed " << seed << ": " << verdict.failures.size() << " failures, configurations " << callers.site.configs.size() << ", closed while idle "
@@ -291,6 +329,9 @@
         SoakSite site(seed, hostCount(), this->folder / std::to_string(seed));
         Callers callers{site, seed};
         startCallers(callers);
+        if (sendsCrashingRequests()) {
+            startCrashingCallers(callers);
+        }
         unsigned running = 0;
         const auto ended = [&running](const std::exception_ptr & /*failure*/) {
             --running;
--- a/tests/test_soak_verdict.cpp
+++ b/tests/test_soak_verdict.cpp
@@ -1,4 +1,5 @@
 /** @file test_soak_verdict.cpp The verdict of the soak test on records that the tests make up. */
+#include "support/soak_crash_func.h"
 #include "support/soak_verdict_func.h"
 
 #include <unistd.h>
@@ -61,6 +62,22 @@
         this->target->lateReads.push_back({record.call.id, this->sentAt + arrivedAfter, this->sentAt + readAfter});
     }
 
+    /** Adds sends of the crash-inducing request of @p route, each of which crashes its target @p arrivals after the first moment. */
+    void addCrashes(const std::string &route, const std::vector<milliseconds> &arrivals)
+    {
+        for (const milliseconds arrival : arrivals) {
+            SoakRecord &record = this->records.emplace_back();
+            record.call = crashingCall(route, "crash-" + std::to_string(this->records.size()));
+            record.startedAt = this->sentAt + arrival;
+            record.sentAt = record.startedAt;
+            record.endedAt = record.startedAt + 200ms;
+            record.end = SoakEnd::BrokenOff;
+            this->addRun(record.call.id, arrival);
+            this->target->runs.back()->brokenOff = true;
+            this->target->runs.back()->crashedTarget = true;
+        }
+    }
+
     std::size_t failureCount() const
     {
         return judgeSoak(this->site, this->records).failures.size();
@@ -136,3 +153,35 @@
     this->addRun("r-1", 5350ms);
     CHECK(this->failureCount() == 1);
 }
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_fourRunsOfACrashInducingRequestAfterContactTime_fails")
+{
+    this->addCrashes("lookup", {0ms, 100ms, 200ms, 3400ms, 3500ms, 3600ms, 3700ms});
+    CHECK(this->failureCount() == 1);
+}
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_threeRunsOfACrashInducingRequestAfterContactTime_isAllowed")
+{
+    this->addCrashes("lookup", {0ms, 100ms, 200ms, 3400ms, 3500ms, 3600ms});
+    CHECK(this->failureCount() == 0);
+}
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_runsOfACrashInducingRequestWithinContactTime_areAllowed")
+{
+    this->addCrashes("chat", {0ms, 100ms, 200ms, 3000ms, 3100ms, 3200ms, 3290ms});
+    CHECK(this->failureCount() == 0);
+}
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_twoCrashInducingRequests_areCountedApart")
+{
+    this->addCrashes("lookup", {0ms, 100ms, 200ms, 3400ms, 3500ms});
+    this->addCrashes("chat", {0ms, 100ms, 200ms, 3400ms, 3500ms});
+    CHECK(this->failureCount() == 0);
+}
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_crashInducingRequestThatArrivedBeforeContactTimeAndWasReadLate_isNotCounted")
+{
+    this->addCrashes("lookup", {0ms, 100ms, 200ms, 3400ms, 3500ms, 3600ms, 3700ms});
+    this->addLateRead(this->records.back(), 3000ms, 3700ms);
+    CHECK(this->failureCount() == 0);
+}
