Fix: A stall of this process is no silence of its peers; what lies unread in a socket is read at the time limit

What callers saw: after a moment in which the process did not run, requests were cut as if their targets had been silent, although the answers had arrived. Cause: a read that reached its time limit closed its connection. One look of the event loop at the sockets takes 128 of them; after a stall all timers that are due run before the loop looks at the rest. Change: the client's reads have a deadline that cancels the read and looks at the socket once more, as those of the server have had. Both now share it (http/socket_read). The look uses poll(), which leaves an error of the socket to the read: after a recv() that reported it, a reset answer without a length would end as if it were complete.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,8 @@
 /** @file http_client.cpp HTTP client over Boost.Beast. */
 #include "http/http_client_func.h"
 
+#include "http/socket_read_func.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -36,6 +38,7 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+constexpr std::chrono::milliseconds lateReadTime{100}; ///< Time limit for reading bytes that have arrived by the time limit of a read.
 
 bool isTimeout(const beast::error_code &error)
 {
@@ -51,14 +54,6 @@
     return makeError(isTimeout(error) ? timeoutCode : otherCode, endpointText + ": " + error.message(), run);
 }
 
-/** @return Whether the peer has neither closed @p connection nor sent unexpected data on it. */
-bool isReusable(HttpConnection &connection)
-{
-    char byte = 0;
-    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 HttpConnectionPtr popIdleConnection(HttpClient &client, const Endpoint &endpoint)
 {
     const auto found = client.idle.find(endpoint);
@@ -68,7 +63,7 @@
     while (!found->second.empty()) {
         HttpConnectionPtr connection = std::move(found->second.back());
         found->second.pop_back();
-        if (BootClock::now() < connection->usableUntil && isReusable(*connection)) {
+        if (BootClock::now() < connection->usableUntil && !isReadable(connection->stream)) {
             return connection;
         }
     }
@@ -161,12 +156,27 @@
     return message;
 }
 
+/** Reads the head of a response. */
+asio::awaitable<beast::error_code> readHeadBytes(HttpConnection &connection)
+{
+    const auto [error, bytes] = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+    co_return error;
+}
+
+/** Reads a part of the body of a response. */
+asio::awaitable<beast::error_code> readBodyBytes(HttpConnection &connection)
+{
+    const auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+    co_return error;
+}
+
 asio::awaitable<Result<Done>> readHead(HttpConnection &connection, const Endpoint &endpoint, std::chrono::milliseconds timeout)
 {
     connection.parser.emplace();
     connection.parser->body_limit(boost::none);
-    connection.stream.expires_after(timeout);
-    const auto [error, bytes] = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+    const auto error = co_await readWithin(connection.stream, timeout, lateReadTime, [&connection] {
+        return readHeadBytes(connection);
+    });
     if (error) {
         const bool malformed = error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
                                && error != http::error::partial_message;
@@ -298,8 +308,9 @@
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
-        connection.stream.expires_after(idleTimeout);
-        const auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitTuple);
+        const auto error = co_await readWithin(connection.stream, idleTimeout, lateReadTime, [&connection] {
+            return readBodyBytes(connection);
+        });
         if (error && error != http::error::need_buffer) {
             const Error failure = transportError(error, ErrorCode::IdleTimeout, ErrorCode::StreamBroken, RunState::Maybe, exchange.endpoint);
             exchange.connection.reset();
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -2,12 +2,11 @@
 #include "http/http_request_reader_func.h"
 
 #include "core/table/error_table.h"
+#include "http/socket_read_func.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
-#include <sys/socket.h>
 
 namespace skylark {
 
@@ -22,6 +21,7 @@
 constexpr std::size_t readBytes = 4096; ///< Maximum size in bytes of a read outside the HTTP parser.
 /** Time limit for reading the rest of a rejected request: closing a connection with unread data resets it, and the caller loses the response. */
 constexpr std::chrono::milliseconds lingerTime{500};
+constexpr std::chrono::milliseconds lateReadTime{500}; ///< Time limit for reading the rest of a request that has arrived in part by its time limit.
 
 HttpRequest convertRequest(http::request<http::string_body> message)
 {
@@ -68,39 +68,6 @@
     co_await drainInput(connection);
 }
 
-constexpr std::chrono::milliseconds repeatDelay{50}; ///< Until a read that was between two of its steps at its deadline is cancelled again.
-
-/** Cancels the operations on a connection's socket at a time, until the deadline is destroyed. The connection stays open. */
-struct ReadDeadline {
-    asio::steady_timer timer;
-    std::weak_ptr<HttpServerConnection> connection;
-    bool expired{false}; ///< Whether operations were cancelled.
-
-    static std::shared_ptr<ReadDeadline> create(const std::shared_ptr<HttpServerConnection> &connection, std::chrono::milliseconds timeout)
-    {
-        auto deadline = std::make_shared<ReadDeadline>(ReadDeadline{asio::steady_timer(connection->stream.get_executor()), connection});
-        connection->stream.expires_never();
-        startTimer(deadline, timeout);
-        return deadline;
-    }
-
-    static void startTimer(const std::shared_ptr<ReadDeadline> &deadline, std::chrono::milliseconds delay)
-    {
-        deadline->timer.expires_after(delay);
-        deadline->timer.async_wait([weak = std::weak_ptr<ReadDeadline>(deadline)](const beast::error_code &cancelled) {
-            const auto strong = weak.lock();
-            const auto owner = strong ? strong->connection.lock() : nullptr;
-            if (cancelled || !owner) {
-                return;
-            }
-            strong->expired = true;
-            beast::error_code ignored;
-            owner->stream.socket().cancel(ignored);
-            startTimer(strong, repeatDelay);
-        });
-    }
-};
-
 using RequestParser = http::request_parser<http::string_body>;
 
 asio::awaitable<beast::error_code> readHead(std::shared_ptr<HttpServerConnection> connection, RequestParser &parser)
@@ -115,25 +82,6 @@
     co_return error;
 }
 
-/**
- * Reads until @p read completes. Bytes that arrived before the deadline are read too, although the process did not run in between.
- * @param read Starts or continues the read.
- * @return beast::error::timeout if @p timeout passed; the connection stays open, so that an error response can be sent.
- */
-template<typename Read>
-asio::awaitable<beast::error_code> readWithin(std::shared_ptr<HttpServerConnection> connection, std::chrono::milliseconds timeout, Read read)
-{
-    constexpr std::chrono::milliseconds lateReadTime{500};
-    auto deadline = ReadDeadline::create(connection, timeout);
-    beast::error_code error = co_await read();
-    if (error == asio::error::operation_aborted && deadline->expired && peekInput(*connection) == SocketInput::Bytes) {
-        deadline = ReadDeadline::create(connection, lateReadTime);
-        error = co_await read();
-    }
-    const beast::error_code timedOut = beast::error::timeout;
-    co_return error == asio::error::operation_aborted && deadline->expired ? timedOut : error;
-}
-
 /** @return How long @p connection may wait for the first bytes of a request. */
 std::chrono::milliseconds idleLimit(const HttpServer::Impl &server, const HttpServerConnection &connection)
 {
@@ -151,13 +99,13 @@
     for (;;) {
         const auto left = idleSince + idleLimit(*server, *connection) - std::chrono::steady_clock::now();
         if (left.count() > 0) {
-            const auto deadline = ReadDeadline::create(connection, std::chrono::ceil<std::chrono::milliseconds>(left));
+            const auto deadline = ReadDeadline::create(connection->stream, std::chrono::ceil<std::chrono::milliseconds>(left));
             const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
             if (!error) {
                 co_return true;
             }
         }
-        const SocketInput input = peekInput(*connection);
+        const SocketInput input = peekInput(connection->stream);
         if (input != SocketInput::Nothing || std::chrono::steady_clock::now() >= idleSince + idleLimit(*server, *connection)) {
             co_return input == SocketInput::Bytes;
         }
@@ -198,16 +146,6 @@
     }
 }
 
-SocketInput peekInput(HttpServerConnection &connection)
-{
-    char byte = 0;
-    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (got > 0) {
-        return SocketInput::Bytes;
-    }
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? SocketInput::Nothing : SocketInput::Closed;
-}
-
 std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server)
 {
     const std::chrono::milliseconds current = server.options.keepAlive;
@@ -218,10 +156,10 @@
 {
     constexpr std::chrono::milliseconds requestTime{1000}; // A response before the request would not be taken for its response.
     {
-        const auto deadline = ReadDeadline::create(connection, requestTime);
+        const auto deadline = ReadDeadline::create(connection->stream, requestTime);
         co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
     }
-    if (peekInput(*connection) == SocketInput::Bytes) {
+    if (peekInput(connection->stream) == SocketInput::Bytes) {
         co_await rejectRequest(connection, server->options, makeError(ErrorCode::NotReady, "too many connections"));
     }
 }
@@ -244,7 +182,7 @@
     parser.body_limit(options.maxBody);
     parser.header_limit(options.maxHeader);
     const std::size_t maxBody = options.maxBody;
-    const beast::error_code headError = co_await readWithin(connection, options.headTimeout, [&connection, &parser] {
+    const beast::error_code headError = co_await readWithin(connection->stream, options.headTimeout, lateReadTime, [&connection, &parser] {
         return readHead(connection, parser);
     });
     if (headError == http::error::end_of_stream || headError == asio::error::connection_reset) {
@@ -266,7 +204,7 @@
             co_return std::nullopt;
         }
     }
-    const beast::error_code bodyError = co_await readWithin(connection, options.bodyTimeout, [&connection, &parser] {
+    const beast::error_code bodyError = co_await readWithin(connection->stream, options.bodyTimeout, lateReadTime, [&connection, &parser] {
         return readBody(connection, parser);
     });
     if (isConnectionLost(bodyError)) {
--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -5,19 +5,9 @@
 
 namespace skylark {
 
-/** What a read from a socket would find. */
-enum class SocketInput : std::uint8_t {
-    Nothing, ///< The read would wait.
-    Bytes, ///< Bytes have arrived.
-    Closed, ///< The caller has closed or reset the connection.
-};
-
 /** Reports a request that did not reach the handler, or got no response from it. */
 void reportUnserved(const HttpServerOptions &options, ErrorCode cause);
 
-/** Looks at the socket of @p connection without reading from it. */
-[[nodiscard]] SocketInput peekInput(HttpServerConnection &connection);
-
 /** @return The idle limit; after a change the longer of both for as long as connections may have been idle at the change. */
 [[nodiscard]] std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server);
 
--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -1,5 +1,6 @@
 /** @file http_response.cpp Sends the response to one request of a connection. */
-#include "http/http_request_reader_func.h"
+#include "http/http_connection_base.h"
+#include "http/socket_read_func.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,7 +21,7 @@
 {
     const auto server = connection.server.lock();
     const bool stopping = !server || server->closing;
-    return stopping && connection.buffer.size() == 0 && peekInput(connection) != SocketInput::Bytes;
+    return stopping && connection.buffer.size() == 0 && peekInput(connection.stream) != SocketInput::Bytes;
 }
 
 Result<Done> writeResult(HttpServerConnection &connection, const beast::error_code &error)
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -4,6 +4,7 @@
 #include "core/table/error_table.h"
 #include "http/http_connection_base.h"
 #include "http/http_request_reader_func.h"
+#include "http/socket_read_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -32,7 +33,7 @@
         if (error || connection->state == ConnectionState::Idle || connection->requestNumber != number) {
             return;
         }
-        if (peekInput(*connection) == SocketInput::Closed && connection->callerGone) {
+        if (peekInput(connection->stream) == SocketInput::Closed && connection->callerGone) {
             const auto action = std::exchange(connection->callerGone, nullptr);
             action();
         }
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -1,7 +1,9 @@
 /** @file test_http.cpp Tests of the HTTP client and server against each other over loopback. */
+#include "core/async_sleep_func.h"
 #include "http/http_client_func.h"
 #include "http/http_server_func.h"
 
+#include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace skylark;
 using namespace std::chrono_literals;
@@ -190,3 +193,83 @@
     REQUIRE(isOk(result));
     CHECK(valueOf(result).body == "order");
 }
+
+namespace {
+
+/** A server on a thread of its own that answers once it is told to. */
+struct GatedServer {
+    asio::io_context loop{1};
+    std::unique_ptr<HttpServer> server;
+    Endpoint endpoint{"127.0.0.1", 0};
+    std::atomic<unsigned> received{0}; ///< Requests that have reached the handler.
+    std::atomic<unsigned> answered{0}; ///< Responses that have been written.
+    std::atomic<bool> mayAnswer{false};
+    std::thread thread;
+
+    GatedServer()
+    {
+        HttpServerOptions options;
+        options.listen = this->endpoint;
+        auto created = HttpServer::create(this->loop.get_executor(), options, [this](HttpRequest /*request*/, HttpResponder &responder) {
+            return this->handle(responder);
+        });
+        REQUIRE(isOk(created));
+        this->server = std::move(valueOf(created));
+        this->endpoint.port = listenPort(*this->server);
+        this->thread = std::thread([this] {
+            this->loop.run();
+        });
+    }
+    GatedServer(const GatedServer &) = delete;
+    GatedServer &operator=(const GatedServer &) = delete;
+    ~GatedServer()
+    {
+        this->loop.stop();
+        this->thread.join();
+    }
+
+    asio::awaitable<void> handle(HttpResponder &responder)
+    {
+        ++this->received;
+        while (!this->mayAnswer) {
+            co_await sleepFor(10ms);
+        }
+        HttpResponse response;
+        response.body = "whole";
+        co_await sendResponse(responder, std::move(response));
+        ++this->answered;
+    }
+};
+
+} // namespace
+
+// Guards against a stall of this process that is taken for silence of the peers, whose responses lie unread in the sockets.
+TEST_CASE_METHOD(HttpFixture, "httpOpen_processStallsBeyondTheTimeout_responsesThatHaveArrivedAreRead")
+{
+    constexpr unsigned requestCount = 300; // More than one look at the sockets takes.
+    constexpr std::chrono::milliseconds firstByteTimeout{1500};
+    GatedServer peer;
+    unsigned ended = 0;
+    unsigned whole = 0;
+    for (unsigned i = 0; i < requestCount; ++i) {
+        auto task = httpCall(this->client, peer.endpoint, {"POST", "/x", {}, {}}, {2s, 2s, firstByteTimeout, 2s}, ConnectionUse::Fresh);
+        asio::co_spawn(this->loop, std::move(task), [&ended, &whole](const std::exception_ptr & /*thrown*/, Result<HttpResponse> response) {
+            ++ended;
+            whole += isOk(response) && valueOf(response).body == "whole" ? 1 : 0;
+        });
+    }
+    while (peer.received < requestCount && ended == 0) {
+        this->runFor(10ms);
+    }
+    REQUIRE(ended == 0);
+    std::this_thread::sleep_for(firstByteTimeout);
+    peer.mayAnswer = true;
+    for (int i = 0; i < 500 && peer.answered < requestCount; ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    REQUIRE(peer.answered == requestCount);
+    for (int i = 0; i < 500 && ended < requestCount; ++i) {
+        this->runFor(10ms);
+    }
+    CHECK(whole == requestCount);
+}
