Change: A handler renders the last answer to its request at the stop limit

answerUnfinished() sent 504 without a body to each request that had a handler, although only the handler knows whether the request was passed on. The handler may now set the response with onUnfinished(); where it sets none, 504 is sent as before. A request that is still being read gets the response of a rejected one, which has Retry-After.

--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -38,6 +38,7 @@
     std::weak_ptr<HttpServer::Impl> server;
     std::chrono::milliseconds writeTimeout{}; ///< Time limit of one write.
     std::function<void()> callerGone; ///< Called once if the caller closes the connection before the response is complete.
+    std::function<HttpResponse()> renderUnfinished; ///< Renders the response of answerUnfinished(); null sends 504 without a body.
     ConnectionState state{ConnectionState::Idle};
     bool keepAlive{true}; ///< Whether the connection stays open after the current response.
     std::uint64_t requestNumber{0}; ///< Number of the current request, so that a watch for an earlier request does not act on this one.
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -56,15 +56,7 @@
     HttpResponder responder{connection, false, false};
     connection->keepAlive = false;
     reportUnserved(options, error.code);
-    HttpResponse response;
-    response.status = errorInfo(error.code).status;
-    if (options.renderError) {
-        response = options.renderError(error);
-    }
-    if (error.code == ErrorCode::NotReady && headerValue(response.headers, "Retry-After").empty()) {
-        response.headers.push_back({"Retry-After", "0.5"});
-    }
-    co_await sendResponse(responder, std::move(response));
+    co_await sendResponse(responder, renderRejection(options, error));
     co_await drainInput(connection);
 }
 
@@ -198,6 +190,19 @@
     }
 }
 
+HttpResponse renderRejection(const HttpServerOptions &options, const Error &error)
+{
+    HttpResponse response;
+    response.status = errorInfo(error.code).status;
+    if (options.renderError) {
+        response = options.renderError(error);
+    }
+    if (error.code == ErrorCode::NotReady && headerValue(response.headers, "Retry-After").empty()) {
+        response.headers.push_back({"Retry-After", "0.5"});
+    }
+    return response;
+}
+
 SocketInput peekInput(HttpServerConnection &connection)
 {
     char byte = 0;
--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -15,6 +15,9 @@
 /** Reports a request that did not reach the handler, or got no response from it. */
 void reportUnserved(const HttpServerOptions &options, ErrorCode cause);
 
+/** @return The response to a request that is rejected with @p error. */
+[[nodiscard]] HttpResponse renderRejection(const HttpServerOptions &options, const Error &error);
+
 /** Looks at the socket of @p connection without reading from it. */
 [[nodiscard]] SocketInput peekInput(HttpServerConnection &connection);
 
--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -100,6 +100,11 @@
     responder.connection->callerGone = std::move(action);
 }
 
+void onUnfinished(HttpResponder &responder, std::function<HttpResponse()> render)
+{
+    responder.connection->renderUnfinished = std::move(render);
+}
+
 void abortConnection(HttpResponder &responder)
 {
     responder.connection->keepAlive = false;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -10,12 +10,15 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <sstream>
 #include <sys/socket.h>
 
 namespace skylark {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
+namespace http = beast::http;
 using asio::ip::tcp;
 
 namespace {
@@ -52,6 +55,7 @@
         logEvent(EventKind::UnexpectedError, {}, {{"thread", "http"}, {"detail", error.what()}});
     }
     connection->callerGone = nullptr;
+    connection->renderUnfinished = nullptr;
     connection->keepAlive = connection->keepAlive && responder.finished;
     if (!responder.started && connection->stream.socket().is_open()) {
         reportUnserved(impl->options, ErrorCode::Internal);
@@ -162,6 +166,36 @@
     }
 }
 
+/** @return The response to a request without one just before the process exits. */
+HttpResponse unfinishedResponse(const HttpServerOptions &options, const HttpServerConnection &connection)
+{
+    if (connection.state == ConnectionState::Reading) {
+        return renderRejection(options, makeError(ErrorCode::NotReady, "server is stopping"));
+    }
+    if (connection.renderUnfinished) {
+        return connection.renderUnfinished();
+    }
+    HttpResponse response;
+    response.status = errorInfo(ErrorCode::Timeout).status;
+    return response;
+}
+
+/** @return The bytes of unfinishedResponse(). */
+std::string unfinishedAnswer(const HttpServerOptions &options, const HttpServerConnection &connection)
+{
+    HttpResponse response = unfinishedResponse(options, connection);
+    http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
+    for (const HttpHeader &header : response.headers) {
+        message.insert(header.name, header.value);
+    }
+    message.body() = std::move(response.body);
+    message.keep_alive(false);
+    message.prepare_payload();
+    std::ostringstream text;
+    text << message;
+    return text.str();
+}
+
 } // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::create(const asio::any_io_executor &executor, HttpServerOptions options, HttpHandler handler)
@@ -249,15 +283,12 @@
 
 void answerUnfinished(HttpServer &server)
 {
-    static constexpr std::string_view notRun = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
-    static constexpr std::string_view mayHaveRun = "HTTP/1.1 504 Gateway Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
     for (HttpServerConnection *connection : server.impl->connections) {
-        const bool reading = connection->state == ConnectionState::Reading;
-        if (!reading && connection->state != ConnectionState::Handling) {
+        if (connection->state != ConnectionState::Reading && connection->state != ConnectionState::Handling) {
             continue;
         }
+        const std::string answer = unfinishedAnswer(server.impl->options, *connection);
         beast::error_code ignored;
-        const std::string_view answer = reading ? notRun : mayHaveRun;
         connection->state = ConnectionState::Responding;
         ::send(connection->stream.socket().native_handle(), answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -49,6 +49,9 @@
 /** Sets @p action to be called once if the caller closes its connection before the response is complete. */
 void onCallerDisconnect(HttpResponder &responder, std::function<void()> action);
 
+/** Sets @p render to be called by answerUnfinished() if the request has no response by then. */
+void onUnfinished(HttpResponder &responder, std::function<HttpResponse()> render);
+
 /** Closes the caller's connection without completing the response. */
 void abortConnection(HttpResponder &responder);
 
@@ -81,8 +84,8 @@
 void closeIdleConnections(HttpServer &server);
 
 /**
- * Answers the requests without a response just before the process exits: 503 to those that are still being read, since they will not run, and 504 to those that
- * are being handled. Their handlers can send nothing afterwards.
+ * Answers the requests without a response just before the process exits: 503 to those that are still being read, since they will not run, and what the handler
+ * has set with onUnfinished(), or 504, to those that are being handled. Their handlers can send nothing afterwards.
  */
 void answerUnfinished(HttpServer &server);
 
