--- a/src/http/http_request_reader_func.h
+++ b/src/http/http_request_reader_func.h
@@ -8,6 +8,9 @@
 /** Reports a request that did not reach the handler, or got no response from it. */
 void reportUnserved(const HttpServerOptions &options, ErrorCode cause);
 
+/** @return The response to a request that is rejected with @p error. */
+[[nodiscard]] HttpResponse renderRejection(const HttpServerOptions &options, const Error &error);
+
 /** @return The idle limit; after a change the longer of both for as long as connections may have been idle at the change. */
 [[nodiscard]] std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server);
 
