Test: The soak allows for configurations that its own store serves late

The store runs in the test process, too. Change: a reader asks the store for the configuration all the time and records how long that takes; a host may use a replaced configuration for 2 s plus the longest such read since the replacement was written.

--- a/tests/test_soak_verdict.cpp
+++ b/tests/test_soak_verdict.cpp
@@ -62,6 +62,16 @@
         this->target->lateReads.push_back({record.call.id, this->sentAt + arrivedAfter, this->sentAt + readAfter});
     }
 
+    /** Adds a stream that ends after 4 s, the timeout that applied until 2.5 s before. */
+    void addStreamEndedByReplacedTimeout()
+    {
+        SoakRecord &record = this->addSilentStream(100ms, 5ms);
+        record.endedAt = this->sentAt + 4000ms;
+        record.end = SoakEnd::BrokenOff;
+        this->site.configs.push_back({this->sentAt - 10s, {.chatTimeout = 4000ms}});
+        this->site.configs.push_back({this->sentAt - 2500ms, {.chatTimeout = 8000ms}});
+    }
+
     /** Adds sends of the crash-inducing request of @p route, each of which crashes its target @p arrivals after the first moment. */
     void addCrashes(const std::string &route, const std::vector<milliseconds> &arrivals)
     {
@@ -185,3 +195,23 @@
     this->addLateRead(this->records.back(), 3000ms, 3700ms);
     CHECK(this->failureCount() == 0);
 }
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_streamEndedByATimeoutThatHadBeenReplaced_fails")
+{
+    this->addStreamEndedByReplacedTimeout();
+    CHECK(this->failureCount() == 1);
+}
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_streamEndedByATimeoutWhoseReplacementTheStoreServedLate_isExcused")
+{
+    this->addStreamEndedByReplacedTimeout();
+    this->site.storeDelays.emplace_back(this->sentAt - 1000ms, 600ms);
+    CHECK(this->failureCount() == 0);
+}
+
+TEST_CASE_METHOD(SoakVerdictFixture, "verdict_storeWasLateBeforeTheTimeoutWasReplaced_excusesNothing")
+{
+    this->addStreamEndedByReplacedTimeout();
+    this->site.storeDelays.emplace_back(this->sentAt - 2600ms, 600ms);
+    CHECK(this->failureCount() == 1);
+}
