Test: The soak stops several hosts at once, sends SIGTERM twice and SIGHUP in series

Change: one round of restarts in four stops up to all hosts, each a moment after the one before; a stop that lasts gets SIGTERM again at a drawn time; one change of settings in four comes as a series of three to eight signals.

--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -237,14 +237,19 @@
     co_return false;
 }
 
-/** Stops a host with SIGTERM, waits until its process has ended and starts it again. */
+/** Stops a host with SIGTERM, at times sent twice, waits until its process has ended and starts it again. */
 asio::awaitable<void> restartHost(SoakSite &site, SoakHost &host)
 {
     const TimePoint stoppedAt = BootClock::now();
     host.stops.push_back(stoppedAt);
     host.stopping = true;
     sendSignal(*host.process, SIGTERM);
+    std::optional<TimePoint> secondAt = stoppedAt + drawTime(site.random, 0ms, 4 * soakStopLimit / 5);
     while (isRunning(*host.process)) {
+        if (secondAt && BootClock::now() >= *secondAt) {
+            sendSignal(*host.process, SIGTERM);
+            secondAt.reset();
+        }
         if (BootClock::now() - stoppedAt > soakStopLimit) {
             site.problems.push_back(host.name + " still runs after the stop limit");
             killProcess(*host.process);
@@ -262,6 +267,22 @@
     }
 }
 
+/** Restarts @p count hosts from number @p first on, each a moment after the one before, and waits until all are ready. */
+asio::awaitable<void> restartTogether(SoakSite &site, std::size_t first, std::size_t count)
+{
+    std::size_t running = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        ++running;
+        asio::co_spawn(site.loop, restartHost(site, site.hosts[(first + i) % site.hosts.size()]), [&running](const std::exception_ptr & /*failure*/) {
+            --running;
+        });
+        co_await sleepFor(drawTime(site.random, 0ms, 400ms));
+    }
+    while (running > 0) {
+        co_await sleepFor(processPollInterval);
+    }
+}
+
 /** @return Loopback address number @p number of this test process: the port of metrics is fixed, and several such tests may run at once. */
 std::string loopbackAddress(unsigned number)
 {
@@ -357,10 +378,9 @@
     std::size_t next = drawNumber(site.random, 0, site.hosts.size() - 1);
     while (!site.ending) {
         co_await sleepFor(drawTime(site.random, 300ms, 2000ms));
-        if (!site.ending) {
-            co_await restartHost(site, site.hosts[next]);
-        }
-        next = (next + 1) % site.hosts.size();
+        const auto count = drawNumber(site.random, 1, 4) == 1 ? drawNumber(site.random, 1, site.hosts.size()) : 1;
+        co_await restartTogether(site, next, site.ending ? 0 : count);
+        next = (next + count) % site.hosts.size();
     }
 }
 
@@ -369,10 +389,14 @@
     while (!site.ending) {
         co_await sleepFor(drawTime(site.random, 100ms, 800ms));
         SoakHost &host = site.hosts[drawNumber(site.random, 0, site.hosts.size() - 1)];
-        // A process that is not ready may not handle signals yet.
-        if (host.ready) {
-            std::ofstream(host.settings, std::ios::app) << "# changed\n";
-            sendSignal(*host.process, SIGHUP);
+        const bool series = drawNumber(site.random, 1, 4) == 1;
+        for (auto left = series ? drawNumber(site.random, 3, 8) : 1; left > 0; --left) {
+            // A process that is not ready may not handle signals yet.
+            if (host.ready) {
+                std::ofstream(host.settings, std::ios::app) << "# changed\n";
+                sendSignal(*host.process, SIGHUP);
+            }
+            co_await sleepFor(drawTime(site.random, 1ms, 80ms));
         }
     }
 }
--- a/tests/support/soak_site.h
+++ b/tests/support/soak_site.h
@@ -97,10 +97,10 @@
 /** Makes targets silent, slow or crash now and then, several at once, until SoakSite::ending is set. */
 boost::asio::awaitable<void> troubleTargets(SoakSite &site);
 
-/** Stops one host after the other by SIGTERM and starts it again, until SoakSite::ending is set. */
+/** Stops one host after the other by SIGTERM, at times several at once, and starts them again, until SoakSite::ending is set. */
 boost::asio::awaitable<void> restartHosts(SoakSite &site);
 
-/** Changes the settings file of a host now and then and sends SIGHUP, also while it stops, until SoakSite::ending is set. */
+/** Changes the settings file of a host now and then and sends SIGHUP, at times in series and also while it stops, until SoakSite::ending is set. */
 boost::asio::awaitable<void> reloadHosts(SoakSite &site);
 
 /** Records in SoakSite::stalls how late the event loop runs, until SoakSite::ending is set. */
