Codechange: Fleet controller split into state, configuration, targets, host entry and intervals

Functions are moved unchanged, but for publishFleet(), which was publish(), and configPollIntervalFor(), which was an expression in onHosts().

--- /dev/null
+++ b/src/fleet/fleet_config_func.h
@@ -0,0 +1,11 @@
+/** @file fleet_config_func.h Puts newer configurations in force, from the key-value service or from another host. */
+#pragma once
+
+#include "fleet/fleet_controller_base.h"
+
+namespace skylark {
+
+/** Adopts the configuration if its entry has changed. */
+void onConfig(const FleetImplPtr &impl, const KeyMirrorUpdate &update);
+
+} // namespace skylark
--- /dev/null
+++ b/src/fleet/fleet_controller_base.h
@@ -0,0 +1,47 @@
+/** @file fleet_controller_base.h State of the fleet controller, shared by the modules that follow configuration, targets and hosts. */
+#pragma once
+
+#include "fleet/fleet_controller_func.h"
+#include "store/key_mirror_func.h"
+
+#include <map>
+
+namespace skylark {
+
+struct FleetController::Impl {
+    boost::asio::any_io_executor executor; ///< Executor of the control thread.
+    std::shared_ptr<const KvStore> store; ///< Key-value service.
+    FleetWire wire; ///< Decoders of stored documents.
+    FleetOptions options; ///< Settings of this host.
+    std::shared_ptr<MetricsRegistry> metrics;
+    std::function<void(SnapshotPtr)> publish; ///< Called with each new snapshot.
+    std::function<void(const QuarantineEntry &)> onQuarantine; ///< Called with each entry that was written; may be empty.
+    std::shared_ptr<KeyMirror> config; ///< Mirror of the operators' configuration.
+    std::shared_ptr<KeyMirror> targets; ///< Mirror of the targets' entries.
+    std::shared_ptr<KeyMirror> hosts; ///< Mirror of the hosts' entries.
+    std::shared_ptr<KeyMirror> quarantine; ///< Mirror of the entries of quarantined parts.
+    FleetSnapshot state; ///< Latest state, copied into each snapshot.
+    TargetMap usableTargets; ///< Targets for requests, including those whose entry expired during an outage of the service.
+    std::map<TargetId, TimePoint> expiredTargets; ///< Those of usableTargets that have no entry, with the time at which they are removed.
+    TimePoint failedAt{}; ///< Time of the last failed call to the service.
+    TimePoint unreachableSince{}; ///< Start of the current outage, or of the last one.
+    bool reachable{true}; ///< Whether the last call to the service succeeded.
+    std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
+    bool leaving{false}; ///< Whether the host's entry is being removed.
+    bool pullingConfig{false}; ///< Whether a request for a peer's configuration is in flight.
+    std::shared_ptr<HttpClient> peerHttp; ///< Client for configuration pulls.
+    std::uint64_t random{0}; ///< State of the pseudorandom generator.
+};
+
+using FleetImplPtr = std::shared_ptr<FleetController::Impl>;
+
+/** Publishes a copy of the current state. */
+void publishFleet(FleetController::Impl &impl);
+
+/** Records a successful call to the service; ends an outage. */
+void recordStoreSuccess(FleetController::Impl &impl);
+
+/** Records a failed call to the service; begins an outage unless one is in progress. */
+void recordStoreFailure(FleetController::Impl &impl, const Error &error);
+
+} // namespace skylark
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -65,15 +65,6 @@
     ~FleetController();
 };
 
-/** @return Minimum interval between watch calls for the target list. A large fleet uses half of the drain limit, because each host pays for each call. */
-[[nodiscard]] std::chrono::milliseconds targetWatchIntervalFor(const FleetOptions &options, std::size_t hosts);
-
-/**
- * @return Maximum delay between failed calls of a mirror. Load: hundreds of hosts that all retry during an outage; each call is paid for, and at its end all
- * of them come back at once. The hosts of a large fleet still notice a leaving target within the drain limit after the outage.
- */
-[[nodiscard]] std::chrono::milliseconds storeRetryMaxFor(const FleetOptions &options, std::size_t hosts);
-
 /** Pulls the configuration from the host at @p peer if its @p version is newer than the one in force. */
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer);
 
--- /dev/null
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -0,0 +1,69 @@
+/** @file host_entry_upkeep.cpp Keeps the entry of this host in the key-value service under a lease. */
+#include "fleet/host_entry_upkeep_func.h"
+
+#include "core/async_sleep_func.h"
+#include "core/hash_func.h"
+#include "fleet/host_entry_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace skylark {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Grants a lease and writes the host's entry under it. */
+asio::awaitable<Result<Done>> writeHostEntry(FleetImplPtr impl)
+{
+    auto lease = co_await impl->store->grantLease(impl->options.leaseTtl);
+    if (!isOk(lease)) {
+        co_return errorOf(lease);
+    }
+    const PeerEntry own{impl->options.host, impl->options.session, impl->options.domain, impl->options.endpoint};
+    KvTransaction transaction;
+    transaction.writes.push_back({hostEntryKey(own.host), encodeHostEntry(own), valueOf(lease)});
+    auto written = co_await impl->store->commit(std::move(transaction));
+    if (!isOk(written)) {
+        co_return errorOf(written);
+    }
+    impl->lease = valueOf(lease);
+    co_return Done{};
+}
+
+} // namespace
+
+asio::awaitable<void> maintainHostEntry(FleetImplPtr impl)
+{
+    while (!impl->leaving) {
+        if (impl->lease == 0) {
+            co_await writeHostEntry(impl);
+        } else {
+            const auto renewed = co_await impl->store->renewLease(impl->lease);
+            if (!isOk(renewed) && errorOf(renewed).code == ErrorCode::LeaseExpired) {
+                impl->lease = 0;
+                continue;
+            }
+        }
+        const auto jitter = std::chrono::milliseconds(nextRandom(impl->random) % 200U);
+        co_await sleepFor((impl->lease == 0 ? std::chrono::milliseconds(500) : impl->options.leaseRenewal) + jitter);
+    }
+}
+
+void removeHostEntry(FleetController &controller, std::function<void()> done)
+{
+    const FleetImplPtr impl = controller.impl;
+    impl->leaving = true;
+    asio::co_spawn(
+        impl->executor,
+        [](FleetImplPtr owner, std::function<void()> finished) -> asio::awaitable<void> {
+            if (owner->lease != 0) {
+                co_await owner->store->endLease(owner->lease);
+            }
+            finished();
+        }(impl, std::move(done)),
+        asio::detached);
+}
+
+} // namespace skylark
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -2,6 +2,7 @@
 #include "core/hash_func.h"
 #include "documents_func.h"
 #include "fleet/fleet_controller_func.h"
+#include "fleet/fleet_intervals_func.h"
 #include "fleet/host_entry_func.h"
 #include "fleet/load_tracker_base.h"
 #include "fleet/route_match_func.h"
