--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -210,7 +210,7 @@
     {
         HttpServerOptions options;
         options.listen = this->endpoint;
-        auto created = HttpServer::create(this->loop.get_executor(), options, [this](HttpRequest /*request*/, HttpResponder &responder) {
+        auto created = HttpServer::create(this->loop.get_executor(), options, [this](const HttpRequest & /*request*/, HttpResponder &responder) {
             return this->handle(responder);
         });
         REQUIRE(isOk(created));
