Fix: An item under which targets end is given up in skylarkd

What callers saw: an item that was alone on two targets when they ended was listed as failed with suspected_poison, and one that met four ends, cuts or silences with attempts_exhausted. The users: items handed in for later never crash servers by themselves; one under which servers crashed is still owed. Cause: nextAttempt() counted each end of a target as an attempt, and two ends with the item alone as its fault. Evidence: job_itemCrashesTargets_isRetriedAloneAndStillOwed before: items_failed_total 1 instead of 0, status "failed" instead of "ok". Change: only answers of targets about the item (4xx, 5xx, a malformed answer) count as attempts; an end, a broken stream and a silence do not. After one the item waits 1 s, doubled up to 30 s; after an end it is retried alone on a target, and a target is reserved for that only once the item may run. Delayed items count neither towards the depth that a queue is searched to nor as work that keeps the host from claiming a group. The end of a target is logged with the item. Hand-over: the partial results of a planned hand-over hold the counted failures, the interruptions and the isolation, and the delay begins anew; after the loss of a host the history is gone as before. Partial results of the earlier form are read, with their counts at zero. The code and its error are gone. Tests: nextAttempt_aloneWhenTwoTargetsDied_suspectedPoison, job_itemCrashesTargets_failsAsSuspectedPoison and the property asked for the former meaning; in their place are nextAttempt_manyTargetsEnd_itemIsStillOwedAndRunsAlone, nextAttempt_targetsEndOneAfterTheOther_delayGrowsToItsLimit, nextAttempt_targetsGiveNoAnswer_countsNoAttempt, the job_ test above (three crashes, the fourth engine lives on, all other items are done meanwhile, none fails) and a property that exactly the answers end an item. nextAttempt_fourFailures counted a broken stream and a silence; it counts answers now. Remains: the results of a group are stored once all its items have one, so that an owed item keeps back those of its group.

--- a/src/batch/batch_state_base.h
+++ b/src/batch/batch_state_base.h
@@ -28,6 +28,7 @@
     std::string resultLine; ///< Line with the result or the typed failure; empty while unfinished.
     bool failed{false}; ///< Whether resultLine is a typed failure.
     ItemHistory history; ///< Failed attempts so far.
+    TimePoint notBefore{}; ///< Earliest time of the next attempt.
 };
 
 /** Phases of a held group. */
@@ -46,8 +47,8 @@
     GroupRecord record; ///< Record as written by the claim.
     KvVersion version; ///< Version of that record.
     std::vector<BatchItem> items; ///< Items in the order of the submission.
-    std::deque<std::size_t> waiting; ///< Indices of items to start, in this order; suspects are queued apart.
-    std::deque<std::size_t> suspects; ///< Indices of items that were in flight on a target that died; each runs as the only batch stream of a target.
+    std::deque<std::size_t> waiting; ///< Indices of items to start, in this order; isolated ones are queued apart.
+    std::deque<std::size_t> isolated; ///< Indices of items that were in flight on a target that ended; each runs as the only batch stream of a target.
     std::size_t left{0}; ///< Items without a result.
     GroupPhase phase{GroupPhase::Loading};
     bool unverified{false}; ///< Whether the record must be read again before the next effect, because the lease expired or a write failed.
@@ -65,7 +66,6 @@
     GenerateStream stream; ///< Valid only when opened is set.
     bool opened{false};
     bool ended{false}; ///< Whether the stream was taken off its target; the item may already run elsewhere, so the coroutine must not change it.
-    bool shared{false}; ///< Whether another batch stream of this host was on the target at some time during the run.
     bool exclusive{false}; ///< Whether the target runs no other batch stream during this run.
     boost::asio::cancellation_signal cancel; ///< Cancels the opening of the stream.
 };
@@ -79,7 +79,7 @@
     unsigned yieldCap{0}; ///< Streams that remained after the last yield.
     TimePoint pausedUntil{}; ///< No item is started before this time; set when the target refuses work or fails.
     std::vector<TimePoint> announced; ///< Arrival times of online streams announced by other hosts and not yet counted in their status.
-    bool reserved{false}; ///< Whether no ordinary item is started, so that the target becomes empty for a suspect item.
+    bool reserved{false}; ///< Whether no ordinary item is started, so that the target becomes empty for an isolated item.
     double tailWeight{0.5}; ///< Largest weight of the online tail, 0 to 1, among the workspaces that use its models.
     TimePoint tailWeightAt{}; ///< When tailWeight was computed.
 };
--- a/src/batch/execution.cpp
+++ b/src/batch/execution.cpp
@@ -20,7 +20,7 @@
 constexpr auto scanInterval = std::chrono::seconds(3); ///< Minimum between scans of a job for groups to take over; bounds the reads of idle hosts.
 constexpr auto finalScanInterval = std::chrono::milliseconds(500); ///< Minimum between scans of a job that may be done or needs a scan before a claim.
 constexpr std::size_t maxUnstartedGroups = 2; ///< Groups claimed without a started item, per model; more would be withheld from other hosts.
-constexpr std::size_t queueSearchDepth = 16; ///< Items at the front of a queue that are searched for one that may run on the target.
+constexpr std::size_t queueSearchDepth = 16; ///< Items at the front of a queue, without delayed ones, that are searched for one that may run on the target.
 
 /** Data of one iteration of the loop. */
 struct Iteration {
@@ -135,29 +135,47 @@
     return ids;
 }
 
-/** Removes the first item from @p queue that may run on @p target. @param usable Targets on which the group can run. */
-std::optional<std::size_t> popItem(const HeldGroup &group, std::deque<std::size_t> &queue, const TargetId &target, const std::vector<TargetId> &usable)
+using ItemQueue = std::deque<std::size_t>; ///< Indices of items of a held group.
+
+/** @return The first item in @p queue that may run on @p target now, or the end of the queue. @param usable Targets on which the group can run. */
+ItemQueue::const_iterator findItem(const HeldGroup &group, const ItemQueue &queue, const TargetId &target, const std::vector<TargetId> &usable)
 {
-    const std::size_t searched = std::min(queue.size(), queueSearchDepth);
-    for (std::size_t i = 0; i < searched; ++i) {
-        const std::size_t item = queue[i];
-        if (mayTryTarget(group.items[item].history, target, usable)) {
-            queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
-            return item;
+    const TimePoint now = BootClock::now();
+    std::size_t searched = 0;
+    for (auto place = queue.begin(); place != queue.end() && searched < queueSearchDepth; ++place) {
+        const BatchItem &item = group.items[*place];
+        if (now < item.notBefore) {
+            continue;
         }
+        if (mayTryTarget(item.history, target, usable)) {
+            return place;
+        }
+        ++searched;
+    }
+    return queue.end();
+}
+
+/** Removes the first item from @p queue that may run on @p target now. @param usable Targets on which the group can run. */
+std::optional<std::size_t> popItem(const HeldGroup &group, ItemQueue &queue, const TargetId &target, const std::vector<TargetId> &usable)
+{
+    const auto place = findItem(group, queue, target, usable);
+    if (place == queue.end()) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    const std::size_t item = *place;
+    queue.erase(place);
+    return item;
 }
 
 /**
  * Starts an item of the first group that has one for the target.
- * @param suspects Whether to start a suspect item, as the only batch stream of the target.
+ * @param isolated Whether to start an isolated item, as the only batch stream of the target.
  * @return Whether one was started.
  */
-bool startNext(const BatchStatePtr &state, const Iteration &iteration, const TargetView &view, bool suspects)
+bool startNext(const BatchStatePtr &state, const Iteration &iteration, const TargetView &view, bool isolated)
 {
     for (const auto &group : iteration.groups) {
-        auto &queue = suspects ? group->suspects : group->waiting;
+        ItemQueue &queue = isolated ? group->isolated : group->waiting;
         if (!isStartable(*group) || queue.empty() || !servesModel(view, *iteration.snapshot, group->job->workspace, group->model)) {
             continue;
         }
@@ -165,7 +183,7 @@
         if (!item) {
             continue;
         }
-        if (startItem(state, view, group, *item, suspects)) {
+        if (startItem(state, view, group, *item, isolated)) {
             return true;
         }
         queue.push_front(*item);
@@ -173,22 +191,18 @@
     return false;
 }
 
-bool hasSuspectFor(const Iteration &iteration, const TargetView &view)
+bool hasIsolatedFor(const Iteration &iteration, const TargetView &view)
 {
     return std::any_of(iteration.groups.begin(), iteration.groups.end(), [&iteration, &view](const auto &group) {
         if (!isStartable(*group) || !servesModel(view, *iteration.snapshot, group->job->workspace, group->model)) {
             return false;
         }
-        const auto usable = targetsFor(iteration, *group);
-        const std::size_t searched = std::min(group->suspects.size(), queueSearchDepth);
-        return std::any_of(group->suspects.begin(), group->suspects.begin() + static_cast<std::ptrdiff_t>(searched), [&](std::size_t item) {
-            return mayTryTarget(group->items[item].history, view.info.id, usable);
-        });
+        return findItem(*group, group->isolated, view.info.id, targetsFor(iteration, *group)) != group->isolated.end();
     });
 }
 
 /**
- * Decides which targets are reserved for suspect items: at most half of them but at least one, so that other work goes on.
+ * Decides which targets are reserved for isolated items: at most half of them but at least one, so that other work goes on.
  * Targets that are reserved already come first.
  */
 void reserveTargets(BatchState &state, const Iteration &iteration)
@@ -199,7 +213,7 @@
         for (const TargetView *view : iteration.targets) {
             BatchTarget &target = state.targets[view->info.id];
             if (target.reserved == keep) {
-                target.reserved = reserved < most && hasSuspectFor(iteration, *view);
+                target.reserved = reserved < most && hasIsolatedFor(iteration, *view);
                 reserved += target.reserved ? 1 : 0;
             }
         }
@@ -233,6 +247,15 @@
     std::size_t unstarted{0}; ///< Held groups without a started item, or still loading.
 };
 
+/** @return Number of waiting items of a held group that are not delayed. */
+std::size_t startableItems(const HeldGroup &group)
+{
+    const TimePoint now = BootClock::now();
+    return static_cast<std::size_t>(std::count_if(group.waiting.begin(), group.waiting.end(), [&group, now](std::size_t item) {
+        return now >= group.items[item].notBefore;
+    }));
+}
+
 Supply supplyFor(const BatchState &state, const Iteration &iteration, const WorkspaceId &workspace, const ModelId &model)
 {
     Supply supply;
@@ -246,7 +269,7 @@
     for (const auto &group : state.held) {
         if (group->model == model) {
             // A loading group counts as full; counting it as empty led to the claim of a second group that idle hosts could have run.
-            supply.waiting += group->phase == GroupPhase::Loading ? itemsPerGroup : group->waiting.size();
+            supply.waiting += group->phase == GroupPhase::Loading ? itemsPerGroup : startableItems(*group);
             supply.unstarted += group->phase == GroupPhase::Loading || group->waiting.size() == group->items.size() ? 1 : 0;
         }
     }
--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -59,7 +59,7 @@
 void requeue(const std::shared_ptr<RunningItem> &run)
 {
     HeldGroup &group = *run->group;
-    (group.items[run->item].history.suspect ? group.suspects : group.waiting).push_front(run->item);
+    (group.items[run->item].history.isolated ? group.isolated : group.waiting).push_front(run->item);
 }
 
 void recordResult(BatchState &state, HeldGroup &group, BatchItem &item, std::string line)
@@ -79,8 +79,8 @@
     recordResult(state, *run->group, item, renderItemFailure(item, decision.failure, error.detail));
 }
 
-/** @return Whether an error of this code can be caused by the death of the target. */
-bool mayMeanTargetDied(ErrorCode code)
+/** @return Whether an error of this code can be caused by the end of the target. */
+bool mayMeanTargetEnded(ErrorCode code)
 {
     return code == ErrorCode::StreamBroken || code == ErrorCode::SendFailed || code == ErrorCode::FirstByteTimeout || code == ErrorCode::IdleTimeout;
 }
@@ -104,27 +104,39 @@
     recordStreamFailure(*state.context.loads, run.target, now);
 }
 
-/** Handles a failed attempt: checks whether the target died, then retries the item or records its failure. */
+/** Logs that a target ended under an item, which stays owed. */
+void logTargetEnded(BatchState &state, const RunningItem &run, const AttemptDecision &decision)
+{
+    const HeldGroup &group = *run.group;
+    logBatch(state,
+             "target " + run.target.value + " ended while item " + group.items[run.item].customId + " of job " + group.job->id.value
+                 + " ran on it; the item is retried alone after " + std::to_string(decision.delay.count()) + " ms");
+}
+
+/** Handles a failed attempt: checks whether the target ended, then retries the item or records its failure. */
 asio::awaitable<void> handleFailure(BatchStatePtr state, std::shared_ptr<RunningItem> run, Error error, unsigned maxAttempts)
 {
-    const bool alone = !run->shared && loadOf(*state->context.loads, run->target).online == 0;
     endRun(*state, run);
     pauseTarget(*state, *run, error);
-    bool targetDied = false;
-    if (mayMeanTargetDied(error.code)) {
+    bool targetEnded = false;
+    if (mayMeanTargetEnded(error.code)) {
         auto report = co_await readLoad(state->http, run->endpoint, probeTimeouts);
-        targetDied = !isOk(report);
+        targetEnded = !isOk(report);
     }
     if (run->group->phase == GroupPhase::Dropped) {
         co_return;
     }
     BatchItem &item = run->group->items[run->item];
-    AttemptDecision decision = nextAttempt(item.history, {run->target, error.code, targetDied, alone}, maxAttempts);
+    AttemptDecision decision = nextAttempt(item.history, {run->target, error.code, targetEnded}, maxAttempts);
     item.history = std::move(decision.history);
+    item.notBefore = BootClock::now() + decision.delay;
     if (decision.action == AttemptAction::Fail) {
         recordItemFailure(*state, run, decision, error);
         co_return;
     }
+    if (targetEnded) {
+        logTargetEnded(*state, *run, decision);
+    }
     addCounter(*state->context.metrics, "skylark_batch_items_retried_total");
     requeue(run);
     wakeExecutionLoop(*state);
@@ -231,10 +243,6 @@
     run->group = group;
     run->item = item;
     run->exclusive = exclusive;
-    run->shared = !target.running.empty();
-    for (const auto &other : target.running) {
-        other->shared = true;
-    }
     target.running.push_back(run);
     recordStreamStarted(*state->context.loads, run->target, StreamKind::Batch, context.now);
     asio::co_spawn(state->context.batch, runItem(state, run), asio::detached);
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -2,8 +2,10 @@
 #include "batch/batch_internal_func.h"
 #include "batch/batch_record_func.h"
 #include "batch/job_parse_func.h"
+#include "core/json_member_func.h"
 #include "core/table/error_table.h"
 #include "policy/claim_func.h"
+#include "policy/item_attempt_func.h"
 
 #include <boost/json.hpp>
 #include <glog/logging.h>
@@ -53,12 +55,13 @@
     item.failed = entry.at("failed").as_bool();
     item.text = std::string(entry.at("text").as_string());
     item.tokens = entry.at("tokens").to_number<unsigned>();
-    item.history.attempts = entry.at("attempts").to_number<unsigned>();
-    item.history.aloneDeaths = entry.at("aloneDeaths").to_number<unsigned>();
-    item.history.suspect = entry.at("suspect").as_bool();
+    item.history.failures = static_cast<unsigned>(numberMember(entry, "failures"));
+    item.history.interruptions = static_cast<unsigned>(numberMember(entry, "interruptions"));
+    item.history.isolated = boolMember(entry, "isolated");
+    item.notBefore = BootClock::now() + interruptionDelay(item.history.interruptions);
 }
 
-/** Queues the items without a result, suspects apart. */
+/** Queues the items without a result, isolated ones apart. */
 void queueItems(HeldGroup &group)
 {
     group.left = 0;
@@ -67,7 +70,7 @@
             continue;
         }
         ++group.left;
-        (group.items[i].history.suspect ? group.suspects : group.waiting).push_back(i);
+        (group.items[i].history.isolated ? group.isolated : group.waiting).push_back(i);
     }
 }
 
@@ -213,7 +216,7 @@
     std::string lines;
     for (std::size_t i = 0; i < group.items.size(); ++i) {
         const BatchItem &item = group.items[i];
-        if (item.resultLine.empty() && item.text.empty() && item.history.attempts == 0) {
+        if (item.resultLine.empty() && item.text.empty() && item.history.failures == 0 && item.history.interruptions == 0) {
             continue;
         }
         json::object entry;
@@ -222,9 +225,9 @@
         entry["failed"] = item.failed;
         entry["text"] = item.resultLine.empty() ? item.text : std::string();
         entry["tokens"] = item.resultLine.empty() ? item.tokens : 0;
-        entry["attempts"] = item.history.attempts;
-        entry["aloneDeaths"] = item.history.aloneDeaths;
-        entry["suspect"] = item.history.suspect;
+        entry["failures"] = item.history.failures;
+        entry["interruptions"] = item.history.interruptions;
+        entry["isolated"] = item.history.isolated;
         lines += json::serialize(entry) + "\n";
     }
     return lines;
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -60,7 +60,6 @@
 
     // Batch items.
     AttemptsExhausted, ///< Item failed on the maximum number of attempts.
-    SuspectedPoison, ///< Item was the only one in flight when each of several targets failed.
 
     // Local.
     StorageFailed, ///< Blob store failed.
--- a/src/core/table/error_table.h
+++ b/src/core/table/error_table.h
@@ -61,7 +61,6 @@
     ErrorInfo{ErrorCode::OutcomeUnknown, "outcome_unknown", "unavailable_error", 503, true, true},
     ErrorInfo{ErrorCode::RateLimited, "rate_limited", "overloaded_error", 503, false, true},
     ErrorInfo{ErrorCode::AttemptsExhausted, "attempts_exhausted", "item_error", 502, true, false},
-    ErrorInfo{ErrorCode::SuspectedPoison, "suspected_poison", "item_error", 502, true, false},
     ErrorInfo{ErrorCode::StorageFailed, "storage_failed", "unavailable_error", 503, false, true},
     ErrorInfo{ErrorCode::BlobNotFound, "blob_not_found", "unavailable_error", 503, false, true},
     ErrorInfo{ErrorCode::Timeout, "timeout", "upstream_error", 504, true, true},
--- a/src/policy/item_attempt.cpp
+++ b/src/policy/item_attempt.cpp
@@ -5,21 +5,37 @@
 
 namespace skylark {
 
+using std::chrono::milliseconds;
+
 namespace {
 
-constexpr unsigned poisonDeathThreshold = 2; ///< Deaths of targets that ran the item alone; a single one may be a coincidence.
+constexpr milliseconds firstInterruptionDelay{1000};
+constexpr milliseconds maxInterruptionDelay{30000};
+constexpr unsigned maxDelayDoublings = 5; ///< By then the delay has reached its limit.
+
+/** What a failed attempt says about its item. */
+enum class AttemptEvidence : std::uint8_t {
+    None, ///< The target did not run the item, or this host cancelled it.
+    Interrupted, ///< The target did not answer: it ended, broke off, fell silent or sent another answer.
+    Failed, ///< The target answered that the attempt failed.
+    Rejected, ///< The target answered that the item can never be done.
+};
 
-/** @return Whether the failure says nothing about the item, because the target did not run it or this host cancelled it. */
-bool isInconclusive(ErrorCode code)
+AttemptEvidence evidenceOf(ErrorCode code)
 {
     switch (code) {
+    case ErrorCode::TargetRejected:
+        return AttemptEvidence::Rejected;
+    case ErrorCode::TargetFailed:
+    case ErrorCode::ProtocolError:
+        return AttemptEvidence::Failed;
     case ErrorCode::Cancelled:
     case ErrorCode::ConnectFailed:
     case ErrorCode::ConnectTimeout:
     case ErrorCode::TargetOverloaded:
-        return true;
+        return AttemptEvidence::None;
     default:
-        return false;
+        return AttemptEvidence::Interrupted;
     }
 }
 
@@ -28,39 +44,50 @@
     return std::find(history.tried.begin(), history.tried.end(), target) != history.tried.end();
 }
 
-AttemptAction retryAction(const ItemHistory &history)
+AttemptDecision failItem(ItemHistory history, ErrorCode code)
+{
+    return {AttemptAction::Fail, code, milliseconds(0), std::move(history)};
+}
+
+AttemptDecision retryItem(ItemHistory history, milliseconds delay)
 {
-    return history.suspect ? AttemptAction::RetryAlone : AttemptAction::Retry;
+    const AttemptAction action = history.isolated ? AttemptAction::RetryAlone : AttemptAction::Retry;
+    return {action, ErrorCode::Internal, delay, std::move(history)};
 }
 
 } // namespace
 
 AttemptDecision nextAttempt(ItemHistory history, const AttemptFailure &failure, unsigned maxAttempts)
 {
-    if (failure.code == ErrorCode::TargetRejected) {
-        ++history.attempts;
-        return {AttemptAction::Fail, ErrorCode::TargetRejected, std::move(history)};
+    const AttemptEvidence evidence = evidenceOf(failure.code);
+    if (evidence == AttemptEvidence::None) {
+        return retryItem(std::move(history), milliseconds(0));
     }
-    if (isInconclusive(failure.code)) {
-        const AttemptAction action = retryAction(history);
-        return {action, ErrorCode::Internal, std::move(history)};
-    }
-    ++history.attempts;
     if (!wasTried(history, failure.target)) {
         history.tried.push_back(failure.target);
     }
-    if (failure.targetDied) {
-        history.suspect = true;
-        history.aloneDeaths += failure.alone ? 1U : 0U;
+    if (evidence == AttemptEvidence::Interrupted) {
+        ++history.interruptions;
+        history.isolated = history.isolated || failure.targetEnded;
+        const milliseconds delay = interruptionDelay(history.interruptions);
+        return retryItem(std::move(history), delay);
+    }
+    ++history.failures;
+    if (evidence == AttemptEvidence::Rejected) {
+        return failItem(std::move(history), ErrorCode::TargetRejected);
     }
-    if (history.aloneDeaths >= poisonDeathThreshold) {
-        return {AttemptAction::Fail, ErrorCode::SuspectedPoison, std::move(history)};
+    if (history.failures >= std::max(1U, maxAttempts)) {
+        return failItem(std::move(history), ErrorCode::AttemptsExhausted);
     }
-    if (history.attempts >= std::max(1U, maxAttempts)) {
-        return {AttemptAction::Fail, ErrorCode::AttemptsExhausted, std::move(history)};
+    return retryItem(std::move(history), milliseconds(0));
+}
+
+milliseconds interruptionDelay(unsigned interruptions)
+{
+    if (interruptions == 0) {
+        return milliseconds(0);
     }
-    const AttemptAction action = retryAction(history);
-    return {action, ErrorCode::Internal, std::move(history)};
+    return std::min(maxInterruptionDelay, firstInterruptionDelay * (1U << std::min(interruptions - 1, maxDelayDoublings)));
 }
 
 bool mayTryTarget(const ItemHistory &history, const TargetId &target, const std::vector<TargetId> &usable)
--- a/src/policy/item_attempt_type.h
+++ b/src/policy/item_attempt_type.h
@@ -4,6 +4,7 @@
 #include "core/error_type.h"
 #include "core/id_type.h"
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -11,18 +12,17 @@
 
 /** Failed attempts of an item so far. */
 struct ItemHistory {
-    unsigned attempts{0}; ///< Failed attempts that the item may have caused; only these count towards the limit.
-    unsigned aloneDeaths{0}; ///< Times that a target died while the item was alone in flight on it.
-    bool suspect{false}; ///< Whether a target died while the item ran on it; the item is then retried alone on a target.
-    std::vector<TargetId> tried; ///< Targets on which an attempt failed that counts towards the limit.
+    unsigned failures{0}; ///< Attempts that a target answered as failed; only these count towards the limit.
+    unsigned interruptions{0}; ///< Attempts that ended without an answer, because the target ended, broke off or fell silent; each delays the next one further.
+    bool isolated{false}; ///< Whether a target ended while the item ran on it; the item is then retried alone on a target.
+    std::vector<TargetId> tried; ///< Targets on which an attempt failed or was interrupted.
 };
 
 /** One attempt that ended without a result. */
 struct AttemptFailure {
     TargetId target;
     ErrorCode code{ErrorCode::Internal};
-    bool targetDied{false}; ///< Whether the target stopped responding.
-    bool alone{false}; ///< Whether no other stream of this host ran on the target during the attempt.
+    bool targetEnded{false}; ///< Whether the target stopped responding.
 };
 
 /** Action for an item after a failed attempt. */
@@ -36,6 +36,7 @@
 struct AttemptDecision {
     AttemptAction action{AttemptAction::Retry};
     ErrorCode failure{ErrorCode::Internal}; ///< Error code to record, for Fail.
+    std::chrono::milliseconds delay{0}; ///< Time until the item may run again, for the others.
     ItemHistory history; ///< History including this attempt.
 };
 
