Fix: skylarkd exits at its drain timeout without an answer to the requests that are left

What callers saw: the connection closed by a host that stopped, with a request on it that had been read, and no word whether it ran. Cause: plannedStop() waited for drain_timeout_ms and then ended the event loops; answerUnfinished(), with which skylark-host ends, was not called. Change: the last step of a stop answers what is left: 504 'maybe' after a call to a target or another host, 503 'no' with Retry-After otherwise; a stream that has begun stays without its end. The answers and the end of the online loop are one step, so that nothing that was answered as not run runs afterwards; what ends while the session is given up is still answered.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -117,9 +117,23 @@
     }
 }
 
+/** Answers the requests that are left and ends the event loops. The online loop ends first, so that a request answered as not run does not run afterwards. */
+void stopLoops(Host::Impl &host)
+{
+    asio::post(host.context.online, [&host] {
+        const std::size_t remaining = answerRemaining(*host.callers);
+        host.context.online.stop();
+        LOG(INFO) << "[stop] planned stop complete, requests still running: " << remaining;
+        asio::post(host.context.control, [&host] {
+            host.context.batch.stop();
+            host.context.control.stop();
+        });
+    });
+}
+
 /**
- * Stops the host without losing work, in this order: refuses new work, hands over batch work, finishes the requests of callers, ends the session. Runs on
- * the control thread.
+ * Stops the host without losing work, in this order: refuses new work, hands over batch work, finishes the requests of callers, ends the session, answers the
+ * requests that are left. Runs on the control thread.
  */
 asio::awaitable<void> plannedStop(Host::Impl &host)
 {
@@ -131,13 +145,9 @@
     co_await asio::co_spawn(host.context.batch, drainBatch(*host.batch), asio::use_awaitable);
     asio::steady_timer timer(host.context.control, host.context.settings->lameDuck);
     co_await timer.async_wait(awaitTuple);
-    const std::size_t remaining =
-        co_await asio::co_spawn(host.context.online, drainCallers(*host.callers, host.context.settings->drainTimeout), asio::use_awaitable);
+    co_await asio::co_spawn(host.context.online, drainCallers(*host.callers, host.context.settings->drainTimeout), asio::use_awaitable);
     co_await endSession(*host.control);
-    LOG(INFO) << "[stop] planned stop complete, requests cut off: " << remaining;
-    host.context.online.stop();
-    host.context.batch.stop();
-    host.context.control.stop();
+    stopLoops(host);
 }
 
 asio::awaitable<void> waitForSignal(Host::Impl &host)
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -46,7 +46,7 @@
     std::chrono::milliseconds leaseRenew{3000}; ///< Interval of lease renewals.
     std::chrono::milliseconds leaseMargin{2000}; ///< The host treats its lease as expired this long before the earliest expiry at the service.
     std::chrono::milliseconds lameDuck{5000}; ///< Time in a planned stop in which the host still serves while the load balancer takes it out of rotation.
-    std::chrono::milliseconds drainTimeout{60000}; ///< Longest wait for running requests in a planned stop; afterwards they are cut off.
+    std::chrono::milliseconds drainTimeout{60000}; ///< Longest wait for running requests in a planned stop; afterwards they get a final answer.
     std::size_t maxRequestBody{std::size_t{8} << 20U}; ///< Largest online request body in bytes.
     std::size_t maxJobBody{std::size_t{512} << 20U}; ///< Largest job submission in bytes.
     std::chrono::milliseconds declineWindow{10000}; ///< Length of one sampling window of the decline detection.
--- a/src/traffic/caller_server.cpp
+++ b/src/traffic/caller_server.cpp
@@ -56,6 +56,22 @@
     return left == 0 ? TimePoint::max() : now + std::chrono::milliseconds(left);
 }
 
+/** @return Whether the request may have an effect if its handler ends now. */
+bool mayHaveEffect(const RequestContext &context)
+{
+    const bool changesJob = context.route == CallerRoute::JobSubmit || context.route == CallerRoute::JobCancel;
+    return context.attemptRunning || context.mayHaveRun || changesJob;
+}
+
+/** @return The response to a request that has none when the host exits. */
+HttpResponse renderUnfinished(const RequestContext &context)
+{
+    if (mayHaveEffect(context)) {
+        return renderError(makeError(ErrorCode::Timeout, "host has stopped before the answer was complete", RunState::Maybe), context.id.value);
+    }
+    return renderError(makeError(ErrorCode::NotReady, "host has stopped before the request was sent to a target"), context.id.value);
+}
+
 void initContext(CallerServer::Impl &impl, RequestContext &context)
 {
     context.id = requestIdOf(context.request);
@@ -71,6 +87,9 @@
         }
         context.cancelCall.emit(asio::cancellation_type::terminal);
     });
+    onUnfinished(context.responder, [&context] {
+        return renderUnfinished(context);
+    });
 }
 
 asio::awaitable<void> sendError(RequestContext &context, Error error)
@@ -172,4 +191,11 @@
     co_return activeRequests(*impl->server);
 }
 
+std::size_t answerRemaining(CallerServer &server)
+{
+    const std::size_t remaining = activeRequests(*server.impl->server);
+    answerUnfinished(*server.impl->server);
+    return remaining;
+}
+
 } // namespace skylark
--- a/src/traffic/caller_server_func.h
+++ b/src/traffic/caller_server_func.h
@@ -27,4 +27,11 @@
  */
 boost::asio::awaitable<std::size_t> drainCallers(CallerServer &server, std::chrono::milliseconds timeout);
 
+/**
+ * Last step of a planned stop: answers the requests that have no response yet, 503 if they did not run and 504 if they may have run. The event loop of the
+ * online thread must not run afterwards, or requests that were said not to have run might.
+ * @return Requests that were still running, with and without a response.
+ */
+std::size_t answerRemaining(CallerServer &server);
+
 } // namespace skylark
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -398,7 +398,9 @@
 {
     creditRetryBudget(impl.budget, BootClock::now());
     for (;;) {
+        context.attemptRunning = true;
         const auto failure = co_await runAttempt(impl, context);
+        context.attemptRunning = false;
         if (!failure) {
             co_return co_await completeAnswer(context);
         }
--- a/src/traffic/request_context_type.h
+++ b/src/traffic/request_context_type.h
@@ -46,7 +46,8 @@
     std::unique_ptr<Generation> generation; ///< Set for CallerRoute::Chat only.
 
     unsigned attempts{0}; ///< Calls made to targets and other hosts.
-    bool mayHaveRun{false}; ///< Whether any attempt may have run.
+    bool attemptRunning{false}; ///< Whether a call to a target or another host is in progress.
+    bool mayHaveRun{false}; ///< Whether any attempt that has ended may have run.
     bool callerGone{false}; ///< Whether the caller disconnected or a write to it failed.
     std::function<void()> cancelWork; ///< Ends the wait or stream in progress; empty when there is none.
     boost::asio::cancellation_signal cancelCall; ///< Cancels a call whose response has not begun.
--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -220,13 +220,16 @@
         context.snapshot = impl.context.snapshot->current.load();
         const TargetView *view = chooseServiceTarget(impl, *context.snapshot, context.pathParameter, state.tried, BootClock::now());
         std::optional<HttpResponse> answer;
+        context.attemptRunning = true;
         if (view != nullptr) {
             answer = co_await attemptTarget(impl, context, view->info, state);
         } else if (const HostView *host = nextHost(impl, context, state)) {
             answer = co_await attemptHost(impl, context, host->info, state);
         } else {
+            context.attemptRunning = false;
             co_return finalResult(context, state);
         }
+        context.attemptRunning = false;
         if (answer) {
             co_return std::move(*answer);
         }
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -1,5 +1,6 @@
 /** @file test_traffic.cpp Tests of the callers' server: online generations on stand-in targets. */
 #include "core/async_sleep_func.h"
+#include "support/raw_caller.h"
 #include "support/traffic_fixture.h"
 
 #include <boost/asio/detached.hpp>
@@ -11,6 +12,7 @@
 #include <boost/json.hpp>
 
 using namespace skylark;
+using skylark::test::RawCaller;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -448,6 +450,60 @@
     CHECK(received.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a stop that cuts off the requests that are left at its drain timeout without an answer.
+TEST_CASE_METHOD(TrafficFixture, "answerRemaining_requestsLeftAfterTheDrain_areAnsweredByTheirState")
+{
+    StubTarget &target = this->addTarget({}, 1, 0);
+    this->workspace().online.firstByteTimeout = 10s;
+    this->startServer();
+    target.mode = TargetMode::Silent;
+    const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}]})";
+    const std::string request =
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    RawCaller passedOn(this->context.online, this->endpoint());
+    passedOn.write(request);
+    this->runFor(50ms);
+    RawCaller queued(this->context.online, this->endpoint());
+    queued.write(request);
+    RawCaller beingRead(this->context.online, this->endpoint());
+    beingRead.write(request.substr(0, request.size() - 5));
+    this->runFor(50ms);
+    REQUIRE(target.generations == 1);
+    announceStop(*this->server);
+    CHECK(this->run(drainCallers(*this->server, 50ms)) == 2);
+    CHECK(answerRemaining(*this->server) == 2);
+    passedOn.poll();
+    CHECK(passedOn.received.starts_with("HTTP/1.1 504"));
+    CHECK(passedOn.count(R"("run":"maybe")") == 1);
+    for (RawCaller *notRun : {&queued, &beingRead}) {
+        notRun->poll();
+        CHECK(notRun->received.starts_with("HTTP/1.1 503"));
+        CHECK(notRun->count(R"("run":"no")") == 1);
+        CHECK(notRun->count("retry-after: 1") == 1);
+    }
+}
+
+// Guards against a stop after which a stream that has begun looks complete, or is followed by a second response.
+TEST_CASE_METHOD(TrafficFixture, "answerRemaining_streamHasBegun_isLeftIncomplete")
+{
+    StubTarget &target = this->addTarget();
+    this->workspace().online.idleTimeout = 10s;
+    this->startServer();
+    target.mode = TargetMode::Stall;
+    const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}],"stream":true})";
+    RawCaller streaming(this->context.online, this->endpoint());
+    streaming.write("POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                    + body);
+    this->runFor(50ms);
+    CHECK(this->run(drainCallers(*this->server, 50ms)) == 1);
+    CHECK(answerRemaining(*this->server) == 1);
+    streaming.poll();
+    CHECK(streaming.count("HTTP/1.1") == 1);
+    CHECK(streaming.count("w0 ") == 1);
+    CHECK(streaming.count("[DONE]") == 0);
+    CHECK(streaming.count("\r\n0\r\n\r\n") == 0);
+}
+
 // Guards against prompts with one prefix that crash one engine after the other, and against rejecting the prompts that share less than that prefix.
 TEST_CASE_METHOD(TrafficFixture, "chat_promptPrefixCrashesTargets_isQuarantinedAndOthersAreServed")
 {
