Change: Lines of failed attempts name the request, so that its repeats can be seen

A request that crashes its targets comes again with the same path, caller and body, each time with an identifier of its own. The lines of failed attempts had nothing that repeats have in common where the request names no prompt parts, and only shared parts where it does.

No decision depends on the identity yet.

--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -33,7 +33,7 @@
     EventInfo{EventKind::TargetRefused, "targets", "target_refused", "detail"},
     EventInfo{EventKind::PeerChanged, "peers", "peer_changed", "state domain address"},
     EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
-    EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms silent_ms events phase prompt_parts"},
+    EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms silent_ms events phase prompt_parts request"},
     EventInfo{EventKind::Resumed, "route", "resumed", "after"},
     EventInfo{EventKind::LimitChanged, "targets", "limit_changed", "source limited per_second sent"},
     EventInfo{EventKind::PartQuarantined, "route", "part_quarantined", "source crashes requests round lasts_ms"},
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -59,7 +59,8 @@
               {"silent_ms", silence.count()},
               {"events", forwarding.events},
               {"phase", runPhaseName(phaseOf(forwarding.progress))},
-              {"prompt_parts", promptPartsText(forwarding.call.prompt)}});
+              {"prompt_parts", promptPartsText(forwarding.call.prompt)},
+              {"request", hexText(forwarding.call.prompt.request.value)}});
 }
 
 /** @return Whether the request waits for a target while none can take it: the caller already has part of the answer, or the request left a sound target that
