Fix: A refusal is acted on although its body does not end

What callers saw: a request whose first target refused it and then sent no end of the refusal's body waited until its deadline, and got 503, although another target could have run it. Cause: the body of a refusal was read to its end, so that its connection could be reused, with the deadline of the request as the only limit. Change: the body is read for 50 ms in all; then the connection is closed. The head of the answer alone says that the request did not run. Evidence: forward_bodyOfARefusalDoesNotEnd_otherTargetAnswersSoon failed before, for a body that stops and for one that dribbles: CHECK( valueOf(answer).status == 200 ) 503 == 200 CHECK( BootClock::now() - begun < 1s ) 3000064258ns < 1s CHECK( this->second.runs.size() == 1 ) 0 == 1 Result: it passes, with all of test_forward and test_silence.

--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t maxAnswerBytes = std::size_t{16} << 20U; ///< Maximum size of an answer that is not a stream; bounds the memory that a target can take.
 constexpr std::size_t maxRefusalBytes = std::size_t{64} << 10U; ///< Maximum size of the body of an answer that says that the request did not run.
+constexpr milliseconds refusalBodyTimeout{50}; ///< Time limit for reading that body, after which the connection is closed rather than reused.
 
 /** @return Whether an answer belongs to @p call. An answer that names no request is accepted only without a signature. */
 bool isAnswerTo(const AnswerHead &answerHead, const ProxyCall &call)
@@ -40,6 +41,21 @@
     }
 }
 
+/** Reads the body of a refusal, so that its connection can be reused. @return Whether it was read whole. */
+asio::awaitable<bool> readRefusal(HttpExchange &exchange)
+{
+    const TimePoint end = BootClock::now() + refusalBodyTimeout;
+    std::size_t bytes = 0;
+    while (bytes <= maxRefusalBytes && BootClock::now() < end) {
+        const auto piece = co_await httpRead(exchange, std::chrono::ceil<milliseconds>(end - BootClock::now()));
+        if (!isOk(piece) || !valueOf(piece)) {
+            co_return isOk(piece);
+        }
+        bytes += valueOf(piece)->size();
+    }
+    co_return false;
+}
+
 /** @return The result of an attempt that ended with @p error. */
 Attempt failedAttempt(const Forwarding &forwarding, Error error)
 {
@@ -171,8 +187,8 @@
 {
     const AnswerHead answerHead = readAnswer(*forwarding.proxy, target, exchange, sentAt);
     if (answerHead.notRun) {
-        auto rest = co_await readBody(forwarding, exchange, maxRefusalBytes);
-        const std::string detail = std::to_string(exchange.status) + (isOk(rest) ? "" : ", reading the body failed");
+        const bool wasRead = co_await readRefusal(exchange);
+        const std::string detail = std::to_string(exchange.status) + (wasRead ? "" : ", the body was not read to its end");
         co_return failedAttempt(forwarding, makeError(ErrorCode::TargetOverloaded, detail, RunState::No));
     }
     if (!isAnswerTo(answerHead, forwarding.call)) {
--- a/tests/test_forward.cpp
+++ b/tests/test_forward.cpp
@@ -1,4 +1,5 @@
 /** @file test_forward.cpp Forwarding of requests and streams to replicas, with failures of the replicas, the connections and the callers. */
+#include "core/async_sleep_func.h"
 #include "core/hash_func.h"
 #include "proxy/event_splitter_base.h"
 #include "support/entry_fixture.h"
@@ -520,3 +521,56 @@
     target.answer = "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: q1\r\nX-Skylarkstage-Server-Signature: x\r\n\r\nbody until the end";
     CHECK(this->host.send(EntryTestHost::request("q1", "/lookup/x")).body == "body until the end");
 }
+
+namespace {
+
+/** A target that refuses each request and never ends the body of the refusal. */
+struct EndlessRefusalTarget {
+    boost::asio::ip::tcp::acceptor acceptor;
+    bool dribbles{false}; ///< Whether a byte of the body follows now and then.
+
+    explicit EndlessRefusalTarget(boost::asio::io_context &loop)
+        : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        boost::asio::co_spawn(loop, this->serve(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        for (;;) {
+            auto socket = co_await this->acceptor.async_accept(boost::asio::use_awaitable);
+            boost::asio::co_spawn(this->acceptor.get_executor(), this->refuse(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> refuse(boost::asio::ip::tcp::socket socket)
+    {
+        const std::string head = "HTTP/1.1 503 Service Unavailable\r\nX-Skylarkstage-Not-Executed: 1\r\nContent-Length: 10000\r\n\r\n";
+        std::array<char, 8192> request{};
+        co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+        co_await boost::asio::async_write(socket, boost::asio::buffer(head), boost::asio::use_awaitable);
+        for (;;) {
+            co_await sleepFor(20ms);
+            co_await boost::asio::async_write(socket, boost::asio::buffer("x", this->dribbles ? 1 : 0), boost::asio::use_awaitable);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against a request that waits until its deadline for the body of a refusal, although another target could run it.
+TEST_CASE_METHOD(ForwardFixture, "forward_bodyOfARefusalDoesNotEnd_otherTargetAnswersSoon")
+{
+    EndlessRefusalTarget target(this->loop);
+    target.dribbles = GENERATE(false, true);
+    this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", target.acceptor.local_endpoint().port()};
+    this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 3; // The request goes to the other target first.
+    this->host.publish({});
+    this->setPlan({.stream = false});
+    const TimePoint begun = BootClock::now();
+    const auto answer = this->call(this->host.endpoint, EntryTestHost::request("o1", "/order/x"));
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).status == 200);
+    CHECK(BootClock::now() - begun < 1s);
+    CHECK(this->second.runs.size() == 1);
+}
