Fix: An answer that has arrived by the deadline is delivered although the host did not run until after it

What callers saw: 504, or a stream without its end, although the whole answer lay in the host's socket when the deadline passed. Cause: after the first read beyond the deadline the answer was given up, also where the rest of it had arrived; the first read after a stall takes 16 kB. Change: what has arrived is read on for at most 100 ms from the first look after the deadline; a read that finds nothing then ends the answer at once, as before. Evidence: forward_hostStallsUntilAfterTheDeadline_answerThatHasArrivedIsDelivered failed before, for a whole answer and for a stream: REQUIRE( valueOf(answer).status == 200 ) 504 (0x1f8) == 200 Result: it passes, with all of test_silence, test_forward and test_forward_changes.

--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t maxAnswerBytes = std::size_t{16} << 20U; ///< Maximum size of an answer that is not a stream; bounds the memory that a target can take.
 constexpr std::size_t maxRefusalBytes = std::size_t{64} << 10U; ///< Maximum size of the body of an answer that says that the request did not run.
+constexpr milliseconds lateReadTime{100}; ///< Time after the deadline for reading what has arrived, since this process may not have run.
 constexpr milliseconds refusalBodyTimeout{50}; ///< Time limit for reading that body, after which the connection is closed rather than reused.
 
 /** @return Whether an answer belongs to @p call. An answer that names no request is accepted only without a signature. */
@@ -21,6 +22,19 @@
     return answerHead.requestId.empty() ? !answerHead.signedByTarget : answerHead.requestId == call.id.value;
 }
 
+/** @return Whether the answer may be read further: until the deadline, and after it as long as there is something to read, but not for long. */
+bool mayReadOn(Forwarding &forwarding)
+{
+    const TimePoint now = BootClock::now();
+    if (now < forwarding.deadline) {
+        return true;
+    }
+    if (forwarding.lateUntil == TimePoint{}) {
+        forwarding.lateUntil = now + lateReadTime;
+    }
+    return now < forwarding.lateUntil;
+}
+
 /** Reads the rest of a body. Each read is bounded by the time left until the request's deadline. @return ProtocolError if it exceeds @p maxBytes. */
 asio::awaitable<Result<std::string>> readBody(Forwarding &forwarding, HttpExchange &exchange, std::size_t maxBytes)
 {
@@ -34,7 +48,7 @@
             co_return body;
         }
         body += *valueOf(piece);
-        if (body.size() > maxBytes || timeLeft(forwarding).count() <= 0) {
+        if (body.size() > maxBytes || !mayReadOn(forwarding)) {
             httpAbort(exchange);
             co_return makeError(ErrorCode::ProtocolError, "answer exceeds the size limit or the deadline", RunState::Maybe);
         }
@@ -124,7 +138,7 @@
 {
     forwarding.splitter.partial.clear();
     for (;;) {
-        if (timeLeft(forwarding).count() <= 0) {
+        if (!mayReadOn(forwarding)) {
             co_return failedAttempt(forwarding, makeError(ErrorCode::IdleTimeout, "no complete stream in time", RunState::Maybe));
         }
         auto piece = co_await httpReadPatiently(exchange, silenceWait(forwarding));
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -20,6 +20,7 @@
     ServiceId service; ///< Service of the route that was chosen for the request.
     TimePoint arrivedAt{};
     TimePoint deadline{}; ///< When the caller must have the final answer.
+    TimePoint lateUntil{}; ///< End of the time for reading what had arrived by the deadline; TimePoint{} before it begins.
     TargetId target; ///< Target of the current or most recent attempt.
     std::vector<TargetId> tried; ///< Targets that are no candidates because an attempt on them failed; reduced or cleared while the request waits for a target.
     std::vector<TargetId> ranOn; ///< Targets on which it may have run without a complete answer.
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <rapidcheck.h>
+#include <thread>
 
 using namespace skylark;
 using namespace skylark::test;
@@ -533,3 +534,53 @@
     CHECK(idleCount() == 0);
     CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
 }
+
+/** A target whose answer arrives at once, after which the process of the test does not run for a while. */
+struct StallingTarget {
+    static constexpr milliseconds stall{600};
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string answer; ///< Bytes that are sent.
+
+    explicit StallingTarget(boost::asio::io_context &loop)
+        : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        boost::asio::co_spawn(loop, this->serve(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        for (;;) {
+            auto socket = co_await this->acceptor.async_accept(boost::asio::use_awaitable);
+            std::array<char, 8192> request{};
+            co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+            boost::asio::write(socket, boost::asio::buffer(this->answer));
+            std::this_thread::sleep_for(stall);
+            co_await sleepFor(stall);
+        }
+    }
+};
+
+// Guards against an answer that has arrived in time and is thrown away, because this process did not run until after the deadline.
+TEST_CASE_METHOD(SilenceFixture, "forward_hostStallsUntilAfterTheDeadline_answerThatHasArrivedIsDelivered")
+{
+    StallingTarget target(this->loop);
+    this->targets->erase(TargetId{"i-2"});
+    this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", target.acceptor.local_endpoint().port()};
+    for (RouteRule &rule : this->config->routes) {
+        rule.timeout = StallingTarget::stall / 2;
+    }
+    this->host.publish({});
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: r1\r\nX-Skylarkstage-Server-Signature: x\r\n";
+    SECTION("whole answer")
+    {
+        const std::size_t size = 100000; // More than one read takes.
+        target.answer = head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+        CHECK(this->textOf("r1", "/order/x") == std::string(size, 'x'));
+    }
+    SECTION("stream")
+    {
+        const std::string event = "id: 1\ndata: " + std::string(50000, 'x') + "\n\n";
+        target.answer = head + "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(event.size()) + "\r\n\r\n" + event;
+        CHECK(this->textOf("r1", "/once/x") == std::string(50000, 'x'));
+    }
+}
