Fix: A caller that closes after bytes of a next request is noticed

Cause: the watch for the end of a connection looked once, when the socket became readable. Bytes of a next request made it readable, and it did not look again. Change: it looks again every 100 ms while such bytes are unread. The look asks poll() for the end of the peer's side, which unread bytes do not hide and which leaves an error of the socket to the next read. Evidence: callerDisconnect_bytesOfTheNextRequestWereSent_isNoticed failed before, for a close and for a reset: CHECK( this->runUntil( [this] { return this->callersGone == 1; }, 400ms) ) false Result: it passes, with all of test_http_connection, test_http and test_forward.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <sys/socket.h>
 
@@ -25,15 +26,39 @@
 constexpr std::size_t maxRefusing = 64; ///< Connections over the limit that are refused at the same time.
 constexpr std::chrono::milliseconds acceptRetryDelay{20}; ///< Delay after a failure to accept, such as a lack of file descriptors.
 
+/** @return Whether @p connection is still used for the request with this number. */
+bool isServing(const HttpServerConnection &connection, std::uint64_t number)
+{
+    const bool serves = connection.state == ConnectionState::Handling || connection.state == ConnectionState::Responding;
+    return serves && connection.requestNumber == number;
+}
+
+void watchForDisconnect(const std::shared_ptr<HttpServerConnection> &connection);
+
+/** Repeats the watch after a while: bytes of a next request keep the socket readable. */
+void watchAgainLater(const std::shared_ptr<HttpServerConnection> &connection)
+{
+    constexpr std::chrono::milliseconds interval{100};
+    const auto timer = std::make_shared<asio::steady_timer>(connection->stream.get_executor(), interval);
+    const std::uint64_t number = connection->requestNumber;
+    timer->async_wait([connection, number, timer](const beast::error_code &error) {
+        if (!error && isServing(*connection, number)) {
+            watchForDisconnect(connection);
+        }
+    });
+}
+
 /** Waits until the socket is readable, and calls HttpServerConnection::callerGone if the caller has closed or reset the connection. */
 void watchForDisconnect(const std::shared_ptr<HttpServerConnection> &connection)
 {
     const std::uint64_t number = connection->requestNumber;
     connection->stream.socket().async_wait(tcp::socket::wait_read, [connection, number](const beast::error_code &error) {
-        if (error || connection->state == ConnectionState::Idle || connection->requestNumber != number) {
+        if (error || !isServing(*connection, number)) {
             return;
         }
-        if (peekInput(connection->stream) == SocketInput::Closed && connection->callerGone) {
+        if (!hasPeerClosed(connection->stream)) {
+            watchAgainLater(connection);
+        } else if (connection->callerGone) {
             const auto action = std::exchange(connection->callerGone, nullptr);
             action();
         }
--- a/src/http/socket_read.cpp
+++ b/src/http/socket_read.cpp
@@ -44,6 +44,12 @@
     return ::poll(&entry, 1, 0) > 0;
 }
 
+bool hasPeerClosed(boost::beast::tcp_stream &stream)
+{
+    pollfd entry{.fd = stream.socket().native_handle(), .events = POLLRDHUP, .revents = 0};
+    return ::poll(&entry, 1, 0) > 0;
+}
+
 std::shared_ptr<ReadDeadline> ReadDeadline::create(boost::beast::tcp_stream &stream, std::chrono::milliseconds timeout)
 {
     auto deadline = std::make_shared<ReadDeadline>(ReadDeadline{boost::asio::steady_timer(stream.get_executor()), stream});
--- a/src/http/socket_read_func.h
+++ b/src/http/socket_read_func.h
@@ -24,6 +24,9 @@
 /** @return Whether a read from @p stream would end at once: with bytes, at the end of the input, or with an error, which remains for the read to report. */
 [[nodiscard]] bool isReadable(boost::beast::tcp_stream &stream);
 
+/** @return Whether the peer of @p stream has closed or reset the connection, also while bytes that it sent before are unread. */
+[[nodiscard]] bool hasPeerClosed(boost::beast::tcp_stream &stream);
+
 /** Cancels the operations on a socket at a time, until the deadline is destroyed, which must precede the end of the stream. The connection stays open. */
 struct ReadDeadline {
     boost::asio::steady_timer timer;
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -28,6 +28,7 @@
     std::unique_ptr<HttpServer> server; ///< Null until listen().
     Endpoint endpoint{"127.0.0.1", 0}; ///< Address of the server; the port is set by listen().
     int requests{0}; ///< Number of requests that reached the handler.
+    int callersGone{0}; ///< Number of callers that closed the connection during a request for /watched.
     std::map<ErrorCode, int> unserved; ///< Number of reports of the server by cause.
 
     HttpConnectionFixture()
@@ -58,6 +59,13 @@
         if (path == "/slow") {
             asio::steady_timer timer(this->loop, 100ms);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        } else if (path == "/watched") {
+            asio::steady_timer timer(this->loop, 2s);
+            onCallerDisconnect(responder, [this, &timer] {
+                ++this->callersGone;
+                timer.cancel();
+            });
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         } else if (path == "/throw") {
             throw std::runtime_error("handler failed");
         } else if (path == "/stream") {
@@ -330,3 +338,42 @@
         CHECK(caller->count("Connection: close") == 1);
     }
 }
+
+// Guards against targets that work on for a caller that has closed its connection after bytes of a next request.
+TEST_CASE_METHOD(HttpConnectionFixture, "callerDisconnect_bytesOfTheNextRequestWereSent_isNoticed")
+{
+    this->listen();
+    const bool resets = GENERATE(false, true);
+    const auto caller = this->connect();
+    caller->write("GET /watched HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->runFor(50ms);
+    REQUIRE(this->requests == 1);
+    caller->write(plainRequest.substr(0, 10));
+    this->runFor(150ms);
+    CHECK(this->callersGone == 0);
+    if (resets) {
+        caller->socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    caller->socket.close();
+    CHECK(this->runUntil(
+        [this] {
+            return this->callersGone == 1;
+        },
+        400ms));
+}
+
+// Guards against a look for the end of a connection that acts on the next request of the caller.
+TEST_CASE_METHOD(HttpConnectionFixture, "callerDisconnect_nextRequestWasSentAhead_bothAreAnswered")
+{
+    this->listen();
+    const auto caller = this->connect();
+    caller->write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->runFor(30ms);
+    caller->write("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(this->runUntil([&caller] {
+        caller->poll();
+        return caller->count(okLine) == 2;
+    }));
+    CHECK(this->requests == 2);
+    CHECK(this->callersGone == 0);
+}
