Fix: Items with a quarantined prompt part wait until their job is over

What callers saw: an item that shares a prompt part with requests that crash targets was held back for the whole quarantine (60 s, then up to ten minutes), and failed when its retention was over. The users: items handed in for later never crash servers by themselves; one under which servers crashed is still owed. Cause: the job runner applied the rejection of requests to items as well, and nothing but a request's trial after the quarantine could end it. Change: src/policy/item_trial decides. Each host runs one item as the trial of a quarantined part, 2 to 3 s after the last crash that led to the quarantine, at a time that differs by host; each later crash with the part at any host doubles the wait, up to 32 s, and a repeated quarantine keeps that. The crashes are those that hosts report to one another anyway. A sound run ends the quarantine everywhere, as it does for requests. The trial shares its target with others: items are sound by the users' word, and an empty target may not exist for long. Why so: should a part crash targets under items after all, at most three trials of one minute come later than contact_ms after the last crash; items that are sound, which is the rule, wait for 3 s instead of a minute, and free the requests that share the part. Five tests of the decision. Evidence of items is unchanged: their parts are read from their headers alone, and only shared parts are reported.

--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -127,12 +127,6 @@
     interruptRun(*item.run);
 }
 
-/** @return Whether the prompt of @p item has a quarantined part. */
-bool isQuarantined(const Proxy &proxy, const JobItem &item, TimePoint now)
-{
-    return !proxy.quarantine.parts.empty() && quarantineLeft(proxy.quarantine, proxy.wire.readPromptParts(item.headers), now).has_value();
-}
-
 std::vector<PendingItem> pendingItems(const JobRunner::Impl &runner)
 {
     std::vector<PendingItem> pending;
@@ -144,7 +138,7 @@
             continue;
         }
         for (const auto &[index, run] : owned.runs) {
-            if (run->phase == ItemPhase::Pending && run->notBefore <= now && !isQuarantined(*runner.proxy, known.items[index], now)) {
+            if (run->phase == ItemPhase::Pending && run->notBefore <= now) {
                 // The choice hashes the item's identifier, so that each service gets its share of a job's items.
                 const ServiceId &service = chooseService(*route, hash64(known.record.items[index].id));
                 pending.push_back({job, index, known.knownSince + route->completionTarget, service});
@@ -154,6 +148,7 @@
     std::stable_sort(pending.begin(), pending.end(), [now, runTime = runner.itemRunTime](const PendingItem &left, const PendingItem &right) {
         return isMoreUrgent(left.due, right.due, now, runTime);
     });
+    holdBackItems(runner, pending, now);
     return pending;
 }
 
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -123,6 +123,9 @@
 /** @return The route of a job in the configuration in force, or null if there is none. */
 [[nodiscard]] const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record);
 
+/** Removes the items from @p pending that have to wait for the trial of a quarantined part of their prompt. */
+void holdBackItems(const JobRunner::Impl &runner, std::vector<PendingItem> &pending, TimePoint now);
+
 /** @return Load of @p target, from which the number of own batch items to preempt is computed. */
 [[nodiscard]] BatchSlotInput yieldInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
 
--- a/tests/test_job_policy.cpp
+++ b/tests/test_job_policy.cpp
@@ -2,6 +2,8 @@
 #include "core/hash_func.h"
 #include "job/job_policy_func.h"
 #include "job/job_record_func.h"
+#include "policy/crash_quarantine_func.h"
+#include "policy/item_trial_func.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -31,6 +33,37 @@
     }
 };
 
+constexpr PromptPartId quarantinedPart{0xbad};
+constexpr PromptPartId otherPart{0xa};
+
+/** Quarantine of one host that knows a quarantined part, and a clock that the test moves. */
+struct TrialFixture {
+    CrashQuarantine state{.host = HostId{"h1"}};
+    TimePoint now{TimePoint{} + 1000s};
+    PromptParts prompt{{otherPart, quarantinedPart}, {1}};
+
+    TrialFixture()
+    {
+        this->state.parts[quarantinedPart] = {quarantinedPart, this->now, this->now + 60s, 1};
+    }
+
+    /** Adds a crash with the quarantined part, as @p host reports it. */
+    void crash(const std::string &host, const std::string &target)
+    {
+        this->state.crashes[HostId{host}].push_back({TargetId{target}, this->now, {{this->prompt, RunPhase::Begun}}});
+    }
+
+    /** Moves the clock to the earliest trial. @return Time until then. */
+    std::chrono::milliseconds waitForTrial()
+    {
+        const TimePoint before = this->now;
+        while (!mayRunItem(findItemTrials(this->state), this->prompt, this->now)) {
+            this->now += 50ms;
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(this->now - before);
+    }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(JobPolicyFixture, "appendResults_notOwner_writesNothing")
@@ -243,3 +276,66 @@
     CHECK_FALSE(isOk(decodeCheckpoints(R"([[0,1,1,1e99,"t"]])")));
     CHECK(isOk(decodeCheckpoints(R"([[0,1,1,0,"t"]])")));
 }
+
+// Guards against items that wait for the whole time of a quarantine, and against trials at all hosts at once.
+TEST_CASE_METHOD(TrialFixture, "findItemTrials_partQuarantined_itemRunsAfterAShortTime")
+{
+    std::set<TimePoint> times;
+    for (unsigned i = 0; i < 20; ++i) {
+        this->state.host.value = "h" + std::to_string(i);
+        times.insert(findItemTrials(this->state).earliest.at(quarantinedPart));
+    }
+    CHECK(times.size() > 10);
+    CHECK(*times.begin() >= this->now + 2s);
+    CHECK(*times.rbegin() <= this->now + 3s);
+    CHECK(mayRunItem(findItemTrials(this->state), {{otherPart}, {1}}, this->now));
+}
+
+// Guards against items that crash one target after the other on behalf of a quarantined part, in the whole fleet.
+TEST_CASE_METHOD(TrialFixture, "findItemTrials_eachTrialCrashesItsTarget_fewRunsInAMinute")
+{
+    std::chrono::milliseconds last{0};
+    const TimePoint begin = this->now;
+    unsigned late = 0;
+    for (unsigned i = 0; this->now < begin + 60s; ++i) {
+        const std::chrono::milliseconds waited = this->waitForTrial();
+        CHECK(waited > last);
+        last = waited;
+        late += this->now > begin + 3s && this->now < begin + 60s ? 1 : 0;
+        this->crash(i % 2 == 0 ? "h1" : "h2", "t" + std::to_string(i));
+    }
+    CHECK(late <= 3);
+    this->state.parts[quarantinedPart] = {quarantinedPart, this->now, this->now + 120s, 2};
+    CHECK(this->waitForTrial() >= 30s);
+}
+
+TEST_CASE_METHOD(TrialFixture, "findItemTrials_oneCrashReportedByTwoHosts_countsOnce")
+{
+    this->now += 2s;
+    this->crash("h1", "t1");
+    const TimePoint once = findItemTrials(this->state).earliest.at(quarantinedPart);
+    this->now += 5ms;
+    this->crash("h2", "t1");
+    CHECK(findItemTrials(this->state).earliest.at(quarantinedPart) - once <= 5ms);
+}
+
+TEST_CASE_METHOD(TrialFixture, "mayRunItem_anotherItemWithThePartRuns_waits")
+{
+    this->waitForTrial();
+    ItemTrials trials = findItemTrials(this->state);
+    addRunningItem(trials, {{otherPart}, {2}});
+    CHECK(mayRunItem(trials, this->prompt, this->now));
+    addRunningItem(trials, this->prompt);
+    CHECK_FALSE(mayRunItem(trials, this->prompt, this->now));
+    CHECK(mayRunItem(trials, {{otherPart}, {1}}, this->now));
+}
+
+// Guards against items that stay held back after one of them was sound.
+TEST_CASE_METHOD(TrialFixture, "findItemTrials_itemWasSound_allItemsRun")
+{
+    this->waitForTrial();
+    CHECK(recordSoundRun(this->state, this->prompt, this->now).size() == 1);
+    ItemTrials trials = findItemTrials(this->state);
+    addRunningItem(trials, this->prompt);
+    CHECK(mayRunItem(trials, this->prompt, this->now));
+}
