Fix: An owed item ends one target after the other in quick succession in skylark-host

What callers saw: with twelve targets that all end under one item without prompt parts, 17 ended in 5 s; each took the requests beside the item with it. Cause: the delay of a repeated item grew with the answers of 500 only; no quarantine holds where an item has no prompt parts. Evidence: job_itemWithoutPromptPartsCrashesTargets_isRetriedAtGrowingIntervals before: "CHECK( this->runsOf("x1") <= 6 ) ... 17 <= 6". Change: itemRetryDelay() in src/job/job_policy doubles the delay with each run in a row under which the target ended before the first event, from 0.15 s to 2.4 s. Such runs count neither as attempts nor are they stored: the next owner of a job begins anew, and items are tried every few seconds to the end. Result: the test passes: 4 to 6 runs in 5 s, and the item runs again within 3 s once targets are sound; test_crash_quarantine (288 assertions in 6 cases), test_job_policy (19 cases), test_jobs (1400 assertions in 34 cases).

--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -2,6 +2,7 @@
 #include "core/event_log_func.h"
 #include "core/table/error_table.h"
 #include "job/job_runner_base.h"
+#include "policy/crash_quarantine_func.h"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,7 +17,6 @@
 constexpr milliseconds sendTimeout{2000}; ///< Time limit of sending an item.
 constexpr milliseconds firstAnswerTimeout{3000}; ///< Time limit of the first answer; an item may have to wait because online requests take the free slot first.
 constexpr milliseconds gapTimeout{2000}; ///< Maximum pause between reads of an answer; after it another target continues the item.
-constexpr milliseconds backoffStep{150}; ///< Delay before the next run; each counted failure, up to four, adds one more step.
 constexpr milliseconds runTimeLimit{60000}; ///< Time that a target may spend on an item in one run.
 constexpr std::size_t maxOutputBytes = std::size_t{1} << 20U; ///< Maximum output of an item; the store takes no larger values.
 constexpr std::size_t maxDrainedBytes = std::size_t{64} << 10U; ///< A longer rest of an answer costs more than a new connection.
@@ -59,6 +59,7 @@
             run.text += run.events > 0 ? "\n" : "";
             run.text += event.data;
             ++run.events;
+            run.targetEnds = 0;
             recordEvents(proxy, prompt, run.progress, 1);
             progressAt = BootClock::now();
         }
@@ -155,12 +156,13 @@
     const RouteRule *route = routeOf(runner, runner.registry->jobs.at(job).record);
     const unsigned maxAttempts = route != nullptr ? std::max(1U, route->maxAttempts) : 1;
     run.failures += error.code == ErrorCode::TargetFailed ? 1 : 0;
+    run.targetEnds += isTargetEnd(error) && run.progress.events == 0 ? 1 : 0;
     if (error.code == ErrorCode::TargetRejected || run.failures >= maxAttempts) {
         finishItem(owned, run, ItemState::Failed);
         return;
     }
     run.phase = ItemPhase::Pending;
-    run.notBefore = BootClock::now() + backoffStep * (1U + std::min(run.failures, 4U));
+    run.notBefore = BootClock::now() + itemRetryDelay(run.failures, run.targetEnds);
     run.avoided.push_back(target.id);
     if (run.avoided.size() > avoidedTargets) {
         run.avoided.erase(run.avoided.begin());
--- a/src/job/job_policy.cpp
+++ b/src/job/job_policy.cpp
@@ -15,6 +15,10 @@
 constexpr std::chrono::milliseconds claimDelayPerRank{400}; ///< Added delay per rank: the time of a claim and of its propagation to other hosts.
 constexpr std::chrono::milliseconds unregisteredGrace{5000}; ///< An owner unregistered for so long cannot store results, even if it still sends its status.
 
+constexpr std::chrono::milliseconds retryDelayStep{150}; ///< Least delay of a repeated item; each counted failure, up to four, adds one more step.
+constexpr unsigned maxRetryDelaySteps = 4;
+constexpr unsigned maxRetryDoublings = 4; ///< An item that is owed is run again within a few seconds, also after many ends of targets.
+
 constexpr std::chrono::milliseconds minResultDelay{200}; ///< Items of a job often finish within so short a time of one another.
 constexpr std::chrono::milliseconds maxResultDelay{1000}; ///< Bounds the finished work that is lost with its host.
 constexpr int resultDelayShare = 8; ///< Results wait for at most this fraction of the time until they are due.
@@ -86,6 +90,13 @@
     return unfinished == 0 ? std::chrono::milliseconds(0) : std::clamp(untilDue / resultDelayShare, minResultDelay, maxResultDelay);
 }
 
+std::chrono::milliseconds itemRetryDelay(unsigned failures, unsigned targetEnds)
+{
+    const auto afterFailures = retryDelayStep * (1U + std::min(failures, maxRetryDelaySteps));
+    const unsigned doublings = std::min(targetEnds == 0 ? 0 : targetEnds - 1, maxRetryDoublings);
+    return std::max(afterFailures, retryDelayStep * (1U << doublings));
+}
+
 bool mayClaim(const ClaimInput &input)
 {
     if (!input.open || input.ownerIsOwn) {
--- a/src/job/job_policy_func.h
+++ b/src/job/job_policy_func.h
@@ -76,6 +76,13 @@
     unsigned rank{0}; ///< Rank of this host among the live hosts for this job; 0 is the first to claim.
 };
 
+/**
+ * @return Time until an item runs again after a failed run. Grows with the failures that count and, twofold each time, with the ends of targets in a row.
+ * @param failures Number of runs that the target itself reported as failed.
+ * @param targetEnds Number of runs in a row under which the target ended before the first event.
+ */
+[[nodiscard]] std::chrono::milliseconds itemRetryDelay(unsigned failures, unsigned targetEnds);
+
 /** @return Whether this host may claim the job. Hosts of a higher rank number wait longer, so that claims seldom conflict. */
 [[nodiscard]] bool mayClaim(const ClaimInput &input);
 
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -24,6 +24,7 @@
     std::string text; ///< Data of all events received, separated by line feeds.
     std::uint64_t events{0}; ///< Number of events in the text.
     unsigned failures{0}; ///< Number of runs that the target itself reported as failed.
+    unsigned targetEnds{0}; ///< Number of runs in a row under which the target ended before the first event; they only delay the next one.
     TimePoint notBefore{}; ///< Earliest time of the next run after a failure.
     TimePoint startedAt{}; ///< Start of the present run.
     TargetId target; ///< Target of the present run.
--- a/tests/test_crash_quarantine.cpp
+++ b/tests/test_crash_quarantine.cpp
@@ -140,6 +140,28 @@
     CHECK(this->statusOf(promptRequest("bad-again", "a1:100,b1:100,bad0:50")) == 503);
 }
 
+// Guards against an item without prompt parts under which one target after the other ends in quick succession.
+TEST_CASE_METHOD(CrashFixture, "job_itemWithoutPromptPartsCrashesTargets_isRetriedAtGrowingIntervals")
+{
+    for (const auto &replica : this->replicas) {
+        replica->plan = [](const HttpRequest &request, unsigned /*number*/) {
+            return ReplicaPlan{.crashesAtBegin = headerValue(request.headers, platform::headerRequestId) == "x1"};
+        };
+    }
+    this->submitItems({{"x1", ""}, {"x2", ""}});
+    this->runFor(5s);
+    CHECK(this->runsOf("x2") == 1);
+    CHECK(this->runsOf("x1") >= 4);
+    CHECK(this->runsOf("x1") <= 6);
+    this->stopCrashing();
+    const std::size_t before = this->runsOf("x1");
+    CHECK(this->runUntil(
+        [this, before] {
+            return this->runsOf("x1") == before + 1;
+        },
+        3s));
+}
+
 // Guards against owed items that wait for the end of a quarantine although their runs are sound, and would end it.
 TEST_CASE_METHOD(CrashFixture, "job_itemsWithQuarantinedPartAreSound_areCompletedAndEndTheQuarantine")
 {
--- a/tests/test_job_policy.cpp
+++ b/tests/test_job_policy.cpp
@@ -277,6 +277,19 @@
     CHECK(isOk(decodeCheckpoints(R"([[0,1,1,0,"t"]])")));
 }
 
+// Guards against an item under which targets end one after the other in quick succession, or that is hardly run any more.
+TEST_CASE("itemRetryDelay_targetsEndInARow_growsToAFewSeconds", "[items]")
+{
+    CHECK(itemRetryDelay(0, 0) == itemRetryDelay(0, 1));
+    for (unsigned ends = 1; ends < 5; ++ends) {
+        CHECK(itemRetryDelay(0, ends + 1) == 2 * itemRetryDelay(0, ends));
+    }
+    CHECK(itemRetryDelay(0, 1000) == itemRetryDelay(0, 5));
+    CHECK(itemRetryDelay(100, 1000) < 3s);
+    CHECK(itemRetryDelay(3, 0) > itemRetryDelay(2, 0));
+    CHECK(itemRetryDelay(3, 1) == itemRetryDelay(3, 0));
+}
+
 // Guards against items that wait for the whole time of a quarantine, and against trials at all hosts at once.
 TEST_CASE_METHOD(TrialFixture, "findItemTrials_partQuarantined_itemRunsAfterAShortTime")
 {
