Test: An item under which more targets crash than attempts are allowed is completed at the next one

The rule of the issue (an item under which servers crashed is still owed) held in skylark-host already: only answers of 500 count as attempts, and only a 422 ends an item at once.

--- a/tests/test_jobs.cpp
+++ b/tests/test_jobs.cpp
@@ -341,6 +341,25 @@
     CHECK(this->runsOf("j1-1") == 1);
 }
 
+// Guards against an item that is given up because targets crashed while it ran on them.
+TEST_CASE_METHOD(JobsFixture, "item_moreTargetsCrashThanAttemptsAreAllowed_isCompletedAtTheNextOne")
+{
+    constexpr unsigned crashes = 5;
+    const auto seen = std::make_shared<unsigned>(0);
+    for (Replica *replica : {&this->first, &this->second}) {
+        replica->plan = [seen](const HttpRequest & /*request*/, unsigned /*number*/) {
+            return (*seen)++ < crashes ? ReplicaPlan{.crashesAtBegin = true} : ReplicaPlan{};
+        };
+    }
+    REQUIRE(this->routeNamed("batch").maxAttempts < crashes);
+    this->submit(*this->a, "j1", 1);
+    const auto read = this->results(*this->a, "j1", 1, 20s);
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].at("state") == "completed");
+    CHECK(std::string(read[0].at("text").get_string()) == wholeText("j1-0", 10));
+    CHECK(this->first.crashes + this->second.crashes == crashes);
+}
+
 TEST_CASE_METHOD(JobsFixture, "item_refusedOrAnsweredWithWrongId_isNotCountedAsFailed")
 {
     const auto seen = std::make_shared<unsigned>(0);
