--- a/src/job/job_registry_base.h
+++ b/src/job/job_registry_base.h
@@ -152,6 +152,9 @@
  * a read confirmed the record recently. */
 [[nodiscard]] bool isCurrent(const JobRegistry &registry, const KnownJob &known);
 
+/** Wakes the reads that wait for a result, so that they look at the registry again. */
+void wakeWaitingReads(JobRegistry &registry);
+
 /** Applies a record to the registry if it is newer than what the registry holds. */
 void applyJobRecord(const std::shared_ptr<JobRegistry> &registry, const KvItem &item);
 
