--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,8 @@
 /** @file http_client.cpp HTTP client over Boost.Beast. */
 #include "http/http_client_func.h"
 
+#include "http/socket_read_func.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -36,6 +38,7 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+constexpr std::chrono::milliseconds lateReadTime{100}; ///< Time limit for reading bytes that have arrived by the time limit of a read.
 
 bool isTimeout(const beast::error_code &error)
 {
@@ -51,14 +54,6 @@
     return makeError(isTimeout(error) ? timeoutCode : otherCode, endpointText + ": " + error.message(), run);
 }
 
-/** @return Whether the peer has neither closed @p connection nor sent unexpected data on it. */
-bool isReusable(HttpConnection &connection)
-{
-    char byte = 0;
-    const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 HttpConnectionPtr popIdleConnection(HttpClient &client, const Endpoint &endpoint)
 {
     const auto found = client.idle.find(endpoint);
@@ -68,7 +63,7 @@
     while (!found->second.empty()) {
         HttpConnectionPtr connection = std::move(found->second.back());
         found->second.pop_back();
-        if (BootClock::now() < connection->usableUntil && isReusable(*connection)) {
+        if (BootClock::now() < connection->usableUntil && !isReadable(connection->stream)) {
             return connection;
         }
     }
@@ -161,12 +156,32 @@
     return message;
 }
 
-asio::awaitable<Result<Done>> readHead(HttpConnection &connection, const Endpoint &endpoint, std::chrono::milliseconds timeout)
+/** Reads the head of a response. */
+asio::awaitable<beast::error_code> readHeadBytes(HttpConnection &connection)
+{
+    const auto [error, bytes] = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+    co_return error;
+}
+
+/** Reads a part of the body of a response. */
+asio::awaitable<beast::error_code> readBodyBytes(HttpConnection &connection)
+{
+    const auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+    co_return error;
+}
+
+/** Prepares a connection for the next response. */
+void beginResponse(HttpConnection &connection)
 {
     connection.parser.emplace();
     connection.parser->body_limit(boost::none);
-    connection.stream.expires_after(timeout);
-    const auto [error, bytes] = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, awaitTuple);
+}
+
+asio::awaitable<Result<Done>> readHead(HttpConnection &connection, const Endpoint &endpoint, std::chrono::milliseconds timeout)
+{
+    const auto error = co_await readWithin(connection.stream, timeout, lateReadTime, [&connection] {
+        return readHeadBytes(connection);
+    });
     if (error) {
         const bool malformed = error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
                                && error != http::error::partial_message;
@@ -200,16 +215,22 @@
 HttpExchange makeExchange(const std::shared_ptr<HttpClient> &client, Endpoint endpoint, HttpConnectionPtr connection)
 {
     HttpExchange exchange;
-    exchange.status = static_cast<int>(connection->parser->get().result_int());
-    for (const auto &field : connection->parser->get()) {
-        exchange.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
     exchange.endpoint = std::move(endpoint);
     exchange.client = client;
     exchange.connection = std::move(connection);
     return exchange;
 }
 
+/** Copies the head that was read to the exchange. */
+void takeHead(HttpExchange &exchange)
+{
+    const auto &message = exchange.connection->parser->get();
+    exchange.status = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        exchange.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+}
+
 asio::awaitable<Result<HttpResponse>> readResponse(HttpExchange exchange, std::chrono::milliseconds idleTimeout, std::size_t maxBody)
 {
     HttpResponse response;
@@ -248,7 +269,7 @@
     }
 }
 
-asio::awaitable<Result<HttpExchange>> httpOpen(std::shared_ptr<HttpClient> client,
+asio::awaitable<Result<HttpExchange>> httpSend(std::shared_ptr<HttpClient> client,
                                                Endpoint endpoint,
                                                HttpRequest request,
                                                HttpTimeouts timeouts,
@@ -277,17 +298,52 @@
         // A peer that reads no further is silent, but has not closed the connection.
         co_return transportError(error, ErrorCode::IdleTimeout, ErrorCode::SendFailed, RunState::Maybe, endpoint);
     }
-    const auto head = co_await readHead(*connection, endpoint, timeouts.firstByte);
-    if (connection->aborted) {
+    beginResponse(*connection);
+    co_return makeExchange(client, std::move(endpoint), std::move(connection));
+}
+
+asio::awaitable<Result<Done>> httpReadHead(HttpExchange &exchange, std::chrono::milliseconds timeout)
+{
+    auto head = co_await readHead(*exchange.connection, exchange.endpoint, timeout);
+    if (isOk(head)) {
+        takeHead(exchange);
+    }
+    co_return head;
+}
+
+asio::awaitable<Result<HttpExchange>> httpOpen(std::shared_ptr<HttpClient> client,
+                                               Endpoint endpoint,
+                                               HttpRequest request,
+                                               HttpTimeouts timeouts,
+                                               ConnectionUse use,
+                                               std::shared_ptr<HttpAbortHandle> abort)
+{
+    auto sent = co_await httpSend(std::move(client), std::move(endpoint), std::move(request), timeouts, use, abort);
+    if (!isOk(sent)) {
+        co_return sent;
+    }
+    HttpExchange &exchange = valueOf(sent);
+    const OpeningRegistration registration(abort, exchange.connection.get());
+    const auto head = co_await httpReadHead(exchange, timeouts.firstByte);
+    if (exchange.connection->aborted) {
         co_return makeError(ErrorCode::Cancelled, "aborted while waiting for the response", RunState::Maybe);
     }
     if (!isOk(head)) {
         co_return errorOf(head);
     }
-    co_return makeExchange(client, std::move(endpoint), std::move(connection));
+    co_return sent;
 }
 
 asio::awaitable<Result<std::optional<std::string>>> httpRead(HttpExchange &exchange, std::chrono::milliseconds idleTimeout)
+{
+    auto piece = co_await httpReadPatiently(exchange, idleTimeout);
+    if (!isOk(piece)) {
+        exchange.connection.reset();
+    }
+    co_return piece;
+}
+
+asio::awaitable<Result<std::optional<std::string>>> httpReadPatiently(HttpExchange &exchange, std::chrono::milliseconds idleTimeout)
 {
     if (!exchange.connection) {
         co_return std::optional<std::string>();
@@ -298,14 +354,17 @@
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
-        connection.stream.expires_after(idleTimeout);
-        const auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, awaitTuple);
-        if (error && error != http::error::need_buffer) {
-            const Error failure = transportError(error, ErrorCode::IdleTimeout, ErrorCode::StreamBroken, RunState::Maybe, exchange.endpoint);
+        const auto error = co_await readWithin(connection.stream, idleTimeout, lateReadTime, [&connection] {
+            return readBodyBytes(connection);
+        });
+        const std::size_t filled = piece.size() - parser.get().body().size;
+        const bool failed = error && error != http::error::need_buffer && !(isTimeout(error) && filled > 0);
+        if (failed && !isTimeout(error)) {
             exchange.connection.reset();
-            co_return failure;
         }
-        const std::size_t filled = piece.size() - parser.get().body().size;
+        if (failed) {
+            co_return transportError(error, ErrorCode::IdleTimeout, ErrorCode::StreamBroken, RunState::Maybe, exchange.endpoint);
+        }
         if (filled > 0) {
             piece.resize(filled);
             co_return std::optional<std::string>(std::move(piece));
@@ -315,6 +374,11 @@
     co_return std::optional<std::string>();
 }
 
+bool httpHasInput(const HttpExchange &exchange)
+{
+    return exchange.connection && (exchange.connection->buffer.size() > 0 || isReadable(exchange.connection->stream));
+}
+
 void httpCloseAfterUse(HttpExchange &exchange)
 {
     exchange.client.reset();
@@ -353,6 +417,7 @@
     if (headError) {
         co_return transportError(headError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::No, endpoint);
     }
+    beginResponse(*connection);
     const auto continueHead = co_await readHead(*connection, endpoint, timeouts.firstByte);
     if (!isOk(continueHead)) {
         Error error = errorOf(continueHead);
@@ -360,7 +425,9 @@
         co_return error;
     }
     if (connection->parser->get().result() != http::status::continue_) {
-        co_return co_await readResponse(makeExchange(client, std::move(endpoint), std::move(connection)), timeouts.idle, readChunkBytes);
+        HttpExchange refusal = makeExchange(client, std::move(endpoint), std::move(connection));
+        takeHead(refusal);
+        co_return co_await readResponse(std::move(refusal), timeouts.idle, readChunkBytes);
     }
     const Result<Done> precheckResult = precheck();
     if (!isOk(precheckResult)) {
@@ -371,11 +438,13 @@
     if (bodyError) {
         co_return transportError(bodyError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::Maybe, endpoint);
     }
-    const auto head = co_await readHead(*connection, endpoint, timeouts.firstByte);
+    HttpExchange exchange = makeExchange(client, std::move(endpoint), std::move(connection));
+    beginResponse(*exchange.connection);
+    const auto head = co_await httpReadHead(exchange, timeouts.firstByte);
     if (!isOk(head)) {
         co_return errorOf(head);
     }
-    co_return co_await readResponse(makeExchange(client, std::move(endpoint), std::move(connection)), timeouts.idle, std::size_t{1} << 20U);
+    co_return co_await readResponse(std::move(exchange), timeouts.idle, std::size_t{1} << 20U);
 }
 
 void httpCloseIdle(HttpClient &client, const Endpoint &endpoint, TimePoint openedBefore)
