Change: The silence after which a request moves can be given

The decision stays one: whether another target may run the request is asked first, and the given limit applies only then.

--- a/src/policy/silence.cpp
+++ b/src/policy/silence.cpp
@@ -21,7 +21,7 @@
         return input.timeLeft;
     }
     const milliseconds available = input.stream || input.moved ? input.timeLeft : input.timeLeft * 4 / 5;
-    return std::min(available, maxSoundSilence + schedulingMargin);
+    return std::min(available, input.moveAfter.value_or(maxSoundSilence + schedulingMargin));
 }
 
 bool isSilence(const Error &error)
--- a/src/policy/silence_type.h
+++ b/src/policy/silence_type.h
@@ -4,6 +4,7 @@
 #include "core/clock_func.h"
 
 #include <chrono>
+#include <optional>
 
 namespace skylark {
 
@@ -21,6 +22,7 @@
     bool mayMove{false}; ///< Whether another target may run the request after this one.
     bool moved{false}; ///< Whether it has run on a target before.
     bool stream{false}; ///< Whether the answer is a stream of events.
+    std::optional<std::chrono::milliseconds> moveAfter; ///< Configured silence after which the request moves; empty for the default.
     std::chrono::milliseconds timeLeft{0}; ///< Time left until the deadline of the request.
 };
 
