Fix: skylarkd gives up the last run of a generation by the limits for moving

What callers saw: 504, or a stream broken off, after the configured limits (5 s to the first byte, 2 s between tokens) although no other target could take the request; where there was only one target, it was sent there up to three times more while the first run went on. Cause: the limits applied to each attempt, and knew neither the number of attempts nor the other targets. Change: silenceLimit() decides. A request may move if the attempts and the retry budget allow a further run and another target or failure domain can take it at once; otherwise it is waited for until the deadline, which a stream that has begun gets anew with each token. A silence up to the deadline is the last run.

--- a/src/policy/retry.cpp
+++ b/src/policy/retry.cpp
@@ -57,6 +57,11 @@
     budget.bucket.tokens = std::min(budget.bucket.tokens + budget.tokensPerRequest, budget.bucket.capacity);
 }
 
+bool hasRetry(const RetryBudget &budget, TimePoint now)
+{
+    return tokensAt(budget.bucket, now) >= 1.0;
+}
+
 bool tryConsumeRetry(RetryBudget &budget, TimePoint now)
 {
     refillTokens(budget.bucket, now);
--- a/src/policy/retry_func.h
+++ b/src/policy/retry_func.h
@@ -14,6 +14,9 @@
 /** Adds the tokens that one request earns. */
 void creditRetryBudget(RetryBudget &budget, TimePoint now);
 
+/** @return Whether the budget allows a retry at @p now. */
+[[nodiscard]] bool hasRetry(const RetryBudget &budget, TimePoint now);
+
 /** Takes the token for one retry. @return False when the budget is exhausted. */
 [[nodiscard]] bool tryConsumeRetry(RetryBudget &budget, TimePoint now);
 
--- a/src/policy/routing.cpp
+++ b/src/policy/routing.cpp
@@ -174,6 +174,18 @@
     return std::chrono::milliseconds(static_cast<long long>(std::ceil(cost)));
 }
 
+bool hasAlternative(const RouteInput &input, const RouteDecision &decision, bool resumed)
+{
+    const bool target = std::any_of(input.candidates.begin(), input.candidates.end(), [&](const RouteCandidate &candidate) {
+        const bool untried = resumed || !candidate.tried;
+        return candidate.id != decision.target && untried && isUsable(candidate) && estimateWait(candidate).count() == 0;
+    });
+    const bool remote = std::any_of(input.remotes.begin(), input.remotes.end(), [&](const RemoteDomain &other) {
+        return other.domain != decision.domain && !other.tried && other.freeSlots > 0;
+    });
+    return target || (remote && input.mayForward);
+}
+
 RouteDecision chooseTarget(const RouteInput &input)
 {
     const auto usable = usableCandidates(input);
--- a/src/policy/routing_func.h
+++ b/src/policy/routing_func.h
@@ -23,6 +23,10 @@
 /** @return Cost of forwarding one request to @p remote, comparable with a waiting time. */
 [[nodiscard]] std::chrono::milliseconds forwardCost(const RemoteDomain &remote);
 
+/** @return Whether another target, or another failure domain, than the one of @p decision can take the request at once.
+ * @param resumed Whether the answer has begun, so that targets are usable again on which an attempt failed. */
+[[nodiscard]] bool hasAlternative(const RouteInput &input, const RouteDecision &decision, bool resumed);
+
 /** Chooses the target or the failure domain for one request. */
 [[nodiscard]] RouteDecision chooseTarget(const RouteInput &input);
 
--- a/src/traffic/chat_type.h
+++ b/src/traffic/chat_type.h
@@ -29,6 +29,7 @@
     const ModelSpec *model{nullptr}; ///< Owned by the configuration; null when the workspace does not have it.
     std::vector<std::uint64_t> prefixes; ///< Hashes of the prompt's prefixes, for prefix affinity.
     RouteDecision decision; ///< Where the next attempt is sent.
+    bool hasAlternative{false}; ///< Whether another target or failure domain can take the request as well.
     std::vector<TargetId> triedTargets; ///< Targets on which an attempt failed.
     std::vector<DomainId> triedDomains; ///< Failure domains to which forwarding failed.
 
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -7,9 +7,11 @@
 #include "policy/admission_func.h"
 #include "policy/baseline_func.h"
 #include "policy/retry_func.h"
+#include "policy/routing_func.h"
 #include "traffic/answer_func.h"
 #include "traffic/answer_stream_func.h"
 #include "traffic/crash_evidence_func.h"
+#include "traffic/silence_limit_func.h"
 #include "traffic/target_failure_func.h"
 #include "traffic/target_view_func.h"
 
@@ -29,8 +31,6 @@
 /** A request whose attempt failed waits this long for a target with an open circuit breaker, so that a short interruption does not end the answer. */
 constexpr std::chrono::milliseconds blockedTargetWait{2000};
 
-constexpr std::chrono::milliseconds minFirstByteTimeout{100}; ///< With less, a target has no time to answer.
-
 /** Wakes the waiting request with the earliest deadline. */
 void wakeFirst(ModelQueue &queue)
 {
@@ -123,33 +123,31 @@
 
 HttpTimeouts timeoutsOf(const RequestContext &context)
 {
-    const OnlinePolicy &online = context.workspace->online;
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - BootClock::now());
     HttpTimeouts timeouts;
-    timeouts.firstByte = online.firstByteTimeout;
-    if (!context.generation->headSent) {
-        timeouts.firstByte = std::min(timeouts.firstByte, std::max(left, minFirstByteTimeout));
-    }
-    timeouts.idle = online.idleTimeout;
+    timeouts.firstByte = silenceLimitOf(context, true, context.workspace->online.firstByteTimeout);
+    timeouts.send = std::max(timeouts.send, timeouts.firstByte);
+    timeouts.idle = context.workspace->online.idleTimeout;
     return timeouts;
 }
 
-/** @return A request id that no other call to a target has. */
-RequestId attemptId(CallerServer::Impl &impl, RequestContext &context)
+/** Begins the next attempt. @return A request id that no other call to a target has. */
+RequestId beginAttempt(CallerServer::Impl &impl, RequestContext &context)
 {
     ++context.attempts;
+    context.mayMove = context.generation->hasAlternative && mayRetry(impl, context, true);
     const std::string random = std::to_string(nextRandom(impl.seed));
     return RequestId{context.id.value + "." + random + "." + std::to_string(context.attempts)};
 }
 
 /** Relays one attempt's stream to the caller up to its end. @return The failure, if any. */
 asio::awaitable<std::optional<Error>> relayStream(
-    CallerServer::Impl &impl, RequestContext &context, AnswerStream &stream, RequestId attempt, HttpTimeouts timeouts, AnswerTiming &timing)
+    CallerServer::Impl &impl, RequestContext &context, AnswerStream &stream, RequestId attempt, AnswerTiming &timing)
 {
-    auto limit = timeouts.firstByte;
+    const OnlinePolicy &online = context.workspace->online;
+    auto moveAfter = online.firstByteTimeout;
     for (;;) {
         const TimePoint before = BootClock::now();
-        auto event = co_await readAnswer(stream, limit);
+        auto event = co_await readAnswer(stream, silenceLimitOf(context, true, moveAfter));
         context.targetTime += BootClock::now() - before;
         if (context.callerGone) {
             co_return makeError(ErrorCode::CallerGone, "caller closed its connection", RunState::Maybe);
@@ -160,10 +158,14 @@
         if (!valueOf(event)) {
             break;
         }
-        limit = timeouts.idle;
+        moveAfter = online.idleTimeout;
+        const unsigned tokens = context.generation->tokens;
         if (auto gone = co_await deliverTokenEvent(impl, context, std::move(*valueOf(event)), timing)) {
             co_return gone;
         }
+        if (context.generation->tokens > tokens) {
+            context.deadline = BootClock::now() + online.deadline;
+        }
     }
     if (!isComplete(stream, attempt)) {
         co_return makeError(ErrorCode::ResponseMismatch, "response does not carry the request id of the attempt", RunState::Maybe);
@@ -173,13 +175,13 @@
 
 /** Relays the stream of a started attempt; it is closed when the caller disconnects. @return The failure, if any. */
 asio::awaitable<std::optional<Error>> finishAttempt(
-    CallerServer::Impl &impl, RequestContext &context, AnswerStream stream, RequestId attempt, HttpTimeouts timeouts, AnswerTiming &timing)
+    CallerServer::Impl &impl, RequestContext &context, AnswerStream stream, RequestId attempt, AnswerTiming &timing)
 {
     context.mayHaveRun = true;
     context.cancelWork = [&stream] {
         abortAnswer(stream);
     };
-    const auto failure = co_await relayStream(impl, context, stream, attempt, timeouts, timing);
+    const auto failure = co_await relayStream(impl, context, stream, attempt, timing);
     context.cancelWork = nullptr;
     if (!failure) {
         SKY_INVARIANT(Promise::WholeAnswer, isComplete(stream, attempt));
@@ -228,7 +230,7 @@
 
 asio::awaitable<std::optional<Error>> attemptOnTarget(CallerServer::Impl &impl, RequestContext &context, TargetInfo target, std::uint64_t reportSequence)
 {
-    const RequestId attempt = attemptId(impl, context);
+    const RequestId attempt = beginAttempt(impl, context);
     const HttpTimeouts timeouts = timeoutsOf(context);
     const TimePoint startedAt = BootClock::now();
     AnswerTiming timing;
@@ -242,7 +244,7 @@
         auto started = co_await startOnTarget(impl, context, target.endpoint, attempt, timeouts);
         context.targetTime += BootClock::now() - startedAt;
         if (isOk(started)) {
-            failure = co_await finishAttempt(impl, context, std::move(valueOf(started)), attempt, timeouts, timing);
+            failure = co_await finishAttempt(impl, context, std::move(valueOf(started)), attempt, timing);
             progress = {true, timing.first == TimePoint{} ? 0 : timing.tokensAfterFirst + 1};
         } else {
             failure = errorOf(started);
@@ -272,7 +274,7 @@
         co_return makeError(ErrorCode::ConnectFailed, "no live host in " + domain.value);
     }
     const Endpoint endpoint = host->info.http;
-    const RequestId attempt = attemptId(impl, context);
+    const RequestId attempt = beginAttempt(impl, context);
     const HttpTimeouts timeouts = timeoutsOf(context);
     const TimePoint startedAt = BootClock::now();
     AnswerTiming timing;
@@ -281,7 +283,7 @@
     auto started = co_await startForward(impl, context, endpoint, attempt, timeouts);
     context.targetTime += BootClock::now() - startedAt;
     if (isOk(started)) {
-        failure = co_await finishAttempt(impl, context, std::move(valueOf(started)), attempt, timeouts, timing);
+        failure = co_await finishAttempt(impl, context, std::move(valueOf(started)), attempt, timing);
     } else {
         failure = errorOf(started);
     }
@@ -314,6 +316,9 @@
 /** Decides on a retry after a failed attempt and takes it from the retry budget. @return The error to report when there is no retry. */
 std::optional<Error> errorUnlessRetried(CallerServer::Impl &impl, const RequestContext &context, const Error &failure)
 {
+    if (isSilentUntilDeadline(context, failure)) {
+        return finalError(context, failure, failure);
+    }
     RetryInput input;
     input.code = failure.code;
     input.mayHaveRun = context.mayHaveRun;
@@ -379,6 +384,7 @@
         }
         const AdmissionDecision admission = evaluateAdmission(context, place, input, now);
         const bool started = generation.tokens > 0;
+        generation.hasAlternative = hasAlternative(input, generation.decision, started);
         if (generation.decision.kind == RouteKind::Forward || admission.kind == AdmissionKind::Run || started) {
             break;
         }
--- a/src/traffic/request_context_type.h
+++ b/src/traffic/request_context_type.h
@@ -42,10 +42,11 @@
     std::string servicePath; ///< Path and query after the service name.
     unsigned hops{0}; ///< How often the request was forwarded to another failure domain.
     TimePoint arrivedAt;
-    TimePoint deadline; ///< Latest time for the first token.
+    TimePoint deadline; ///< Latest time for the next token, or for the answer of a service.
     std::unique_ptr<Generation> generation; ///< Set for CallerRoute::Chat only.
 
     unsigned attempts{0}; ///< Calls made to targets and other hosts.
+    bool mayMove{false}; ///< Whether another target may run the request after the current attempt.
     bool attemptRunning{false}; ///< Whether a call to a target or another host is in progress.
     bool mayHaveRun{false}; ///< Whether any attempt that has ended may have run.
     bool callerGone{false}; ///< Whether the caller disconnected or a write to it failed.
--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -59,6 +59,12 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+asio::awaitable<void> StubTarget::waitForPause()
+{
+    asio::steady_timer timer(this->loop, this->pause);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 asio::awaitable<void> StubTarget::handle(HttpRequest request, HttpResponder &responder)
 {
     HttpResponse response;
@@ -98,7 +104,9 @@
     if (this->mode == TargetMode::Silent) {
         co_await this->waitForDisconnect(responder);
     }
-    if (this->mode != TargetMode::Complete) {
+    if (this->mode == TargetMode::Pause) {
+        co_await this->waitForPause();
+    } else if (this->mode != TargetMode::Complete) {
         abortConnection(responder);
         co_return;
     }
@@ -117,6 +125,9 @@
     for (const char *name : {"continue_tokens", "tokens_done"}) {
         begin = body.contains(name) ? static_cast<unsigned>(body.at(name).as_int64()) : begin;
     }
+    if (this->mode == TargetMode::Pause && this->cutAfter == 0) {
+        co_await this->waitForPause();
+    }
     HttpHeaders headers = echoRequestId(request);
     co_await startStream(responder, 200, std::move(headers));
     asio::steady_timer timer(this->loop);
@@ -128,6 +139,9 @@
             co_await this->waitForDisconnect(responder);
             co_return;
         }
+        if (i - begin == this->cutAfter && i > begin && this->mode == TargetMode::Pause) {
+            co_await this->waitForPause();
+        }
         co_await writeChunk(responder, tokenEvent(i, i + 1 == this->tokens, 7));
         timer.expires_after(1ms);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -25,6 +25,7 @@
     Cut, ///< Closes the connection after cutAfter tokens; after a service call, without a response.
     Silent, ///< Reads the request and never responds.
     Stall, ///< Stops sending after cutAfter tokens.
+    Pause, ///< Sends nothing for the time of @c pause after cutAfter tokens, not even a head if that is 0, then goes on.
     NotRun, ///< 503 with the header x-not-run.
     Unloaded, ///< 404, as an engine that has unloaded the model.
 };
@@ -34,7 +35,8 @@
     boost::asio::io_context &loop;
     std::unique_ptr<HttpServer> server;
     TargetMode mode{TargetMode::Complete};
-    unsigned cutAfter{3}; ///< Tokens before TargetMode::Cut and TargetMode::Stall take effect.
+    unsigned cutAfter{3}; ///< Tokens before TargetMode::Cut, TargetMode::Stall and TargetMode::Pause take effect.
+    std::chrono::milliseconds pause{1000}; ///< Silence of TargetMode::Pause; for service calls before the response.
     unsigned tokens{10}; ///< Tokens of a whole answer: "w0 ", "w1 " and so on.
     bool draining{false}; ///< "draining" in the load report.
     bool refusesAsDraining{false}; ///< Whether the answer of TargetMode::NotRun says that the target is draining.
@@ -48,6 +50,7 @@
     boost::asio::awaitable<void> handle(HttpRequest request, HttpResponder &responder);
     boost::asio::awaitable<void> generate(HttpRequest request, HttpResponder &responder);
     boost::asio::awaitable<void> waitForDisconnect(HttpResponder &responder);
+    boost::asio::awaitable<void> waitForPause();
 };
 
 /** A stand-in key-value service with conditional writes. */
--- a/tests/test_routing.cpp
+++ b/tests/test_routing.cpp
@@ -229,6 +229,29 @@
     CHECK(passed);
 }
 
+// Guards against a request that leaves a silent target for targets that cannot take it.
+TEST_CASE_METHOD(RoutingFixture, "hasAlternative_othersCannotTakeTheRequest_isFalse")
+{
+    RouteInput input;
+    input.candidates = {candidate("chosen", 4, 0, 0), candidate("other", 4, 0, 0)};
+    RouteDecision decision;
+    decision.kind = RouteKind::Target;
+    decision.target.value = "chosen";
+    RouteCandidate &other = input.candidates.back();
+    CHECK(hasAlternative(input, decision, false));
+    other.tried = true;
+    CHECK_FALSE(hasAlternative(input, decision, false));
+    CHECK(hasAlternative(input, decision, true));
+    other.blocked = true;
+    CHECK_FALSE(hasAlternative(input, decision, true));
+    other = candidate("other", 4, 4, 4);
+    CHECK_FALSE(hasAlternative(input, decision, false));
+    input.remotes.push_back({DomainId{"south"}, 2});
+    CHECK(hasAlternative(input, decision, false));
+    input.mayForward = false;
+    CHECK_FALSE(hasAlternative(input, decision, false));
+}
+
 TEST_CASE_METHOD(RoutingFixture, "affinityTable_manyPrompts_boundedAndFindsLongestPrefix")
 {
     AffinityTable table;
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -127,6 +127,70 @@
     CHECK(stalling.callersGone == 1);
 }
 
+// Guards against giving up the last run of a request for a silence, although no other target can run it.
+TEST_CASE_METHOD(TrafficFixture, "chat_onlyTargetIsSilentForASecond_isWaitedFor")
+{
+    StubTarget &pausing = this->addTarget();
+    pausing.mode = TargetMode::Pause;
+    this->startServer();
+    for (const unsigned tokensBefore : {0U, 3U}) {
+        pausing.cutAfter = tokensBefore;
+        pausing.generations = 0;
+        for (const bool stream : {false, true}) {
+            CHECK(answerText(this->chat(stream)) == words(10));
+        }
+        CHECK(pausing.generations == 2);
+    }
+}
+
+// Guards against giving up the second of two silent targets by the limit of the first, when there is no third.
+TEST_CASE_METHOD(TrafficFixture, "chat_otherTargetIsSilentForGood_lastTargetIsWaitedFor")
+{
+    StubTarget &silent = this->addTarget({}, 8, 0);
+    StubTarget &pausing = this->addTarget({}, 8, 6);
+    silent.mode = TargetMode::Silent;
+    pausing.mode = TargetMode::Pause;
+    pausing.cutAfter = 0;
+    this->startServer();
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(silent.generations == 1);
+    CHECK(pausing.generations == 1);
+}
+
+// Guards against a run that is waited for without end, and against further runs on a silent target after the deadline.
+TEST_CASE_METHOD(TrafficFixture, "chat_onlyTargetIsSilentForGood_failsAtTheDeadlineAfterOneRun")
+{
+    StubTarget &silent = this->addTarget();
+    this->workspace().online.deadline = 800ms;
+    this->startServer();
+    silent.mode = TargetMode::Silent;
+    const TimePoint before = BootClock::now();
+    const HttpResponse response = this->chat(false);
+    CHECK(response.status == 504);
+    CHECK(errorMember(response, "run") == "maybe");
+    CHECK(BootClock::now() - before >= 800ms);
+    CHECK(BootClock::now() - before < 2s);
+    CHECK(silent.generations == 1);
+}
+
+// Guards against a begun stream that is waited for without end where no other target can go on.
+TEST_CASE_METHOD(TrafficFixture, "chat_onlyTargetStallsForGood_streamIsBrokenOffAfterOneRun")
+{
+    StubTarget &stalling = this->addTarget();
+    stalling.mode = TargetMode::Stall;
+    this->workspace().online.deadline = 800ms;
+    this->startServer();
+    const std::string body = R"({"model":"brief","messages":[{"role":"user","content":"x"}],"stream":true})";
+    HttpRequest request{"POST", "/v1/chat/completions", {{"authorization", "Bearer key"}}, body};
+    const TimePoint before = BootClock::now();
+    const auto result = this->run(httpCall(this->client, this->endpoint(), std::move(request), HttpTimeouts{1s, 1s, 15s, 15s}));
+    REQUIRE_FALSE(isOk(result));
+    CHECK(errorOf(result).code == ErrorCode::StreamBroken);
+    CHECK(BootClock::now() - before >= 800ms);
+    CHECK(BootClock::now() - before < 2s);
+    CHECK(stalling.generations == 1);
+}
+
 // A target starts each answer and closes the connection before the first token. The error must not say "not run".
 TEST_CASE_METHOD(TrafficFixture, "chat_allTargetsCut_runMaybe")
 {
