Fix: skylarkd gives up the last run of a service call by the limits for moving

What callers saw: 504 after first_byte_timeout_ms for a call that may not run twice, or that had run on all targets of its service, with time left. Evidence: serviceCall_targetsAreSilentForASecond_lastRunIsWaitedFor before: '504 == 200' twice and '5 == 3' runs; serviceCall_targetsAreSilentForGood_failsAtTheDeadline: '4 == 2' runs. The deadline of a call is that of the workspace, or the first byte timeout if that is longer, so that no call has less time than before.

--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -8,6 +8,7 @@
 #include "policy/retry_func.h"
 #include "traffic/answer_stream_func.h"
 #include "traffic/error_render_func.h"
+#include "traffic/silence_limit_func.h"
 #include "traffic/target_failure_func.h"
 #include "traffic/target_view_func.h"
 
@@ -61,8 +62,9 @@
 HttpTimeouts serviceTimeouts(const RequestContext &context)
 {
     HttpTimeouts timeouts;
-    timeouts.firstByte = context.workspace->online.firstByteTimeout;
-    timeouts.idle = context.workspace->online.idleTimeout;
+    timeouts.firstByte = silenceLimitOf(context, false, context.workspace->online.firstByteTimeout);
+    timeouts.send = std::max(timeouts.send, timeouts.firstByte);
+    timeouts.idle = silenceLimitOf(context, false, context.workspace->online.idleTimeout);
     return timeouts;
 }
 
@@ -104,10 +106,42 @@
     co_return result;
 }
 
+/** @return A live host of another failure domain that was not tried yet, or null. */
+const HostView *nextHost(CallerServer::Impl &impl, const RequestContext &context, const ServiceAttempts &state)
+{
+    if (context.hops > 0) {
+        return nullptr;
+    }
+    for (const HostView &host : context.snapshot->hosts) {
+        const DomainId &domain = host.info.domain;
+        const bool tried = std::find(state.triedDomains.begin(), state.triedDomains.end(), domain) != state.triedDomains.end();
+        if (tried || domain == context.snapshot->self.domain) {
+            continue;
+        }
+        if (const HostView *chosen = chooseHost(impl, *context.snapshot, domain)) {
+            return chosen;
+        }
+    }
+    return nullptr;
+}
+
+/** @return Whether another target or host may run the call after the current attempt, which counts as tried in @p tried. */
+bool mayMove(CallerServer::Impl &impl, const RequestContext &context, const ServiceAttempts &tried)
+{
+    if (!mayRetry(impl, context, tried.repeatable)) {
+        return false;
+    }
+    const TargetView *other = chooseServiceTarget(impl, *context.snapshot, context.pathParameter, tried.tried, BootClock::now());
+    const bool untried = other != nullptr && std::find(tried.tried.begin(), tried.tried.end(), other->info.id) == tried.tried.end();
+    return untried || (other == nullptr && nextHost(impl, context, tried) != nullptr);
+}
+
 /** Sends one attempt to @p target and records its outcome. @return The response, or nothing when the attempt failed. */
 asio::awaitable<std::optional<HttpResponse>> attemptTarget(CallerServer::Impl &impl, RequestContext &context, TargetInfo target, ServiceAttempts &state)
 {
     const RequestId attempt = nextAttemptId(impl, context);
+    state.tried.push_back(target.id);
+    context.mayMove = mayMove(impl, context, state);
     logDecision(impl.context.decisions, "route", context.id, "service target " + target.id.value + ": fewest calls in flight");
     auto result = co_await callTarget(impl, context, target, attempt, state.repeatable);
     state.failedResponse.reset();
@@ -121,35 +155,17 @@
         state.failedResponse = std::move(valueOf(result));
     }
     recordCallFailure(impl, context, target, attempt, *failure);
-    state.tried.push_back(target.id);
     state.last = failure;
     co_return std::nullopt;
 }
 
-/** @return A live host of another failure domain that was not tried yet, or null. */
-const HostView *nextHost(CallerServer::Impl &impl, const RequestContext &context, const ServiceAttempts &state)
-{
-    if (context.hops > 0) {
-        return nullptr;
-    }
-    for (const HostView &host : context.snapshot->hosts) {
-        const DomainId &domain = host.info.domain;
-        const bool tried = std::find(state.triedDomains.begin(), state.triedDomains.end(), domain) != state.triedDomains.end();
-        if (tried || domain == context.snapshot->self.domain) {
-            continue;
-        }
-        if (const HostView *chosen = chooseHost(impl, *context.snapshot, domain)) {
-            return chosen;
-        }
-    }
-    return nullptr;
-}
-
 /** Sends one attempt through @p host of another failure domain. @return The response, or nothing when the attempt failed. */
 asio::awaitable<std::optional<HttpResponse>> attemptHost(CallerServer::Impl &impl, RequestContext &context, HostInfo host, ServiceAttempts &state)
 {
     SKY_INVARIANT(Promise::AtMostOnce, state.repeatable || !context.mayHaveRun);
     const RequestId attempt = nextAttemptId(impl, context);
+    state.triedDomains.push_back(host.domain);
+    context.mayMove = mayMove(impl, context, state);
     HttpRequest request = makeRequest(context, context.request.target);
     request.headers.push_back({"authorization", std::string(headerValue(context.request.headers, "authorization"))});
     request.headers.push_back({"x-request-id", attempt.value});
@@ -159,7 +175,6 @@
     const TimePoint before = BootClock::now();
     auto result = co_await httpCall(impl.http, host.http, std::move(request), serviceTimeouts(context), use);
     context.targetTime += BootClock::now() - before;
-    state.triedDomains.push_back(host.domain);
     state.failedResponse.reset();
     Error failure = makeError(ErrorCode::ResponseMismatch, "response of the other host carries the id of another request", RunState::Maybe);
     if (!isOk(result)) {
@@ -189,7 +204,8 @@
     input.mayHaveRun = context.mayHaveRun;
     input.repeatable = state.repeatable;
     input.attempts = context.attempts;
-    if (context.callerGone || decideRetry(input) == RetryDecision::GiveUp || !tryConsumeRetry(impl.budget, BootClock::now())) {
+    if (context.callerGone || isSilentUntilDeadline(context, *state.last) || decideRetry(input) == RetryDecision::GiveUp
+        || !tryConsumeRetry(impl.budget, BootClock::now())) {
         return false;
     }
     addCounter(*impl.context.metrics, "skylark_retries_total", {{"error", errorInfo(state.last->code).name}});
@@ -215,6 +231,7 @@
 {
     ServiceAttempts state;
     state.repeatable = repeatable;
+    context.deadline = std::max(context.deadline, BootClock::now() + context.workspace->online.firstByteTimeout);
     creditRetryBudget(impl.budget, BootClock::now());
     for (;;) {
         context.snapshot = impl.context.snapshot->current.load();
--- a/tests/test_service_calls.cpp
+++ b/tests/test_service_calls.cpp
@@ -67,6 +67,34 @@
     CHECK(this->first.requests.size() <= 1);
 }
 
+// Guards against giving up the last run of a call for a silence, although no other target may run it.
+TEST_CASE_METHOD(ServiceFixture, "serviceCall_targetsAreSilentForASecond_lastRunIsWaitedFor")
+{
+    this->first.mode = TargetMode::Pause;
+    this->second.mode = TargetMode::Pause;
+    this->startServer();
+    CHECK(this->postOrder("one mask", {}).status == 200);
+    CHECK(this->calls() == 1);
+    CHECK(this->call("GET", "/v1/services/shop/items/1", "").status == 200);
+    CHECK(this->calls() == 3);
+}
+
+// Guards against a call that is waited for without end, and against further runs after its deadline.
+TEST_CASE_METHOD(ServiceFixture, "serviceCall_targetsAreSilentForGood_failsAtTheDeadline")
+{
+    this->first.mode = TargetMode::Silent;
+    this->second.mode = TargetMode::Silent;
+    this->workspace().online.deadline = 1s;
+    this->startServer();
+    const TimePoint before = BootClock::now();
+    const HttpResponse response = this->call("GET", "/v1/services/shop/items/1", "");
+    CHECK(response.status == 504);
+    CHECK(errorMember(response, "run") == "maybe");
+    CHECK(BootClock::now() - before >= 1s);
+    CHECK(BootClock::now() - before < 2s);
+    CHECK(this->calls() == 2);
+}
+
 TEST_CASE_METHOD(ServiceFixture, "serviceCall_repeatableCut_answeredByAnotherTarget")
 {
     this->first.mode = TargetMode::Cut;
