Fix: The last run of a request is given up a fraction of a millisecond before its deadline

Cause: the time left was rounded down, and a request with less than a millisecond left counted as late. Evidence: chat_onlyTargetIsSilentForGood_failsAtTheDeadlineAfterOneRun failed once: '799933389ns >= 800ms'. Change: the time left is rounded up.

--- a/src/traffic/silence_limit.cpp
+++ b/src/traffic/silence_limit.cpp
@@ -18,7 +18,7 @@
 
 milliseconds timeLeft(const RequestContext &context)
 {
-    return std::chrono::duration_cast<milliseconds>(context.deadline - BootClock::now());
+    return std::chrono::ceil<milliseconds>(context.deadline - BootClock::now());
 }
 
 bool mayRetry(const CallerServer::Impl &impl, const RequestContext &context, bool repeatable)
