Fix: skylarkd blames a target for a silence that is normal for it

What callers saw: two requests that left a target after a silence of 0.4 s by the configuration of their workspace made skylarkd avoid it, and further callers were sent to the remaining ones. Cause: recordCallFailure() took each timeout as a failure of the target, however short the silence was. Evidence: chat_targetIsSilentForLessThanTheSoundLimit_isNotBlamed before: '2 == 0' failures; the same for services in serviceCall_targetIsSilentForLessThanTheSoundLimit_isNotBlamed. Change: the request remembers when its attempt last made progress, and isSoundSilence() decides, as in skylark-host; such a silence is counted in skylark_target_silences_total.

--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -134,6 +134,7 @@
 RequestId beginAttempt(CallerServer::Impl &impl, RequestContext &context)
 {
     ++context.attempts;
+    context.progressAt = BootClock::now();
     context.mayMove = context.generation->hasAlternative && mayRetry(impl, context, true);
     const std::string random = std::to_string(nextRandom(impl.seed));
     return RequestId{context.id.value + "." + random + "." + std::to_string(context.attempts)};
@@ -163,8 +164,9 @@
         if (auto gone = co_await deliverTokenEvent(impl, context, std::move(*valueOf(event)), timing)) {
             co_return gone;
         }
+        context.progressAt = BootClock::now();
         if (context.generation->tokens > tokens) {
-            context.deadline = BootClock::now() + online.deadline;
+            context.deadline = context.progressAt + online.deadline;
         }
     }
     if (!isComplete(stream, attempt)) {
@@ -178,6 +180,7 @@
     CallerServer::Impl &impl, RequestContext &context, AnswerStream stream, RequestId attempt, AnswerTiming &timing)
 {
     context.mayHaveRun = true;
+    context.progressAt = BootClock::now();
     context.cancelWork = [&stream] {
         abortAnswer(stream);
     };
--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -71,6 +71,7 @@
 RequestId nextAttemptId(CallerServer::Impl &impl, RequestContext &context)
 {
     ++context.attempts;
+    context.progressAt = BootClock::now();
     return RequestId{context.id.value + "." + std::to_string(nextRandom(impl.seed)) + "." + std::to_string(context.attempts)};
 }
 
--- a/src/traffic/target_failure.cpp
+++ b/src/traffic/target_failure.cpp
@@ -5,6 +5,7 @@
 #include "core/table/error_table.h"
 #include "engine/engine_client_func.h"
 #include "policy/retry_func.h"
+#include "policy/silence_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -115,6 +116,10 @@
         recordConnectionRefused(*impl.context.loads, target.id, now);
         return;
     }
+    if (isSoundSilence(error, std::chrono::duration_cast<std::chrono::milliseconds>(now - context.progressAt))) {
+        addCounter(*impl.context.metrics, "skylark_target_silences_total", {{"target", target.id.value}});
+        return;
+    }
     if (isTargetFailure(error.code)) {
         recordStreamFailure(*impl.context.loads, target.id, now);
     }
--- a/src/traffic/target_failure_func.h
+++ b/src/traffic/target_failure_func.h
@@ -7,7 +7,8 @@
 namespace skylark {
 
 /**
- * Records a failed call to a target: whether the request may have run and, unless the caller is gone, the health of the target.
+ * Records a failed call to a target: whether the request may have run and, unless the caller is gone, the health of the target, for which a silence of
+ * up to maxSoundSilence does not count.
  * After a timeout the pooled connections of the target are closed and the engine is asked to cancel @p attempt; after a refusal the
  * target counts as leaving if it says that it is draining, and is asked otherwise.
  */
--- a/tests/test_service_calls.cpp
+++ b/tests/test_service_calls.cpp
@@ -79,6 +79,18 @@
     CHECK(this->calls() == 3);
 }
 
+// Guards against a service target that is blamed, and avoided, for a silence that is normal for it.
+TEST_CASE_METHOD(ServiceFixture, "serviceCall_targetIsSilentForLessThanTheSoundLimit_isNotBlamed")
+{
+    this->first.mode = TargetMode::Silent;
+    this->startServer();
+    for (int i = 0; i < 6; ++i) {
+        CHECK(this->call("GET", "/v1/services/shop/items/1", "").status == 200);
+    }
+    CHECK(this->first.serviceCalls >= 1);
+    CHECK(loadOf(*this->context.loads, TargetId{"t1"}).consecutiveFailures == 0);
+}
+
 // Guards against a call that is waited for without end, and against further runs after its deadline.
 TEST_CASE_METHOD(ServiceFixture, "serviceCall_targetsAreSilentForGood_failsAtTheDeadline")
 {
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -1,5 +1,6 @@
 /** @file test_traffic.cpp Tests of the callers' server: online generations on stand-in targets. */
 #include "core/async_sleep_func.h"
+#include "policy/silence_type.h"
 #include "support/raw_caller.h"
 #include "support/traffic_fixture.h"
 
@@ -157,6 +158,23 @@
     CHECK(pausing.generations == 1);
 }
 
+// Guards against a target that is blamed, and avoided, for a silence that is normal for it.
+TEST_CASE_METHOD(TrafficFixture, "chat_targetIsSilentForLessThanTheSoundLimit_isNotBlamed")
+{
+    StubTarget &silent = this->addTarget({}, 8, 0);
+    this->addTarget({}, 8, 6);
+    this->startServer();
+    silent.mode = TargetMode::Silent;
+    for (int i = 0; i < 2; ++i) {
+        CHECK(answerText(this->chat(false)) == words(10));
+    }
+    CHECK(silent.generations == 2);
+    CHECK(loadOf(*this->context.loads, TargetId{"t1"}).consecutiveFailures == 0);
+    this->workspace().online.firstByteTimeout = maxSoundSilence + 200ms;
+    CHECK(answerText(this->chat(false)) == words(10));
+    CHECK(loadOf(*this->context.loads, TargetId{"t1"}).consecutiveFailures == 1);
+}
+
 // Guards against a run that is waited for without end, and against further runs on a silent target after the deadline.
 TEST_CASE_METHOD(TrafficFixture, "chat_onlyTargetIsSilentForGood_failsAtTheDeadlineAfterOneRun")
 {
