Fix: skylarkd sends a request that crashes its targets again whenever it comes again

What callers saw: as in skylark-host, only with skylarkd's own interface. Calls of plain services left no evidence at all; generations only against the prefixes of their prompts. The call that ends all targets of a service left the others with "no target".

The requests of both kinds get an identity: workspace, API key, and for a generation model, adapter and prompt, for a service call method, service, path and body. What a forwarding host adds is left out, so that the identity is the same on both. The decision is that of skylark-host; service calls are checked before each attempt, and answered with 503, reason quarantined and the time left, or with the error of the run they had.

test_service_calls serviceCall_callCrashesTargets_isRejectedAndOthersAreServed fails without the calls in service_send.cpp (no_target instead of quarantined, 503 for another call) and passes with them.

--- a/src/control/member_controller.cpp
+++ b/src/control/member_controller.cpp
@@ -194,7 +194,8 @@
     correctDelay(report, excessDelay(control.clocks[status.host], status.incarnation, status.sentAt, now));
     const std::scoped_lock lock(control.context.quarantine->mutex);
     for (const QuarantineChange &change : mergeReport(control.context.quarantine->state, status.host, report, now)) {
-        LOG(INFO) << "[member] prompt prefix " << hexText(change.entry.part.value) << (change.begun ? " is quarantined" : " is released");
+        LOG(INFO) << "[member] " << (isWholeRequest(change.entry.part) ? "request " : "prompt prefix ") << hexText(change.entry.part.value)
+                  << (change.begun ? " is quarantined" : " is released");
     }
 }
 
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -1,21 +1,41 @@
-/** @file crash_evidence.cpp Evidence of prompt prefixes that crash engines, from online generations. */
+/** @file crash_evidence.cpp Evidence of prompt prefixes and requests that crash targets, from online generations and service calls. */
 #include "traffic/crash_evidence_func.h"
 
 #include "core/hash_func.h"
 #include "policy/crash_quarantine_func.h"
+#include "policy/request_identity_func.h"
 
 namespace skylark {
 
 namespace {
 
-/** @return The prefixes of the prompt as its shared parts, and the whole prompt as its own one. */
-PromptParts promptPartsOf(const Generation &generation)
+/** @return Identity of a generation: its caller, and what is generated from, without what a forwarding host adds. */
+PromptPartId generationIdentity(const RequestContext &context)
+{
+    const ChatRequest &chat = context.generation->chat;
+    return requestIdentity({context.workspace->id.value, headerValue(context.request.headers, "authorization"), chat.model.value, chat.adapter, chat.prompt});
+}
+
+PromptPartId serviceCallIdentity(const RequestContext &context)
+{
+    const HttpRequest &request = context.request;
+    return requestIdentity(
+        {context.workspace->id.value, headerValue(request.headers, "authorization"), request.method, context.pathParameter, context.servicePath, request.body});
+}
+
+/** @return For a generation the prefixes of its prompt as shared parts, and the whole prompt as its own one; the request for service calls too. */
+PromptParts promptPartsOf(const RequestContext &context)
 {
     PromptParts prompt;
-    for (const std::uint64_t prefix : generation.prefixes) {
-        prompt.shared.push_back({prefix});
+    if (!context.generation) {
+        prompt.request = serviceCallIdentity(context);
+        return prompt;
+    }
+    for (const std::uint64_t prefix : context.generation->prefixes) {
+        prompt.shared.push_back(promptPart(prefix));
     }
-    prompt.own = {hash64(generation.chat.prompt)};
+    prompt.own = promptPart(hash64(context.generation->chat.prompt));
+    prompt.request = generationIdentity(context);
     return prompt;
 }
 
@@ -23,8 +43,10 @@
 void reportChanges(CallerServer::Impl &impl, const std::vector<QuarantineChange> &changes)
 {
     for (const QuarantineChange &change : changes) {
-        const std::string verb = change.begun ? " is quarantined" : " is released";
-        logDecision(impl.context.decisions, "route", {}, "prompt prefix " + hexText(change.entry.part.value) + verb);
+        std::string text = isWholeRequest(change.entry.part) ? "request " : "prompt prefix ";
+        text += hexText(change.entry.part.value);
+        text += change.begun ? " is quarantined" : " is released";
+        logDecision(impl.context.decisions, "route", {}, text);
         addCounter(*impl.context.metrics, "skylark_quarantine_changes_total", {{"change", change.begun ? "begun" : "ended"}});
     }
     if (impl.context.announceEvidence) {
@@ -34,32 +56,32 @@
 
 } // namespace
 
-std::optional<Error> quarantineError(CallerServer::Impl &impl, const Generation &generation)
+std::optional<Error> quarantineError(CallerServer::Impl &impl, const RequestContext &context)
 {
     SharedQuarantine &shared = *impl.context.quarantine;
     const std::scoped_lock lock(shared.mutex);
     if (shared.state.parts.empty()) {
         return std::nullopt;
     }
-    const auto left = quarantineLeft(shared.state, promptPartsOf(generation), BootClock::now());
+    const auto left = quarantineLeft(shared.state, promptPartsOf(context), BootClock::now());
     if (!left) {
         return std::nullopt;
     }
-    Error error = makeError(ErrorCode::Quarantined, "a prefix of the prompt crashes targets");
+    Error error = makeError(ErrorCode::Quarantined, "the request or a prefix of its prompt crashes targets");
     error.retryAfter = *left;
     return error;
 }
 
-void recordGenerationStart(CallerServer::Impl &impl, const Generation &generation)
+void recordRunStart(CallerServer::Impl &impl, const RequestContext &context)
 {
     SharedQuarantine &shared = *impl.context.quarantine;
     const std::scoped_lock lock(shared.mutex);
     if (!shared.state.parts.empty()) {
-        recordTrial(shared.state, promptPartsOf(generation), BootClock::now());
+        recordTrial(shared.state, promptPartsOf(context), BootClock::now());
     }
 }
 
-void recordGenerationFailure(CallerServer::Impl &impl, const Generation &generation, const TargetId &target, const RunProgress &progress, const Error &error)
+void recordFailedRun(CallerServer::Impl &impl, const RequestContext &context, const TargetId &target, const RunProgress &progress, const Error &error)
 {
     if (!isTargetEnd(error) || phaseOf(progress) == RunPhase::Streaming) {
         return;
@@ -68,15 +90,15 @@
     std::vector<QuarantineChange> changes;
     {
         const std::scoped_lock lock(shared.mutex);
-        changes = recordSuspectRun(shared.state, target, {promptPartsOf(generation), phaseOf(progress)}, BootClock::now());
+        changes = recordSuspectRun(shared.state, target, {promptPartsOf(context), phaseOf(progress)}, BootClock::now());
     }
     reportChanges(impl, changes);
 }
 
-void recordSoundGeneration(CallerServer::Impl &impl, const Generation &generation)
+void recordSoundRun(CallerServer::Impl &impl, const RequestContext &context)
 {
     SharedQuarantine &shared = *impl.context.quarantine;
-    const PromptParts prompt = promptPartsOf(generation);
+    const PromptParts prompt = promptPartsOf(context);
     bool wasAccused = false;
     std::vector<QuarantineChange> changes;
     {
--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -234,7 +234,7 @@
     AnswerTiming timing;
     std::optional<Error> failure;
     RunProgress progress;
-    recordGenerationStart(impl, *context.generation);
+    recordRunStart(impl, context);
     requestSlots(impl, context.generation->decision, reportSequence);
     {
         const OnlineStreamGuard count(*impl.context.loads, target.id);
@@ -251,13 +251,13 @@
     }
     wakeFirst(impl.queues[context.generation->model->name]);
     if (!failure) {
-        recordSoundGeneration(impl, *context.generation);
+        recordSoundRun(impl, context);
         recordServedStream(impl, context, target.id, startedAt, timing);
         co_return std::nullopt;
     }
     recordCallFailure(impl, context, target, attempt, *failure);
     if (!context.callerGone) {
-        recordGenerationFailure(impl, *context.generation, target.id, progress, *failure);
+        recordFailedRun(impl, context, target.id, progress, *failure);
     }
     context.generation->triedTargets.push_back(target.id);
     co_return failure;
@@ -363,7 +363,7 @@
             co_return makeError(ErrorCode::CallerGone, "caller closed its connection");
         }
         context.snapshot = impl.context.snapshot->current.load();
-        if (auto quarantined = quarantineError(impl, generation)) {
+        if (auto quarantined = quarantineError(impl, context)) {
             co_return quarantined;
         }
         const TimePoint now = BootClock::now();
--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -7,6 +7,7 @@
 #include "engine/engine_response_func.h"
 #include "policy/retry_func.h"
 #include "traffic/answer_stream_func.h"
+#include "traffic/crash_evidence_func.h"
 #include "traffic/error_render_func.h"
 #include "traffic/target_failure_func.h"
 #include "traffic/target_view_func.h"
@@ -109,10 +110,12 @@
 {
     const RequestId attempt = nextAttemptId(impl, context);
     logDecision(impl.context.decisions, "route", context.id, "service target " + target.id.value + ": fewest calls in flight");
+    recordRunStart(impl, context);
     auto result = co_await callTarget(impl, context, target, attempt, state.repeatable);
     state.failedResponse.reset();
     std::optional<Error> failure = isOk(result) ? failureOf(valueOf(result)) : std::optional<Error>(errorOf(result));
     if (!failure) {
+        recordSoundRun(impl, context);
         recordStreamSuccess(*impl.context.loads, target.id);
         context.mayHaveRun = true;
         co_return std::move(valueOf(result));
@@ -121,6 +124,9 @@
         state.failedResponse = std::move(valueOf(result));
     }
     recordCallFailure(impl, context, target, attempt, *failure);
+    if (!context.callerGone) {
+        recordFailedRun(impl, context, target.id, {}, *failure);
+    }
     state.tried.push_back(target.id);
     state.last = failure;
     co_return std::nullopt;
@@ -217,6 +223,9 @@
     state.repeatable = repeatable;
     creditRetryBudget(impl.budget, BootClock::now());
     for (;;) {
+        if (auto quarantined = quarantineError(impl, context)) {
+            co_return finalError(context, std::move(*quarantined), state.last);
+        }
         context.snapshot = impl.context.snapshot->current.load();
         const TargetView *view = chooseServiceTarget(impl, *context.snapshot, context.pathParameter, state.tried, BootClock::now());
         std::optional<HttpResponse> answer;
--- a/tests/test_service_calls.cpp
+++ b/tests/test_service_calls.cpp
@@ -159,3 +159,27 @@
     CHECK(this->postOrder("one mask", "k1").status == 200);
     CHECK(this->calls() == 1);
 }
+
+// Guards against a call that ends all targets of its service again and again, and against rejecting other calls with it.
+TEST_CASE_METHOD(ServiceFixture, "serviceCall_callCrashesTargets_isRejectedAndOthersAreServed")
+{
+    this->startServer();
+    const auto setMode = [this](TargetMode mode) {
+        this->first.mode = mode;
+        this->second.mode = mode;
+    };
+    std::string code;
+    for (unsigned i = 0; i < 8 && code != "quarantined"; ++i) {
+        setMode(TargetMode::Cut);
+        code = errorMember(this->call("GET", "/v1/services/shop/items/bad", ""), "code");
+        setMode(TargetMode::Complete);
+        this->runFor(1100ms); // Within a second, two ends of one target would be reports on the same crash.
+    }
+    CHECK(code == "quarantined");
+    const int before = this->calls();
+    const HttpResponse rejected = this->call("GET", "/v1/services/shop/items/bad", "");
+    CHECK(rejected.status == 503);
+    CHECK_FALSE(headerValue(rejected.headers, "retry-after").empty());
+    CHECK(this->calls() == before);
+    CHECK(this->call("GET", "/v1/services/shop/items/3", "").status == 200);
+}
