Fix: A response is not cut while its caller reads on

What callers saw: a long answer, read slowly but steadily, broke off ten seconds after the host had begun to write it. Cause: the time limit applied to the write of a whole response or of a batch of events, whether or not its caller read. Change: it applies to each step of a write, so that only a caller that reads nothing for that long is cut. A caller that reads very slowly can hold its response longer than before. Evidence: sendResponse_callerReadsSlowly_responseIsWhole failed before: CHECK( received >= largeBody ) (0xb5fc89) >= (0x1800000) sendResponse_callerReadsNothing_connectionIsClosed passes before and after. Ruled out: a connect that a stall of the process takes for a refusal.

--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -36,7 +36,7 @@
     boost::beast::tcp_stream stream; ///< Socket with timeouts.
     boost::beast::flat_buffer buffer; ///< Bytes received but not parsed yet.
     std::weak_ptr<HttpServer::Impl> server;
-    std::chrono::milliseconds writeTimeout{}; ///< Time limit of one write.
+    std::chrono::milliseconds writeTimeout{}; ///< Time limit of one step of a write.
     std::function<void()> callerGone; ///< Called once if the caller closes the connection before the response is complete.
     ConnectionState state{ConnectionState::Idle};
     bool keepAlive{true}; ///< Whether the connection stays open after the current response.
--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -33,6 +33,22 @@
     return makeError(ErrorCode::CallerGone, error.message(), RunState::Maybe);
 }
 
+/** Writes @p buffers. The time limit applies to each step, so that a caller that reads slowly gets all of them. */
+template<typename Buffers>
+asio::awaitable<beast::error_code> writeInSteps(std::shared_ptr<HttpServerConnection> connection, Buffers buffers)
+{
+    beast::buffers_suffix<Buffers> rest(std::move(buffers));
+    while (beast::buffer_bytes(rest) > 0) {
+        connection->stream.expires_after(connection->writeTimeout);
+        const auto [error, bytes] = co_await connection->stream.async_write_some(rest, awaitTuple);
+        if (error) {
+            co_return error;
+        }
+        rest.consume(bytes);
+    }
+    co_return beast::error_code();
+}
+
 template<typename Message>
 void setHeaders(Message &message, const HttpHeaders &headers)
 {
@@ -54,8 +70,13 @@
     message.prepare_payload();
     responder.started = true;
     connection->state = ConnectionState::Responding;
-    connection->stream.expires_after(connection->writeTimeout);
-    const auto [error, bytes] = co_await http::async_write(connection->stream, message, awaitTuple);
+    http::response_serializer<http::string_body> serializer(message);
+    beast::error_code error;
+    while (!error && !serializer.is_done()) {
+        connection->stream.expires_after(connection->writeTimeout);
+        const auto [stepError, bytes] = co_await http::async_write_some(connection->stream, serializer, awaitTuple);
+        error = stepError;
+    }
     responder.finished = !error;
     co_return writeResult(*connection, error);
 }
@@ -82,16 +103,14 @@
     if (data.empty()) {
         co_return Done{};
     }
-    connection->stream.expires_after(connection->writeTimeout);
-    const auto [error, bytes] = co_await asio::async_write(connection->stream, http::make_chunk(asio::buffer(data)), awaitTuple);
+    const auto error = co_await writeInSteps(connection, http::make_chunk(asio::buffer(data)));
     co_return writeResult(*connection, error);
 }
 
 asio::awaitable<Result<Done>> finishStream(HttpResponder &responder)
 {
     const auto connection = responder.connection;
-    connection->stream.expires_after(connection->writeTimeout);
-    const auto [error, bytes] = co_await asio::async_write(connection->stream, http::make_chunk_last(), awaitTuple);
+    const auto error = co_await writeInSteps(connection, http::make_chunk_last());
     responder.finished = !error;
     co_return writeResult(*connection, error);
 }
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -19,7 +19,7 @@
     std::chrono::milliseconds headTimeout{5000}; ///< Time to receive a request head, counted from its first byte.
     std::chrono::milliseconds bodyTimeout{30000}; ///< Time to receive a request body.
     std::chrono::milliseconds keepAlive{60000}; ///< Time after which an idle connection is closed.
-    std::chrono::milliseconds writeTimeout{10000}; ///< Time limit of one write, so that a slow caller cannot hold a response forever.
+    std::chrono::milliseconds writeTimeout{10000}; ///< Time after which a connection is closed whose caller reads nothing of a response.
     std::size_t maxConnections{4096}; ///< Requests on further connections are refused with 503.
     std::function<HttpResponse(const Error &)> renderError; ///< Renders errors of reading a request (400, 408, 413, 431); null sends an empty body.
     std::function<void(ErrorCode)> onUnserved; ///< Called for each request that did not reach the handler, or got no response from it; may be null.
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -21,6 +21,7 @@
 
 const std::string plainRequest = "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n";
 const std::string okLine = "HTTP/1.1 200 OK";
+constexpr std::size_t largeBody = std::size_t{24} << 20U; ///< Size of a response that does not fit into the buffers of a connection.
 
 /** A server with short limits. */
 struct HttpConnectionFixture : TestLoop {
@@ -77,7 +78,7 @@
             co_return;
         }
         HttpResponse response;
-        response.body = request.body;
+        response.body = path == "/large" ? std::string(largeBody, 'x') : request.body;
         co_await sendResponse(responder, std::move(response));
     }
 
@@ -377,3 +378,36 @@
     CHECK(this->requests == 2);
     CHECK(this->callersGone == 0);
 }
+
+// Guards against a response that is cut off although its caller reads on, because the whole of it takes longer than the limit of one write.
+TEST_CASE_METHOD(HttpConnectionFixture, "sendResponse_callerReadsSlowly_responseIsWhole")
+{
+    this->options.writeTimeout = 300ms;
+    this->listen();
+    const auto caller = this->connect();
+    caller->write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto begun = std::chrono::steady_clock::now();
+    std::string piece(std::size_t{256} << 10U, '\0');
+    std::size_t received = 0;
+    boost::system::error_code error;
+    while ((!error || error == asio::error::would_block) && received < largeBody) {
+        this->runFor(10ms);
+        received += caller->socket.read_some(asio::buffer(piece), error);
+    }
+    CHECK(received >= largeBody);
+    CHECK(std::chrono::steady_clock::now() - begun > this->options.writeTimeout);
+}
+
+// Guards against a caller that reads nothing and holds a response for longer than the limit of one write.
+TEST_CASE_METHOD(HttpConnectionFixture, "sendResponse_callerReadsNothing_connectionIsClosed")
+{
+    this->options.writeTimeout = 200ms;
+    this->listen();
+    const auto caller = this->connect();
+    caller->write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(this->runUntil(
+        [this] {
+            return this->requests == 1 && openConnections(*this->server) == 0;
+        },
+        1s));
+}
