Fix: A request whose prompt is quarantined stays with a silent target that goes on

What callers saw: 502, or a stream broken off at its deadline, when a part of the prompt was quarantined while the target was silent for more than 1.6 s, although the target answered later. Cause: the request left its target first, and only then learned that its prompt may not be sent to another one. Change: leaveSilentTarget() asks for the quarantine before the request leaves. Evidence: forward_promptIsQuarantinedDuringASilence_requestStaysWithItsTarget failed before, for a stream and for a whole answer: CHECK( valueOf(answer).status == 200 ) 502 (0x1f6) == 200 Result: it passes, with all of test_silence.

--- a/src/proxy/forward_silence.cpp
+++ b/src/proxy/forward_silence.cpp
@@ -51,6 +51,9 @@
     if (!input.mayMove || silence < silenceLimit(input)) {
         return false;
     }
+    if (quarantineLeft(forwarding.proxy->quarantine, forwarding.call.prompt, BootClock::now())) {
+        return false;
+    }
     const BalanceChoice elsewhere = chooseElsewhere(forwarding);
     if (!leavesSilentTarget(input, silence, elsewhere.reason)) {
         return false;
--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -383,6 +383,26 @@
     CHECK(this->runsOf("s1") == 1);
 }
 
+// Guards against a request that leaves a silent target which goes on, although its quarantined prompt may not be sent to another one.
+TEST_CASE_METHOD(SilenceFixture, "forward_promptIsQuarantinedDuringASilence_requestStaysWithItsTarget")
+{
+    const std::string path = GENERATE("/chat/x", "/lookup/x");
+    const bool stream = path == "/chat/x";
+    this->setPlans({{.stream = stream, .firstDelay = 2s}, {.stream = stream}});
+    auto quarantine = [this]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(300ms);
+        applyStoredQuarantine(*this->host.proxy, PromptPartId{0xbad}, 60s, 1);
+    };
+    boost::asio::co_spawn(this->loop, quarantine(), boost::asio::detached);
+    HttpRequest request = EntryTestHost::request("r1", path, 4s);
+    request.headers.push_back({"X-Skylarkstage-Prompt-Prefix", "bad:100,f1:20"});
+    const HttpTimeouts patient{500ms, 2s, 10s, 10s};
+    const auto answer = this->run(httpCall(this->http, this->host.endpoint, std::move(request), patient, ConnectionUse::Fresh));
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).status == 200);
+    CHECK(this->runsOf("r1") == 1);
+}
+
 /** A target that accepts connections but reads nothing. */
 struct NonReadingTarget {
     boost::asio::ip::tcp::acceptor acceptor;
