Codechange: The lists of targets and of declined targets are read and printed by one function

Cause: targetsCommand() and declineCommand() differed in path, heading and cells only. Change: printTargets() with a function for the cells of a row. Result: skylarkctl prints the same as before for both commands, as tables and as JSON, from a stand-in of the admin interface, and the same error without one.

--- a/src/ctl/command_fleet.cpp
+++ b/src/ctl/command_fleet.cpp
@@ -88,6 +88,53 @@
     return boolAt(target, "blocked") ? "blocked" : "serving";
 }
 
+std::vector<std::string> targetRow(const json::value &target)
+{
+    return {textAt(target, {"id"}),
+            textAt(target, {"domain"}),
+            textAt(target, {"kind"}),
+            stateText(target),
+            textAt(target, {"running"}),
+            textAt(target, {"waiting"}),
+            textAt(target, {"slots"}),
+            formatOneDecimal(doubleAt(target, "step_ms")),
+            textAt(target, {"batch_owner"}),
+            modelsText(target)};
+}
+
+std::vector<std::string> declineRow(const json::value &target)
+{
+    return {textAt(target, {"id"}),
+            textAt(target, {"domain"}),
+            formatOneDecimal(doubleAt(target, "step_ms")),
+            "x" + formatOneDecimal(doubleAt(target, "factor_to_peers")),
+            "x" + formatOneDecimal(doubleAt(target, "factor_to_baseline")),
+            boolAt(target, "declined") ? "yes" : "no"};
+}
+
+/** Prints the targets that the hosts of each failure domain list under @p path, each as one row or all as JSON. */
+ExitCode printTargets(const CtlOptions &options,
+                      const char *path,
+                      std::vector<std::string> heading,
+                      std::vector<std::string> (*makeRow)(const json::value &target))
+{
+    ExitCode code = ExitCode::Ok;
+    const auto targets = readEachDomain(options, path, "targets", code);
+    if (!targets) {
+        return code;
+    }
+    if (options.json) {
+        printJson(*targets);
+        return ExitCode::Ok;
+    }
+    Table table{.heading = std::move(heading), .rows = {}};
+    for (const json::value &target : *targets) {
+        table.rows.push_back(makeRow(target));
+    }
+    printTable(table);
+    return ExitCode::Ok;
+}
+
 } // namespace
 
 ExitCode revisionWaitCommand(const CtlOptions &options)
@@ -148,54 +195,13 @@
 
 ExitCode targetsCommand(const CtlOptions &options)
 {
-    ExitCode code = ExitCode::Ok;
-    const auto targets = readEachDomain(options, "/admin/v1/targets", "targets", code);
-    if (!targets) {
-        return code;
-    }
-    if (options.json) {
-        printJson(*targets);
-        return ExitCode::Ok;
-    }
-    Table table{.heading = {"TARGET", "DOMAIN", "KIND", "STATE", "RUNNING", "WAITING", "SLOTS", "STEP MS", "OWNER", "MODELS"}, .rows = {}};
-    for (const json::value &target : *targets) {
-        table.rows.push_back({textAt(target, {"id"}),
-                              textAt(target, {"domain"}),
-                              textAt(target, {"kind"}),
-                              stateText(target),
-                              textAt(target, {"running"}),
-                              textAt(target, {"waiting"}),
-                              textAt(target, {"slots"}),
-                              formatOneDecimal(doubleAt(target, "step_ms")),
-                              textAt(target, {"batch_owner"}),
-                              modelsText(target)});
-    }
-    printTable(table);
-    return ExitCode::Ok;
+    return printTargets(
+        options, "/admin/v1/targets", {"TARGET", "DOMAIN", "KIND", "STATE", "RUNNING", "WAITING", "SLOTS", "STEP MS", "OWNER", "MODELS"}, targetRow);
 }
 
 ExitCode declineCommand(const CtlOptions &options)
 {
-    ExitCode code = ExitCode::Ok;
-    const auto targets = readEachDomain(options, "/admin/v1/decline", "targets", code);
-    if (!targets) {
-        return code;
-    }
-    if (options.json) {
-        printJson(*targets);
-        return ExitCode::Ok;
-    }
-    Table table{.heading = {"TARGET", "DOMAIN", "STEP MS", "TO PEERS", "TO BASELINE", "DECLINED"}, .rows = {}};
-    for (const json::value &target : *targets) {
-        table.rows.push_back({textAt(target, {"id"}),
-                              textAt(target, {"domain"}),
-                              formatOneDecimal(doubleAt(target, "step_ms")),
-                              "x" + formatOneDecimal(doubleAt(target, "factor_to_peers")),
-                              "x" + formatOneDecimal(doubleAt(target, "factor_to_baseline")),
-                              boolAt(target, "declined") ? "yes" : "no"});
-    }
-    printTable(table);
-    return ExitCode::Ok;
+    return printTargets(options, "/admin/v1/decline", {"TARGET", "DOMAIN", "STEP MS", "TO PEERS", "TO BASELINE", "DECLINED"}, declineRow);
 }
 
 ExitCode whyCommand(const CtlOptions &options)
