--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -24,6 +24,7 @@
     std::string text; ///< Data of all events received, separated by line feeds.
     std::uint64_t events{0}; ///< Number of events in the text.
     unsigned failures{0}; ///< Number of runs that the target itself reported as failed.
+    unsigned targetEnds{0}; ///< Number of runs in a row under which the target ended before the first event; they only delay the next one.
     TimePoint notBefore{}; ///< Earliest time of the next run after a failure.
     TimePoint startedAt{}; ///< Start of the present run.
     TargetId target; ///< Target of the present run.
@@ -123,6 +124,9 @@
 /** @return The route of a job in the configuration in force, or null if there is none. */
 [[nodiscard]] const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record);
 
+/** Removes the items from @p pending that have to wait for the trial of a quarantined part of their prompt. */
+void holdBackItems(const JobRunner::Impl &runner, std::vector<PendingItem> &pending, TimePoint now);
+
 /** @return Load of @p target, from which the number of own batch items to preempt is computed. */
 [[nodiscard]] BatchSlotInput yieldInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
 
