Fix: skylarkd breaks a begun stream off because no target can go on with it for a moment

What callers saw: a stream that was cut on its target ended broken off with time left, when all other targets were gone, refused it, or its prompt was quarantined between two runs. Cause: admitGeneration() decided as for a new request, which is best refused at once; refusals counted as runs. Evidence: chat_noTargetAfterTheStreamHasBegun_streamWaitsForOne and chat_targetsRefuseAfterTheStreamHasBegun_streamWaitsForOne before: no whole answer ('due to unexpected exception' of the caller). Change: a request of which a part was received waits until its deadline, as in skylark-host: without a target it looks again, and refusals do not count as attempts. A host to which it was forwarded still refuses at once, so that the first host can go elsewhere. That a quarantine is waited for has no test of its own.

--- a/src/traffic/generation.cpp
+++ b/src/traffic/generation.cpp
@@ -317,8 +317,12 @@
 }
 
 /** Decides on a retry after a failed attempt and takes it from the retry budget. @return The error to report when there is no retry. */
-std::optional<Error> errorUnlessRetried(CallerServer::Impl &impl, const RequestContext &context, const Error &failure)
+std::optional<Error> errorUnlessRetried(CallerServer::Impl &impl, RequestContext &context, const Error &failure)
 {
+    if (waitsForTarget(context) && failure.run == RunState::No && isTargetFailure(failure.code)) {
+        ++context.resumeRefusals;
+        return {};
+    }
     if (isSilentUntilDeadline(context, failure)) {
         return finalError(context, failure, failure);
     }
@@ -328,7 +332,7 @@
     input.repeatable = true;
     input.resumable = true;
     input.tokensDelivered = context.generation->tokens;
-    input.attempts = context.attempts;
+    input.attempts = countedAttempts(context);
     const RetryDecision action = decideRetry(input);
     if (action == RetryDecision::GiveUp) {
         return finalError(context, failure, failure);
@@ -346,13 +350,14 @@
     return {};
 }
 
-/** Waits before a request is sent again to a target on which it failed; the delay doubles with each attempt, up to 320 ms. */
+/** Waits before a request is sent again to a target on which it failed, or after a refusal while it waits for a target; the delay doubles with each attempt, up
+ * to 320 ms. */
 asio::awaitable<void> backOff(CallerServer::Impl &impl, RequestContext &context)
 {
     const Generation &generation = *context.generation;
     const auto &tried = generation.triedTargets;
     const bool again = generation.decision.kind == RouteKind::Target && std::find(tried.begin(), tried.end(), generation.decision.target) != tried.end();
-    if (!again) {
+    if (!again && context.resumeRefusals == 0) {
         co_return;
     }
     asio::steady_timer timer(impl.http->executor);
@@ -372,13 +377,21 @@
         }
         context.snapshot = impl.context.snapshot->current.load();
         if (auto quarantined = quarantineError(impl, generation)) {
-            co_return quarantined;
+            if (!waitsForTarget(context)) {
+                co_return quarantined;
+            }
+            co_await cancellableWait(context, place.timer, queuePollInterval);
+            continue;
         }
         const TimePoint now = BootClock::now();
         const RouteInput input = makeRouteInput(impl, context, now);
         generation.decision = chooseTargetByMode(impl.context.settings->policyMode, input, impl.roundRobinTurn++);
         if (generation.decision.kind == RouteKind::None) {
-            if (shouldWaitForBlocked(context, input, since, now)) {
+            const bool waits = waitsForTarget(context);
+            if (waits) {
+                generation.triedDomains.clear();
+            }
+            if (waits || shouldWaitForBlocked(context, input, since, now)) {
                 co_await cancellableWait(context, place.timer, queuePollInterval);
                 continue;
             }
--- a/src/traffic/request_context_type.h
+++ b/src/traffic/request_context_type.h
@@ -46,6 +46,7 @@
     std::unique_ptr<Generation> generation; ///< Set for CallerRoute::Chat only.
 
     unsigned attempts{0}; ///< Calls made to targets and other hosts.
+    unsigned resumeRefusals{0}; ///< Calls among them that were refused while an answer that had begun waited for a target; they do not count as attempts.
     TimePoint progressAt; ///< Last progress of the current attempt: its begin, the head of its answer, or an event that was sent to the caller.
     bool mayMove{false}; ///< Whether another target may run the request after the current attempt.
     bool attemptRunning{false}; ///< Whether a call to a target or another host is in progress.
--- a/src/traffic/silence_limit.cpp
+++ b/src/traffic/silence_limit.cpp
@@ -21,12 +21,23 @@
     return std::chrono::ceil<milliseconds>(context.deadline - BootClock::now());
 }
 
+bool waitsForTarget(const RequestContext &context)
+{
+    const bool begun = context.generation && context.generation->tokens > 0;
+    return begun && context.hops == 0 && timeLeft(context).count() > 0;
+}
+
+unsigned countedAttempts(const RequestContext &context)
+{
+    return context.attempts - context.resumeRefusals;
+}
+
 bool mayRetry(const CallerServer::Impl &impl, const RequestContext &context, bool repeatable)
 {
     RetryInput input;
     input.code = ErrorCode::IdleTimeout;
     input.repeatable = repeatable;
-    input.attempts = context.attempts;
+    input.attempts = countedAttempts(context);
     return decideRetry(input) != RetryDecision::GiveUp && hasRetry(impl.budget, BootClock::now());
 }
 
--- a/src/traffic/silence_limit_func.h
+++ b/src/traffic/silence_limit_func.h
@@ -9,6 +9,12 @@
 /** @return Time left until the deadline of the request; negative after it. */
 [[nodiscard]] std::chrono::milliseconds timeLeft(const RequestContext &context);
 
+/** @return Whether the request waits until its deadline for a target that can go on with its answer, of which the caller or this host has a part. */
+[[nodiscard]] bool waitsForTarget(const RequestContext &context);
+
+/** @return Number of attempts that count towards the limit. */
+[[nodiscard]] unsigned countedAttempts(const RequestContext &context);
+
 /** @return Whether the number of attempts and the retry budget allow another attempt after the current one. @param repeatable Whether the call may run twice.
  */
 [[nodiscard]] bool mayRetry(const CallerServer::Impl &impl, const RequestContext &context, bool repeatable);
--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -133,6 +133,7 @@
     asio::steady_timer timer(this->loop);
     for (unsigned i = begin; i < this->tokens; ++i) {
         if (i - begin == this->cutAfter && this->mode == TargetMode::Cut) {
+            this->mode = this->modeAfterCut;
             co_return;
         }
         if (i - begin == this->cutAfter && this->mode == TargetMode::Stall) {
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -37,6 +37,7 @@
     TargetMode mode{TargetMode::Complete};
     unsigned cutAfter{3}; ///< Tokens before TargetMode::Cut, TargetMode::Stall and TargetMode::Pause take effect.
     std::chrono::milliseconds pause{1000}; ///< Silence of TargetMode::Pause; for service calls before the response.
+    TargetMode modeAfterCut{TargetMode::Cut}; ///< Mode after a generation was cut.
     unsigned tokens{10}; ///< Tokens of a whole answer: "w0 ", "w1 " and so on.
     bool draining{false}; ///< "draining" in the load report.
     bool refusesAsDraining{false}; ///< Whether the answer of TargetMode::NotRun says that the target is draining.
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -209,6 +209,43 @@
     CHECK(stalling.generations == 1);
 }
 
+// Guards against breaking off a stream that has begun because no target can go on with it for a moment.
+TEST_CASE_METHOD(TrafficFixture, "chat_noTargetAfterTheStreamHasBegun_streamWaitsForOne")
+{
+    StubTarget &target = this->addTarget();
+    target.mode = TargetMode::Cut;
+    this->startServer();
+    const auto replaceTarget = [this, &target]() -> asio::awaitable<void> {
+        const std::vector<TargetView> views = this->snapshot.targets;
+        while (target.generations == 0) {
+            co_await sleepFor(1ms);
+        }
+        this->snapshot.targets.clear();
+        this->publish();
+        co_await sleepFor(300ms);
+        target.mode = TargetMode::Complete;
+        this->snapshot.targets = views;
+        this->publish();
+    };
+    asio::co_spawn(this->context.online, replaceTarget(), asio::detached);
+    CHECK(answerText(this->chat(true)) == words(10));
+}
+
+// Guards against breaking off a stream that has begun because targets refuse to go on with it for a moment.
+TEST_CASE_METHOD(TrafficFixture, "chat_targetsRefuseAfterTheStreamHasBegun_streamWaitsForOne")
+{
+    StubTarget &target = this->addTarget();
+    target.mode = TargetMode::Cut;
+    this->startServer();
+    target.modeAfterCut = TargetMode::NotRun;
+    const auto serveAgain = [&target]() -> asio::awaitable<void> {
+        co_await sleepFor(1500ms);
+        target.mode = TargetMode::Complete;
+    };
+    asio::co_spawn(this->context.online, serveAgain(), asio::detached);
+    CHECK(answerText(this->chat(true)) == words(10));
+}
+
 // A target starts each answer and closes the connection before the first token. The error must not say "not run".
 TEST_CASE_METHOD(TrafficFixture, "chat_allTargetsCut_runMaybe")
 {
