Fix: A whole answer is held back until its target ends the body of the response

Cause: the rest of the body is read before the end is reported, with the limit of the silence. Evidence: chat_targetDoesNotEndItsBody_wholeAnswerIsDelivered before: '10012226996ns < 1s'.

--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -134,11 +134,12 @@
     }
 }
 
-/** Reads to the end of the body, so that the connection can be reused. */
+/** Reads to the end of the body, so that the connection can be reused. The answer is complete already and must not be held back for long. */
 asio::awaitable<void> drainBody(GenerateStream &stream, std::chrono::milliseconds idleTimeout)
 {
+    constexpr std::chrono::milliseconds bodyEndTimeout{200};
     for (;;) {
-        const auto chunk = co_await httpRead(stream.exchange, idleTimeout);
+        const auto chunk = co_await httpRead(stream.exchange, std::min(idleTimeout, bodyEndTimeout));
         if (!isOk(chunk) || !valueOf(chunk)) {
             co_return;
         }
--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -148,6 +148,10 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     co_await writeChunk(responder, "data: [DONE]\n\n");
+    if (this->mode == TargetMode::Unended) {
+        co_await this->waitForDisconnect(responder);
+        co_return;
+    }
     co_await finishStream(responder);
 }
 
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -24,6 +24,7 @@
     Complete, ///< Sends the whole answer.
     Cut, ///< Closes the connection after cutAfter tokens; after a service call, without a response.
     Silent, ///< Reads the request and never responds.
+    Unended, ///< Sends the whole answer with its end marker, but does not end the body.
     Stall, ///< Stops sending after cutAfter tokens.
     Pause, ///< Sends nothing for the time of @c pause after cutAfter tokens, not even a head if that is 0, then goes on.
     NotRun, ///< 503 with the header x-not-run.
--- a/tests/test_traffic.cpp
+++ b/tests/test_traffic.cpp
@@ -209,6 +209,17 @@
     CHECK(stalling.generations == 1);
 }
 
+// Guards against an answer that is complete but held back, because the target does not end the body of its response.
+TEST_CASE_METHOD(TrafficFixture, "chat_targetDoesNotEndItsBody_wholeAnswerIsDelivered")
+{
+    StubTarget &target = this->addTarget();
+    target.mode = TargetMode::Unended;
+    this->startServer();
+    const TimePoint before = BootClock::now();
+    CHECK(answerText(this->chat(true)) == words(10));
+    CHECK(BootClock::now() - before < 1s);
+}
+
 // Guards against breaking off a stream that has begun because no target can go on with it for a moment.
 TEST_CASE_METHOD(TrafficFixture, "chat_noTargetAfterTheStreamHasBegun_streamWaitsForOne")
 {
