--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -133,6 +133,7 @@
     asio::steady_timer timer(this->loop);
     for (unsigned i = begin; i < this->tokens; ++i) {
         if (i - begin == this->cutAfter && this->mode == TargetMode::Cut) {
+            this->mode = this->modeAfterCut;
             co_return;
         }
         if (i - begin == this->cutAfter && this->mode == TargetMode::Stall) {
@@ -147,6 +148,10 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     co_await writeChunk(responder, "data: [DONE]\n\n");
+    if (this->mode == TargetMode::Unended) {
+        co_await this->waitForDisconnect(responder);
+        co_return;
+    }
     co_await finishStream(responder);
 }
 
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -24,6 +24,7 @@
     Complete, ///< Sends the whole answer.
     Cut, ///< Closes the connection after cutAfter tokens; after a service call, without a response.
     Silent, ///< Reads the request and never responds.
+    Unended, ///< Sends the whole answer with its end marker, but does not end the body.
     Stall, ///< Stops sending after cutAfter tokens.
     Pause, ///< Sends nothing for the time of @c pause after cutAfter tokens, not even a head if that is 0, then goes on.
     NotRun, ///< 503 with the header x-not-run.
@@ -37,6 +38,7 @@
     TargetMode mode{TargetMode::Complete};
     unsigned cutAfter{3}; ///< Tokens before TargetMode::Cut, TargetMode::Stall and TargetMode::Pause take effect.
     std::chrono::milliseconds pause{1000}; ///< Silence of TargetMode::Pause; for service calls before the response.
+    TargetMode modeAfterCut{TargetMode::Cut}; ///< Mode after a generation was cut.
     unsigned tokens{10}; ///< Tokens of a whole answer: "w0 ", "w1 " and so on.
     bool draining{false}; ///< "draining" in the load report.
     bool refusesAsDraining{false}; ///< Whether the answer of TargetMode::NotRun says that the target is draining.
