Fix: A connection that the system has given up is read again as if its target were only silent

Only a read's own limit leaves the exchange open now (isReadLimit); after any other error its connection is gone, and the forwarding ends the attempt with the code of a silence (httpIsOpen).

Result: test_http passes (67 assertions in 10 cases).

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -40,9 +40,16 @@
 constexpr std::size_t readChunkBytes = 16384;
 constexpr std::chrono::milliseconds lateReadTime{100}; ///< Time limit for reading bytes that have arrived by the time limit of a read.
 
+/** @return Whether a read reached its own time limit, which leaves the connection open. */
+bool isReadLimit(const beast::error_code &error)
+{
+    return error == beast::error::timeout;
+}
+
+/** @return Whether the peer was silent until a time limit, or until the system gave the connection up. */
 bool isTimeout(const beast::error_code &error)
 {
-    return error == beast::error::timeout || error == asio::error::timed_out;
+    return isReadLimit(error) || error == asio::error::timed_out;
 }
 
 Error transportError(const beast::error_code &error, ErrorCode timeoutCode, ErrorCode otherCode, RunState run, const Endpoint &endpoint)
@@ -177,18 +184,13 @@
     connection.parser->body_limit(boost::none);
 }
 
-asio::awaitable<Result<Done>> readHead(HttpConnection &connection, const Endpoint &endpoint, std::chrono::milliseconds timeout)
+/** @return The error of a request whose response has no head because its read ended with @p error. */
+Error headError(const beast::error_code &error, const Endpoint &endpoint)
 {
-    const auto error = co_await readWithin(connection.stream, timeout, lateReadTime, [&connection] {
-        return readHeadBytes(connection);
-    });
-    if (error) {
-        const bool malformed = error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
-                               && error != http::error::partial_message;
-        const ErrorCode code = malformed ? ErrorCode::ProtocolError : ErrorCode::StreamBroken;
-        co_return transportError(error, ErrorCode::FirstByteTimeout, code, RunState::Maybe, endpoint);
-    }
-    co_return Done{};
+    const bool malformed = error.category() == http::make_error_code(http::error::bad_version).category() && error != http::error::end_of_stream
+                           && error != http::error::partial_message;
+    const ErrorCode code = malformed ? ErrorCode::ProtocolError : ErrorCode::StreamBroken;
+    return transportError(error, ErrorCode::FirstByteTimeout, code, RunState::Maybe, endpoint);
 }
 
 /** Registers the connection at an abort handle while httpOpen() uses it. */
@@ -304,11 +306,18 @@
 
 asio::awaitable<Result<Done>> httpReadHead(HttpExchange &exchange, std::chrono::milliseconds timeout)
 {
-    auto head = co_await readHead(*exchange.connection, exchange.endpoint, timeout);
-    if (isOk(head)) {
+    HttpConnection &connection = *exchange.connection;
+    const auto error = co_await readWithin(connection.stream, timeout, lateReadTime, [&connection] {
+        return readHeadBytes(connection);
+    });
+    if (!error) {
         takeHead(exchange);
+        co_return Done{};
+    }
+    if (!isReadLimit(error) && !connection.aborted) {
+        exchange.connection.reset();
     }
-    co_return head;
+    co_return headError(error, exchange.endpoint);
 }
 
 asio::awaitable<Result<HttpExchange>> httpOpen(std::shared_ptr<HttpClient> client,
@@ -325,7 +334,7 @@
     HttpExchange &exchange = valueOf(sent);
     const OpeningRegistration registration(abort, exchange.connection.get());
     const auto head = co_await httpReadHead(exchange, timeouts.firstByte);
-    if (exchange.connection->aborted) {
+    if (exchange.connection && exchange.connection->aborted) {
         co_return makeError(ErrorCode::Cancelled, "aborted while waiting for the response", RunState::Maybe);
     }
     if (!isOk(head)) {
@@ -359,7 +368,7 @@
         });
         const std::size_t filled = piece.size() - parser.get().body().size;
         const bool failed = error && error != http::error::need_buffer && !(isTimeout(error) && filled > 0);
-        if (failed && !isTimeout(error)) {
+        if (failed && !isReadLimit(error)) {
             exchange.connection.reset();
         }
         if (failed) {
@@ -374,6 +383,11 @@
     co_return std::optional<std::string>();
 }
 
+bool httpIsOpen(const HttpExchange &exchange)
+{
+    return exchange.connection != nullptr;
+}
+
 bool httpHasInput(const HttpExchange &exchange)
 {
     return exchange.connection && (exchange.connection->buffer.size() > 0 || isReadable(exchange.connection->stream));
@@ -418,27 +432,26 @@
         co_return transportError(headError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::No, endpoint);
     }
     beginResponse(*connection);
-    const auto continueHead = co_await readHead(*connection, endpoint, timeouts.firstByte);
+    HttpExchange exchange = makeExchange(client, endpoint, std::move(connection));
+    const auto continueHead = co_await httpReadHead(exchange, timeouts.firstByte);
     if (!isOk(continueHead)) {
         Error error = errorOf(continueHead);
         error.run = RunState::No;
         co_return error;
     }
-    if (connection->parser->get().result() != http::status::continue_) {
-        HttpExchange refusal = makeExchange(client, std::move(endpoint), std::move(connection));
-        takeHead(refusal);
-        co_return co_await readResponse(std::move(refusal), timeouts.idle, readChunkBytes);
+    if (exchange.connection->parser->get().result() != http::status::continue_) {
+        co_return co_await readResponse(std::move(exchange), timeouts.idle, readChunkBytes);
     }
+    exchange.headers.clear();
     const Result<Done> precheckResult = precheck();
     if (!isOk(precheckResult)) {
         co_return errorOf(precheckResult);
     }
-    connection->stream.expires_after(timeouts.send);
-    const auto [bodyError, bodyBytes] = co_await http::async_write(connection->stream, serializer, awaitTuple);
+    exchange.connection->stream.expires_after(timeouts.send);
+    const auto [bodyError, bodyBytes] = co_await http::async_write(exchange.connection->stream, serializer, awaitTuple);
     if (bodyError) {
         co_return transportError(bodyError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::Maybe, endpoint);
     }
-    HttpExchange exchange = makeExchange(client, std::move(endpoint), std::move(connection));
     beginResponse(*exchange.connection);
     const auto head = co_await httpReadHead(exchange, timeouts.firstByte);
     if (!isOk(head)) {
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -77,15 +77,18 @@
                                                       ConnectionUse use,
                                                       std::shared_ptr<HttpAbortHandle> abort);
 
-/** Reads the response head. The exchange stays open after ErrorCode::FirstByteTimeout, and the call may be repeated. */
+/** Reads the response head. After @p timeout the exchange stays open, and the call may be repeated. */
 boost::asio::awaitable<Result<Done>> httpReadHead(HttpExchange &exchange, std::chrono::milliseconds timeout);
 
 /** Reads the next part of the body. @return An empty optional at the end, after which the connection may be reused. */
 boost::asio::awaitable<Result<std::optional<std::string>>> httpRead(HttpExchange &exchange, std::chrono::milliseconds idleTimeout);
 
-/** Like httpRead(), but the exchange stays open after ErrorCode::IdleTimeout, and the call may be repeated. */
+/** Like httpRead(), but the exchange stays open after @p idleTimeout, and the call may be repeated. */
 boost::asio::awaitable<Result<std::optional<std::string>>> httpReadPatiently(HttpExchange &exchange, std::chrono::milliseconds idleTimeout);
 
+/** @return Whether the exchange still has its connection; a time limit of the system closes it, unlike one of a read. */
+[[nodiscard]] bool httpIsOpen(const HttpExchange &exchange);
+
 /** @return Whether bytes of the body have arrived that were not read yet. */
 [[nodiscard]] bool httpHasInput(const HttpExchange &exchange);
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -143,7 +143,7 @@
         }
         auto piece = co_await httpReadPatiently(exchange, silenceWait(forwarding));
         if (!isOk(piece)) {
-            if (errorOf(piece).code == ErrorCode::IdleTimeout && !leaveSilentTarget(forwarding)) {
+            if (errorOf(piece).code == ErrorCode::IdleTimeout && httpIsOpen(exchange) && !leaveSilentTarget(forwarding)) {
                 continue;
             }
             co_return failedAttempt(forwarding, errorOf(piece));
@@ -190,7 +190,7 @@
 {
     for (;;) {
         auto head = co_await httpReadHead(exchange, silenceWait(forwarding));
-        if (isOk(head) || errorOf(head).code != ErrorCode::FirstByteTimeout || leaveSilentTarget(forwarding)) {
+        if (isOk(head) || errorOf(head).code != ErrorCode::FirstByteTimeout || !httpIsOpen(exchange) || leaveSilentTarget(forwarding)) {
             co_return head;
         }
     }
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -8,8 +8,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -273,3 +275,58 @@
     }
     CHECK(whole == requestCount);
 }
+
+namespace {
+
+/** A peer that accepts one connection, sends the begin of a response without a length, and reads nothing. */
+struct UnreadingPeer {
+    asio::io_context loop{1};
+    asio::ip::tcp::acceptor acceptor{this->loop};
+    asio::ip::tcp::socket accepted{this->loop};
+
+    UnreadingPeer()
+    {
+        this->acceptor.open(asio::ip::tcp::v4());
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+        this->acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        this->acceptor.listen();
+    }
+
+    [[nodiscard]] Endpoint endpoint() const
+    {
+        return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+    }
+
+    void beginResponse()
+    {
+        this->acceptor.accept(this->accepted);
+        asio::write(this->accepted, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\ndata: 1\n\n")));
+    }
+};
+
+} // namespace
+
+// Guards against a response without a length that counts as complete because the system has given its connection up.
+TEST_CASE_METHOD(HttpFixture, "httpReadPatiently_systemGivesTheConnectionUp_responseIsNotComplete")
+{
+    UnreadingPeer peer;
+    const HttpTimeouts patient{500ms, 2s, 2s, 2s};
+    HttpRequest request{"POST", "/x", {}, std::string(300000, 'x')};
+    auto sent = this->run(httpSend(this->client, peer.endpoint(), std::move(request), patient, ConnectionUse::Fresh, nullptr));
+    REQUIRE(isOk(sent));
+    HttpExchange &exchange = valueOf(sent);
+    peer.beginResponse();
+    REQUIRE(isOk(this->run(httpReadHead(exchange, 2s))));
+    Result<std::optional<std::string>> piece = this->run(httpReadPatiently(exchange, 2s));
+    REQUIRE(isOk(piece));
+    CHECK(valueOf(piece) == "data: 1\n\n");
+    for (int i = 0; i < 20; ++i) {
+        piece = this->run(httpReadPatiently(exchange, 500ms));
+        if (isOk(piece) || !httpIsOpen(exchange)) {
+            break;
+        }
+    }
+    REQUIRE_FALSE(isOk(piece));
+    CHECK(errorOf(piece).code == ErrorCode::IdleTimeout);
+    CHECK_FALSE(httpIsOpen(exchange));
+}
