Codechange: isAccused() is called isUnderSuspicion()

It tells whether this host has reported a crash with a suspect that had no sound run here since; the others need to know at once of the next one. No change of behaviour; test_crash_policy, test_crash_quarantine and test_service_calls pass.

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -317,21 +317,21 @@
     return changes;
 }
 
-bool isAccused(const CrashQuarantine &state, const PromptParts &prompt)
+bool isUnderSuspicion(const CrashQuarantine &state, const PromptParts &prompt)
 {
     const auto own = state.crashes.find(state.host);
     if (own == state.crashes.end()) {
         return false;
     }
-    bool accused = false;
+    bool isSuspect = false;
     forEachSuspect(prompt, [&](PromptPartId part) {
         const auto sound = state.soundAt.find(part);
         const TimePoint soundAt = sound == state.soundAt.end() ? TimePoint{} : sound->second.own;
-        accused = accused || std::any_of(own->second.begin(), own->second.end(), [&](const TargetCrash &crash) {
-                      return crash.at > soundAt && holdsPart(crash, part);
-                  });
+        isSuspect = isSuspect || std::any_of(own->second.begin(), own->second.end(), [&](const TargetCrash &crash) {
+                        return crash.at > soundAt && holdsPart(crash, part);
+                    });
     });
-    return accused;
+    return isSuspect;
 }
 
 std::vector<QuarantineChange> recordSoundRun(CrashQuarantine &state, const PromptParts &prompt, TimePoint now)
--- a/src/policy/crash_quarantine_func.h
+++ b/src/policy/crash_quarantine_func.h
@@ -1,4 +1,4 @@
-/** @file crash_quarantine_func.h Decides which prompt part crashes targets, and rejects its requests for a time. */
+/** @file crash_quarantine_func.h Decides which prompt part or request crashes targets, and rejects it for a time. */
 #pragma once
 
 #include "core/error_type.h"
@@ -14,8 +14,9 @@
 /** Adds a run of this host that its target ended with. @return Quarantines that begin. */
 [[nodiscard]] std::vector<QuarantineChange> recordSuspectRun(CrashQuarantine &state, const TargetId &target, SuspectRun run, TimePoint now);
 
-/** @return Whether this host announced a crash with a part of @p prompt and no sound run since; the others need to know at once of the next one. */
-[[nodiscard]] bool isAccused(const CrashQuarantine &state, const PromptParts &prompt);
+/** @return Whether this host announced a crash with the request or a part of @p prompt and no sound run since; the others need to know at once of the next one.
+ */
+[[nodiscard]] bool isUnderSuspicion(const CrashQuarantine &state, const PromptParts &prompt);
 
 /** Records that a run with @p prompt was sound. @return Quarantines that end. */
 [[nodiscard]] std::vector<QuarantineChange> recordSoundRun(CrashQuarantine &state, const PromptParts &prompt, TimePoint now);
@@ -37,7 +38,7 @@
 /** @return What this host announces, within bounds; the newest crashes first. */
 [[nodiscard]] QuarantineReport reportOf(const CrashQuarantine &state, TimePoint now);
 
-/** @return The time for which requests with @p prompt must not be sent to a target; empty when they may be. */
+/** @return The time for which the request with @p prompt must not be sent to a target; empty when it may be. */
 [[nodiscard]] std::optional<std::chrono::milliseconds> quarantineLeft(const CrashQuarantine &state, const PromptParts &prompt, TimePoint now);
 
 /**
--- a/src/proxy/crash_evidence.cpp
+++ b/src/proxy/crash_evidence.cpp
@@ -75,10 +75,10 @@
 
 void recordSoundRun(Proxy &proxy, const PromptParts &prompt)
 {
-    const bool wasAccused = isAccused(proxy.quarantine, prompt);
+    const bool wasUnderSuspicion = isUnderSuspicion(proxy.quarantine, prompt);
     const auto changes = recordSoundRun(proxy.quarantine, prompt, BootClock::now());
     reportChanges(proxy, changes);
-    if (wasAccused || !changes.empty()) {
+    if (wasUnderSuspicion || !changes.empty()) {
         announceToAll(proxy);
     }
 }
--- a/src/traffic/crash_evidence.cpp
+++ b/src/traffic/crash_evidence.cpp
@@ -99,14 +99,14 @@
 {
     SharedQuarantine &shared = *impl.context.quarantine;
     const PromptParts prompt = promptPartsOf(context);
-    bool wasAccused = false;
+    bool wasUnderSuspicion = false;
     std::vector<QuarantineChange> changes;
     {
         const std::scoped_lock lock(shared.mutex);
-        wasAccused = isAccused(shared.state, prompt);
+        wasUnderSuspicion = isUnderSuspicion(shared.state, prompt);
         changes = recordSoundRun(shared.state, prompt, BootClock::now());
     }
-    if (wasAccused || !changes.empty()) {
+    if (wasUnderSuspicion || !changes.empty()) {
         reportChanges(impl, changes);
     }
 }
--- a/tests/support/crash_simulation.h
+++ b/tests/support/crash_simulation.h
@@ -293,9 +293,9 @@
     void recordSound(Run &run)
     {
         run.sound = true;
-        const bool wasAccused = isAccused(this->hosts[run.host], run.prompt);
+        const bool wasUnderSuspicion = isUnderSuspicion(this->hosts[run.host], run.prompt);
         this->apply(recordSoundRun(this->hosts[run.host], run.prompt, this->now));
-        if (wasAccused) {
+        if (wasUnderSuspicion) {
             this->report(run.host);
         }
     }
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -273,31 +273,31 @@
     CHECK(this->state.crashes.at(other.state.host).front().at == other.now);
 }
 
-// Guards against a sound part that is blamed because the host that accused it tells of its sound run with the next regular report only.
-TEST_CASE_METHOD(QuarantineFixture, "isAccused_soundRunAfterCrash_isNewsOnceUntilTheNextCrash")
+// Guards against a sound part that is blamed because the host that reported its crash tells of its sound run with the next regular report only.
+TEST_CASE_METHOD(QuarantineFixture, "isUnderSuspicion_soundRunAfterCrash_isNewsOnceUntilTheNextCrash")
 {
     const PromptParts prompt{{first}, {9}};
-    CHECK_FALSE(isAccused(this->state, prompt));
+    CHECK_FALSE(isUnderSuspicion(this->state, prompt));
     this->crash("t1", {first});
-    CHECK(isAccused(this->state, prompt));
-    CHECK_FALSE(isAccused(this->state, {{bad}, {9}}));
+    CHECK(isUnderSuspicion(this->state, prompt));
+    CHECK_FALSE(isUnderSuspicion(this->state, {{bad}, {9}}));
     this->now += 200ms;
     static_cast<void>(recordSoundRun(this->state, prompt, this->now));
-    CHECK_FALSE(isAccused(this->state, prompt));
+    CHECK_FALSE(isUnderSuspicion(this->state, prompt));
     this->now += 200ms;
     this->crash("t2", {first});
-    CHECK(isAccused(this->state, prompt));
+    CHECK(isUnderSuspicion(this->state, prompt));
 }
 
 // Guards against a host that withdraws what it never announced: hundreds of hosts would answer each crash.
-TEST_CASE_METHOD(QuarantineFixture, "isAccused_crashOfAnotherHost_isNoNews")
+TEST_CASE_METHOD(QuarantineFixture, "isUnderSuspicion_crashOfAnotherHost_isNoNews")
 {
     QuarantineFixture other;
     other.state.host.value = "other";
     other.now = this->now;
     other.crash("t1", {first});
     static_cast<void>(mergeReport(this->state, other.state.host, reportOf(other.state, other.now), this->now));
-    CHECK_FALSE(isAccused(this->state, {{first}, {9}}));
+    CHECK_FALSE(isUnderSuspicion(this->state, {{first}, {9}}));
 }
 
 TEST_CASE_METHOD(QuarantineFixture, "recordSoundRun_quarantinedPart_endsTheQuarantineEverywhere")
