--- a/tests/test_silence.cpp
+++ b/tests/test_silence.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <rapidcheck.h>
+#include <thread>
 
 using namespace skylark;
 using namespace skylark::test;
@@ -158,6 +159,44 @@
     }));
 }
 
+// Guards against a request that leaves its silent target while no other one has room, and against one that never leaves although one has.
+TEST_CASE("leavesSilentTarget_anyRequest_onlyAfterTheLimitAndForATargetWithRoom", "[silence]")
+{
+    seedRapidCheck();
+    CHECK(rc::check("leaving a silent target", [] {
+        SilenceInput input{.mayMove = *rc::gen::arbitrary<bool>(), .moved = *rc::gen::arbitrary<bool>(), .stream = *rc::gen::arbitrary<bool>()};
+        input.timeLeft = milliseconds(*rc::gen::inRange(0, 10000));
+        const milliseconds silence(*rc::gen::inRange(0, 10000));
+        const bool over = input.mayMove && silence >= silenceLimit(input);
+        for (const BalanceReason room : {BalanceReason::FreeSlot, BalanceReason::BatchYields, BalanceReason::Queued}) {
+            RC_ASSERT(leavesSilentTarget(input, silence, room) == over);
+        }
+        for (const BalanceReason none : {BalanceReason::Full, BalanceReason::RateLimited, BalanceReason::NoTarget}) {
+            RC_ASSERT(!leavesSilentTarget(input, silence, none));
+        }
+    }));
+}
+
+// Guards against a wait beyond the deadline, one that passes over the limit, and one that spins.
+TEST_CASE("silenceWait_anyRequest_endsAtTheLimitAndThenOftenUntilTheDeadline", "[silence]")
+{
+    seedRapidCheck();
+    CHECK(rc::check("wait until the next decision", [] {
+        SilenceInput input{.mayMove = *rc::gen::arbitrary<bool>(), .moved = *rc::gen::arbitrary<bool>(), .stream = *rc::gen::arbitrary<bool>()};
+        input.timeLeft = milliseconds(*rc::gen::inRange(1, 10000));
+        const milliseconds silence(*rc::gen::inRange(0, static_cast<int>(input.timeLeft.count())));
+        const milliseconds wait = silenceWait(input, silence);
+        RC_ASSERT(wait >= 1ms);
+        RC_ASSERT(silence + wait <= input.timeLeft);
+        if (silence < silenceLimit(input)) {
+            RC_ASSERT(silence + wait == silenceLimit(input));
+        } else {
+            RC_ASSERT(wait <= 100ms);
+            RC_ASSERT(wait == std::min(100ms, input.timeLeft - silence));
+        }
+    }));
+}
+
 TEST_CASE("isSilent_requestsWaitForTheTarget_fromHalfASecondUntilItRespondsOrIsForgotten", "[silence]")
 {
     const TimePoint begin = TimePoint{} + 1h;
@@ -226,8 +265,8 @@
     CHECK(this->second.runs.size() == 1);
 }
 
-// Guards against a stream that leaves a target which goes on, for others that are full; see KNOWN-RED.txt, run by name only.
-TEST_CASE_METHOD(SilenceFixture, "forward_otherTargetIsFullAfterASilence_streamStaysWithATargetThatGoesOn", "[.]")
+// Guards against a stream that leaves a target which goes on, for others that are full.
+TEST_CASE_METHOD(SilenceFixture, "forward_otherTargetIsFullAfterASilence_streamStaysWithATargetThatGoesOn")
 {
     constexpr milliseconds shortestAcceptedGap{2000};
     this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 8;
@@ -237,6 +276,19 @@
     CHECK(BootClock::now() - begun < shortestAcceptedGap);
 }
 
+// Guards against a stream that leaves its target for one that is silent itself, beside a change that all targets take at once.
+TEST_CASE_METHOD(SilenceFixture, "forward_allTargetsAreSilent_streamStaysWithItsOwn")
+{
+    constexpr milliseconds shortestAcceptedGap{2000};
+    this->setPlans({{.silentAfter = 3, .silence = 1800ms}});
+    const TimePoint begun = BootClock::now();
+    beginWait(this->host.proxy->health[TargetId{"i-2"}].silence, begun);
+    this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 1; // The request goes to the other target.
+    CHECK(this->textOf("s1", "/chat/x") == wholeText("s1", 10));
+    CHECK(BootClock::now() - begun < shortestAcceptedGap);
+    CHECK(this->second.runs.empty());
+}
+
 // Guards against a sound second target that is left so late that no third one can answer in time.
 TEST_CASE_METHOD(SilenceFixture, "forward_secondTargetIsSlowAndLittleTimeIsLeft_isWaitedFor")
 {
@@ -331,6 +383,26 @@
     CHECK(this->runsOf("s1") == 1);
 }
 
+// Guards against a request that leaves a silent target which goes on, although its quarantined prompt may not be sent to another one.
+TEST_CASE_METHOD(SilenceFixture, "forward_promptIsQuarantinedDuringASilence_requestStaysWithItsTarget")
+{
+    const std::string path = GENERATE("/chat/x", "/lookup/x");
+    const bool stream = path == "/chat/x";
+    this->setPlans({{.stream = stream, .firstDelay = 2s}, {.stream = stream}});
+    auto quarantine = [this]() -> boost::asio::awaitable<void> {
+        co_await sleepFor(300ms);
+        applyStoredQuarantine(*this->host.proxy, PromptPartId{0xbad}, 60s, 1);
+    };
+    boost::asio::co_spawn(this->loop, quarantine(), boost::asio::detached);
+    HttpRequest request = EntryTestHost::request("r1", path, 4s);
+    request.headers.push_back({"X-Skylarkstage-Prompt-Prefix", "bad:100,f1:20"});
+    const HttpTimeouts patient{500ms, 2s, 10s, 10s};
+    const auto answer = this->run(httpCall(this->http, this->host.endpoint, std::move(request), patient, ConnectionUse::Fresh));
+    REQUIRE(isOk(answer));
+    CHECK(valueOf(answer).status == 200);
+    CHECK(this->runsOf("r1") == 1);
+}
+
 /** A target that accepts connections but reads nothing. */
 struct NonReadingTarget {
     boost::asio::ip::tcp::acceptor acceptor;
@@ -482,3 +554,53 @@
     CHECK(idleCount() == 0);
     CHECK(this->host.proxy->health[TargetId{"i-1"}].failures == 0);
 }
+
+/** A target whose answer arrives at once, after which the process of the test does not run for a while. */
+struct StallingTarget {
+    static constexpr milliseconds stall{600};
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string answer; ///< Bytes that are sent.
+
+    explicit StallingTarget(boost::asio::io_context &loop)
+        : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0})
+    {
+        boost::asio::co_spawn(loop, this->serve(), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<void> serve()
+    {
+        for (;;) {
+            auto socket = co_await this->acceptor.async_accept(boost::asio::use_awaitable);
+            std::array<char, 8192> request{};
+            co_await socket.async_read_some(boost::asio::buffer(request), boost::asio::use_awaitable);
+            boost::asio::write(socket, boost::asio::buffer(this->answer));
+            std::this_thread::sleep_for(stall);
+            co_await sleepFor(stall);
+        }
+    }
+};
+
+// Guards against an answer that has arrived in time and is thrown away, because this process did not run until after the deadline.
+TEST_CASE_METHOD(SilenceFixture, "forward_hostStallsUntilAfterTheDeadline_answerThatHasArrivedIsDelivered")
+{
+    StallingTarget target(this->loop);
+    this->targets->erase(TargetId{"i-2"});
+    this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", target.acceptor.local_endpoint().port()};
+    for (RouteRule &rule : this->config->routes) {
+        rule.timeout = StallingTarget::stall / 2;
+    }
+    this->host.publish({});
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: r1\r\nX-Skylarkstage-Server-Signature: x\r\n";
+    SECTION("whole answer")
+    {
+        const std::size_t size = 100000; // More than one read takes.
+        target.answer = head + "Content-Length: " + std::to_string(size) + "\r\n\r\n" + std::string(size, 'x');
+        CHECK(this->textOf("r1", "/order/x") == std::string(size, 'x'));
+    }
+    SECTION("stream")
+    {
+        const std::string event = "id: 1\ndata: " + std::string(50000, 'x') + "\n\n";
+        target.answer = head + "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(event.size()) + "\r\n\r\n" + event;
+        CHECK(this->textOf("r1", "/once/x") == std::string(50000, 'x'));
+    }
+}
