Fix: An item without a target holds back all others with its quarantined prompt part

What callers saw: with a quarantined prompt part, items with the part stayed without a result although targets had room and the part was sound again: found by the review, for a route that is split among two services, one without targets.

Cause: the first pending item with the part counted as its trial before it was known whether a target has room for it; the others were dropped in each round. Now an item becomes the trial when it starts (recordItemStart), and the next one with the part is asked in the same round.

Evidence: job_firstItemWithQuarantinedPartHasNoTarget_othersAreTried failed before (the item that has a target did not run within 4 s).

--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -127,7 +127,8 @@
     interruptRun(*item.run);
 }
 
-std::vector<PendingItem> pendingItems(const JobRunner::Impl &runner)
+/** @return The items that may start now, in the order in which they are due. */
+std::vector<PendingItem> pendingItems(const JobRunner::Impl &runner, const ItemTrials &trials)
 {
     std::vector<PendingItem> pending;
     const TimePoint now = BootClock::now();
@@ -148,7 +149,9 @@
     std::stable_sort(pending.begin(), pending.end(), [now, runTime = runner.itemRunTime](const PendingItem &left, const PendingItem &right) {
         return isMoreUrgent(left.due, right.due, now, runTime);
     });
-    holdBackItems(runner, pending, now);
+    std::erase_if(pending, [&](const PendingItem &item) {
+        return !mayStartItem(runner, trials, item, now);
+    });
     return pending;
 }
 
@@ -208,7 +211,8 @@
         return;
     }
     const TimePoint now = BootClock::now();
-    const std::vector<PendingItem> pending = pendingItems(*runner);
+    ItemTrials trials = findTrials(*runner);
+    const std::vector<PendingItem> pending = pendingItems(*runner, trials);
     tracker.ownWaiting = static_cast<unsigned>(pending.size());
     runner->waitingSince = waitedBefore == 0 ? now : runner->waitingSince;
     std::vector<SlotOffer> offers = findSlotOffers(*runner, pending, now);
@@ -222,6 +226,10 @@
             }
             continue;
         }
+        if (!mayStartItem(*runner, trials, item, now)) {
+            continue;
+        }
+        recordItemStart(*runner, trials, item);
         startItem(runner, item, run, *offer->target, now);
         --offer->slots.items;
         --tracker.ownWaiting;
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -3,6 +3,7 @@
 
 #include "job/job_runner_func.h"
 #include "policy/batch_slots_func.h"
+#include "policy/item_trial_func.h"
 #include "policy/run_progress_type.h"
 #include "proxy/event_splitter_base.h"
 
@@ -124,8 +125,14 @@
 /** @return The route of a job in the configuration in force, or null if there is none. */
 [[nodiscard]] const RouteRule *routeOf(const JobRunner::Impl &runner, const StoredJob &record);
 
-/** Removes the items from @p pending that have to wait for the trial of a quarantined part of their prompt. */
-void holdBackItems(const JobRunner::Impl &runner, std::vector<PendingItem> &pending, TimePoint now);
+/** @return The quarantined prompt parts, and those of them that are on trial in an item of this host. */
+[[nodiscard]] ItemTrials findTrials(const JobRunner::Impl &runner);
+
+/** @return Whether a pending item may start now. It may not while it has to wait for the trial of a quarantined part of its prompt. */
+[[nodiscard]] bool mayStartItem(const JobRunner::Impl &runner, const ItemTrials &trials, const PendingItem &item, TimePoint now);
+
+/** Records that a pending item starts, as the trial of its quarantined parts if it has any. */
+void recordItemStart(const JobRunner::Impl &runner, ItemTrials &trials, const PendingItem &item);
 
 /** @return Load of @p target, from which the number of own batch items to preempt is computed. */
 [[nodiscard]] BatchSlotInput yieldInput(const JobRunner::Impl &runner, const TargetEntry &target, TimePoint now);
--- a/src/job/job_trials.cpp
+++ b/src/job/job_trials.cpp
@@ -1,6 +1,5 @@
-/** @file job_trials.cpp Holds back batch items with a quarantined prompt part, but for the one that is the trial of the part. */
+/** @file job_trials.cpp Decides which batch items with a quarantined prompt part run, as the trials of their parts. */
 #include "job/job_runner_base.h"
-#include "policy/item_trial_func.h"
 
 namespace skylark {
 
@@ -25,21 +24,25 @@
 
 } // namespace
 
-void holdBackItems(const JobRunner::Impl &runner, std::vector<PendingItem> &pending, TimePoint now)
+ItemTrials findTrials(const JobRunner::Impl &runner)
 {
-    if (runner.proxy->quarantine.parts.empty()) {
-        return;
-    }
     ItemTrials trials = findItemTrials(runner.proxy->quarantine);
-    addRunningItems(runner, trials);
-    std::erase_if(pending, [&](const PendingItem &item) {
-        const PromptParts prompt = promptOf(runner, item.job, item.index);
-        if (!mayRunItem(trials, prompt, now)) {
-            return true;
-        }
-        addRunningItem(trials, prompt);
-        return false;
-    });
+    if (!trials.earliest.empty()) {
+        addRunningItems(runner, trials);
+    }
+    return trials;
+}
+
+bool mayStartItem(const JobRunner::Impl &runner, const ItemTrials &trials, const PendingItem &item, TimePoint now)
+{
+    return trials.earliest.empty() || mayRunItem(trials, promptOf(runner, item.job, item.index), now);
+}
+
+void recordItemStart(const JobRunner::Impl &runner, ItemTrials &trials, const PendingItem &item)
+{
+    if (!trials.earliest.empty()) {
+        addRunningItem(trials, promptOf(runner, item.job, item.index));
+    }
 }
 
 } // namespace skylark
--- a/tests/test_crash_quarantine.cpp
+++ b/tests/test_crash_quarantine.cpp
@@ -1,4 +1,5 @@
 /** @file test_crash_quarantine.cpp Hosts between callers and targets that crash under requests with one prompt part, or under one request. */
+#include "core/hash_func.h"
 #include "support/entry_fixture.h"
 
 #include <algorithm>
@@ -177,6 +178,31 @@
     CHECK(this->statusOf(promptRequest("sound", "a1:100,b1:100,bad0:50")) == 200);
 }
 
+// Guards against an item that has no target, and as the trial of a quarantined part holds back all others with it.
+TEST_CASE_METHOD(CrashFixture, "job_firstItemWithQuarantinedPartHasNoTarget_othersAreTried")
+{
+    const auto idWith = [](const std::string &prefix, std::uint64_t remainder) {
+        unsigned number = 0;
+        while (hash64(prefix + std::to_string(number)) % 2 != remainder) {
+            ++number;
+        }
+        return prefix + std::to_string(number);
+    };
+    this->routeNamed("batch").services = {{ServiceId{"absent"}, 1}, {ServiceId{"llm"}, 1}};
+    this->host->publish({});
+    this->quarantineCrashingPart();
+    this->stopCrashing();
+    const std::string unplaced = idWith("a", 0);
+    const std::string placed = idWith("b", 1);
+    this->submitItems({{unplaced, "a1:100,bad0:50,e1:9"}, {placed, "a1:100,bad0:50,e2:9"}});
+    CHECK(this->runUntil(
+        [this, &placed] {
+            return this->runsOf(placed) == 1;
+        },
+        4s));
+    CHECK(this->runsOf(unplaced) == 0);
+}
+
 // Guards against a rejection that promises "not run" for a request whose run has ended a target, and against sending that request to further targets.
 TEST_CASE_METHOD(CrashFixture, "forward_requestCrashedItsTarget_isNotReportedAsNotRun")
 {
