Fix: A request that crashes its targets before its answer begins is not counted where answers of others begin

Of a crash, only runs whose answer had begun counted where there were any; that rule is right for prompt parts, which crash a target as it writes. Its crashes, in turn, lowered the share of the request on lookups.

Now all runs of a crash that had not streamed count for and against requests; for prompt parts the rule stands (MergedCrash::likely).

Evidence: recordSuspectRun_othersHaveBegunWhereRequestWaits_requestIsQuarantined failed before (isRequestQuarantined(7)).

--- a/src/policy/crash_request.cpp
+++ b/src/policy/crash_request.cpp
@@ -33,7 +33,7 @@
 
 bool isExplained(const CrashQuarantine &state, const MergedCrash &crash)
 {
-    return isExplainedByPart(state, crash) || std::any_of(crash.likely.begin(), crash.likely.end(), [&](const ReportedRun &run) {
+    return isExplainedByPart(state, crash) || std::any_of(crash.runs.begin(), crash.runs.end(), [&](const ReportedRun &run) {
                return isQuarantinedRequest(state, run, crash.at);
            });
 }
@@ -65,7 +65,7 @@
 void addEvidence(RequestCase &found, const CrashQuarantine &state, const MergedCrash &crash, TimePoint now)
 {
     OpenCrash open{crash.at, now - crash.at >= state.settings.settleTime, {}};
-    for (const ReportedRun &reported : crash.likely) {
+    for (const ReportedRun &reported : crash.runs) {
         const PromptPartId request = reported.run->prompt.request;
         if (!counts(state, request, crash.at) || contains(open.requests, request)) {
             continue;
@@ -99,7 +99,7 @@
         if (found.all.empty() || crash.at - found.all.back() >= state.settings.crashSpacing) {
             found.all.push_back(crash.at);
         }
-        const bool isRelevant = std::any_of(crash.likely.begin(), crash.likely.end(), [&](const ReportedRun &reported) {
+        const bool isRelevant = std::any_of(crash.runs.begin(), crash.runs.end(), [&](const ReportedRun &reported) {
             return found.evidence.contains(reported.run->prompt.request);
         });
         if (isRelevant) {
--- a/src/policy/crash_suspect.cpp
+++ b/src/policy/crash_suspect.cpp
@@ -16,7 +16,7 @@
 /** @return Whether @p run tells of its parts: where a quarantined request was on the target, only the runs of that request do. */
 bool countsAgainstParts(const CrashQuarantine &state, const MergedCrash &crash, const ReportedRun &run)
 {
-    const bool isRequestToBlame = std::any_of(crash.likely.begin(), crash.likely.end(), [&](const ReportedRun &other) {
+    const bool isRequestToBlame = std::any_of(crash.runs.begin(), crash.runs.end(), [&](const ReportedRun &other) {
         return isQuarantinedRequest(state, other, crash.at);
     });
     return !isRequestToBlame || isQuarantinedRequest(state, run, crash.at);
--- a/src/policy/crash_suspect_type.h
+++ b/src/policy/crash_suspect_type.h
@@ -14,8 +14,8 @@
 /** One crash of a target, merged from the reports of several hosts. */
 struct MergedCrash {
     TimePoint at{}; ///< Earliest report.
-    std::vector<ReportedRun> runs;
-    std::vector<ReportedRun> likely; ///< Runs that may have caused it: those whose answer had just begun, or, where there are none, all.
+    std::vector<ReportedRun> runs; ///< All that may have caused it; a request that crashes targets may do so before its answer begins.
+    std::vector<ReportedRun> likely; ///< Runs whose prompt parts may have caused it: those whose answer had just begun, or, where there are none, all.
 };
 
 /** Crashes that one request was in. */
--- a/tests/test_crash_policy.cpp
+++ b/tests/test_crash_policy.cpp
@@ -453,6 +453,19 @@
     CHECK_FALSE(this->isQuarantined({0xb1}));
 }
 
+// Guards against a request that crashes its targets before it is answered and is not counted, because answers of others have just begun there.
+TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_othersHaveBegunWhereRequestWaits_requestIsQuarantined")
+{
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        const std::string target = "t" + std::to_string(i);
+        this->crashRequests(target, {100 + i}, RunPhase::Begun);
+        this->crashRequests(target, {7}, RunPhase::Waiting);
+        this->now += 400ms;
+    }
+    CHECK(this->isRequestQuarantined(7));
+    CHECK_FALSE(this->isRequestQuarantined(100));
+}
+
 // Guards against a sound request that is blamed because it waited beside the crashing one on two targets.
 TEST_CASE_METHOD(QuarantineFixture, "recordSuspectRun_twoRequestsInTheSameCrashes_neitherIsQuarantinedUntilTheyDiffer")
 {
