Feature: A host tells an outage of the key-value service from a single failed call

Until now the only state of the service was whether the last call failed (storeReachable), so one cut watch looked like an outage. What acts on an outage needs to know that the service answers nothing.

Change: src/policy/store_outage counts answers of calls that a service without its latest state could not give: linearizable reads, watches that return changes, lease renewals (also a refused one); stale reads don't count. No answer for two heartbeats of targets (2.4 s with 1.2 s) is an outage: an entry lapses after three, and the last heartbeat comes up to one before the outage.

Nobody uses storeAway yet; storeReachable keeps its cautious meaning for claims and for reads that other hosts ask for, where one failed call costs one more read.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -228,6 +228,7 @@
     options.domain = host.settings.domain;
     options.endpoint = host.settings.peers;
     options.drainLimit = host.settings.drainLimit;
+    options.targetHeartbeat = host.settings.targetHeartbeat;
     options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
     options.leaseRenewal = options.leaseTtl / 3;
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
--- a/src/fleet/fleet_config.cpp
+++ b/src/fleet/fleet_config.cpp
@@ -55,7 +55,6 @@
 
 void onConfig(const FleetImplPtr &impl, const KeyMirrorUpdate &update)
 {
-    recordStoreSuccess(*impl);
     for (const KvItem &item : update.changed) {
         if (!item.deleted && item.key == impl->wire.configKey) {
             adoptConfig(*impl, item.value, "store");
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -27,7 +27,6 @@
 
 void onHosts(const ImplPtr &impl, const KeyMirrorUpdate & /*update*/)
 {
-    recordStoreSuccess(*impl);
     std::vector<PeerEntry> peers;
     for (const auto &[key, item] : impl->hosts->items) {
         auto entry = decodeHostEntry(key, item.value);
@@ -91,6 +90,11 @@
             handler(strong, update);
         }
     };
+    mirror->onAnswer = [weak] {
+        if (const auto strong = weak.lock()) {
+            recordStoreSuccess(*strong);
+        }
+    };
     mirror->onFailure = [weak](const Error &error) {
         if (const auto strong = weak.lock()) {
             recordStoreFailure(*strong, error);
@@ -123,6 +127,7 @@
     impl->onQuarantine = std::move(onQuarantine);
     impl->peerHttp = HttpClient::create(executor);
     impl->random = hash64(impl->options.session.value);
+    impl->contact.heartbeat = impl->options.targetHeartbeat;
     impl->config = startMirror(impl, {.prefix = impl->wire.configKey, .pollInterval = minPollInterval}, onConfig);
     impl->targets =
         startMirror(impl, {.prefix = impl->wire.targetPrefix, .watchInterval = impl->options.targetWatchInterval, .pollInterval = minPollInterval}, onTargets);
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/fleet_controller_func.h"
+#include "policy/store_outage_func.h"
 #include "store/key_mirror_func.h"
 
 #include <map>
@@ -26,6 +27,7 @@
     TimePoint failedAt{}; ///< Time of the last failed call to the service.
     TimePoint unreachableSince{}; ///< Start of the current outage, or of the last one.
     bool reachable{true}; ///< Whether the last call to the service succeeded.
+    StoreContact contact; ///< Answers of the service, to all calls of the controller.
     std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
     bool leaving{false}; ///< Whether the host's entry is being removed.
     bool pullingConfig{false}; ///< Whether a request for a peer's configuration is in flight.
@@ -38,10 +40,10 @@
 /** Publishes a copy of the current state. */
 void publishFleet(FleetController::Impl &impl);
 
-/** Records a successful call to the service; ends an outage. */
+/** Records a successful call to the service that is not a stale read. */
 void recordStoreSuccess(FleetController::Impl &impl);
 
-/** Records a failed call to the service; begins an outage unless one is in progress. */
+/** Records a failed call to the service. */
 void recordStoreFailure(FleetController::Impl &impl, const Error &error);
 
 } // namespace skylark
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -30,6 +30,7 @@
     DomainId domain; ///< Failure domain of this host.
     Endpoint endpoint; ///< Address to which other hosts send status datagrams and from which they pull the configuration.
     std::chrono::milliseconds drainLimit{2000}; ///< Time after which a leaving target must get no new requests.
+    std::chrono::milliseconds targetHeartbeat{1200}; ///< Interval at which targets renew their entries.
     std::chrono::milliseconds targetWatchInterval{700}; ///< Minimum interval between watch calls for the target list in a small fleet.
     /**
      * Time after the last failed call to the service in which a removed target entry is taken as expired because of the outage. Such a target is kept for the
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -13,11 +13,14 @@
 
 void recordStoreSuccess(FleetController::Impl &impl)
 {
-    if (impl.reachable) {
+    const TimePoint now = BootClock::now();
+    recordAnswer(impl.contact, now);
+    if (impl.reachable && !impl.state.storeAway) {
         return;
     }
     impl.reachable = true;
-    const auto down = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - impl.unreachableSince);
+    impl.state.storeAway = false;
+    const auto down = std::chrono::duration_cast<std::chrono::milliseconds>(now - impl.unreachableSince);
     logEvent(EventKind::DependencyBack, {}, {{"dependency", "store"}, {"down_ms", down.count()}});
     publishFleet(impl);
 }
@@ -26,12 +29,16 @@
 {
     impl.failedAt = BootClock::now();
     addCounter(*impl.metrics, "skylark_store_failures_total", {{"error", errorInfo(error.code).name}});
-    if (!impl.reachable) {
+    const bool away = isStoreAway(impl.contact, impl.failedAt);
+    if (!impl.reachable && away == impl.state.storeAway) {
         return;
     }
+    if (impl.reachable) {
+        impl.unreachableSince = impl.failedAt;
+        logEvent(EventKind::DependencyLost, {}, {{"dependency", "store"}, {"error", errorInfo(error.code).name}, {"detail", error.detail}});
+    }
     impl.reachable = false;
-    impl.unreachableSince = impl.failedAt;
-    logEvent(EventKind::DependencyLost, {}, {{"dependency", "store"}, {"error", errorInfo(error.code).name}, {"detail", error.detail}});
+    impl.state.storeAway = away;
     publishFleet(impl);
 }
 
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -89,7 +89,6 @@
 
 void onTargets(const FleetImplPtr &impl, const KeyMirrorUpdate &update)
 {
-    recordStoreSuccess(*impl);
     const TimePoint now = BootClock::now();
     const bool afterOutage = impl->failedAt != TimePoint{} && now - impl->failedAt < impl->options.expiryGrace;
     bool changed = impl->state.targets == nullptr;
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -100,7 +100,8 @@
     std::shared_ptr<const TargetMap> targets; ///< Null until the list was read for the first time.
     std::vector<PeerEntry> peers; ///< Other hosts with an entry in the service.
     bool peersKnown{false}; ///< Whether the hosts' entries have been read.
-    bool storeReachable{false}; ///< Whether the last call to the service succeeded.
+    bool storeReachable{false}; ///< Whether the last call to the service succeeded; false also after one failed call among answered ones.
+    bool storeAway{false}; ///< Whether the service is in an outage, as isStoreAway() tells it.
 };
 
 } // namespace skylark
--- a/src/fleet/host_entry_upkeep.cpp
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -41,7 +41,13 @@
             co_await writeHostEntry(impl);
         } else {
             const auto renewed = co_await impl->store->renewLease(impl->lease);
-            if (!isOk(renewed) && errorOf(renewed).code == ErrorCode::LeaseExpired) {
+            const bool expired = !isOk(renewed) && errorOf(renewed).code == ErrorCode::LeaseExpired;
+            if (isOk(renewed) || expired) {
+                recordStoreSuccess(*impl);
+            } else {
+                recordStoreFailure(*impl, errorOf(renewed));
+            }
+            if (expired) {
                 impl->lease = 0;
                 continue;
             }
--- /dev/null
+++ b/src/policy/store_outage_type.h
@@ -0,0 +1,17 @@
+/** @file store_outage_type.h When the key-value service has answered a host, from which an outage of the service is told from a single failed call. */
+#pragma once
+
+#include "core/clock_func.h"
+
+#include <chrono>
+
+namespace skylark {
+
+/** Answers of the key-value service to this host. Only calls that a service without its latest state could not answer count. */
+struct StoreContact {
+    std::chrono::milliseconds heartbeat{1200}; ///< Interval at which targets renew their entries in the service.
+    TimePoint answeredAt{}; ///< Last answer; TimePoint{} before the first one.
+    TimePoint returnedAt{}; ///< First answer after the last outage; TimePoint{} if there was none.
+};
+
+} // namespace skylark
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -28,6 +28,13 @@
     }
 }
 
+void notifyAnswer(const KeyMirror &mirror)
+{
+    if (mirror.onAnswer) {
+        mirror.onAnswer();
+    }
+}
+
 /** Replaces the contents of the mirror by a read of the whole prefix. */
 asio::awaitable<Result<Done>> readFullPrefix(std::shared_ptr<KeyMirror> mirror, KvFreshness freshness)
 {
@@ -36,8 +43,11 @@
     if (!isOk(page)) {
         co_return errorOf(page);
     }
-    mirror->confirmedAt = freshness == KvFreshness::Linearizable ? startedAt : mirror->confirmedAt;
     mirror->synced = true;
+    if (freshness == KvFreshness::Linearizable) {
+        mirror->confirmedAt = startedAt;
+        notifyAnswer(*mirror);
+    }
     notifyUpdate(mirror, replaceItems(*mirror, std::move(valueOf(page).items), valueOf(page).storeRevision));
     co_return Done{};
 }
@@ -52,6 +62,10 @@
     }
     mirror->confirmedAt = startedAt;
     mirror->synced = true;
+    // A watch without changes is answered when its wait is over, also by a service that has not seen the latest ones.
+    if (valueOf(changes).compacted || !valueOf(changes).items.empty()) {
+        notifyAnswer(*mirror);
+    }
     if (valueOf(changes).compacted) {
         mirror->revision = 0;
         co_return Done{};
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -36,6 +36,7 @@
     std::uint64_t revision{0}; ///< Revision from which the watch continues; 0 if the whole prefix has to be read.
     bool synced{false}; ///< Whether the last read or watch call succeeded.
     TimePoint confirmedAt{}; ///< Start of the last successful call: the mirror contains at least the changes made before it.
+    std::function<void()> onAnswer; ///< Called before onUpdate when a call succeeded that a service without its latest state could not have answered.
     std::function<void(const KeyMirrorUpdate &)> onUpdate; ///< Called after changes, and after each read of the whole prefix.
     std::function<void(const Error &)> onFailure; ///< Called after each failed call.
     bool stopped{false}; ///< Makes the coroutines return after their current call.
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -78,9 +78,11 @@
     std::unique_ptr<FleetController> controller; ///< Null until start().
     std::vector<QuarantineEntry> quarantined; ///< Entries that the controller has reported.
 
-    void start(std::chrono::milliseconds expiryGrace = 400ms)
+    void start(std::chrono::milliseconds expiryGrace = 400ms, std::chrono::milliseconds targetHeartbeat = 200ms)
     {
         FleetOptions options;
+        options.targetHeartbeat = targetHeartbeat;
+        options.leaseRenewal = 100ms;
         options.host.value = "front-1";
         options.session.value = "session-1";
         options.domain.value = "north";
@@ -395,6 +397,34 @@
     CHECK(this->hasTarget("i-1", false));
 }
 
+// Guards against one failed call that stands for an outage of the service, and against an outage that nobody notices.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_watchFails_isAwayOnlyWhenNothingIsAnswered")
+{
+    this->start(400ms, 1200ms);
+    REQUIRE(this->runUntil([this] {
+        return this->snapshot->storeReachable;
+    }));
+    unsigned away = 0;
+    const auto countAway = [this, &away] {
+        away += this->snapshot->storeAway ? 1 : 0;
+        return false;
+    };
+    this->store->abortsWatches = true;
+    this->runUntil(countAway, 3s);
+    CHECK(away == 0);
+    this->store->abortsWatches = false;
+    this->store->faults.down = true;
+    CHECK(this->runUntil(
+        [this] {
+            return this->snapshot->storeAway;
+        },
+        5s));
+    this->store->faults.down = false;
+    CHECK(this->runUntil([this] {
+        return !this->snapshot->storeAway && this->snapshot->storeReachable;
+    }));
+}
+
 TEST_CASE_METHOD(ControllerFixture, "fleetController_hostEntryExpires_isWrittenAgain")
 {
     this->start();
