Fix: An owner starts items of a job that another host has ended and could not announce

Hypotheses: 1. the owner hears of the end and does not act; 2. it starts items on a record whose age it does not know, as nobody announces the end; 3. items sent before the end reach the target late. item_started now has record_age_ms, the time since a call to the service last showed the record, and job_dropped says that the job was ended. The case with these lines and no other change: late items start on records 3.9 to 4.0 s old, and job_dropped follows them: 2 holds.

Cause: the owner took its own copy of the record for the present one. The end reached it by a datagram that the dead host had only scheduled (up to 100 ms, and in a large fleet up to 4.3 s for other failure domains, longer than the 2 s for which a change is announced), or by a stale read of all records every 1 to 5 s, which may be seconds old itself. An end whose write got no answer was never announced.

Weighed: the 200 waits until the owner has confirmed (no help when the owner is frozen or cut off, and each end pays a call that may time out); a read before each item (580 a second at the planned size). Chosen: an item starts only on a record that a linearizable read or an own write, begun within two thirds of the limit (2 s), has shown; otherwise the owner reads the one record first. Acceptances, checkpoints and stored results count as well, so a job costs at most one read in 2 s and only while it starts items: with 7 hosts and some 20 open jobs at most 10 a second, with 2,200 open jobs at most 1,100, as one round of free slots bounds the jobs that start anything. After a freeze or a cut the record is old and is read first. In an outage of the service (storeAway, not one failed read) known items go on: nobody can be told more. After a failed read all wait for 250 ms. Worst order: read begun just before the end, start 2 s later, 0.12 s to connect.

Also: the end is announced to all hosts at once, also after a lost answer; the answer of an owner to another host counts as its announcement and no longer as a read of the service; a record that is gone is dropped by the read.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -39,7 +39,7 @@
     JobAccepted, ///< A batch job was stored.
     JobRefused, ///< A batch job was refused.
     JobClaimed, ///< This host took over running the items of a job.
-    JobDropped, ///< This host stopped running the items of a job because another host owns it.
+    JobDropped, ///< This host stopped running the items of a job because another host owns it or its caller ended it.
     JobEnded, ///< A caller cancelled a job.
     JobRead, ///< A caller read the results of a job.
     ItemStarted, ///< An item was sent to a target.
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -206,6 +206,9 @@
     host.proxy->onUrgentNews = [&host] {
         scheduleStatusToAll(*host.peers);
     };
+    host.jobs->onJobEnded = [&host] {
+        scheduleStatusToAll(*host.peers);
+    };
     host.proxy->onQuarantine = [&host](const QuarantineChange &change) {
         asio::post(host.control, [&host, change] {
             storeQuarantineChange(*host.fleet, change);
@@ -390,7 +393,7 @@
             return logStartFailure(errorOf(opened));
         }
     }
-    host.runner = JobRunner::create(host.proxy, host.jobs, host.settings.host);
+    host.runner = JobRunner::create(host.proxy, host.jobs, host.settings.host, host.settings.cancelLimit);
     startJobRegistry(host.jobs);
     asio::co_spawn(executor, handleSignals(host), asio::detached);
     asio::co_spawn(executor, watchSettings(host), asio::detached);
--- a/src/entry/entry_host_func.h
+++ b/src/entry/entry_host_func.h
@@ -21,6 +21,7 @@
     Endpoint peers; ///< Listen address for other hosts: UDP for status datagrams, TCP for configuration pulls.
     Endpoint metrics; ///< Listen address for metric scrapes.
     std::chrono::milliseconds drainLimit{2000}; ///< Time after which a leaving target must get no new requests.
+    std::chrono::milliseconds cancelLimit{3000}; ///< Time after the confirmed end of a job from which none of its items may reach a target.
     std::chrono::milliseconds targetHeartbeat{1200}; ///< Interval at which targets renew their entries in the key-value service.
     std::chrono::milliseconds stopLimit{8000}; ///< Time from SIGTERM until the platform kills the process.
     std::size_t maxDescriptors{4096}; ///< Maximum number of open file descriptors of the process.
--- a/src/job/job_accept.cpp
+++ b/src/job/job_accept.cpp
@@ -58,6 +58,7 @@
 /** Reads all records from the store, because another host may have changed some. */
 asio::awaitable<Result<Done>> refreshJobs(std::shared_ptr<JobRegistry> registry)
 {
+    const TimePoint startedAt = BootClock::now();
     auto page = co_await readAllKeys(registry->store, std::string(jobPrefix), KvFreshness::Linearizable);
     if (!isOk(page)) {
         co_return errorOf(page);
@@ -66,6 +67,7 @@
         applyItem(*registry->mirror, item);
         if (isJobRecordKey(item.key)) {
             applyJobRecord(registry, item);
+            confirmRecord(*registry, jobOfRecordKey(item.key), startedAt);
         }
     }
     co_return Done{};
@@ -88,15 +90,19 @@
     return transaction;
 }
 
-/** Adds a job that this host has accepted to the registry. */
-void addAcceptedJob(
-    const std::shared_ptr<JobRegistry> &registry, const StoredJob &record, const std::string &quotaKey, std::uint64_t revision, JobSubmission submission)
+/** Adds a job that this host has accepted to the registry. @param startedAt Start of the write. */
+void addAcceptedJob(const std::shared_ptr<JobRegistry> &registry,
+                    const StoredJob &record,
+                    const std::string &quotaKey,
+                    std::uint64_t revision,
+                    TimePoint startedAt,
+                    JobSubmission submission)
 {
     applyItem(*registry->mirror, {quotaKey, record.id.value, revision, false});
     KnownJob &known = registry->jobs[record.id];
     known.items = std::move(submission.items);
     known.acceptedHere = true;
-    applyOwnWrite(registry, jobRecordKey(record.id), encodeStoredJob(record), revision);
+    applyOwnWrite(registry, jobRecordKey(record.id), encodeStoredJob(record), revision, startedAt);
 }
 
 } // namespace
@@ -133,17 +139,18 @@
             co_return makeJobAnswer(429, "token_limit", quotaRetryAfter);
         }
         KvTransaction transaction = buildAcceptTransaction(*registry, record, call, quotaKey, admission != JobAdmission::Accept);
+        const TimePoint writeStartedAt = BootClock::now();
         auto outcome = co_await registry->store->commit(std::move(transaction));
         if (isOk(outcome) && valueOf(outcome).applied) {
             const auto took = std::chrono::duration_cast<milliseconds>(BootClock::now() - startedAt);
             logEvent(EventKind::JobAccepted,
                      record.id.value,
                      {{"route", rule.name}, {"items", record.items.size()}, {"tokens", tokens}, {"waiting", waiting}, {"took_ms", took.count()}});
-            addAcceptedJob(registry, record, quotaKey, valueOf(outcome).revision, std::move(submission));
+            addAcceptedJob(registry, record, quotaKey, valueOf(outcome).revision, writeStartedAt, std::move(submission));
             co_return makeJobAnswer(202, "accepted");
         }
         if (isOk(outcome)) {
-            mergePresentRecords(registry, valueOf(outcome));
+            mergePresentRecords(registry, valueOf(outcome), writeStartedAt);
             if (!registry->jobs.contains(record.id)) {
                 co_await refreshJobs(registry);
             }
--- a/src/job/job_announcement.cpp
+++ b/src/job/job_announcement.cpp
@@ -3,12 +3,9 @@
 #include "job/job_registry_base.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace skylark {
 
-namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
 namespace {
@@ -17,20 +14,11 @@
 constexpr milliseconds announceDuration{2000}; ///< A host announces a record for so long after changing it.
 constexpr milliseconds announcerExpiry{10000}; ///< Time after which a job that is no longer announced has no announcer; several intervals of the largest fleet.
 
-/** Reads a record of which another host has announced a newer revision. */
-asio::awaitable<void> fetchAnnounced(std::shared_ptr<JobRegistry> registry, JobId job)
-{
-    co_await fetchJob(registry, job);
-    if (const auto found = registry->jobs.find(job); found != registry->jobs.end()) {
-        found->second.fetching = false;
-    }
-}
-
 } // namespace
 
 void announceChange(JobRegistry &registry, const KvItem &item)
 {
-    registry.recentChanges[JobId{item.key.substr(jobRecordKey({}).size())}] = {item.revision, BootClock::now() + announceDuration};
+    registry.recentChanges[jobOfRecordKey(item.key)] = {item.revision, BootClock::now() + announceDuration};
 }
 
 std::vector<std::pair<JobId, std::uint64_t>> jobRevisionsToAnnounce(JobRegistry &registry)
@@ -71,11 +59,9 @@
             known.ownerAnnouncedAt = now;
             known.ownerRevision = revision;
         }
-        const bool mayFetch = known.record.owner == registry->session && !known.fetching;
-        if (mayFetch && revision > known.revision) {
+        if (known.record.owner == registry->session && revision > known.revision) {
             // A caller ended the job elsewhere, or another host claimed it.
-            known.fetching = true;
-            asio::co_spawn(registry->executor, fetchAnnounced(registry, job), asio::detached);
+            refreshRecord(registry, job);
         }
         if (news) {
             wakeWaitingReads(*registry);
--- a/src/job/job_end.cpp
+++ b/src/job/job_end.cpp
@@ -12,6 +12,14 @@
 
 constexpr unsigned maxEndAttempts = 6; ///< Attempts to end a job; more than one because results that are stored meanwhile cause conflicts.
 
+/** Has a change that was announced sent to all hosts at once, so that the owner of the job need not find it out by reading the record. */
+void announceEnd(const JobRegistry &registry)
+{
+    if (registry.onJobEnded) {
+        registry.onJobEnded();
+    }
+}
+
 } // namespace
 
 asio::awaitable<JobAnswer> endJob(std::shared_ptr<JobRegistry> registry, JobEndCall call)
@@ -28,6 +36,10 @@
             continue;
         }
         if (found->second.record.ended) {
+            if (mayBeStored) {
+                announceChange(*registry, {key, {}, found->second.revision, false});
+                announceEnd(*registry);
+            }
             co_return makeJobAnswer(200, "ended_before");
         }
         StoredJob record = found->second.record;
@@ -36,14 +48,16 @@
         transaction.conditions.push_back({key, found->second.revision});
         const std::string value = encodeStoredJob(record);
         transaction.writes.push_back({key, value, 0});
+        const TimePoint startedAt = BootClock::now();
         auto outcome = co_await registry->store->commit(std::move(transaction));
         if (isOk(outcome) && valueOf(outcome).applied) {
             logEvent(EventKind::JobEnded, call.job.value, {{"listed", record.listed.size()}, {"total", record.items.size()}});
-            applyOwnWrite(registry, key, value, valueOf(outcome).revision);
+            applyOwnWrite(registry, key, value, valueOf(outcome).revision, startedAt);
+            announceEnd(*registry);
             co_return makeJobAnswer(200, "ended");
         }
         if (isOk(outcome)) {
-            mergePresentRecords(registry, valueOf(outcome));
+            mergePresentRecords(registry, valueOf(outcome), startedAt);
             continue;
         }
         mayBeStored = mayBeStored || errorOf(outcome).code == ErrorCode::OutcomeUnknown;
--- a/src/job/job_owner_writes.cpp
+++ b/src/job/job_owner_writes.cpp
@@ -88,6 +88,7 @@
     KvTransaction transaction;
     transaction.conditions.push_back({key, found->second.revision});
     transaction.writes.push_back({key, value, 0});
+    const TimePoint startedAt = BootClock::now();
     auto outcome = co_await registry->store->commit(std::move(transaction));
     if (!isOk(outcome)) {
         if (errorOf(outcome).code == ErrorCode::OutcomeUnknown) {
@@ -96,14 +97,14 @@
         co_return false;
     }
     if (!valueOf(outcome).applied) {
-        mergePresentRecords(registry, valueOf(outcome));
+        mergePresentRecords(registry, valueOf(outcome), startedAt);
         co_return false;
     }
     logEvent(EventKind::JobClaimed, job.value, {{"from", former.value}, {"listed", record.listed.size()}, {"total", record.items.size()}});
     if (const auto again = registry->jobs.find(job); again != registry->jobs.end()) {
         again->second.acceptedHere = false;
     }
-    applyOwnWrite(registry, key, value, valueOf(outcome).revision);
+    applyOwnWrite(registry, key, value, valueOf(outcome).revision, startedAt);
     co_return true;
 }
 
@@ -125,17 +126,19 @@
     if (release) {
         transaction.writes.push_back({key, value, 0});
     }
+    const TimePoint startedAt = BootClock::now();
     auto outcome = co_await registry->store->commit(std::move(transaction));
     if (!isOk(outcome)) {
         co_return errorOf(outcome);
     }
     if (!valueOf(outcome).applied) {
-        mergePresentRecords(registry, valueOf(outcome));
+        mergePresentRecords(registry, valueOf(outcome), startedAt);
         co_return makeError(ErrorCode::VersionConflict, "the job record has changed since it was read");
     }
     if (release) {
-        applyOwnWrite(registry, key, value, valueOf(outcome).revision);
+        applyOwnWrite(registry, key, value, valueOf(outcome).revision, startedAt);
     }
+    confirmRecord(*registry, job, startedAt);
     co_return Done{};
 }
 
@@ -174,6 +177,7 @@
         KvTransaction transaction = buildAppendTransaction(found->second, decision, finished, checkpoints);
         const std::string key = transaction.writes.back().key;
         const std::string value = transaction.writes.back().value;
+        const TimePoint startedAt = BootClock::now();
         auto outcome = co_await registry->store->commit(std::move(transaction));
         const auto again = registry->jobs.find(job);
         if (again == registry->jobs.end()) {
@@ -184,12 +188,12 @@
             logEvent(EventKind::ResultsListed,
                      job.value,
                      {{"listed", decision.record.listed.size()}, {"total", decision.record.items.size()}, {"revision", valueOf(outcome).revision}});
-            applyOwnWrite(registry, key, value, valueOf(outcome).revision);
+            applyOwnWrite(registry, key, value, valueOf(outcome).revision, startedAt);
             continue;
         }
         ++attempt;
         if (isOk(outcome)) {
-            mergePresentRecords(registry, valueOf(outcome));
+            mergePresentRecords(registry, valueOf(outcome), startedAt);
             if (valueOf(outcome).currentItems.empty()) {
                 co_return makeError(ErrorCode::NotFound, "job record is gone");
             }
--- a/src/job/job_ownership.cpp
+++ b/src/job/job_ownership.cpp
@@ -80,8 +80,9 @@
     const bool own = known != runner.registry->jobs.end() && known->second.record.owner == runner.registry->session && isOpen(known->second.record);
     const auto owned = runner.owned.find(job);
     if (!own) {
-        if (owned != runner.owned.end() && known != runner.registry->jobs.end() && known->second.record.owner != runner.registry->session) {
-            logEvent(EventKind::JobDropped, job.value, {{"owner", known->second.record.owner.value}});
+        if (owned != runner.owned.end() && known != runner.registry->jobs.end() && !isComplete(known->second.record)) {
+            const StoredJob &record = known->second.record;
+            logEvent(EventKind::JobDropped, job.value, {{"owner", record.owner.value}, {"ended", record.ended}});
         }
         dropOwnedJob(runner, job);
         return;
--- a/src/job/job_peer.cpp
+++ b/src/job/job_peer.cpp
@@ -56,7 +56,9 @@
     }
     applyJobRecord(registry, item);
     KnownJob &known = registry->jobs.at(job);
-    known.confirmedAt = std::max(known.confirmedAt, askedAt);
+    // The owner's answer counts as its announcement: it says nothing of changes by other hosts that the owner does not know of.
+    known.ownerRevision = item.revision;
+    known.ownerAnnouncedAt = std::max(known.ownerAnnouncedAt, askedAt);
     std::uint64_t position = numberMember(*object, "first");
     for (const auto &entry : arrayMember(*object, "results")) {
         const auto *text = entry.if_string();
--- a/src/job/job_policy.cpp
+++ b/src/job/job_policy.cpp
@@ -97,6 +97,16 @@
     return std::max(afterFailures, retryDelayStep * (1U << doublings));
 }
 
+std::chrono::milliseconds maxRecordAgeFor(std::chrono::milliseconds cancelLimit)
+{
+    return cancelLimit * 2 / 3;
+}
+
+bool mayStartOnRecord(std::chrono::nanoseconds recordAge, std::chrono::milliseconds maxRecordAge, bool storeAway)
+{
+    return recordAge < maxRecordAge || storeAway;
+}
+
 bool mayClaim(const ClaimInput &input)
 {
     if (!input.open || input.ownerIsOwn) {
--- a/src/job/job_policy_func.h
+++ b/src/job/job_policy_func.h
@@ -83,6 +83,19 @@
  */
 [[nodiscard]] std::chrono::milliseconds itemRetryDelay(unsigned failures, unsigned targetEnds);
 
+/**
+ * @param cancelLimit Time after the confirmed end of a job from which none of its items may reach a target.
+ * @return Age up to which a record may be used to start items. The rest of the limit is left for sending an item.
+ */
+[[nodiscard]] std::chrono::milliseconds maxRecordAgeFor(std::chrono::milliseconds cancelLimit);
+
+/**
+ * Decides whether an item may start on what its host knows of the job. Another host may have confirmed the end of the job and be gone before its announcement,
+ * so nothing but the service tells that the job is still open. In an outage of the service items go on, since no host can be told more.
+ * @param recordAge Time since the start of the last call to the service that showed the record.
+ */
+[[nodiscard]] bool mayStartOnRecord(std::chrono::nanoseconds recordAge, std::chrono::milliseconds maxRecordAge, bool storeAway);
+
 /** @return Whether this host may claim the job. Hosts of a higher rank number wait longer, so that claims seldom conflict. */
 [[nodiscard]] bool mayClaim(const ClaimInput &input);
 
--- a/src/job/job_record.cpp
+++ b/src/job/job_record.cpp
@@ -53,6 +53,11 @@
     return std::string(recordPrefix) + job.value;
 }
 
+JobId jobOfRecordKey(std::string_view key)
+{
+    return JobId{std::string(key.substr(recordPrefix.size()))};
+}
+
 bool isJobRecordKey(std::string_view key)
 {
     return key.starts_with(recordPrefix);
--- a/src/job/job_record_func.h
+++ b/src/job/job_record_func.h
@@ -15,6 +15,9 @@
 /** @return Key of the record of @p job. */
 [[nodiscard]] std::string jobRecordKey(const JobId &job);
 
+/** @return The job whose record has the key @p key, for which isJobRecordKey() holds. */
+[[nodiscard]] JobId jobOfRecordKey(std::string_view key);
+
 /** @return Whether @p key is the key of a job record. */
 [[nodiscard]] bool isJobRecordKey(std::string_view key);
 
--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 namespace skylark {
 
@@ -15,6 +16,7 @@
 
 namespace {
 
+constexpr milliseconds refreshRetryDelay{250}; ///< Pause of all reads by refreshRecord() after a failed one.
 constexpr milliseconds mirrorCheckInterval{1000}; ///< Time between two cheap stale reads of all records; more urgent changes are announced by datagram.
 
 void eraseJobEntry(JobRegistry &registry, const JobId &id)
@@ -28,6 +30,27 @@
     }
 }
 
+void removeRecord(JobRegistry &registry, const JobId &id)
+{
+    eraseJobEntry(registry, id);
+    if (registry.onJobChanged) {
+        registry.onJobChanged(id);
+    }
+}
+
+asio::awaitable<void> readRecord(std::shared_ptr<JobRegistry> registry, JobId job)
+{
+    const auto exists = co_await fetchJob(registry, job);
+    if (!isOk(exists)) {
+        registry->nextRefreshAt = BootClock::now() + refreshRetryDelay;
+    } else if (!valueOf(exists)) {
+        removeRecord(*registry, job);
+    }
+    if (const auto found = registry->jobs.find(job); found != registry->jobs.end()) {
+        found->second.fetching = false;
+    }
+}
+
 void onMirrorUpdate(const std::shared_ptr<JobRegistry> &registry, const KeyMirrorUpdate &update)
 {
     for (const KvItem &item : update.changed) {
@@ -35,11 +58,7 @@
             continue;
         }
         if (item.deleted) {
-            const JobId id{item.key.substr(jobRecordKey({}).size())};
-            eraseJobEntry(*registry, id);
-            if (registry->onJobChanged) {
-                registry->onJobChanged(id);
-            }
+            removeRecord(*registry, jobOfRecordKey(item.key));
         } else {
             applyJobRecord(registry, item);
         }
@@ -110,11 +129,19 @@
     wakeWaitingReads(*registry);
 }
 
-void mergePresentRecords(const std::shared_ptr<JobRegistry> &registry, const KvTransactionResult &refused)
+void confirmRecord(JobRegistry &registry, const JobId &job, TimePoint startedAt)
+{
+    if (const auto found = registry.jobs.find(job); found != registry.jobs.end()) {
+        found->second.confirmedAt = std::max(found->second.confirmedAt, startedAt);
+    }
+}
+
+void mergePresentRecords(const std::shared_ptr<JobRegistry> &registry, const KvTransactionResult &refused, TimePoint startedAt)
 {
     for (const KvItem &item : refused.currentItems) {
         if (isJobRecordKey(item.key)) {
             applyJobRecord(registry, item);
+            confirmRecord(*registry, jobOfRecordKey(item.key), startedAt);
         }
     }
 }
@@ -130,18 +157,29 @@
         co_return false;
     }
     applyJobRecord(registry, *valueOf(item));
+    confirmRecord(*registry, job, startedAt);
+    co_return registry->jobs.contains(job);
+}
+
+void refreshRecord(const std::shared_ptr<JobRegistry> &registry, const JobId &job)
+{
     const auto found = registry->jobs.find(job);
-    if (found != registry->jobs.end()) {
-        found->second.confirmedAt = startedAt;
+    if (found == registry->jobs.end() || found->second.fetching || BootClock::now() < registry->nextRefreshAt) {
+        return;
     }
-    co_return found != registry->jobs.end();
+    found->second.fetching = true;
+    // Later, because the caller may iterate over jobs, which the read can change.
+    asio::post(registry->executor, [registry, job] {
+        asio::co_spawn(registry->executor, readRecord(registry, job), asio::detached);
+    });
 }
 
-void applyOwnWrite(const std::shared_ptr<JobRegistry> &registry, const std::string &key, const std::string &value, std::uint64_t revision)
+void applyOwnWrite(const std::shared_ptr<JobRegistry> &registry, const std::string &key, const std::string &value, std::uint64_t revision, TimePoint startedAt)
 {
     const KvItem item{key, value, revision, false};
     applyItem(*registry->mirror, item);
     applyJobRecord(registry, item);
+    confirmRecord(*registry, jobOfRecordKey(key), startedAt);
     announceChange(*registry, item);
 }
 
--- a/src/job/job_registry_base.h
+++ b/src/job/job_registry_base.h
@@ -24,11 +24,11 @@
     TimePoint knownSince{}; ///< When this host first read or wrote the record: the acceptance, or up to a few seconds later.
     TimePoint closedSince{}; ///< When this host first found the job closed; valid while it is.
     bool acceptedHere{false}; ///< Whether this host accepted the job and has owned it since, so that no stored checkpoint exists that it lacks.
-    TimePoint confirmedAt{}; ///< Start of the last linearizable read of this record alone.
+    TimePoint confirmedAt{}; ///< Start of the last call to the service that returned or wrote the present record; changes made before then are in it.
     std::uint64_t announcedRevision{0}; ///< Highest revision that any host has announced.
     std::uint64_t ownerRevision{0}; ///< Revision in the owner's last announcement.
     TimePoint ownerAnnouncedAt{}; ///< When that announcement arrived.
-    bool fetching{false}; ///< Whether a read that an announcement triggered is in progress.
+    bool fetching{false}; ///< Whether a read by refreshRecord() is in progress.
     std::map<std::uint64_t, JobResult> results; ///< Cached results that this host stored, by position.
     std::vector<JobItem> items; ///< Empty until this host has loaded them; freed when the job is closed.
 };
@@ -64,6 +64,8 @@
     /** Reads a job at another host, in the form of encodeOwnedJob(); empty where hosts cannot be asked. */
     std::function<boost::asio::awaitable<Result<std::string>>(HostId host, JobId job, std::uint64_t after)> readFromHost;
     std::function<void(const JobId &job)> onJobChanged; ///< Called when a newer record was applied or a record was deleted; may be empty.
+    std::function<void()> onJobEnded; ///< Called when this host has ended a job at the request of a caller; may be empty.
+    TimePoint nextRefreshAt{}; ///< No earlier read by refreshRecord(), because the last one failed.
     std::size_t cachedBytes{0}; ///< Bytes of result texts held in memory.
 
     /** Creates a registry, which stays empty until startJobRegistry() or a call reads records. */
@@ -130,14 +132,20 @@
 /** Makes this host the owner of a job if the record is still at the known revision. @return Whether the claim was stored. */
 boost::asio::awaitable<bool> claimJob(std::shared_ptr<JobRegistry> registry, JobId job);
 
-/** Applies the present records that a transaction returned because its conditions failed. */
-void mergePresentRecords(const std::shared_ptr<JobRegistry> &registry, const KvTransactionResult &refused);
+/** Applies the present records that a transaction returned because its conditions failed. @param startedAt Start of the transaction. */
+void mergePresentRecords(const std::shared_ptr<JobRegistry> &registry, const KvTransactionResult &refused, TimePoint startedAt);
 
 /** Reads one record into the registry, linearizably. @return Whether it exists. */
 boost::asio::awaitable<Result<bool>> fetchJob(std::shared_ptr<JobRegistry> registry, JobId job);
 
-/** Updates the registry and its mirror with a record that this host has just written, and announces it. */
-void applyOwnWrite(const std::shared_ptr<JobRegistry> &registry, const std::string &key, const std::string &value, std::uint64_t revision);
+/**
+ * Starts a linearizable read of one record unless one is in progress or the last one of any job has just failed. A record that is gone is removed from the
+ * registry.
+ */
+void refreshRecord(const std::shared_ptr<JobRegistry> &registry, const JobId &job);
+
+/** Updates the registry and its mirror with a record that this host has just written, and announces it. @param startedAt Start of the write. */
+void applyOwnWrite(const std::shared_ptr<JobRegistry> &registry, const std::string &key, const std::string &value, std::uint64_t revision, TimePoint startedAt);
 
 /** Schedules the announcement of a record that this host has changed. */
 void announceChange(JobRegistry &registry, const KvItem &item);
@@ -158,4 +166,7 @@
 /** Applies a record to the registry if it is newer than what the registry holds. */
 void applyJobRecord(const std::shared_ptr<JobRegistry> &registry, const KvItem &item);
 
+/** Records that a call to the service, begun at @p startedAt, showed the present record of @p job, and that the record was applied. */
+void confirmRecord(JobRegistry &registry, const JobId &job, TimePoint startedAt);
+
 } // namespace skylark
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -183,17 +183,19 @@
 void startItem(const RunnerPtr &runner, const PendingItem &item, const std::shared_ptr<ItemRun> &run, const TargetEntry &target, TimePoint now)
 {
     const TargetCounts counts = countsOf(runner->proxy->loadTracker, target.id, now);
+    const KnownJob &known = runner->registry->jobs.at(item.job);
     run->phase = ItemPhase::Running;
     run->startedAt = now;
     run->target = target.id;
     logSampled(EventKind::ItemStarted,
-               runner->registry->jobs.at(item.job).record.items[item.index].id,
+               known.record.items[item.index].id,
                {{"job", item.job.value},
                 {"target", target.id.value},
                 {"after", run->splitter.lastId},
                 {"online", counts.online},
                 {"batch", counts.batch},
-                {"slack_ms", std::chrono::duration_cast<milliseconds>(item.due - now).count()}});
+                {"slack_ms", std::chrono::duration_cast<milliseconds>(item.due - now).count()},
+                {"record_age_ms", std::chrono::duration_cast<milliseconds>(now - known.confirmedAt).count()}});
     // The guard counts the item as load from now on, not only from the first step of its coroutine.
     auto guard = std::make_shared<const InFlightGuard>(loadTrackerOf(runner->proxy), target.id, true);
     spawnLater(runner, [runner, item, run, entry = target, guard = std::move(guard)] {
@@ -229,6 +231,12 @@
         if (!mayStartItem(*runner, trials, item, now)) {
             continue;
         }
+        const KnownJob &known = runner->registry->jobs.at(item.job);
+        if (!mayStartOnRecord(now - known.confirmedAt, runner->maxRecordAge, runner->proxy->fleet->storeAway)) {
+            // The slot is left to others until the record has been read.
+            refreshRecord(runner->registry, item.job);
+            continue;
+        }
         recordItemStart(*runner, trials, item);
         startItem(runner, item, run, *offer->target, now);
         --offer->slots.items;
@@ -262,12 +270,16 @@
     return config ? matchRoute(*config, record.host, record.path) : nullptr;
 }
 
-std::unique_ptr<JobRunner> JobRunner::create(std::shared_ptr<Proxy> proxy, std::shared_ptr<JobRegistry> registry, HostId host)
+std::unique_ptr<JobRunner> JobRunner::create(std::shared_ptr<Proxy> proxy,
+                                             std::shared_ptr<JobRegistry> registry,
+                                             HostId host,
+                                             std::chrono::milliseconds cancelLimit)
 {
     auto impl = std::make_shared<Impl>();
     impl->proxy = std::move(proxy);
     impl->registry = std::move(registry);
     impl->host = std::move(host);
+    impl->maxRecordAge = maxRecordAgeFor(cancelLimit);
     impl->createdAt = BootClock::now();
     const std::weak_ptr<Impl> weak = impl;
     impl->registry->onJobChanged = [weak](const JobId &job) {
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -83,6 +83,7 @@
     std::chrono::milliseconds closedRetention{
         150000}; ///< Age since acceptance at which a closed job may be removed; readers may ask for its results for 120 s.
     std::chrono::milliseconds closedReadTime{30000}; ///< Time for which a closed job is kept at least, so that its readers get the last results.
+    std::chrono::milliseconds maxRecordAge{0}; ///< Age of a job's record up to which its items may start.
     bool startsItems{true}; ///< Whether items may be started and jobs claimed; false once the host hands over its jobs.
     bool stopped{false}; ///< Ends the loop at its next round.
     unsigned round{0}; ///< Number of rounds of the loop so far.
--- a/src/job/job_runner_func.h
+++ b/src/job/job_runner_func.h
@@ -13,8 +13,14 @@
     struct Impl;
     std::shared_ptr<Impl> impl;
 
-    /** Creates a runner and starts its loop, which claims jobs and runs items. */
-    static std::unique_ptr<JobRunner> create(std::shared_ptr<Proxy> proxy, std::shared_ptr<JobRegistry> registry, HostId host);
+    /**
+     * Creates a runner and starts its loop, which claims jobs and runs items.
+     * @param cancelLimit Time after the confirmed end of a job from which none of its items may reach a target.
+     */
+    static std::unique_ptr<JobRunner> create(std::shared_ptr<Proxy> proxy,
+                                             std::shared_ptr<JobRegistry> registry,
+                                             HostId host,
+                                             std::chrono::milliseconds cancelLimit);
     ~JobRunner();
 };
 
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -93,6 +93,7 @@
     std::unique_ptr<JobRunner> runner; ///< Runs items of batch jobs; null when the host runs none.
     std::unique_ptr<HttpServer> server; ///< Serves callers.
     Endpoint endpoint; ///< Address of the server.
+    bool storeAway{false}; ///< What publish() says of the key-value service.
 
     EntryTestHost(EntryFixture &owner, const std::string &name, bool runsItems = true)
         : fixture(owner)
@@ -114,7 +115,7 @@
             executor, standin::storeInterface(this->fixture.store), this->proxy->metrics, SessionId{"session-" + name}, this->proxy->wire.decodeSubmission);
         this->publish({SessionId{"session-" + name}});
         if (runsItems) {
-            this->runner = JobRunner::create(this->proxy, this->jobs, HostId{name});
+            this->runner = JobRunner::create(this->proxy, this->jobs, HostId{name}, std::chrono::seconds(3));
         }
         startJobRegistry(this->jobs);
         HttpServerOptions options;
@@ -138,6 +139,7 @@
         snapshot->config = std::make_shared<const RoutingConfig>(*this->fixture.config);
         snapshot->targets = std::make_shared<const TargetMap>(*this->fixture.targets);
         snapshot->storeReachable = true;
+        snapshot->storeAway = this->storeAway;
         snapshot->peersKnown = true;
         for (const SessionId &session : registered) {
             snapshot->peers.push_back({HostId{"of-" + session.value}, session, DomainId{"north"}, {"127.0.0.1", 1}});
--- a/tests/test_job_policy.cpp
+++ b/tests/test_job_policy.cpp
@@ -352,3 +352,15 @@
     addRunningItem(trials, this->prompt);
     CHECK(mayRunItem(trials, this->prompt, this->now));
 }
+
+// Guards against items that start on the state of a job of unknown age, and against a limit that leaves no time to send them.
+TEST_CASE("mayStartOnRecord_ageOfTheRecord_decidesUnlessTheStoreIsAway", "[job]")
+{
+    const std::chrono::milliseconds cancelLimit = 3000ms;
+    const std::chrono::milliseconds maxAge = maxRecordAgeFor(cancelLimit);
+    CHECK(mayStartOnRecord(0ms, maxAge, false));
+    CHECK(mayStartOnRecord(maxAge - 1ms, maxAge, false));
+    CHECK_FALSE(mayStartOnRecord(maxAge, maxAge, false));
+    CHECK(mayStartOnRecord(1h, maxAge, true));
+    CHECK(cancelLimit - maxAge >= 500ms);
+}
