Fix: Hosts use a removed target for seconds because one watch was cut before its removal

Hypotheses: 1. the removal is noticed late, as the watch has to be set up again; 2. it is noticed and taken for an entry that lapsed in an outage; 3. requests stay with the target by another way (affinity, retries, kept connections). The new line target_entry_missing, on the code before: the removal is noticed after 0.32 s, the target is then kept for 2,000 ms because a call failed 1,649 ms before; the store was back after 160 ms (dependency_back). No request was sent later than that: 2.

Cause: one failed call, also a watch that was cut while all others were answered, stood for an outage, and the grace period ran from the discovery of the removal.

Change, in src/policy/store_outage (mayHaveLapsed): an entry can lapse only if the service did not answer this host for two heartbeats of targets; a failed call says nothing, an answer of a call that needs the latest state does. A target that has written its entry at a revision after the first read since the return was removed for good. Others are kept until 2 s after the first answer, whenever the removal is noticed; then the list is read once more, so that an entry written at the end of the grace period is not missed between two watches, and what is missing goes.

Worst order, small fleet: removal just after a watch was answered, the next watch 0.7 s later cut, retry 0.25 s: 0.95 s of 2 s. After an outage: first answer at most one retry (1.25 s, the earliest of five loops) after the return, and 2 s: 3.25 s, limit contact_ms = 3 s from the return; the loops' retries are not aligned, which leaves a rest in the order of 0.2 s that no run has shown. Large fleets: watch every half drain limit, 2 + 0.25 of 4 s; renewals every 2.0 to 2.2 s stay below 2.4 s.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -27,6 +27,7 @@
     ConfigRefused, ///< A configuration document was rejected.
     TargetChanged, ///< A target was added, is leaving or was removed.
     TargetRefused, ///< A target entry was rejected.
+    TargetEntryMissing, ///< The entry of a target is gone from the service.
     PeerChanged, ///< Another host was added or removed.
     Placed, ///< A request was sent to a target.
     AttemptFailed, ///< An attempt to run a request on a target failed.
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -6,6 +6,7 @@
 #include "store/key_mirror_func.h"
 
 #include <map>
+#include <set>
 
 namespace skylark {
 
@@ -23,8 +24,10 @@
     std::shared_ptr<KeyMirror> quarantine; ///< Mirror of the entries of quarantined parts.
     FleetSnapshot state; ///< Latest state, copied into each snapshot.
     TargetMap usableTargets; ///< Targets for requests, including those whose entry expired during an outage of the service.
-    std::map<TargetId, TimePoint> expiredTargets; ///< Those of usableTargets that have no entry, with the time at which they are removed.
-    TimePoint failedAt{}; ///< Time of the last failed call to the service.
+    std::set<TargetId> expiredTargets; ///< Those of usableTargets that have no entry; removed at the end of the grace period.
+    std::map<TargetId, std::uint64_t> entryRevisions; ///< Revision at which each of usableTargets last wrote its entry, as far as it was read.
+    std::uint64_t returnRevision{0}; ///< Revision of the first update of the target list after the last outage.
+    TimePoint listedAfterReturn{}; ///< End of the outage to which returnRevision belongs.
     TimePoint unreachableSince{}; ///< Start of the current outage, or of the last one.
     bool reachable{true}; ///< Whether the last call to the service succeeded.
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -32,11 +32,7 @@
     std::chrono::milliseconds drainLimit{2000}; ///< Time after which a leaving target must get no new requests.
     std::chrono::milliseconds targetHeartbeat{1200}; ///< Interval at which targets renew their entries.
     std::chrono::milliseconds targetWatchInterval{700}; ///< Minimum interval between watch calls for the target list in a small fleet.
-    /**
-     * Time after the last failed call to the service in which a removed target entry is taken as expired because of the outage. Such a target is kept for the
-     * same time, within which it is expected to write its entry again.
-     */
-    std::chrono::milliseconds expiryGrace{2000};
+    std::chrono::milliseconds expiryGrace{2000}; ///< Time after an outage of the service within which live targets write expired entries again.
     std::chrono::milliseconds leaseTtl{3000}; ///< Lifetime of the host's entry without a renewal.
     std::chrono::milliseconds leaseRenewal{1000}; ///< Interval of renewals; one renewal may fail before the lease expires.
 };
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -27,14 +27,14 @@
 
 void recordStoreFailure(FleetController::Impl &impl, const Error &error)
 {
-    impl.failedAt = BootClock::now();
+    const TimePoint now = BootClock::now();
     addCounter(*impl.metrics, "skylark_store_failures_total", {{"error", errorInfo(error.code).name}});
-    const bool away = isStoreAway(impl.contact, impl.failedAt);
+    const bool away = isStoreAway(impl.contact, now);
     if (!impl.reachable && away == impl.state.storeAway) {
         return;
     }
     if (impl.reachable) {
-        impl.unreachableSince = impl.failedAt;
+        impl.unreachableSince = now;
         logEvent(EventKind::DependencyLost, {}, {{"dependency", "store"}, {"error", errorInfo(error.code).name}, {"detail", error.detail}});
     }
     impl.reachable = false;
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -4,8 +4,10 @@
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 namespace skylark {
 
@@ -19,6 +21,14 @@
     publishFleet(impl);
 }
 
+/** @return Whether the target was in usableTargets. */
+bool forgetTarget(FleetController::Impl &impl, const TargetId &id)
+{
+    impl.expiredTargets.erase(id);
+    impl.entryRevisions.erase(id);
+    return impl.usableTargets.erase(id) > 0;
+}
+
 /** Applies a target's entry; an entry that cannot be decoded removes the target. @return Whether usableTargets has changed. */
 bool applyTarget(FleetController::Impl &impl, const TargetId &id, const KvItem &item)
 {
@@ -26,11 +36,11 @@
     if (!isOk(decoded)) {
         addCounter(*impl.metrics, "skylark_target_entries_refused_total");
         logEvent(EventKind::TargetRefused, id.value, {{"detail", errorOf(decoded).detail}});
-        impl.expiredTargets.erase(id);
-        return impl.usableTargets.erase(id) > 0;
+        return forgetTarget(impl, id);
     }
     TargetEntry &entry = valueOf(decoded);
     impl.expiredTargets.erase(id);
+    impl.entryRevisions[id] = item.revision;
     const auto found = impl.usableTargets.find(id);
     const bool same = found != impl.usableTargets.end() && found->second == entry;
     if (same) {
@@ -41,32 +51,38 @@
     return true;
 }
 
-/** @return Whether the target was in usableTargets. */
+/** Removes a target whose entry is gone. @return Whether it was in usableTargets. */
 bool removeTarget(FleetController::Impl &impl, const TargetId &id)
 {
-    const auto found = impl.usableTargets.find(id);
-    impl.expiredTargets.erase(id);
-    if (found == impl.usableTargets.end()) {
-        return false;
+    if (const auto found = impl.usableTargets.find(id); found != impl.usableTargets.end()) {
+        logTargetChange(found->second, "gone", "store");
     }
-    logTargetChange(found->second, "gone", "store");
-    impl.usableTargets.erase(found);
-    return true;
+    return forgetTarget(impl, id);
+}
+
+/** @return When the targets without an entry are removed. */
+TimePoint graceEnd(const FleetController::Impl &impl)
+{
+    return impl.contact.returnedAt + impl.options.expiryGrace;
 }
 
-/** Waits for the grace period and then removes the targets whose own grace period has ended without a new entry. */
+/** Waits until the end of the grace period, reads the list once more and then removes the targets that still have no entry. */
 asio::awaitable<void> removeExpiredTargets(FleetImplPtr impl)
 {
-    co_await sleepFor(impl->options.expiryGrace);
-    const TimePoint now = BootClock::now();
-    std::vector<TargetId> due;
-    for (const auto &[id, until] : impl->expiredTargets) {
-        if (until <= now) {
-            due.push_back(id);
+    while (!impl->targets->stopped) {
+        // Another outage in the meantime moves the end of the grace period.
+        while (BootClock::now() < graceEnd(*impl)) {
+            co_await sleepFor(graceEnd(*impl) - BootClock::now());
+        }
+        // The next watch may be due only later than the entries that were written in the grace period.
+        const auto refreshed = co_await refreshKeyMirror(impl->targets);
+        if (isOk(refreshed) && BootClock::now() >= graceEnd(*impl)) {
+            break;
         }
+        co_await sleepFor(impl->targets->options.retryMin);
     }
     bool changed = false;
-    for (const TargetId &id : due) {
+    for (const TargetId &id : std::exchange(impl->expiredTargets, {})) {
         changed = removeTarget(*impl, id) || changed;
     }
     if (changed) {
@@ -74,6 +90,45 @@
     }
 }
 
+/** Keeps the revision of the first update of the target list after an outage. */
+void recordReturn(FleetController::Impl &impl, const KeyMirrorUpdate &update)
+{
+    if (impl.listedAfterReturn == impl.contact.returnedAt) {
+        return;
+    }
+    impl.listedAfterReturn = impl.contact.returnedAt;
+    impl.returnRevision = impl.targets->revision;
+    for (const KvItem &item : update.changed) {
+        impl.returnRevision = std::max(impl.returnRevision, item.revision);
+    }
+}
+
+/** Handles the removal of a target's entry. @return Whether usableTargets has changed. */
+bool onEntryRemoved(const FleetImplPtr &impl, const TargetId &id)
+{
+    if (!impl->usableTargets.contains(id)) {
+        return false;
+    }
+    const TimePoint now = BootClock::now();
+    const EntryRemoval removal{impl->entryRevisions[id], impl->returnRevision};
+    const bool kept = mayHaveLapsed(impl->contact, removal, now, impl->options.expiryGrace);
+    const bool returned = impl->contact.returnedAt != TimePoint{};
+    logEvent(EventKind::TargetEntryMissing,
+             id.value,
+             {{"kept_ms", kept ? std::chrono::duration_cast<std::chrono::milliseconds>(graceEnd(*impl) - now).count() : 0},
+              {"return_age_ms", returned ? std::chrono::duration_cast<std::chrono::milliseconds>(now - impl->contact.returnedAt).count() : -1},
+              {"written_revision", removal.writtenRevision},
+              {"return_revision", removal.returnRevision}});
+    if (!kept) {
+        return removeTarget(*impl, id);
+    }
+    if (impl->expiredTargets.empty()) {
+        asio::co_spawn(impl->executor, removeExpiredTargets(impl), asio::detached);
+    }
+    impl->expiredTargets.insert(id);
+    return false;
+}
+
 } // namespace
 
 void logTargetChange(const TargetEntry &target, std::string_view state, std::string_view source)
@@ -89,24 +144,11 @@
 
 void onTargets(const FleetImplPtr &impl, const KeyMirrorUpdate &update)
 {
-    const TimePoint now = BootClock::now();
-    const bool afterOutage = impl->failedAt != TimePoint{} && now - impl->failedAt < impl->options.expiryGrace;
+    recordReturn(*impl, update);
     bool changed = impl->state.targets == nullptr;
-    bool anyExpired = false;
     for (const KvItem &item : update.changed) {
         const TargetId id{item.key.substr(impl->wire.targetPrefix.size())};
-        if (!item.deleted) {
-            changed = applyTarget(*impl, id, item) || changed;
-        } else if (afterOutage && impl->usableTargets.contains(id)) {
-            // During an outage the service also removes entries of live targets, because their heartbeats do not reach it.
-            impl->expiredTargets[id] = now + impl->options.expiryGrace;
-            anyExpired = true;
-        } else {
-            changed = removeTarget(*impl, id) || changed;
-        }
-    }
-    if (anyExpired) {
-        asio::co_spawn(impl->executor, removeExpiredTargets(impl), asio::detached);
+        changed = (item.deleted ? onEntryRemoved(impl, id) : applyTarget(*impl, id, item)) || changed;
     }
     if (changed) {
         publishTargets(*impl);
--- a/src/policy/store_outage.cpp
+++ b/src/policy/store_outage.cpp
@@ -1,4 +1,4 @@
-/** @file store_outage.cpp Tells outages of the key-value service from single failed calls. */
+/** @file store_outage.cpp Tells outages of the key-value service from single failed calls, and entries that lapsed in an outage from removed ones. */
 #include "policy/store_outage_func.h"
 
 namespace skylark {
@@ -30,4 +30,10 @@
     return contact.answeredAt != TimePoint{} && now - contact.answeredAt >= shortestOutage(contact);
 }
 
+bool mayHaveLapsed(const StoreContact &contact, const EntryRemoval &removal, TimePoint now, std::chrono::milliseconds grace)
+{
+    const bool afterOutage = contact.returnedAt != TimePoint{} && now - contact.returnedAt < grace;
+    return afterOutage && removal.writtenRevision <= removal.returnRevision;
+}
+
 } // namespace skylark
--- a/src/policy/store_outage_type.h
+++ b/src/policy/store_outage_type.h
@@ -14,4 +14,10 @@
     TimePoint returnedAt{}; ///< First answer after the last outage; TimePoint{} if there was none.
 };
 
+/** What is known of a target whose entry was removed. */
+struct EntryRemoval {
+    std::uint64_t writtenRevision{0}; ///< Revision at which the target last wrote its entry, as far as this host has read.
+    std::uint64_t returnRevision{0}; ///< Revision of the first read of the target list after the last outage.
+};
+
 } // namespace skylark
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -190,6 +190,11 @@
     return update;
 }
 
+asio::awaitable<Result<Done>> refreshKeyMirror(std::shared_ptr<KeyMirror> mirror)
+{
+    co_return co_await readFullPrefix(mirror, KvFreshness::Linearizable);
+}
+
 asio::awaitable<void> pollKeyMirror(std::shared_ptr<KeyMirror> mirror)
 {
     while (!mirror->stopped) {
@@ -203,7 +208,7 @@
         }
         notifyUpdate(mirror, applyNewerItems(*mirror, valueOf(page)));
         if (hasMissedRemoval(*mirror, valueOf(page))) {
-            co_await readFullPrefix(mirror, KvFreshness::Linearizable);
+            co_await refreshKeyMirror(mirror);
         }
     }
 }
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -67,6 +67,9 @@
 /** Reads the prefix and then watches it until the mirror is stopped. Without watches, returns after the first successful read. */
 boost::asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror);
 
+/** Replaces the contents of the mirror by a linearizable read of the whole prefix. @return The error of the read. */
+boost::asio::awaitable<Result<Done>> refreshKeyMirror(std::shared_ptr<KeyMirror> mirror);
+
 /** Makes a stale read of the prefix at the interval of the options, and a linearizable read if a removal was missed, until the mirror is stopped. */
 boost::asio::awaitable<void> pollKeyMirror(std::shared_ptr<KeyMirror> mirror);
 
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -397,6 +397,105 @@
     CHECK(this->hasTarget("i-1", false));
 }
 
+// Guards against requests to a removed target for seconds, because one watch was cut shortly before the removal.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_watchIsCutBeforeARemoval_targetIsRemovedAtOnce")
+{
+    this->putTarget("i-1", "ready");
+    this->putTarget("i-2", "ready");
+    this->start(2000ms, 1200ms);
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("i-1", false);
+    }));
+    this->store->abortsWatches = true;
+    REQUIRE(this->runUntil([this] {
+        return !this->snapshot->storeReachable;
+    }));
+    this->store->abortsWatches = false;
+    REQUIRE(this->runUntil([this] {
+        return this->snapshot->storeReachable;
+    }));
+    removeKey(*this->store, "servers/i-1");
+    CHECK(this->runUntil(
+        [this] {
+            return !this->hasTarget("i-1", false);
+        },
+        1000ms));
+    CHECK(this->hasTarget("i-2", false));
+}
+
+// Guards against both mistakes after an outage: dropping live targets whose entries lapsed, and using removed ones for longer than the grace period.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_entriesAreMissingAfterAnOutage_lapsedOnesAreKeptAndRemovedOnesGoInTime")
+{
+    for (const char *id : {"lapsed", "dead", "silent", "released"}) {
+        this->putTarget(id, "ready");
+    }
+    this->start(1500ms);
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("released", false);
+    }));
+    this->store->faults.down = true;
+    removeKey(*this->store, "servers/lapsed");
+    removeKey(*this->store, "servers/dead");
+    REQUIRE(this->runUntil([this] {
+        return this->snapshot->storeAway;
+    }));
+    this->store->faults.down = false;
+    REQUIRE(this->runUntil([this] {
+        return !this->snapshot->storeAway;
+    }));
+    const TimePoint returnedAt = BootClock::now();
+    this->runFor(500ms);
+    CHECK(this->hasTarget("lapsed", false));
+    CHECK(this->hasTarget("dead", false));
+    this->putTarget("released", "ready");
+    this->runFor(100ms);
+    removeKey(*this->store, "servers/released");
+    CHECK(this->runUntil(
+        [this] {
+            return !this->hasTarget("released", false);
+        },
+        500ms));
+    this->putTarget("lapsed", "ready");
+    removeKey(*this->store, "servers/silent"); // Its entry lapses only now, and it has not written since.
+    this->runFor(100ms);
+    CHECK(this->hasTarget("silent", false));
+    CHECK(this->runUntil(
+        [this] {
+            return !this->hasTarget("silent", false) && !this->hasTarget("dead", false);
+        },
+        2000ms));
+    CHECK(BootClock::now() - returnedAt >= 1400ms);
+    CHECK(BootClock::now() - returnedAt < 1900ms);
+    CHECK(this->hasTarget("lapsed", false));
+}
+
+// Guards against a grace period that ends while the service is away again, so that live targets are dropped.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_secondOutageInTheGracePeriod_lapsedTargetsAreKeptUntilAfterIt")
+{
+    this->putTarget("lapsed", "ready");
+    this->start(600ms);
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("lapsed", false);
+    }));
+    for (unsigned outage = 0; outage < 2; ++outage) {
+        this->store->faults.down = true;
+        removeKey(*this->store, "servers/lapsed");
+        REQUIRE(this->runUntil([this] {
+            return this->snapshot->storeAway;
+        }));
+        this->runFor(400ms);
+        this->store->faults.down = false;
+        REQUIRE(this->runUntil([this] {
+            return !this->snapshot->storeAway;
+        }));
+        this->runFor(200ms);
+        CHECK(this->hasTarget("lapsed", false));
+    }
+    this->putTarget("lapsed", "ready");
+    this->runFor(800ms);
+    CHECK(this->hasTarget("lapsed", false));
+}
+
 // Guards against one failed call that stands for an outage of the service, and against an outage that nobody notices.
 TEST_CASE_METHOD(ControllerFixture, "fleetController_watchFails_isAwayOnlyWhenNothingIsAnswered")
 {
--- a/tests/test_store_outage.cpp
+++ b/tests/test_store_outage.cpp
@@ -1,4 +1,4 @@
-/** @file test_store_outage.cpp Outages of the key-value service, told from single failed calls. */
+/** @file test_store_outage.cpp Outages of the key-value service, told from single failed calls, and entries that lapsed in them, told from removed ones. */
 #include "policy/store_outage_func.h"
 
 #include <catch2/catch.hpp>
@@ -43,3 +43,25 @@
     CHECK_FALSE(isStoreAway(this->contact, this->now));
     CHECK_FALSE(this->answerAfter(100ms));
 }
+
+// Guards against removals that are taken for the work of an outage that did not happen.
+TEST_CASE_METHOD(StoreOutageFixture, "mayHaveLapsed_noOutage_isFalse")
+{
+    this->answerAfter(0ms);
+    this->answerAfter(2000ms);
+    CHECK_FALSE(mayHaveLapsed(this->contact, {.writtenRevision = 5, .returnRevision = 0}, this->now, 2s));
+    CHECK_FALSE(mayHaveLapsed(this->contact, {.writtenRevision = 0, .returnRevision = 0}, this->now, 2s));
+}
+
+TEST_CASE_METHOD(StoreOutageFixture, "mayHaveLapsed_afterAnOutage_dependsOnTheLastWriteAndTheGracePeriod")
+{
+    this->answerAfter(0ms);
+    this->answerAfter(5000ms);
+    const EntryRemoval silent{.writtenRevision = 90, .returnRevision = 100};
+    const EntryRemoval atReturn{.writtenRevision = 100, .returnRevision = 100};
+    const EntryRemoval writtenSince{.writtenRevision = 101, .returnRevision = 100};
+    CHECK(mayHaveLapsed(this->contact, silent, this->now + 1999ms, 2s));
+    CHECK(mayHaveLapsed(this->contact, atReturn, this->now + 1999ms, 2s));
+    CHECK_FALSE(mayHaveLapsed(this->contact, silent, this->now + 2000ms, 2s));
+    CHECK_FALSE(mayHaveLapsed(this->contact, writtenSince, this->now, 2s));
+}
