Fix: skylarkd resumes the items of a job that was cancelled while the host was suspended

What callers could see: a host is cut off or paused past its lease and suspends its items; meanwhile the job is cancelled elsewhere. When the lease is renewed the host verifies its claims of the groups, which a cancel does not change, and starts the items again on the job state of before, until the relay of the jobs reaches it. Found by looking for the cause on related paths; no process run has shown it.

Change: the verification of a group after a lease expiry also reads the job's record, one call a held group and expiry, and no item starts before it says that the job is active. A live host needs no such read: hosts of each failure domain watch the records linearizably and relay changes in under a second.

--- a/src/batch/claims.cpp
+++ b/src/batch/claims.cpp
@@ -92,6 +92,20 @@
     addCounter(*state.context.metrics, "skylark_batch_claim_conflicts_total");
 }
 
+/** @return Whether the record of @p job in the key-value service is active; nothing when it could not be read. */
+asio::awaitable<std::optional<bool>> readJobActive(BatchStatePtr state, JobId job)
+{
+    co_await throttleKvCall(state);
+    auto entry = co_await kvGet(*state->kv, batchJobKey(job));
+    recordKvOutcome(*state, isOk(entry) ? std::nullopt : std::optional(errorOf(entry).code));
+    if (!isOk(entry)) {
+        co_return std::nullopt;
+    }
+    const auto record =
+        valueOf(entry) ? parseBatchJob(job, valueOf(entry)->value, valueOf(entry)->version) : Result<JobRecord>(makeError(ErrorCode::NotFound, "no record"));
+    co_return isOk(record) && valueOf(record).state == JobState::Active;
+}
+
 /** Decides about a claim and writes it if need be. @return The error of the write, if any. */
 asio::awaitable<std::optional<Error>> tryClaim(BatchStatePtr state, JobId job, std::uint32_t index, std::optional<VersionedGroup> present, bool sessionsKnown)
 {
@@ -184,6 +198,18 @@
         requestScan(*state, group->job->id);
         co_return;
     }
+    // The job may have been cancelled while this host was cut off or paused; a cancel does not change the records of groups.
+    group->verifying = true;
+    const std::optional<bool> active = co_await readJobActive(state, group->job->id);
+    group->verifying = false;
+    if (!active || group->phase == GroupPhase::Dropped || leaseExpiries != state->leaseExpiries) {
+        co_return;
+    }
+    if (!*active) {
+        state->endedJobs.insert(group->job->id);
+        wakeExecutionLoop(*state);
+        co_return;
+    }
     group->record = valueOf(record);
     group->version = valueOf(entry)->version;
     group->unverified = false;
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -454,6 +454,36 @@
     CHECK(this->host().metric("skylark_batch_tokens_resumed_total") > 0);
 }
 
+// Guards against items that run again after a pause or a cut of their host, in which their job was cancelled by another host.
+TEST_CASE_METHOD(BatchFixture, "job_cancelledWhileItsHostWasSuspended_isNotResumedOnTheStaleState")
+{
+    this->addEngine("e1", {"--slots=8", "--time_scale=4"});
+    const JobId job = this->submitAccepted("evening", jobBody(40, 50));
+    REQUIRE(this->driveUntil([this] {
+        return this->host().streams() == 8;
+    }));
+    this->host().renewing = false;
+    this->host().view.leaseDeadline = BootClock::now();
+    this->host().publish();
+    this->driveFor(300ms);
+    REQUIRE(this->host().streams() == 0);
+    const json::value before = this->callJson(this->platform.endpoint, "GET", "/kv/" + batchJobKey(job));
+    auto record = parseBatchJob(job, json::serialize(before), KvVersion{1});
+    REQUIRE(isOk(record));
+    valueOf(record).state = JobState::Cancelled;
+    this->put(batchJobKey(job), renderBatchJob(valueOf(record)));
+    this->host().renewing = true;
+    this->host().publish();
+    unsigned streams = 0;
+    this->driveUntil(
+        [this, &streams] {
+            streams = std::max(streams, static_cast<unsigned>(this->host().streams()));
+            return false;
+        },
+        2s);
+    CHECK(streams == 0);
+}
+
 // Guards against a second completion when a host renews its lease after its session key was gone and its group was taken over.
 TEST_CASE_METHOD(BatchFixture, "job_holderSessionGone_otherHostTakesOverAndHolderDrops")
 {
