Codechange: A call to the service confirms a job's record only if the registry has taken its revision

confirmRecord() takes the revision that the call showed: a record that could not be decoded is refused by the registry, and the older one that it keeps must not pass for the present one.

--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -27,7 +27,7 @@
     std::set<TargetId> expiredTargets; ///< Those of usableTargets that have no entry; removed at the end of the grace period.
     std::map<TargetId, std::uint64_t> entryRevisions; ///< Revision at which each of usableTargets last wrote its entry, as far as it was read.
     std::uint64_t returnRevision{0}; ///< Revision of the first update of the target list after the last outage.
-    TimePoint listedAfterReturn{}; ///< End of the outage to which returnRevision belongs.
+    TimePoint returnOfRevision{}; ///< Return of the service for which returnRevision was recorded.
     TimePoint unreachableSince{}; ///< Start of the current outage, or of the last one.
     bool reachable{true}; ///< Whether the last call to the service succeeded.
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -93,10 +93,10 @@
 /** Keeps the revision of the first update of the target list after an outage. */
 void recordReturn(FleetController::Impl &impl, const KeyMirrorUpdate &update)
 {
-    if (impl.listedAfterReturn == impl.contact.returnedAt) {
+    if (impl.returnOfRevision == impl.contact.returnedAt) {
         return;
     }
-    impl.listedAfterReturn = impl.contact.returnedAt;
+    impl.returnOfRevision = impl.contact.returnedAt;
     impl.returnRevision = impl.targets->revision;
     for (const KvItem &item : update.changed) {
         impl.returnRevision = std::max(impl.returnRevision, item.revision);
--- a/src/job/job_accept.cpp
+++ b/src/job/job_accept.cpp
@@ -67,7 +67,7 @@
         applyItem(*registry->mirror, item);
         if (isJobRecordKey(item.key)) {
             applyJobRecord(registry, item);
-            confirmRecord(*registry, jobOfRecordKey(item.key), startedAt);
+            confirmRecord(*registry, jobOfRecordKey(item.key), item.revision, startedAt);
         }
     }
     co_return Done{};
--- a/src/job/job_owner_writes.cpp
+++ b/src/job/job_owner_writes.cpp
@@ -121,7 +121,8 @@
     const std::string key = jobRecordKey(job);
     const std::string value = encodeStoredJob(record);
     KvTransaction transaction;
-    transaction.conditions.push_back({key, found->second.revision});
+    const std::uint64_t revision = found->second.revision;
+    transaction.conditions.push_back({key, revision});
     transaction.writes.push_back({jobCheckpointKey(job), encodeCheckpoints(checkpoints, maxCheckpointBytes), 0});
     if (release) {
         transaction.writes.push_back({key, value, 0});
@@ -138,7 +139,7 @@
     if (release) {
         applyOwnWrite(registry, key, value, valueOf(outcome).revision, startedAt);
     }
-    confirmRecord(*registry, job, startedAt);
+    confirmRecord(*registry, job, revision, startedAt);
     co_return Done{};
 }
 
--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -129,9 +129,9 @@
     wakeWaitingReads(*registry);
 }
 
-void confirmRecord(JobRegistry &registry, const JobId &job, TimePoint startedAt)
+void confirmRecord(JobRegistry &registry, const JobId &job, std::uint64_t revision, TimePoint startedAt)
 {
-    if (const auto found = registry.jobs.find(job); found != registry.jobs.end()) {
+    if (const auto found = registry.jobs.find(job); found != registry.jobs.end() && found->second.revision >= revision) {
         found->second.confirmedAt = std::max(found->second.confirmedAt, startedAt);
     }
 }
@@ -141,7 +141,7 @@
     for (const KvItem &item : refused.currentItems) {
         if (isJobRecordKey(item.key)) {
             applyJobRecord(registry, item);
-            confirmRecord(*registry, jobOfRecordKey(item.key), startedAt);
+            confirmRecord(*registry, jobOfRecordKey(item.key), item.revision, startedAt);
         }
     }
 }
@@ -157,7 +157,7 @@
         co_return false;
     }
     applyJobRecord(registry, *valueOf(item));
-    confirmRecord(*registry, job, startedAt);
+    confirmRecord(*registry, job, valueOf(item)->revision, startedAt);
     co_return registry->jobs.contains(job);
 }
 
@@ -179,7 +179,7 @@
     const KvItem item{key, value, revision, false};
     applyItem(*registry->mirror, item);
     applyJobRecord(registry, item);
-    confirmRecord(*registry, jobOfRecordKey(key), startedAt);
+    confirmRecord(*registry, jobOfRecordKey(key), revision, startedAt);
     announceChange(*registry, item);
 }
 
--- a/src/job/job_registry_base.h
+++ b/src/job/job_registry_base.h
@@ -166,7 +166,8 @@
 /** Applies a record to the registry if it is newer than what the registry holds. */
 void applyJobRecord(const std::shared_ptr<JobRegistry> &registry, const KvItem &item);
 
-/** Records that a call to the service, begun at @p startedAt, showed the present record of @p job, and that the record was applied. */
-void confirmRecord(JobRegistry &registry, const JobId &job, TimePoint startedAt);
+/** Records that a call to the service, begun at @p startedAt, showed that the record of @p job has @p revision. Without effect if the registry holds an older
+ * one. */
+void confirmRecord(JobRegistry &registry, const JobId &job, std::uint64_t revision, TimePoint startedAt);
 
 } // namespace skylark
