Fix: A free slot makes an owner read the records of all its waiting jobs

What callers saw: nothing; the store did.

Cause: an item whose job's record is too old left its slot to the next one in order, whose record is as old, and so on: one slot, a read for each waiting job.

Change: the slot is kept for the item in the round in which its record is read, so that a round reads no more records than there are slots; the next round starts the item, in the order of due times. A read that is still in progress then leaves the slot to others.

--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -161,17 +161,18 @@
     co_return registry->jobs.contains(job);
 }
 
-void refreshRecord(const std::shared_ptr<JobRegistry> &registry, const JobId &job)
+bool refreshRecord(const std::shared_ptr<JobRegistry> &registry, const JobId &job)
 {
     const auto found = registry->jobs.find(job);
     if (found == registry->jobs.end() || found->second.fetching || BootClock::now() < registry->nextRefreshAt) {
-        return;
+        return false;
     }
     found->second.fetching = true;
     // Later, because the caller may iterate over jobs, which the read can change.
     asio::post(registry->executor, [registry, job] {
         asio::co_spawn(registry->executor, readRecord(registry, job), asio::detached);
     });
+    return true;
 }
 
 void applyOwnWrite(const std::shared_ptr<JobRegistry> &registry, const std::string &key, const std::string &value, std::uint64_t revision, TimePoint startedAt)
--- a/src/job/job_registry_base.h
+++ b/src/job/job_registry_base.h
@@ -140,9 +140,9 @@
 
 /**
  * Starts a linearizable read of one record unless one is in progress or the last one of any job has just failed. A record that is gone is removed from the
- * registry.
+ * registry. @return Whether a read was started.
  */
-void refreshRecord(const std::shared_ptr<JobRegistry> &registry, const JobId &job);
+bool refreshRecord(const std::shared_ptr<JobRegistry> &registry, const JobId &job);
 
 /** Updates the registry and its mirror with a record that this host has just written, and announces it. @param startedAt Start of the write. */
 void applyOwnWrite(const std::shared_ptr<JobRegistry> &registry, const std::string &key, const std::string &value, std::uint64_t revision, TimePoint startedAt);
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -233,8 +233,8 @@
         }
         const KnownJob &known = runner->registry->jobs.at(item.job);
         if (!mayStartOnRecord(now - known.confirmedAt, runner->maxRecordAge, runner->proxy->fleet->storeAway)) {
-            // The slot is left to others until the record has been read.
-            refreshRecord(runner->registry, item.job);
+            // The slot is kept for the item in this round, so that no more records are read than there are slots. A slow read leaves it to others.
+            offer->slots.items -= refreshRecord(runner->registry, item.job) ? 1 : 0;
             continue;
         }
         recordItemStart(*runner, trials, item);
--- a/tests/test_job_end.cpp
+++ b/tests/test_job_end.cpp
@@ -116,6 +116,24 @@
     CHECK(this->store->counts.gets <= (BootClock::now() - startedAt) / 400ms + 1);
 }
 
+// Guards against reads of the records of all waiting jobs whenever one slot is free: each of them would be the next one in its turn.
+TEST_CASE_METHOD(JobEndFixture, "jobs_manyWaitForFewSlots_noMoreRecordsAreReadThanThereAreSlots")
+{
+    this->startJob({.events = 30, .step = 10ms});
+    constexpr unsigned waiting = 40;
+    for (unsigned i = 0; i < waiting; ++i) {
+        REQUIRE(this->submit(*this->a, "w" + std::to_string(i), 1).status == 202);
+    }
+    this->a->runner->impl->maxRecordAge = 100ms;
+    this->runFor(150ms);
+    this->store->counts = {};
+    const std::size_t before = this->startedItems();
+    REQUIRE(this->runUntil([this, before] {
+        return this->startedItems() >= before + slots;
+    }));
+    CHECK(this->store->counts.gets <= 2 * slots);
+}
+
 // Guards against an owner that reads a removed record again and again.
 TEST_CASE_METHOD(JobEndFixture, "job_itsRecordIsGone_ownerDropsIt")
 {
