Codechange: Types, datagrams and settings for workspaces with API keys and request quotas

The parts of workspaces, quotas and placement share these types; nothing uses them yet. Checked by a syntax check of the changed files only; tests follow with each part.

--- a/src/entry/entry_host_func.h
+++ b/src/entry/entry_host_func.h
@@ -11,6 +11,16 @@
 
 namespace skylark {
 
+/** Limits of a deployment on callers with API keys. */
+struct AccessLimits {
+    bool revokesEverywhere{false}; ///< Whether a revoked key must be refused by hosts that cannot reach the key-value service, too.
+    std::chrono::milliseconds revocationLimit{5000}; ///< Time after which no request with a revoked key may run.
+    std::chrono::milliseconds configLimit{3000}; ///< Time after which a new configuration must be in force.
+    std::chrono::milliseconds quotaWindow{5000}; ///< Any time of this length, in which a request quota is counted.
+    double quotaOverage{0.1}; ///< Share by which a quota may be exceeded.
+    double quotaSlack{20}; ///< Requests by which a request quota may be exceeded in addition.
+};
+
 /** Settings of an entry host. */
 struct EntrySettings {
     HostId host; ///< Host name, unique in the fleet.
@@ -26,6 +36,7 @@
     std::chrono::milliseconds stopLimit{8000}; ///< Time from SIGTERM until the platform kills the process.
     std::size_t maxDescriptors{4096}; ///< Maximum number of open file descriptors of the process.
     std::uint64_t memoryMegabytes{0}; ///< Memory limit of the process; 0 when unknown. Only logged.
+    AccessLimits access;
 };
 
 /** Wire formats and clients of a deployment platform. */
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -45,7 +45,9 @@
     bool resumable{false}; ///< Whether a stream may be continued on another target.
     std::chrono::milliseconds completionTarget{0}; ///< Batch: time from the submission of a job until all of its results are due.
     std::chrono::milliseconds retention{0}; ///< Batch: time from the submission of a job after which its unfinished items may be abandoned.
-    std::uint64_t maxWaitingTokens{0}; ///< Batch: maximum tokens of all unfinished items on the route; 0 for no limit.
+    std::uint64_t maxWaitingTokens{0}; ///< Batch: maximum tokens of all unfinished items on the route, of each workspace if there are any; 0 for no limit.
+    bool isPublic{false}; ///< Whether requests need no API key.
+    bool sessionAffinity{false}; ///< Whether requests name the parts of their prompts, which targets may still hold.
 };
 
 /** @return Whether a request of @p route may run more than once. */
@@ -54,6 +56,20 @@
     return route.kind == CallKind::Safe || route.kind == CallKind::Batch || (route.kind == CallKind::Stream && route.resumable);
 }
 
+/** A workspace whose callers may use the routes that are not public. */
+struct WorkspaceRule {
+    WorkspaceId id;
+    std::vector<std::string> keys; ///< API keys of its callers.
+    unsigned priority{0}; ///< 0 is the most urgent; goes before the priority of the route.
+    double ratePerSecond{0}; ///< Requests a second that it may send to all hosts together; 0 for no limit.
+    double burst{0}; ///< Requests that it may send at once beyond the rate.
+};
+
+/** A service of the configuration. */
+struct ServiceRule {
+    std::uint64_t cacheTokens{0}; ///< Tokens that the memory of a target holds for running requests and kept prompt parts; 0 when unknown.
+};
+
 /** Limits on the requests and connections of callers. */
 struct CallerLimits {
     std::size_t maxHeaderBytes{16384}; ///< Maximum size of a request head.
@@ -67,6 +83,8 @@
     Revision version; ///< Increases with each configuration; 0 when there is none.
     std::vector<RouteRule> routes;
     CallerLimits limits;
+    std::optional<std::vector<WorkspaceRule>> workspaces; ///< Empty when callers need no API key.
+    std::map<ServiceId, ServiceRule> services; ///< Services that the configuration describes.
 };
 
 /** One live target. */
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -90,6 +90,8 @@
   soundParts @17 :List(SoundPart);
   quarantinedParts @18 :List(QuarantinedPart);
   limits @19 :List(TargetLimit);
+  configProven @20 :Bool;  # Whether configProofAgeMs is set.
+  configProofAgeMs @21 :UInt32;  # Age of the sender's proof that its configuration is the newest.
 }
 
 struct YieldRequest {
@@ -98,10 +100,29 @@
   slots @2 :UInt32;
 }
 
+# Asks a holder of a workspace's request quota for tokens.
+struct QuotaRequest {
+  from @0 :Text;
+  workspace @1 :Text;
+  number @2 :UInt64;  # Number of the request among those of the sender's process.
+  tokens @3 :UInt32;
+}
+
+# Answer to a QuotaRequest.
+struct QuotaGrant {
+  from @0 :Text;
+  workspace @1 :Text;
+  number @2 :UInt64;  # Number of the request.
+  tokens @3 :UInt32;  # Tokens given; 0 when the holder has none.
+  retryAfterMs @4 :UInt32;  # Time until the holder has a token for the sender, if it gave none.
+}
+
 struct Datagram {
   union {
     status @0 :HostStatus;
     yield @1 :YieldRequest;
+    quotaRequest @2 :QuotaRequest;
+    quotaGrant @3 :QuotaGrant;
   }
 }
 
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -1,4 +1,4 @@
-/** @file status_codec.cpp Encoding and decoding of status and yield datagrams. */
+/** @file status_codec.cpp Encoding and decoding of the datagrams between hosts. */
 #include "peer/status_codec_func.h"
 
 #include "peer.capnp.h"
@@ -68,10 +68,14 @@
     return model;
 }
 
+std::uint32_t millisecondsOnWire(std::chrono::milliseconds time)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 std::uint32_t ageMs(TimePoint since, TimePoint now)
 {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+    return millisecondsOnWire(std::chrono::duration_cast<std::chrono::milliseconds>(now - since));
 }
 
 void writeTarget(wire::TargetStatus::Builder out, const TargetStatus &target, TimePoint now)
@@ -250,6 +254,8 @@
     writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
     writeQuarantine(out, status.quarantine, now);
     writeLimits(out, status.limits, now);
+    out.setConfigProven(status.configProofAge.has_value());
+    out.setConfigProofAgeMs(millisecondsOnWire(status.configProofAge.value_or(std::chrono::milliseconds(0))));
     return pack(message);
 }
 
@@ -278,6 +284,9 @@
     status.freeByModel = readCounts<ModelId>(in.getFreeByModel());
     status.quarantine = readQuarantine(in, now);
     status.limits = readLimits(in, now);
+    if (in.getConfigProven()) {
+        status.configProofAge = std::chrono::milliseconds(in.getConfigProofAgeMs());
+    }
     return status;
 }
 
@@ -294,6 +303,19 @@
         const auto yield = in.getYield();
         return Datagram(YieldMessage{HostId{textOf(yield.getFrom())}, TargetId{textOf(yield.getTarget())}, yield.getSlots()});
     }
+    if (in.isQuotaRequest()) {
+        const auto request = in.getQuotaRequest();
+        return Datagram(
+            QuotaRequestMessage{HostId{textOf(request.getFrom())}, WorkspaceId{textOf(request.getWorkspace())}, request.getNumber(), request.getTokens()});
+    }
+    if (in.isQuotaGrant()) {
+        const auto grant = in.getQuotaGrant();
+        return Datagram(QuotaGrantMessage{HostId{textOf(grant.getFrom())},
+                                          WorkspaceId{textOf(grant.getWorkspace())},
+                                          grant.getNumber(),
+                                          grant.getTokens(),
+                                          std::chrono::milliseconds(grant.getRetryAfterMs())});
+    }
     return makeError(ErrorCode::ProtocolError, "unknown kind of datagram");
 }
 
@@ -321,6 +343,29 @@
     return pack(builder);
 }
 
+std::string encodeQuotaRequest(const QuotaRequestMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto out = builder.initRoot<wire::Datagram>().initQuotaRequest();
+    out.setFrom(message.from.value);
+    out.setWorkspace(message.workspace.value);
+    out.setNumber(message.number);
+    out.setTokens(message.tokens);
+    return pack(builder);
+}
+
+std::string encodeQuotaGrant(const QuotaGrantMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto out = builder.initRoot<wire::Datagram>().initQuotaGrant();
+    out.setFrom(message.from.value);
+    out.setWorkspace(message.workspace.value);
+    out.setNumber(message.number);
+    out.setTokens(message.tokens);
+    out.setRetryAfterMs(millisecondsOnWire(message.retryAfter));
+    return pack(builder);
+}
+
 Result<Datagram> decodeDatagram(std::string_view bytes, TimePoint now)
 {
     capnp::ReaderOptions options;
--- a/src/peer/status_codec_func.h
+++ b/src/peer/status_codec_func.h
@@ -1,4 +1,4 @@
-/** @file status_codec_func.h Encoding and decoding of status and yield datagrams. */
+/** @file status_codec_func.h Encoding and decoding of the datagrams between hosts. */
 #pragma once
 
 #include "core/clock_func.h"
@@ -15,7 +15,7 @@
 inline constexpr std::size_t maxDatagramBytes = 32768;
 
 /** Content of one datagram. */
-using Datagram = std::variant<HostStatus, YieldMessage>;
+using Datagram = std::variant<HostStatus, YieldMessage, QuotaRequestMessage, QuotaGrantMessage>;
 
 /**
  * Encodes a status datagram. If not all targets fit into maxDatagramBytes, their number is halved until they do; the first one then depends on the
@@ -28,6 +28,12 @@
 /** Encodes a yield datagram. @return Packed message. */
 [[nodiscard]] std::string encodeYield(const YieldMessage &message);
 
+/** Encodes a request for quota tokens. @return Packed message. */
+[[nodiscard]] std::string encodeQuotaRequest(const QuotaRequestMessage &message);
+
+/** Encodes a grant of quota tokens. @return Packed message. */
+[[nodiscard]] std::string encodeQuotaGrant(const QuotaGrantMessage &message);
+
 /** Decodes a datagram. The arrival time of each load report is computed as @p now minus its age. @return The content, or ProtocolError. */
 [[nodiscard]] Result<Datagram> decodeDatagram(std::string_view bytes, TimePoint now);
 
--- a/src/peer/status_exchange.cpp
+++ b/src/peer/status_exchange.cpp
@@ -1,4 +1,4 @@
-/** @file status_exchange.cpp UDP socket for status and yield datagrams. */
+/** @file status_exchange.cpp UDP socket for the datagrams between hosts. */
 #include "peer/status_exchange_func.h"
 
 #include "peer/status_codec_func.h"
@@ -56,6 +56,10 @@
         impl.handlers.onStatus(std::move(*status));
     } else if (auto *yield = std::get_if<YieldMessage>(&valueOf(datagram)); yield != nullptr && impl.handlers.onYield) {
         impl.handlers.onYield(std::move(*yield));
+    } else if (auto *request = std::get_if<QuotaRequestMessage>(&valueOf(datagram)); request != nullptr && impl.handlers.onQuotaRequest) {
+        impl.handlers.onQuotaRequest(std::move(*request), {impl.sender.address().to_string(), impl.sender.port()});
+    } else if (auto *grant = std::get_if<QuotaGrantMessage>(&valueOf(datagram)); grant != nullptr && impl.handlers.onQuotaGrant) {
+        impl.handlers.onQuotaGrant(std::move(*grant));
     }
 }
 
@@ -145,6 +149,16 @@
     sendDatagram(*exchange.impl, encodeYield(message), peer);
 }
 
+void sendQuotaRequest(StatusExchange &exchange, const QuotaRequestMessage &message, const Endpoint &peer)
+{
+    sendDatagram(*exchange.impl, encodeQuotaRequest(message), peer);
+}
+
+void sendQuotaGrant(StatusExchange &exchange, const QuotaGrantMessage &message, const Endpoint &peer)
+{
+    sendDatagram(*exchange.impl, encodeQuotaGrant(message), peer);
+}
+
 StatusCounts statusCounts(const StatusExchange &exchange)
 {
     return exchange.impl->counts;
--- a/src/peer/status_exchange_func.h
+++ b/src/peer/status_exchange_func.h
@@ -1,4 +1,4 @@
-/** @file status_exchange_func.h Sends and receives status and yield datagrams (Cap'n Proto messages over UDP). */
+/** @file status_exchange_func.h Sends and receives the datagrams between hosts (Cap'n Proto messages over UDP). */
 #pragma once
 
 #include "core/result_type.h"
@@ -15,6 +15,8 @@
 struct StatusHandlers {
     std::function<void(HostStatus)> onStatus; ///< Receives the status of another host.
     std::function<void(YieldMessage)> onYield; ///< Receives a request to release slots of a target.
+    std::function<void(QuotaRequestMessage, Endpoint sender)> onQuotaRequest; ///< Receives a request for quota tokens, and the address to answer to.
+    std::function<void(QuotaGrantMessage)> onQuotaGrant; ///< Receives the answer to a request for quota tokens.
 };
 
 /** Counters of one exchange. Bytes count the payload of datagrams. */
@@ -42,6 +44,12 @@
 /** Asks @p peer to release slots of a target. Errors are ignored. */
 void sendYield(StatusExchange &exchange, const YieldMessage &message, const Endpoint &peer);
 
+/** Asks @p peer for tokens of a workspace's quota. Errors are ignored. */
+void sendQuotaRequest(StatusExchange &exchange, const QuotaRequestMessage &message, const Endpoint &peer);
+
+/** Answers a request for tokens. Errors are ignored. */
+void sendQuotaGrant(StatusExchange &exchange, const QuotaGrantMessage &message, const Endpoint &peer);
+
 [[nodiscard]] StatusCounts statusCounts(const StatusExchange &exchange);
 
 /** @return The port that the socket is bound to, which the system chose if port 0 was requested. */
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -5,6 +5,7 @@
 #include "policy/crash_quarantine_type.h"
 #include "policy/rate_limit_type.h"
 
+#include <optional>
 #include <vector>
 
 namespace skylark {
@@ -36,9 +37,27 @@
     std::vector<std::pair<JobId, std::uint64_t>> jobRevisions; ///< Record revisions of jobs that the host owns or has just changed.
     std::chrono::milliseconds sentAt{0}; ///< Steady clock of the sender when it encoded the datagram.
     std::vector<LimitObservation> limits; ///< Rate limits that targets named to the host.
+    std::optional<std::chrono::milliseconds> configProofAge; ///< Age of the host's proof that its configuration is the newest; empty without one.
     QuarantineReport quarantine; ///< Crashes of targets that the host saw, and quarantined prompt parts.
 };
 
+/** Request for tokens of a workspace's request quota, sent to a host that holds a part of the quota. */
+struct QuotaRequestMessage {
+    HostId from; ///< Sender.
+    WorkspaceId workspace;
+    std::uint64_t number{0}; ///< Number of the request among those of the sender's process.
+    unsigned tokens{1}; ///< Tokens asked for, one a request.
+};
+
+/** Answer to a QuotaRequestMessage. */
+struct QuotaGrantMessage {
+    HostId from; ///< Sender.
+    WorkspaceId workspace;
+    std::uint64_t number{0}; ///< Number of the request that is answered.
+    unsigned tokens{0}; ///< Tokens granted; 0 when the sender has none.
+    std::chrono::milliseconds retryAfter{0}; ///< Time until the sender has a token for the receiver, if it granted none.
+};
+
 /** Request to the batch owner of a target to release slots for online work. */
 struct YieldMessage {
     HostId from; ///< Sender.
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -29,6 +29,7 @@
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer; empty when the request does not say.
     std::uint64_t lastEventId{0}; ///< Last event that the caller received; 0 for none.
     PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
+    WorkspaceId workspace; ///< Workspace of the caller's API key; empty before the key was checked, and where none is needed.
 };
 
 /** Reads the results of a job. */
