Change: Hosts of a large fleet make fewer paid calls to the key-value service

A mirror whose read fails a second time now waits until another call of the host succeeds; the lease renewal notices the end of an outage at a tenth of the price. With more than 16 hosts the host list is watched every 2 s at most, the configuration every third of its limit, and the quarantine entries are read every 10 s instead of being watched; new ones are announced between hosts. Smaller fleets keep their intervals.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -231,6 +231,7 @@
     options.domain = host.settings.domain;
     options.endpoint = host.settings.peers;
     options.drainLimit = host.settings.drainLimit;
+    options.configLimit = host.settings.access.configLimit;
     options.targetHeartbeat = host.settings.targetHeartbeat;
     options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
     options.leaseRenewal = options.leaseTtl / 3;
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::chrono::milliseconds quarantineEntryTtl{600000}; ///< Longest quarantine of a part, and longest lease of the service.
 constexpr std::chrono::milliseconds quarantineWriteInterval{1000}; ///< Interval of attempts to write the entry of a quarantined part.
+constexpr std::chrono::milliseconds quarantinePollInterval{10000}; ///< Interval of cheap reads of all entries; a quarantine lasts for a minute and more.
 constexpr unsigned quarantineWriteAttempts = 30; ///< Covers an outage of half a minute; the hosts remember the part themselves as long as they run.
 
 void onHosts(const ImplPtr &impl, const KeyMirrorUpdate & /*update*/)
@@ -41,6 +42,8 @@
         mirror->options.retryMax = storeRetryMaxFor(impl->options, peers.size() + 1);
     }
     impl->hosts->options.watchInterval = hostWatchIntervalFor(peers.size() + 1);
+    impl->config->options.watchInterval = configWatchIntervalFor(impl->options, peers.size() + 1);
+    impl->quarantine->options.watchEnabled = watchesQuarantine(peers.size() + 1);
     impl->state.peers = std::move(peers);
     impl->state.peersKnown = true;
     publishFleet(*impl);
@@ -95,6 +98,10 @@
             recordStoreSuccess(*strong);
         }
     };
+    mirror->isStoreAnswering = [weak] {
+        const auto strong = weak.lock();
+        return !strong || strong->reachable;
+    };
     mirror->onFailure = [weak](const Error &error) {
         if (const auto strong = weak.lock()) {
             recordStoreFailure(*strong, error);
@@ -131,7 +138,7 @@
     impl->config = startMirror(impl, {.prefix = impl->wire.configKey, .pollInterval = minPollInterval}, onConfig);
     impl->targets =
         startMirror(impl, {.prefix = impl->wire.targetPrefix, .watchInterval = impl->options.targetWatchInterval, .pollInterval = minPollInterval}, onTargets);
-    impl->quarantine = startMirror(impl, {.prefix = std::string(quarantineEntryPrefix)}, onQuarantineEntries);
+    impl->quarantine = startMirror(impl, {.prefix = std::string(quarantineEntryPrefix), .pollInterval = quarantinePollInterval}, onQuarantineEntries);
     impl->hosts = startMirror(impl, {.prefix = std::string(hostEntryPrefix)}, onHosts);
     asio::co_spawn(executor, maintainHostEntry(impl), asio::detached);
     auto controller = std::make_unique<FleetController>();
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -30,6 +30,7 @@
     DomainId domain; ///< Failure domain of this host.
     Endpoint endpoint; ///< Address to which other hosts send status datagrams and from which they pull the configuration.
     std::chrono::milliseconds drainLimit{2000}; ///< Time after which a leaving target must get no new requests.
+    std::chrono::milliseconds configLimit{3000}; ///< Time after which a new configuration must be in force.
     std::chrono::milliseconds targetHeartbeat{1200}; ///< Interval at which targets renew their entries.
     std::chrono::milliseconds targetWatchInterval{700}; ///< Minimum interval between watch calls for the target list in a small fleet.
     std::chrono::milliseconds expiryGrace{2000}; ///< Time after an outage of the service within which live targets write expired entries again.
--- a/src/fleet/fleet_intervals.cpp
+++ b/src/fleet/fleet_intervals.cpp
@@ -31,7 +31,17 @@
 
 std::chrono::milliseconds hostWatchIntervalFor(std::size_t hosts)
 {
-    return std::min(hostWatchIntervalPerHost * static_cast<int>(hosts), maxHostWatchInterval);
+    return hosts <= largeFleetHosts ? hostWatchIntervalPerHost * static_cast<int>(hosts) : maxHostWatchInterval;
+}
+
+std::chrono::milliseconds configWatchIntervalFor(const FleetOptions &options, std::size_t hosts)
+{
+    return hosts <= largeFleetHosts ? std::chrono::milliseconds(0) : options.configLimit / 3;
+}
+
+bool watchesQuarantine(std::size_t hosts)
+{
+    return hosts <= largeFleetHosts;
 }
 
 std::chrono::milliseconds targetWatchIntervalFor(const FleetOptions &options, std::size_t hosts)
--- a/src/fleet/fleet_intervals_func.h
+++ b/src/fleet/fleet_intervals_func.h
@@ -23,6 +23,16 @@
 /** @return Minimum interval between watch calls for the host list. @param hosts Number of hosts of the fleet. */
 [[nodiscard]] std::chrono::milliseconds hostWatchIntervalFor(std::size_t hosts);
 
+/**
+ * @return Minimum interval between watch calls for the configuration. Load: hundreds of hosts that each pay for a call with every change of a quick series. The
+ * hosts of a large fleet learn most versions from one another's status.
+ */
+[[nodiscard]] std::chrono::milliseconds configWatchIntervalFor(const FleetOptions &options, std::size_t hosts);
+
+/** @return Whether the entries of quarantined parts are watched. The hosts of a large fleet tell one another of new ones and only read the entries now and
+ * then. */
+[[nodiscard]] bool watchesQuarantine(std::size_t hosts);
+
 /** @return Minimum interval between watch calls for the target list. A large fleet uses half of the drain limit, because each host pays for each call. */
 [[nodiscard]] std::chrono::milliseconds targetWatchIntervalFor(const FleetOptions &options, std::size_t hosts);
 
--- a/src/fleet/host_entry_upkeep.cpp
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -55,7 +55,10 @@
     while (!impl->leaving) {
         bool failed = false;
         if (impl->lease == 0) {
-            co_await writeHostEntry(impl);
+            const auto written = co_await writeHostEntry(impl);
+            if (isOk(written)) {
+                recordStoreSuccess(*impl);
+            }
         } else {
             failed = !co_await renewHostLease(impl);
             if (impl->lease == 0) {
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -84,6 +84,19 @@
     co_return Done{};
 }
 
+/**
+ * Waits after a failure that followed another one until the service answers other calls. Load: hundreds of hosts with several mirrors each, all of which pay
+ * for reads that fail during an outage, while one cheap call of each host notices its end as soon.
+ */
+asio::awaitable<void> waitForStore(std::shared_ptr<KeyMirror> mirror)
+{
+    constexpr std::chrono::milliseconds checkInterval{100};
+    const TimePoint until = BootClock::now() + mirror->options.maxOutageWait;
+    while (!mirror->stopped && mirror->isStoreAnswering && !mirror->isStoreAnswering() && BootClock::now() < until) {
+        co_await sleepFor(checkInterval);
+    }
+}
+
 } // namespace
 
 std::shared_ptr<KeyMirror> KeyMirror::create(std::shared_ptr<const KvStore> store, KeyMirrorOptions options, std::uint64_t seed)
@@ -216,6 +229,7 @@
 asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror)
 {
     std::chrono::milliseconds delay = mirror->options.retryMin;
+    unsigned failures = 0;
     while (!mirror->stopped) {
         const TimePoint startedAt = BootClock::now();
         Result<Done> outcome = Done{};
@@ -233,6 +247,7 @@
         }
         if (isOk(outcome)) {
             delay = mirror->options.retryMin;
+            failures = 0;
             const auto remaining = mirror->options.watchInterval - (BootClock::now() - startedAt);
             // Pauses for at least half the interval even after a long call, so that the next call returns several changes together.
             if (mirror->options.watchInterval.count() > 0) {
@@ -248,6 +263,9 @@
         }
         co_await sleepFor(addJitter(delay, mirror->random));
         delay = std::min(delay * 2, mirror->options.retryMax);
+        if (++failures > 1) {
+            co_await waitForStore(mirror);
+        }
     }
 }
 
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -20,6 +20,7 @@
     std::chrono::milliseconds pollInterval{0}; ///< Interval of the cheap stale reads that detect a watch which no longer reports changes; 0 disables them.
     std::chrono::milliseconds retryMin{200}; ///< Delay after the first failed call; doubles with each further failure up to retryMax.
     std::chrono::milliseconds retryMax{1000}; ///< Maximum delay after a failed call.
+    std::chrono::milliseconds maxOutageWait{5000}; ///< Maximum time for which a mirror waits until the service answers other calls.
 };
 
 /** Changes since the previous call of the update handler. */
@@ -39,6 +40,7 @@
     std::function<void()> onAnswer; ///< Called before onUpdate when a call succeeded that a service without its latest state could not have answered.
     std::function<void(const KeyMirrorUpdate &)> onUpdate; ///< Called after changes, and after each read of the whole prefix.
     std::function<void(const Error &)> onFailure; ///< Called after each failed call.
+    std::function<bool()> isStoreAnswering; ///< Whether the service answers other calls; after repeated failures the mirror waits for it. May be empty.
     bool stopped{false}; ///< Makes the coroutines return after their current call.
     std::uint64_t random{1}; ///< State of the random number generator for jitter.
 
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -260,6 +260,41 @@
     CHECK(this->becomes("k/a", "2"));
 }
 
+// Guards against hosts whose mirrors all pay for failing reads throughout an outage: after the second failure a mirror waits for another call to succeed.
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_storeDown_readsAgainOnlyOnceTheStoreAnswersOtherCalls")
+{
+    putKey(*this->store, "k/a", "1");
+    this->start({.watchTimeout = 50ms, .retryMin = 10ms, .retryMax = 20ms});
+    REQUIRE(this->becomes("k/a", "1"));
+    bool answering = false;
+    this->mirror->isStoreAnswering = [&answering] {
+        return answering;
+    };
+    this->store->faults.down = true;
+    this->runFor(800ms);
+    CHECK(this->failures == 2);
+    this->store->faults.down = false;
+    putKey(*this->store, "k/a", "2");
+    this->runFor(300ms);
+    CHECK(this->valueOfKey("k/a") == "1");
+    answering = true;
+    CHECK(this->becomes("k/a", "2"));
+}
+
+// Guards against a mirror that stays out of date for good because no other call tells it of the end of an outage.
+TEST_CASE_METHOD(MirrorFixture, "keyMirror_noOtherCallSucceeds_readsAgainAfterTheLongestWait")
+{
+    this->start({.watchTimeout = 50ms, .retryMin = 10ms, .retryMax = 20ms, .maxOutageWait = 200ms});
+    this->mirror->isStoreAnswering = [] {
+        return false;
+    };
+    this->store->faults.down = true;
+    this->runFor(150ms);
+    this->store->faults.down = false;
+    putKey(*this->store, "k/a", "1");
+    CHECK(this->becomes("k/a", "1"));
+}
+
 TEST_CASE_METHOD(MirrorFixture, "keyMirror_staleCheck_doesNotRevertValue")
 {
     putKey(*this->store, "k/a", "1");
@@ -609,6 +644,19 @@
 }
 
 // Guards against watch calls of each of hundreds of hosts for each change of the target list, and against leaving targets that are noticed too late.
+// Guards against a price that grows with hosts times changes: each host of a large fleet pays for a call with every change of a quick series.
+TEST_CASE("watchIntervals_largeFleet_groupChanges", "[fleet]")
+{
+    FleetOptions options;
+    options.configLimit = 3000ms;
+    CHECK(configWatchIntervalFor(options, 64) == 1000ms);
+    CHECK(configWatchIntervalFor(options, 7) == 0ms);
+    CHECK(hostWatchIntervalFor(64) == 2000ms);
+    CHECK(hostWatchIntervalFor(7) == 70ms);
+    CHECK_FALSE(watchesQuarantine(64));
+    CHECK(watchesQuarantine(7));
+}
+
 TEST_CASE("targetWatchIntervalFor_largeFleet_isHalfOfTheDrainLimit", "[fleet]")
 {
     FleetOptions options;
