Feature: Callers of routes that are not public carry an API key, and targets get the name of its workspace

A configuration with tenants admits a request on a route that is not public by exactly one X-Api-Key header whose value is a current key; anything else gets 401, and 503 comes first while the host has no configuration. The key is taken out of the request when it is decoded, so that it reaches no target, log line, metric or error text. The target gets X-Skylarkstage-Tenant from the host alone: what the caller or the author of a batch item sets under either name is dropped, also on public routes. Without tenants both headers are forwarded as before. Keys are found by a seeded digest in a hash table that is built when a configuration is adopted, and compared in constant time.

--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -27,7 +27,7 @@
     EventInfo{EventKind::Ready, "host", "ready", "ready config targets"},
     EventInfo{EventKind::DependencyLost, "store", "dependency_lost", "dependency error detail"},
     EventInfo{EventKind::DependencyBack, "store", "dependency_back", "dependency down_ms"},
-    EventInfo{EventKind::ConfigAdopted, "config", "config_adopted", "version before source routes"},
+    EventInfo{EventKind::ConfigAdopted, "config", "config_adopted", "version before source routes workspaces keys repeated_keys"},
     EventInfo{EventKind::ConfigRefused, "config", "config_refused", "in_force detail"},
     EventInfo{EventKind::TargetChanged, "targets", "target_changed", "state source service domain address"},
     EventInfo{EventKind::TargetRefused, "targets", "target_refused", "detail"},
--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -3,6 +3,7 @@
 
 #include "core/event_log_func.h"
 #include "fleet/route_match_func.h"
+#include "fleet/workspace_func.h"
 
 #include <memory>
 
@@ -45,6 +46,31 @@
     co_await sendJobAnswer(service, responder, answer, "{}", "application/json");
 }
 
+/** Outcome of the check of a caller's key. */
+struct KeyCheck {
+    int status{200}; ///< 200 when the caller is admitted; otherwise the status of the refusal.
+    std::string_view reason; ///< Reason of the refusal.
+    WorkspaceId workspace; ///< Workspace of the key, if the caller is admitted.
+};
+
+/** Finds the workspace of a caller. @param key Key of the caller; empty when it sent none or more than one. */
+KeyCheck checkKey(const RoutingConfig &config, std::string_view key)
+{
+    const WorkspaceRule *workspace = findWorkspace(config, key);
+    if (workspace == nullptr) {
+        return {401, key.empty() ? "no_key" : "unknown_key", {}};
+    }
+    return {200, "admitted", workspace->id};
+}
+
+/** Logs and sends the refusal of a caller whose key does not give access. */
+asio::awaitable<void> refuseKey(ServicePtr service, HttpResponder &responder, const std::string &id, const std::string &route, Revision config, KeyCheck check)
+{
+    logEvent(EventKind::Refused, id, {{"route", route}, {"reason", check.reason}, {"config", config.value}});
+    addCounter(*service->proxy->metrics, "skylark_key_refusals_total", {{"reason", check.reason}});
+    co_await sendFailure(*service->proxy, responder, check.status, check.reason, {});
+}
+
 /** Routes a request: submits it as a job on a batch route, and forwards it to a target on any other route. */
 asio::awaitable<void> handleProxy(ServicePtr service, HttpResponder &responder, ProxyCall call)
 {
@@ -53,7 +79,22 @@
     if (route == nullptr) {
         logEvent(EventKind::Refused, call.id.value, {{"reason", "no_route"}, {"config", config->version.value}});
         co_await sendFailure(*service->proxy, responder, 404, "no_route", {});
-    } else if (route->kind == CallKind::Batch) {
+        co_return;
+    }
+    if (!config->workspaces) {
+        call.headers.insert(call.headers.end(), call.accessHeaders.begin(), call.accessHeaders.end());
+    } else if (!route->isPublic) {
+        const KeyCheck check = checkKey(*config, call.apiKey);
+        if (check.status != statusOk) {
+            co_await refuseKey(service, responder, call.id.value, route->name, config->version, check);
+            co_return;
+        }
+        call.workspace = check.workspace;
+    }
+    call.apiKey.clear();
+    call.accessHeaders.clear();
+    // Admission against the request quota of call.workspace belongs here: the key is checked, and nothing has been forwarded yet.
+    if (route->kind == CallKind::Batch) {
         co_await submitJob(service, responder, std::move(call), *route);
     } else {
         // A named variable, because g++ 12 destroys an aggregate temporary in a co_await expression twice.
--- a/src/fleet/fleet_config.cpp
+++ b/src/fleet/fleet_config.cpp
@@ -3,6 +3,7 @@
 
 #include "core/event_log_func.h"
 #include "core/invariant_func.h"
+#include "fleet/workspace_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,7 +32,16 @@
         return;
     }
     SKY_INVARIANT(Promise::ConfigForward, config.version > before || !impl.state.config);
-    logEvent(EventKind::ConfigAdopted, {}, {{"version", config.version.value}, {"before", before.value}, {"source", source}, {"routes", config.routes.size()}});
+    indexWorkspaces(config);
+    logEvent(EventKind::ConfigAdopted,
+             {},
+             {{"version", config.version.value},
+              {"before", before.value},
+              {"source", source},
+              {"routes", config.routes.size()},
+              {"workspaces", config.workspaces ? config.workspaces->size() : 0},
+              {"keys", config.keys ? config.keys->entries.size() : 0},
+              {"repeated_keys", config.keys ? config.keys->repeated : 0}});
     setGauge(*impl.metrics, "skylark_config_version", {}, static_cast<double>(config.version.value));
     impl.state.config = std::make_shared<const RoutingConfig>(std::move(config));
     impl.state.configDocument = std::make_shared<const std::string>(document);
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -3,6 +3,7 @@
 
 #include "core/clock_func.h"
 #include "core/id_type.h"
+#include "fleet/workspace_type.h"
 #include "http/http_type.h"
 
 #include <chrono>
@@ -84,6 +85,7 @@
     std::vector<RouteRule> routes;
     CallerLimits limits;
     std::optional<std::vector<WorkspaceRule>> workspaces; ///< Empty when callers need no API key.
+    std::shared_ptr<const KeyTable> keys; ///< Keys of the workspaces; null until indexWorkspaces() was called, so that no key is known.
     std::map<ServiceId, ServiceRule> services; ///< Services that the configuration describes.
 };
 
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -70,7 +70,8 @@
     co_return Done{};
 }
 
-ProxyCall makeItemCall(const CallWire &wire, const KnownJob &known, const JobItem &item)
+/** @param removesAccessHeaders Whether callers need keys, so that only the host may name a workspace. */
+ProxyCall makeItemCall(const CallWire &wire, const KnownJob &known, const JobItem &item, bool removesAccessHeaders)
 {
     ProxyCall call;
     call.prompt = wire.readPromptParts(item.headers);
@@ -79,6 +80,9 @@
     call.target = item.path;
     call.host = known.record.host;
     call.headers = item.headers;
+    if (removesAccessHeaders) {
+        wire.removeAccessHeaders(call.headers);
+    }
     call.body = item.body;
     return call;
 }
@@ -193,7 +197,8 @@
         co_return;
     }
     const std::string item = known->second.items[index].id;
-    ProxyCall call = makeItemCall(runner->proxy->wire, known->second, known->second.items[index]);
+    const auto config = runner->proxy->fleet->config;
+    ProxyCall call = makeItemCall(runner->proxy->wire, known->second, known->second.items[index], config && config->workspaces);
     const PromptParts prompt = call.prompt;
     recordTrial(runner->proxy->quarantine, prompt, BootClock::now());
     const Result<Done> outcome = co_await runOnTarget(runner, run, std::move(call), target);
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -25,10 +25,12 @@
     std::string target; ///< Path and query, as received.
     std::string host; ///< Host header, as received.
     HttpHeaders headers; ///< End-to-end headers, without those that the host sets itself on requests to targets.
+    HttpHeaders accessHeaders; ///< Headers with an API key or a workspace, as received; forwarded only where callers need no key.
     std::string body; ///< Complete body.
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer; empty when the request does not say.
     std::uint64_t lastEventId{0}; ///< Last event that the caller received; 0 for none.
     PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
+    std::string apiKey; ///< Key of the caller; empty when there is none or more than one. Must not be logged.
     WorkspaceId workspace; ///< Workspace of the caller's API key; empty before the key was checked, and where none is needed.
 };
 
@@ -37,17 +39,20 @@
     JobId job;
     std::uint64_t after{0}; ///< Number of results to skip; the page begins with the one after them.
     std::chrono::milliseconds wait{0}; ///< Maximum time to wait for a result.
+    std::string apiKey; ///< As in ProxyCall.
 };
 
 /** Reads the body of one item of a job. */
 struct JobItemCall {
     JobId job;
     std::string item; ///< Identifier of the item.
+    std::string apiKey; ///< As in ProxyCall.
 };
 
 /** Cancels a job. */
 struct JobEndCall {
     JobId job;
+    std::string apiKey; ///< As in ProxyCall.
 };
 
 /** A decoded request of a caller. */
@@ -74,6 +79,7 @@
 struct CallWire {
     std::function<Result<CallerCall>(HttpRequest request)> decode; ///< Decodes a caller's request; InvalidRequest when it is malformed.
     std::function<HttpRequest(const ProxyCall &call, const TargetRequestParams &params)> encode; ///< Builds the request that is sent to a target.
+    std::function<void(HttpHeaders &headers)> removeAccessHeaders; ///< Removes headers with an API key or a workspace, which only the host may set.
     std::function<PromptParts(const HttpHeaders &headers)> readPromptParts; ///< Reads the parts of the prompt; malformed ones are left out.
     std::function<AnswerHead(int status, const HttpHeaders &headers)> readAnswerHead; ///< Parses the status and headers of a target's answer.
     std::function<Result<JobSubmission>(const ProxyCall &call)>
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -3,6 +3,7 @@
 
 #include "call_wire_func.h"
 #include "entry/caller_service_func.h"
+#include "fleet/workspace_func.h"
 #include "job/job_runner_func.h"
 #include "memory_store_base.h"
 #include "names.h"
@@ -136,7 +137,9 @@
     void publish(const std::set<SessionId> &registered)
     {
         auto snapshot = std::make_shared<FleetSnapshot>();
-        snapshot->config = std::make_shared<const RoutingConfig>(*this->fixture.config);
+        auto config = std::make_shared<RoutingConfig>(*this->fixture.config);
+        indexWorkspaces(*config);
+        snapshot->config = std::move(config);
         snapshot->targets = std::make_shared<const TargetMap>(*this->fixture.targets);
         snapshot->storeReachable = true;
         snapshot->storeAway = this->storeAway;
