Feature: Hosts prove that their configuration is the newest, and refuse requests with keys without a recent proof

A watch without changes and a stale read say nothing about a removed key, so a host that was cut off, refused by the store or suspended went on to admit it. Where bounds.revoke_everywhere is set and there are workspaces, a host now admits keyed requests only by a proof younger than revoke_ms less 250 ms, and refuses an unknown key for good only by one younger than config_apply_ms; otherwise it answers 503. A proof is the start, on the boot clock, of a transaction without writes whose only condition is the revision of the configuration; it returns a newer document, which is adopted first. The hosts of a failure domain take over one another's proofs from the status datagrams: age as announced, plus the datagram's excess delay, plus 100 ms, and only from senders whose usual delay is known. One host asks each quarter of revoke_ms; the others come later by the logarithm of their rank. Stale reads of the configuration, which carry the document, come once a minute where proofs are kept. A document that cannot be decoded leaves the configuration in force, which is then proved as the newest valid one.

Trials with one guard taken out each, in which test_config_proof failed: age of a known key; of an unknown key; probation of a sender; its end by silence; its restart by a pause; rounding of the age; excess delay; sender without clock; newer version than in force; 100 ms; order of ranks; logarithm of the rank; pause after a failed call; adoption of the newer document; read instead of the transaction; start of the call; no proofs without workspaces; comparison on admission; failed call; older proof; call in progress. In which test_workspace_host failed: announcements ignored; settings ignored.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -25,6 +25,7 @@
     DependencyBack, ///< A dependency answers again.
     ConfigAdopted, ///< A configuration was applied.
     ConfigRefused, ///< A configuration document was rejected.
+    ConfigProof, ///< The configuration became proved to be the newest, or its proof became too old for requests with keys.
     TargetChanged, ///< A target was added, is leaving or was removed.
     TargetRefused, ///< A target entry was rejected.
     TargetEntryMissing, ///< The entry of a target is gone from the service.
--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -4,20 +4,25 @@
 #include "core/event_log_func.h"
 #include "fleet/route_match_func.h"
 #include "fleet/workspace_func.h"
+#include "policy/config_proof_func.h"
 
 #include <memory>
 
 namespace skylark {
 
 namespace asio = boost::asio;
+using std::chrono::milliseconds;
 
 namespace {
 
 using ServicePtr = std::shared_ptr<const CallerService>;
 
-constexpr std::chrono::milliseconds notReadyRetryAfter{500}; ///< Retry-After of responses that are sent before the first configuration is loaded.
+constexpr milliseconds notReadyRetryAfter{500}; ///< Retry-After of responses that are sent before the first configuration is loaded.
 constexpr int statusAccepted = 202;
 constexpr int statusOk = 200;
+constexpr int statusUnauthorized = 401;
+constexpr int statusUnavailable = 503;
+constexpr milliseconds notProvenRetryAfter{500}; ///< Another host may have a proof, and this one asks for one within about a second.
 
 /** Sends the response to a job call. @param type Content type of @p body; a failure is sent without @p body. */
 asio::awaitable<void> sendJobAnswer(ServicePtr service, HttpResponder &responder, const JobAnswer &answer, std::string body, const char *type)
@@ -48,27 +53,43 @@
 
 /** Outcome of the check of a caller's key. */
 struct KeyCheck {
-    int status{200}; ///< 200 when the caller is admitted; otherwise the status of the refusal.
+    int status{statusOk}; ///< 200 when the caller is admitted; otherwise the status of the refusal.
     std::string_view reason; ///< Reason of the refusal.
+    std::optional<milliseconds> retryAfter; ///< Value of the Retry-After header of the refusal; none to omit the header.
     WorkspaceId workspace; ///< Workspace of the key, if the caller is admitted.
+    std::int64_t proofAgeMs{-1}; ///< Age of the proof of the configuration; -1 when there is none.
 };
 
 /** Finds the workspace of a caller. @param key Key of the caller; empty when it sent none or more than one. */
-KeyCheck checkKey(const RoutingConfig &config, std::string_view key)
+KeyCheck checkKey(const CallerService &service, const RoutingConfig &config, std::string_view key)
 {
+    KeyCheck check;
+    const ConfigProofState unproven;
+    const ConfigProofState &proof = service.proof ? *service.proof : unproven;
+    const auto age = proofAge(proof, config.version, BootClock::now());
+    check.proofAgeMs = age ? std::chrono::duration_cast<milliseconds>(*age).count() : -1;
     const WorkspaceRule *workspace = findWorkspace(config, key);
-    if (workspace == nullptr) {
-        return {401, key.empty() ? "no_key" : "unknown_key", {}};
+    const KeyDecision decision = decideKey(proof.limits, workspace != nullptr, age);
+    if (decision == KeyDecision::Admit) {
+        check.workspace = workspace->id;
+    } else if (decision == KeyDecision::Refuse) {
+        check.status = statusUnauthorized;
+        check.reason = key.empty() ? "no_key" : "unknown_key";
+    } else {
+        check.status = statusUnavailable;
+        check.reason = "config_not_proven";
+        check.retryAfter = notProvenRetryAfter;
     }
-    return {200, "admitted", workspace->id};
+    return check;
 }
 
-/** Logs and sends the refusal of a caller whose key does not give access. */
-asio::awaitable<void> refuseKey(ServicePtr service, HttpResponder &responder, const std::string &id, const std::string &route, Revision config, KeyCheck check)
+/** Logs and sends the refusal of a caller whose key does not give access. @param job Job that the call names; empty for none. */
+asio::awaitable<void> refuseKey(
+    ServicePtr service, HttpResponder &responder, const std::string &id, const std::string &route, const std::string &job, Revision config, KeyCheck check)
 {
-    logEvent(EventKind::Refused, id, {{"route", route}, {"reason", check.reason}, {"config", config.value}});
+    logEvent(EventKind::Refused, id, {{"route", route}, {"reason", check.reason}, {"config", config.value}, {"proof_age_ms", check.proofAgeMs}, {"job", job}});
     addCounter(*service->proxy->metrics, "skylark_key_refusals_total", {{"reason", check.reason}});
-    co_await sendFailure(*service->proxy, responder, check.status, check.reason, {});
+    co_await sendFailure(*service->proxy, responder, check.status, check.reason, check.retryAfter);
 }
 
 /** Routes a request: submits it as a job on a batch route, and forwards it to a target on any other route. */
@@ -84,9 +105,9 @@
     if (!config->workspaces) {
         call.headers.insert(call.headers.end(), call.accessHeaders.begin(), call.accessHeaders.end());
     } else if (!route->isPublic) {
-        const KeyCheck check = checkKey(*config, call.apiKey);
+        const KeyCheck check = checkKey(*service, *config, call.apiKey);
         if (check.status != statusOk) {
-            co_await refuseKey(service, responder, call.id.value, route->name, config->version, check);
+            co_await refuseKey(service, responder, call.id.value, route->name, {}, config->version, check);
             co_return;
         }
         call.workspace = check.workspace;
--- a/src/entry/caller_service_func.h
+++ b/src/entry/caller_service_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "job/job_registry_base.h"
+#include "policy/config_proof_type.h"
 #include "proxy/proxy_base.h"
 
 namespace skylark {
@@ -11,6 +12,7 @@
     std::shared_ptr<Proxy> proxy; ///< Forwards online requests to targets.
     std::shared_ptr<JobRegistry> jobs; ///< Accepts, reads and cancels batch jobs.
     DomainId domain; ///< Failure domain of this host.
+    std::shared_ptr<const ConfigProofState> proof; ///< Proof of the configuration; null where the hosts keep none.
 };
 
 /** @return The request handler of the HTTP server for callers. */
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -8,6 +8,7 @@
 #include "core/table/error_table.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
+#include "entry/proof_upkeep_func.h"
 #include "job/job_peer_func.h"
 #include "job/job_runner_func.h"
 
@@ -49,6 +50,7 @@
     std::shared_ptr<JobRegistry> jobs; ///< Traffic thread.
     std::unique_ptr<JobRunner> runner; ///< Traffic thread.
     std::unique_ptr<PeerLink> peers; ///< Traffic thread.
+    ProofUpkeep proof; ///< Traffic thread.
     std::unique_ptr<HttpServer> callerServer; ///< Traffic thread.
     std::unique_ptr<HttpServer> readinessServer; ///< Traffic thread.
     std::unique_ptr<HttpServer> metricsServer; ///< Traffic thread.
@@ -142,7 +144,7 @@
     options.onUnserved = [&host](ErrorCode cause) {
         addCounter(*host.metrics, "skylark_unserved_requests_total", {{"cause", errorInfo(cause).name}});
     };
-    auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler({host.proxy, host.jobs, host.settings.domain}));
+    auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler({host.proxy, host.jobs, host.settings.domain, host.proof.state}));
     if (!isOk(callers)) {
         return errorOf(callers);
     }
@@ -184,8 +186,12 @@
             yieldToOnline(*host.runner);
         }
     };
+    options.onProof = [&host](const HostStatus &status, milliseconds delay) {
+        applyPeerProof(host.proof, status, delay, BootClock::now());
+    };
     options.completeStatus = [&host](HostStatus &status) {
         status.jobRevisions = jobRevisionsToAnnounce(*host.jobs);
+        addOwnProof(host.proof, status);
     };
     options.ownedJob = [&host](const JobId &job, std::uint64_t after) {
         return encodeOwnedJob(*host.jobs, job, after);
@@ -223,6 +229,28 @@
     return Done{};
 }
 
+/** Sets up the proof of the configuration; calls to the service are made on the control thread. */
+void openProofUpkeep(EntryHost &host)
+{
+    const AccessLimits &access = host.settings.access;
+    host.proof.proxy = host.proxy;
+    host.proof.host = host.settings.host;
+    host.proof.state = std::make_shared<ConfigProofState>();
+    host.proof.state->limits = {access.revokesEverywhere, access.revocationLimit, access.configLimit};
+    host.proof.ask = [&host] {
+        asio::post(host.control, [&host] {
+            proveConfig(*host.fleet, [&host](std::optional<ConfigProof> proof) {
+                asio::post(host.traffic, [&host, proof] {
+                    applyOwnProof(host.proof, proof);
+                });
+            });
+        });
+    };
+    host.proof.announce = [&host] {
+        scheduleEarlyStatus(*host.peers);
+    };
+}
+
 void startFleetController(EntryHost &host)
 {
     FleetOptions options;
@@ -234,6 +262,7 @@
     options.targetHeartbeat = host.settings.targetHeartbeat;
     options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
     options.leaseRenewal = options.leaseTtl / 3;
+    options.provesConfig = host.settings.access.revokesEverywhere;
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
     auto publish = [&host](SnapshotPtr snapshot) {
         asio::post(host.traffic, [&host, snapshot = std::move(snapshot)] {
@@ -388,6 +417,7 @@
     host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
+    openProofUpkeep(host);
     for (const auto &opened : {openPeerLink(host), openServers(host)}) {
         if (!isOk(opened)) {
             return logStartFailure(errorOf(opened));
@@ -397,6 +427,7 @@
     startJobRegistry(host.jobs);
     asio::co_spawn(executor, handleSignals(host), asio::detached);
     asio::co_spawn(executor, watchSettings(host), asio::detached);
+    asio::co_spawn(executor, maintainProof(host.proof), asio::detached);
     startFleetController(host);
     std::thread controlThread([&host] {
         const auto guard = asio::make_work_guard(host.control);
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -204,6 +204,9 @@
         updateSenders(*link->proxy);
     }
     const milliseconds delay = excessDelay(link->clocks[status.host], status.incarnation, status.sentAt, BootClock::now());
+    if (link->options.onProof) {
+        link->options.onProof(status, delay);
+    }
     QuarantineReport report = status.quarantine;
     correctDelay(report, delay);
     applyQuarantineReport(*link->proxy, status.host, report);
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -16,6 +16,7 @@
     DomainId domain; ///< Failure domain of this host.
     Endpoint listen; ///< Listen address: UDP for status datagrams, TCP for configuration pulls.
     std::function<void(const HostStatus &status)> onStatus; ///< Called for each status of another host that is newer than its last one.
+    std::function<void(const HostStatus &status, std::chrono::milliseconds delay)> onProof; ///< Called before onStatus with the excess delay; may be empty.
     std::function<void(HostStatus &status)> completeStatus; ///< Adds fields that the link does not know, such as job revisions, to each status sent.
     /** Encodes a job that this host owns, without the results up to @c after; empty if it owns no such job. */
     std::function<std::optional<std::string>(const JobId &job, std::uint64_t after)> ownedJob;
--- a/src/fleet/fleet_config_func.h
+++ b/src/fleet/fleet_config_func.h
@@ -5,6 +5,9 @@
 
 namespace skylark {
 
+/** Sets the interval of the stale reads of the configuration from the number of hosts, and from whether this host asks for proofs. */
+void setConfigPollInterval(FleetController::Impl &impl);
+
 /** Adopts the configuration if its entry has changed. */
 void onConfig(const FleetImplPtr &impl, const KeyMirrorUpdate &update);
 
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -34,7 +34,6 @@
             peers.push_back(std::move(valueOf(entry)));
         }
     }
-    impl->config->options.pollInterval = configPollIntervalFor(peers.size() + 1);
     impl->targets->options.pollInterval = pollIntervalFor(peers.size() + 1);
     impl->targets->options.watchInterval = targetWatchIntervalFor(impl->options, peers.size() + 1);
     for (const auto &mirror : {impl->config, impl->targets, impl->hosts, impl->quarantine}) {
@@ -43,6 +42,7 @@
     impl->hosts->options.watchInterval = hostWatchIntervalFor(peers.size() + 1);
     impl->state.peers = std::move(peers);
     impl->state.peersKnown = true;
+    setConfigPollInterval(*impl);
     publishFleet(*impl);
 }
 
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -33,6 +33,8 @@
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
     std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
     bool leaving{false}; ///< Whether the host's entry is being removed.
+    std::uint64_t configRevision{0}; ///< Revision in the service of the last configuration document that was adopted or refused; 0 for none.
+    unsigned refusedProofCalls{0}; ///< Consecutive transactions without writes of which the service did not return the outcome, although it answers reads.
     bool pullingConfig{false}; ///< Whether a request for a peer's configuration is in flight.
     std::shared_ptr<HttpClient> peerHttp; ///< Client for configuration pulls.
     std::uint64_t random{0}; ///< State of the pseudorandom generator.
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -5,6 +5,7 @@
 #include "fleet/quarantine_entry_func.h"
 #include "http/http_client_func.h"
 #include "metrics/metrics_func.h"
+#include "policy/config_proof_type.h"
 #include "store/kv_store_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -34,6 +35,7 @@
     std::chrono::milliseconds targetWatchInterval{700}; ///< Minimum interval between watch calls for the target list in a small fleet.
     std::chrono::milliseconds expiryGrace{2000}; ///< Time after an outage of the service within which live targets write expired entries again.
     std::chrono::milliseconds leaseTtl{3000}; ///< Lifetime of the host's entry without a renewal.
+    bool provesConfig{false}; ///< Whether the host asks for proofs while the configuration has workspaces; stale reads of the configuration are then rare.
     std::chrono::milliseconds leaseRenewal{1000}; ///< Interval of renewals; one renewal may fail before the lease expires.
 };
 
@@ -65,6 +67,12 @@
 /** Pulls the configuration from the host at @p peer if its @p version is newer than the one in force. */
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer);
 
+/**
+ * Asks the service whether the configuration in force is the newest one, and adopts a newer one.
+ * @param done Called on the executor, after the snapshot with the configuration was published; with an empty proof when the call failed.
+ */
+void proveConfig(FleetController &controller, std::function<void(std::optional<ConfigProof>)> done);
+
 /** Ends the lease of the host's entry, so that other hosts take over its jobs, and then calls @p done. */
 void removeHostEntry(FleetController &controller, std::function<void()> done);
 
--- a/src/fleet/fleet_intervals_func.h
+++ b/src/fleet/fleet_intervals_func.h
@@ -14,6 +14,9 @@
  */
 inline constexpr std::chrono::milliseconds minPollInterval{1000};
 
+/** Interval of the same reads of the configuration where hosts ask for proofs, which find a missed change earlier and carry no document. */
+inline constexpr std::chrono::milliseconds configPollIntervalProved{60000};
+
 /** @return Interval of the reads of the target list that detect missed changes. @param hosts Number of hosts of the fleet. */
 [[nodiscard]] std::chrono::milliseconds pollIntervalFor(std::size_t hosts);
 
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -254,8 +254,9 @@
     writeCounts(out.initFreeByModel(static_cast<unsigned>(status.freeByModel.size())), status.freeByModel);
     writeQuarantine(out, status.quarantine, now);
     writeLimits(out, status.limits, now);
-    out.setConfigProven(status.configProofAge.has_value());
-    out.setConfigProofAgeMs(millisecondsOnWire(status.configProofAge.value_or(std::chrono::milliseconds(0))));
+    out.setConfigProven(status.configProvenAt.has_value());
+    // Rounded up, because a receiver must not take a proof for younger than it is.
+    out.setConfigProofAgeMs(status.configProvenAt ? ageMs(*status.configProvenAt - std::chrono::milliseconds(1), now) : 0);
     return pack(message);
 }
 
@@ -285,7 +286,7 @@
     status.quarantine = readQuarantine(in, now);
     status.limits = readLimits(in, now);
     if (in.getConfigProven()) {
-        status.configProofAge = std::chrono::milliseconds(in.getConfigProofAgeMs());
+        status.configProvenAt = now - std::chrono::milliseconds(in.getConfigProofAgeMs());
     }
     return status;
 }
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -37,7 +37,7 @@
     std::vector<std::pair<JobId, std::uint64_t>> jobRevisions; ///< Record revisions of jobs that the host owns or has just changed.
     std::chrono::milliseconds sentAt{0}; ///< Steady clock of the sender when it encoded the datagram.
     std::vector<LimitObservation> limits; ///< Rate limits that targets named to the host.
-    std::optional<std::chrono::milliseconds> configProofAge; ///< Age of the host's proof that its configuration is the newest; empty without one.
+    std::optional<TimePoint> configProvenAt; ///< When the sender's configuration was proved to be the newest, on the local clock; empty without a proof.
     QuarantineReport quarantine; ///< Crashes of targets that the host saw, and quarantined prompt parts.
 };
 
--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -164,6 +164,10 @@
     }
     decision.currentItems.clear();
     decision.applied = true;
+    if (transaction.writes.empty() && transaction.removals.empty()) {
+        decision.revision = store.revision;
+        return decision;
+    }
     decision.revision = ++store.revision;
     for (const KvWrite &write : transaction.writes) {
         applyChange(store, write.key, write.value, write.lease, false);
@@ -184,6 +188,9 @@
 asio::awaitable<Result<KvTransactionResult>> commit(StorePtr store, KvTransaction transaction)
 {
     ++store->counts.commits;
+    if (store->faults.callDelay.count() > 0) {
+        co_await sleepFor(store->faults.callDelay);
+    }
     removeExpired(*store);
     if (store->faults.down) {
         co_return unavailable();
--- a/standins/memory_store_base.h
+++ b/standins/memory_store_base.h
@@ -18,6 +18,7 @@
     bool hidesChanges{false}; ///< Watches report no changes and end when their wait is over.
     bool losesWriteAnswers{false}; ///< Transactions are applied, but the caller gets OutcomeUnknown.
     bool dropsWrites{false}; ///< Transactions are not applied, and the caller gets OutcomeUnknown.
+    std::chrono::milliseconds callDelay{0}; ///< Time until a transaction reaches the service, so that transactions of several hosts overlap.
     std::chrono::milliseconds writeDelay{0}; ///< If not 0, callers get OutcomeUnknown, and writes are applied so much later if their conditions hold then.
     std::uint64_t staleReadRevision{0}; ///< Revision that stale range reads return; 0 for the latest.
 };
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -92,6 +92,7 @@
     std::shared_ptr<Proxy> proxy{std::make_shared<Proxy>()}; ///< Forwards requests.
     std::shared_ptr<JobRegistry> jobs;
     std::unique_ptr<JobRunner> runner; ///< Runs items of batch jobs; null when the host runs none.
+    std::shared_ptr<ConfigProofState> proof{std::make_shared<ConfigProofState>()}; ///< No proofs are kept unless a test changes its limits.
     std::unique_ptr<HttpServer> server; ///< Serves callers.
     Endpoint endpoint; ///< Address of the server.
     bool storeAway{false}; ///< What publish() says of the key-value service.
@@ -121,7 +122,7 @@
         startJobRegistry(this->jobs);
         HttpServerOptions options;
         options.listen = {"127.0.0.1", 0};
-        auto created = HttpServer::create(executor, options, makeCallerHandler({this->proxy, this->jobs, DomainId{"north"}}));
+        auto created = HttpServer::create(executor, options, makeCallerHandler({this->proxy, this->jobs, DomainId{"north"}, this->proof}));
         REQUIRE(isOk(created));
         this->server = std::move(valueOf(created));
         this->endpoint = {"127.0.0.1", listenPort(*this->server)};
