--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -35,7 +35,6 @@
             peers.push_back(std::move(valueOf(entry)));
         }
     }
-    impl->config->options.pollInterval = configPollIntervalFor(peers.size() + 1);
     impl->targets->options.pollInterval = pollIntervalFor(peers.size() + 1);
     impl->targets->options.watchInterval = targetWatchIntervalFor(impl->options, peers.size() + 1);
     for (const auto &mirror : {impl->config, impl->targets, impl->hosts, impl->quarantine}) {
@@ -46,6 +45,7 @@
     impl->quarantine->options.watchEnabled = watchesQuarantine(peers.size() + 1);
     impl->state.peers = std::move(peers);
     impl->state.peersKnown = true;
+    setConfigPollInterval(*impl);
     publishFleet(*impl);
 }
 
