Feature: A job belongs to the workspace of its caller, whose current keys alone can use it

The record holds the workspace, so that items name it at targets for as long as the job is open, also at another owner and after the key was removed; the header is the host's, whatever the author of an item sets. Reads, item reads, the end and a repeated submission need any current key of the workspace: another workspace gets 404, and callers without a valid key get 401 for existing and unknown jobs alike. Jobs of public routes and records without a workspace need no key. A call on a job that cannot be looked up, or without a recent proof, gets 503.

--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log_func.h"
 #include "fleet/route_match_func.h"
 #include "fleet/workspace_func.h"
+#include "job/job_answer_func.h"
 #include "policy/config_proof_func.h"
 
 #include <memory>
@@ -21,6 +22,7 @@
 constexpr int statusAccepted = 202;
 constexpr int statusOk = 200;
 constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 constexpr milliseconds notProvenRetryAfter{500}; ///< Another host may have a proof, and this one asks for one within about a second.
 
@@ -92,6 +94,19 @@
     co_await sendFailure(*service->proxy, responder, check.status, check.reason, check.retryAfter);
 }
 
+/** @return The job that a call is about, and the key of its caller. */
+std::pair<JobId, std::string> jobAndKeyOf(const CallerCall &call)
+{
+    if (const auto *read = std::get_if<JobReadCall>(&call)) {
+        return {read->job, read->apiKey};
+    }
+    if (const auto *item = std::get_if<JobItemCall>(&call)) {
+        return {item->job, item->apiKey};
+    }
+    const auto &end = std::get<JobEndCall>(call);
+    return {end.job, end.apiKey};
+}
+
 /** Routes a request: submits it as a job on a batch route, and forwards it to a target on any other route. */
 asio::awaitable<void> handleProxy(ServicePtr service, HttpResponder &responder, ProxyCall call)
 {
@@ -124,8 +139,39 @@
     }
 }
 
+/** Checks whether a caller may use a job. Without a valid key, a job of a workspace and one that does not exist are refused alike. */
+asio::awaitable<KeyCheck> checkJobKey(ServicePtr service, std::shared_ptr<const RoutingConfig> config, JobId job, std::string key)
+{
+    const auto owner = co_await workspaceOfJob(service->jobs, std::move(job));
+    if (!isOk(owner)) {
+        KeyCheck check;
+        check.status = statusUnavailable;
+        check.reason = "store_unavailable";
+        check.retryAfter = storeRetryAfter;
+        co_return check;
+    }
+    if (valueOf(owner) && valueOf(owner)->empty()) {
+        co_return KeyCheck();
+    }
+    KeyCheck check = checkKey(*service, *config, key);
+    if (check.status == statusOk && (!valueOf(owner) || *valueOf(owner) != check.workspace)) {
+        check.status = statusNotFound;
+        check.reason = "no_job";
+    }
+    co_return check;
+}
+
 asio::awaitable<void> handleJobCall(ServicePtr service, HttpResponder &responder, CallerCall call)
 {
+    const auto config = service->proxy->fleet->config;
+    if (config->workspaces) {
+        const auto [job, key] = jobAndKeyOf(call);
+        const KeyCheck check = co_await checkJobKey(service, config, job, key);
+        if (check.status != statusOk) {
+            co_await refuseKey(service, responder, {}, {}, job.value, config->version, check);
+            co_return;
+        }
+    }
     if (auto *read = std::get_if<JobReadCall>(&call)) {
         const JobAnswer answer = co_await readJob(service->jobs, *read);
         co_await sendJobAnswer(service, responder, answer, service->proxy->wire.encodePage(answer.page), "application/json");
--- a/src/job/job_accept.cpp
+++ b/src/job/job_accept.cpp
@@ -37,6 +37,7 @@
 {
     StoredJob record;
     record.id = JobId{call.id.value};
+    record.workspace = call.workspace;
     record.host = route.host;
     record.path = std::string(targetPath(call.target));
     record.digest = hash128Hex(call.body);
@@ -50,9 +51,12 @@
 }
 
 /** Answers the submission of a job that is stored already: accepted if the content is the same, otherwise a conflict. */
-JobAnswer answerResubmission(const StoredJob &known, const std::string &digest)
+JobAnswer answerResubmission(const StoredJob &known, const StoredJob &record)
 {
-    return known.digest == digest ? makeJobAnswer(202, "accepted_before") : makeJobAnswer(409, "other_content");
+    if (!mayResubmit(known, record.workspace)) {
+        return makeJobAnswer(404, "no_job");
+    }
+    return known.digest == record.digest ? makeJobAnswer(202, "accepted_before") : makeJobAnswer(409, "other_content");
 }
 
 /** Reads all records from the store, because another host may have changed some. */
@@ -121,7 +125,7 @@
     Error last = makeError(ErrorCode::PlatformUnavailable, "every write conflicted with another acceptance on the route");
     for (unsigned attempt = 0; attempt < maxAcceptAttempts; ++attempt) {
         if (const auto found = registry->jobs.find(record.id); found != registry->jobs.end() && found->second.revision > 0) {
-            co_return answerResubmission(found->second.record, record.digest);
+            co_return answerResubmission(found->second.record, record);
         }
         const std::uint64_t waiting = waitingTokensOn(*registry, rule);
         const JobAdmission admission = decideJobAdmission(waiting, tokens, rule.maxWaitingTokens);
@@ -164,7 +168,7 @@
         }
     }
     if (const auto found = registry->jobs.find(record.id); found != registry->jobs.end() && found->second.revision > 0) {
-        co_return answerResubmission(found->second.record, record.digest);
+        co_return answerResubmission(found->second.record, record);
     }
     logEvent(
         EventKind::JobRefused, record.id.value, {{"route", rule.name}, {"reason", errorInfo(last.code).name}, {"tokens", tokens}, {"detail", last.detail}});
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -76,6 +76,7 @@
     ProxyCall call;
     call.prompt = wire.readPromptParts(item.headers);
     call.id.value = item.id;
+    call.workspace = known.record.workspace;
     call.method = "POST";
     call.target = item.path;
     call.host = known.record.host;
--- a/src/job/job_record.cpp
+++ b/src/job/job_record.cpp
@@ -138,16 +138,20 @@
     for (const ResultEntry &entry : record.listed) {
         listed.push_back(boost::json::array{entry.index, entry.state == ItemState::Completed ? 1 : 0});
     }
-    return boost::json::serialize(boost::json::object{{"id", record.id.value},
-                                                      {"host", record.host},
-                                                      {"path", record.path},
-                                                      {"digest", record.digest},
-                                                      {"created_ms", record.created.time_since_epoch().count()},
-                                                      {"owner", record.owner.value},
-                                                      {"ended", record.ended},
-                                                      {"body_parts", record.bodyParts},
-                                                      {"items", std::move(items)},
-                                                      {"listed", std::move(listed)}});
+    boost::json::object object{{"id", record.id.value},
+                               {"host", record.host},
+                               {"path", record.path},
+                               {"digest", record.digest},
+                               {"created_ms", record.created.time_since_epoch().count()},
+                               {"owner", record.owner.value},
+                               {"ended", record.ended},
+                               {"body_parts", record.bodyParts},
+                               {"items", std::move(items)},
+                               {"listed", std::move(listed)}};
+    if (!record.workspace.empty()) {
+        object["workspace"] = record.workspace.value;
+    }
+    return boost::json::serialize(object);
 }
 
 Result<StoredJob> decodeStoredJob(std::string_view value)
@@ -158,6 +162,7 @@
     }
     StoredJob record;
     record.id.value = stringMember(*object, "id");
+    record.workspace.value = stringMember(*object, "workspace");
     record.host = stringMember(*object, "host");
     record.path = stringMember(*object, "path");
     record.digest = stringMember(*object, "digest");
--- a/src/job/job_registry_base.h
+++ b/src/job/job_registry_base.h
@@ -90,11 +90,23 @@
 
 /**
  * Accepts a job exactly once.
- * @return 202 if the job is stored, also when the same submission is repeated; 409 if the identifier is taken by other content;
+ * @return 202 if the job is stored, also when the same submission is repeated; 409 if the identifier is taken by other content; 404 if by another workspace;
  *         429 if the token limit of the route would be exceeded; 503 if nothing was stored; 504 if the outcome of the write is unknown.
  */
 boost::asio::awaitable<JobAnswer> acceptJob(std::shared_ptr<JobRegistry> registry, const RouteRule &route, ProxyCall call, JobSubmission submission);
 
+/**
+ * Finds the workspace of a job, in the registry, at its owner or in the store.
+ * @return The workspace, which is empty for a job that needs no key; nothing when there is no such job; an error when it cannot be read.
+ */
+boost::asio::awaitable<Result<std::optional<WorkspaceId>>> workspaceOfJob(std::shared_ptr<JobRegistry> registry, JobId job);
+
+/**
+ * @return Whether a repeated submission by @p workspace may refer to the job: it is of the same workspace, or one of both needs no key because the route is
+ * public or the job older than the workspaces.
+ */
+[[nodiscard]] bool mayResubmit(const StoredJob &record, const WorkspaceId &workspace);
+
 /** Reads results from a position on, and waits for one up to the time given in the call. @return 200, 404, or 503 if the store cannot be read. */
 boost::asio::awaitable<JobAnswer> readJob(std::shared_ptr<JobRegistry> registry, JobReadCall call);
 
