--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -114,7 +114,7 @@
   workspace @1 :Text;
   number @2 :UInt64;  # Number of the request.
   tokens @3 :UInt32;  # Tokens given; 0 when the holder has none.
-  retryAfterMs @4 :UInt32;  # Time until the holder has a token for the sender, if it gave none.
+  retryAfterMs @4 :UInt32;  # Time until the holder has a further token; 0 if it has one now, or may not grant any.
 }
 
 struct Datagram {
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -55,7 +55,7 @@
     WorkspaceId workspace;
     std::uint64_t number{0}; ///< Number of the request that is answered.
     unsigned tokens{0}; ///< Tokens granted; 0 when the sender has none.
-    std::chrono::milliseconds retryAfter{0}; ///< Time until the sender has a token for the receiver, if it granted none.
+    std::chrono::milliseconds retryAfter{0}; ///< Time until the sender has a further token; 0 if it has one now, or may not grant any.
 };
 
 /** Request to the batch owner of a target to release slots for online work. */
