Feature: Hosts ask one another for tokens of request quotas, and refuse requests beyond them

The right to grant comes from the upkeep of the host's entry: the start of the last successful renewal plus the duration of the lease. The entry is now written on conditions, first that there is none, so that a host knows whether it replaced the entry of an earlier process (it grants at once) or is new to the list (it grants 3 s later). Before a host gives up its entry it stops granting.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -36,6 +36,8 @@
     PartQuarantined, ///< Requests with a prompt part, or one request whenever it comes again, are rejected, because they crash targets.
     PartReleased, ///< A run with a quarantined prompt part, or of a quarantined request, was sound.
     Refused, ///< A request was refused and did not run.
+    QuotaRefused, ///< A request was refused because of its workspace's quota, and did not run.
+    QuotaRight, ///< This host's right to grant tokens of quotas began, was proved anew or ended.
     Answered, ///< A request got its final response.
     JobAccepted, ///< A batch job was stored.
     JobRefused, ///< A batch job was refused.
--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -56,6 +56,13 @@
     } else if (route->kind == CallKind::Batch) {
         co_await submitJob(service, responder, std::move(call), *route);
     } else {
+        const QuotaVerdict verdict = co_await admitRequest(service->quotas, call.workspace, call.id);
+        if (verdict.status != 0) {
+            addCounter(*service->proxy->metrics, "skylark_refusals_total", {{"route", route->name}, {"reason", verdict.reason}});
+            co_await sendFailure(*service->proxy, responder, verdict.status, verdict.reason, verdict.retryAfter);
+            co_return;
+        }
+        call.waited = verdict.waited;
         // A named variable, because g++ 12 destroys an aggregate temporary in a co_await expression twice.
         MatchedRoute matched{config, route};
         co_await forwardCall(service->proxy, responder, std::move(call), service->domain, std::move(matched));
--- a/src/entry/caller_service_func.h
+++ b/src/entry/caller_service_func.h
@@ -3,6 +3,7 @@
 
 #include "job/job_registry_base.h"
 #include "proxy/proxy_base.h"
+#include "quota/request_quotas_base.h"
 
 namespace skylark {
 
@@ -11,6 +12,7 @@
     std::shared_ptr<Proxy> proxy; ///< Forwards online requests to targets.
     std::shared_ptr<JobRegistry> jobs; ///< Accepts, reads and cancels batch jobs.
     DomainId domain; ///< Failure domain of this host.
+    std::shared_ptr<RequestQuotas> quotas{}; ///< Quotas of workspaces; null when there are none.
 };
 
 /** @return The request handler of the HTTP server for callers. */
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -10,6 +10,7 @@
 #include "entry/peer_link_func.h"
 #include "job/job_peer_func.h"
 #include "job/job_runner_func.h"
+#include "quota/request_quotas_base.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -49,6 +50,7 @@
     std::shared_ptr<JobRegistry> jobs; ///< Traffic thread.
     std::unique_ptr<JobRunner> runner; ///< Traffic thread.
     std::unique_ptr<PeerLink> peers; ///< Traffic thread.
+    std::shared_ptr<RequestQuotas> quotas; ///< Traffic thread.
     std::unique_ptr<HttpServer> callerServer; ///< Traffic thread.
     std::unique_ptr<HttpServer> readinessServer; ///< Traffic thread.
     std::unique_ptr<HttpServer> metricsServer; ///< Traffic thread.
@@ -98,6 +100,7 @@
     }
     host.jobs->mirror->options.pollInterval = jobCheckIntervalFor(snapshot->peers.size() + 1);
     updatePeers(*host.peers);
+    applyQuotaSnapshot(*host.quotas, *snapshot);
     logReadiness(host);
 }
 
@@ -130,7 +133,7 @@
     setGauge(*host.metrics, "skylark_log_lines_dropped", {}, static_cast<double>(eventLinesDropped()));
     HttpResponse response;
     response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-    response.body = renderMetrics(*host.metrics);
+    response.body = renderMetrics(*host.metrics) + quotaMetricsText(*host.quotas);
     return response;
 }
 
@@ -142,7 +145,7 @@
     options.onUnserved = [&host](ErrorCode cause) {
         addCounter(*host.metrics, "skylark_unserved_requests_total", {{"cause", errorInfo(cause).name}});
     };
-    auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler({host.proxy, host.jobs, host.settings.domain}));
+    auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler({host.proxy, host.jobs, host.settings.domain, host.quotas}));
     if (!isOk(callers)) {
         return errorOf(callers);
     }
@@ -195,11 +198,23 @@
             pullNewerConfig(*host.fleet, version, peer);
         });
     };
+    options.onQuotaRequest = [&host](const QuotaRequestMessage &request, const Endpoint &sender) {
+        handleQuotaRequest(*host.quotas, request, sender);
+    };
+    options.onQuotaGrant = [&host](const QuotaGrantMessage &grant) {
+        handleQuotaGrant(*host.quotas, grant);
+    };
     auto peers = PeerLink::create(host.proxy, std::move(options));
     if (!isOk(peers)) {
         return errorOf(peers);
     }
     host.peers = std::move(valueOf(peers));
+    host.quotas->sendRequest = [&host](const QuotaRequestMessage &request, const Endpoint &holder) {
+        sendQuotaRequest(*host.peers, request, holder);
+    };
+    host.quotas->sendGrant = [&host](const QuotaGrantMessage &grant, const Endpoint &sender) {
+        sendQuotaGrant(*host.peers, grant, sender);
+    };
     host.jobs->readFromHost = [link = host.peers->impl](HostId peer, JobId job, std::uint64_t after) {
         return readJobAtPeer(link, std::move(peer), std::move(job), after);
     };
@@ -234,6 +249,11 @@
     options.targetHeartbeat = host.settings.targetHeartbeat;
     options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
     options.leaseRenewal = options.leaseTtl / 3;
+    options.onLease = [&host](const HostLease &lease) {
+        asio::post(host.traffic, [&host, lease] {
+            setHostLease(*host.quotas, lease);
+        });
+    };
     const auto store = host.adapters.makeStore(host.control.get_executor(), host.metrics);
     auto publish = [&host](SnapshotPtr snapshot) {
         asio::post(host.traffic, [&host, snapshot = std::move(snapshot)] {
@@ -319,6 +339,7 @@
             break;
         }
     }
+    stopGranting(*host.quotas); // The other hosts take over as soon as the entry is gone.
     bool entryRemoved = false;
     asio::post(host.control, [&host, &entryRemoved] {
         removeHostEntry(*host.fleet, [&host, &entryRemoved] {
@@ -388,6 +409,9 @@
     host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
+    const AccessLimits &access = host.settings.access;
+    host.quotas =
+        RequestQuotas::create(executor, host.settings.host, host.settings.domain, {access.quotaWindow, access.quotaOverage, access.quotaSlack}, host.session);
     for (const auto &opened : {openPeerLink(host), openServers(host)}) {
         if (!isOk(opened)) {
             return logStartFailure(errorOf(opened));
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -269,6 +269,16 @@
             handleStatus(strong, status);
         }
     };
+    handlers.onQuotaRequest = [weak](const QuotaRequestMessage &request, const Endpoint &sender) {
+        if (const auto strong = weak.lock(); strong && strong->options.onQuotaRequest) {
+            strong->options.onQuotaRequest(request, sender);
+        }
+    };
+    handlers.onQuotaGrant = [weak](const QuotaGrantMessage &grant) {
+        if (const auto strong = weak.lock(); strong && strong->options.onQuotaGrant) {
+            strong->options.onQuotaGrant(grant);
+        }
+    };
     auto exchange = StatusExchange::create(executor, impl->options.listen, std::move(handlers));
     if (!isOk(exchange)) {
         return errorOf(exchange);
@@ -334,6 +344,16 @@
     setStatusIntervals(*link.impl);
 }
 
+void sendQuotaRequest(PeerLink &link, const QuotaRequestMessage &request, const Endpoint &holder)
+{
+    sendQuotaRequest(*link.impl->exchange, request, holder);
+}
+
+void sendQuotaGrant(PeerLink &link, const QuotaGrantMessage &grant, const Endpoint &sender)
+{
+    sendQuotaGrant(*link.impl->exchange, grant, sender);
+}
+
 void announceLoadChange(PeerLink &link, LoadChange change)
 {
     // Hosts that choose targets by counts older than the gap between two requests choose the same ones; a datagram to each host is affordable up to a limit.
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -20,6 +20,8 @@
     /** Encodes a job that this host owns, without the results up to @c after; empty if it owns no such job. */
     std::function<std::optional<std::string>(const JobId &job, std::uint64_t after)> ownedJob;
     std::function<void(Revision version, const Endpoint &peer)> onNewerConfig; ///< Called when a known host has a newer configuration than this one.
+    std::function<void(const QuotaRequestMessage &request, const Endpoint &sender)> onQuotaRequest; ///< Called for each request for quota tokens.
+    std::function<void(const QuotaGrantMessage &grant)> onQuotaGrant; ///< Called for each answer to a request for quota tokens.
 };
 
 /** Sends this host's status to the other hosts, receives theirs, and serves the configuration document to them. */
@@ -38,6 +40,12 @@
 /** Updates the recipients of the status from the hosts in the proxy's fleet snapshot. */
 void updatePeers(PeerLink &link);
 
+/** Sends a request for quota tokens to its holder. */
+void sendQuotaRequest(PeerLink &link, const QuotaRequestMessage &request, const Endpoint &holder);
+
+/** Answers a request for quota tokens. */
+void sendQuotaGrant(PeerLink &link, const QuotaGrantMessage &grant, const Endpoint &sender);
+
 /** Schedules an early status datagram if the other hosts need to know of @p change before the regular interval has passed. */
 void announceLoadChange(PeerLink &link, LoadChange change);
 
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -32,6 +32,7 @@
     bool reachable{true}; ///< Whether the last call to the service succeeded.
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
     std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
+    HostLease entryProof; ///< Proof that the host's entry is alive.
     bool leaving{false}; ///< Whether the host's entry is being removed.
     bool pullingConfig{false}; ///< Whether a request for a peer's configuration is in flight.
     std::shared_ptr<HttpClient> peerHttp; ///< Client for configuration pulls.
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -5,6 +5,7 @@
 #include "fleet/quarantine_entry_func.h"
 #include "http/http_client_func.h"
 #include "metrics/metrics_func.h"
+#include "policy/request_quota_type.h"
 #include "store/kv_store_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -35,6 +36,7 @@
     std::chrono::milliseconds expiryGrace{2000}; ///< Time after an outage of the service within which live targets write expired entries again.
     std::chrono::milliseconds leaseTtl{3000}; ///< Lifetime of the host's entry without a renewal.
     std::chrono::milliseconds leaseRenewal{1000}; ///< Interval of renewals; one renewal may fail before the lease expires.
+    std::function<void(const HostLease &lease)> onLease; ///< Called with each proof that the host's entry is alive, and when it has ended; may be empty.
 };
 
 using SnapshotPtr = std::shared_ptr<const FleetSnapshot>;
--- a/src/fleet/host_entry_upkeep.cpp
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -4,6 +4,7 @@
 #include "core/async_sleep_func.h"
 #include "core/hash_func.h"
 #include "fleet/host_entry_func.h"
+#include "policy/request_quota_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,27 +17,58 @@
 
 constexpr std::chrono::milliseconds entryRetryDelay{500}; ///< Delay before the entry is written again after the write failed or the lease expired.
 
-/** Grants a lease and writes the host's entry under it. */
+void reportLease(FleetController::Impl &impl, const HostLease &proof)
+{
+    impl.entryProof = proof;
+    if (impl.options.onLease) {
+        impl.options.onLease(proof);
+    }
+}
+
+/** @return Whether @p item is the entry of an earlier process of this host. One of this process was written by a call whose answer was lost. */
+bool isPredecessor(const FleetController::Impl &impl, const KvItem &item)
+{
+    const auto entry = decodeHostEntry(item.key, item.value);
+    return isOk(entry) && valueOf(entry).session != impl.options.session;
+}
+
+/**
+ * Grants a lease and writes the host's entry under it: first on the condition that there is none, then in place of the one that the store has returned.
+ * Other hosts take over the shares of an entry that has lapsed; the conditions tell this from one that has not.
+ */
 asio::awaitable<Result<Done>> writeHostEntry(FleetImplPtr impl)
 {
+    const TimePoint startedAt = BootClock::now();
     auto lease = co_await impl->store->grantLease(impl->options.leaseTtl);
     if (!isOk(lease)) {
         co_return errorOf(lease);
     }
     const PeerEntry own{impl->options.host, impl->options.session, impl->options.domain, impl->options.endpoint};
-    KvTransaction transaction;
-    transaction.writes.push_back({hostEntryKey(own.host), encodeHostEntry(own), valueOf(lease)});
-    auto written = co_await impl->store->commit(std::move(transaction));
-    if (!isOk(written)) {
-        co_return errorOf(written);
+    std::optional<KvItem> present;
+    for (unsigned attempt = 0; attempt < 2; ++attempt) {
+        KvTransaction transaction;
+        transaction.conditions.push_back({hostEntryKey(own.host), present ? present->revision : 0});
+        transaction.writes.push_back({hostEntryKey(own.host), encodeHostEntry(own), valueOf(lease)});
+        auto written = co_await impl->store->commit(std::move(transaction));
+        if (!isOk(written)) {
+            co_return errorOf(written);
+        }
+        if (valueOf(written).applied) {
+            impl->lease = valueOf(lease);
+            const bool predecessorAlive = present && isPredecessor(*impl, *present);
+            reportLease(*impl, newEntryLease(impl->entryProof, predecessorAlive, startedAt, BootClock::now(), impl->options.leaseTtl));
+            co_return Done{};
+        }
+        const auto &items = valueOf(written).currentItems;
+        present = items.empty() ? std::nullopt : std::optional(items.front());
     }
-    impl->lease = valueOf(lease);
-    co_return Done{};
+    co_return makeError(ErrorCode::PlatformUnavailable, "the host's entry changes while it is written");
 }
 
 /** Renews the lease of the host's entry, or forgets it if it has expired. @return Whether the service answered. */
 asio::awaitable<bool> renewHostLease(FleetImplPtr impl)
 {
+    const TimePoint startedAt = BootClock::now();
     const auto renewed = co_await impl->store->renewLease(impl->lease);
     const bool expired = !isOk(renewed) && errorOf(renewed).code == ErrorCode::LeaseExpired;
     if (!isOk(renewed) && !expired) {
@@ -45,6 +77,11 @@
     }
     recordStoreSuccess(*impl);
     impl->lease = expired ? 0 : impl->lease;
+    HostLease proof = renewedLease(impl->entryProof, startedAt, impl->options.leaseTtl);
+    if (expired) {
+        proof.provedUntil = TimePoint{};
+    }
+    reportLease(*impl, proof);
     co_return true;
 }
 
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -29,6 +29,7 @@
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer; empty when the request does not say.
     std::uint64_t lastEventId{0}; ///< Last event that the caller received; 0 for none.
     PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
+    std::chrono::milliseconds waited{0}; ///< Time that the request has waited before it was forwarded; counts against its deadline.
     WorkspaceId workspace; ///< Workspace of the caller's API key; empty before the key was checked, and where none is needed.
 };
 
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -206,7 +206,7 @@
     forwarding->config = std::move(matched.config);
     forwarding->route = route;
     forwarding->service = chooseService(*route, nextRandom(proxy->random));
-    forwarding->arrivedAt = BootClock::now();
+    forwarding->arrivedAt = BootClock::now() - forwarding->call.waited;
     const milliseconds callerTimeout = forwarding->call.callerTimeout.value_or(defaultCallerTimeout);
     forwarding->deadline = forwarding->arrivedAt + (route->timeout.count() > 0 ? std::min(route->timeout, callerTimeout) : callerTimeout);
     forwarding->splitter.lastId = forwarding->call.lastEventId;
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -94,9 +94,11 @@
     std::unique_ptr<HttpServer> server; ///< Serves callers.
     Endpoint endpoint; ///< Address of the server.
     bool storeAway{false}; ///< What publish() says of the key-value service.
+    std::shared_ptr<RequestQuotas> quotas; ///< Request quotas; null when the host has none.
 
-    EntryTestHost(EntryFixture &owner, const std::string &name, bool runsItems = true)
+    EntryTestHost(EntryFixture &owner, const std::string &name, bool runsItems = true, std::shared_ptr<RequestQuotas> requestQuotas = nullptr)
         : fixture(owner)
+        , quotas(std::move(requestQuotas))
     {
         const auto executor = this->fixture.loop.get_executor();
         this->proxy->executor = executor;
@@ -120,7 +122,7 @@
         startJobRegistry(this->jobs);
         HttpServerOptions options;
         options.listen = {"127.0.0.1", 0};
-        auto created = HttpServer::create(executor, options, makeCallerHandler({this->proxy, this->jobs, DomainId{"north"}}));
+        auto created = HttpServer::create(executor, options, makeCallerHandler({this->proxy, this->jobs, DomainId{"north"}, this->quotas}));
         REQUIRE(isOk(created));
         this->server = std::move(valueOf(created));
         this->endpoint = {"127.0.0.1", listenPort(*this->server)};
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -77,6 +77,7 @@
     std::shared_ptr<const FleetSnapshot> snapshot{std::make_shared<const FleetSnapshot>()}; ///< Latest snapshot.
     std::unique_ptr<FleetController> controller; ///< Null until start().
     std::vector<QuarantineEntry> quarantined; ///< Entries that the controller has reported.
+    std::vector<HostLease> leases; ///< Proofs of the own entry that the controller has reported.
 
     void start(std::chrono::milliseconds expiryGrace = 400ms, std::chrono::milliseconds targetHeartbeat = 200ms, std::chrono::milliseconds leaseRenewal = 100ms)
     {
@@ -89,6 +90,9 @@
         options.endpoint = {"127.0.0.1", 7000};
         options.targetWatchInterval = 20ms;
         options.expiryGrace = expiryGrace;
+        options.onLease = [this](const HostLease &lease) {
+            this->leases.push_back(lease);
+        };
         this->controller = FleetController::create(
             this->loop.get_executor(),
             storeInterface(this->store),
@@ -553,6 +557,77 @@
 
 // Guards against watch calls that grow with the square of the number of hosts: all hosts of a fleet start within 0.3 s, each would make one call for
 // each new entry, and each call is paid for.
+// Guards against a host that grants quota tokens while the others still use its share.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_hostIsNew_grantsOnceOthersKnow")
+{
+    const TimePoint before = BootClock::now();
+    this->start();
+    REQUIRE(this->runUntil([&] {
+        return !this->leases.empty();
+    }));
+    CHECK(this->leases.front().entry == 1);
+    CHECK(this->leases.front().grantsFrom >= before + 3s);
+    CHECK(this->leases.front().provedUntil >= before + 3s);
+    CHECK(this->leases.front().provedUntil <= BootClock::now() + 3s);
+}
+
+// Guards against a share that nobody uses after the restart of a host whose entry had not lapsed.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_hostRestarts_grantsAtOnce")
+{
+    putKey(*this->store, "hosts/front-1", encodeHostEntry({HostId{"front-1"}, SessionId{"earlier"}, DomainId{"north"}, {"127.0.0.1", 7000}}));
+    this->start();
+    REQUIRE(this->runUntil([&] {
+        return !this->leases.empty();
+    }));
+    CHECK(this->leases.front().grantsFrom <= BootClock::now());
+}
+
+// Guards against a host that takes its own entry, written by a call whose answer was lost, for that of a predecessor.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_answerToTheWriteIsLost_waitsUntilOthersKnow")
+{
+    this->store->faults.losesWriteAnswers = true;
+    this->start();
+    this->runFor(200ms);
+    CHECK(this->leases.empty());
+    this->store->faults.losesWriteAnswers = false;
+    const TimePoint before = BootClock::now();
+    REQUIRE(this->runUntil([&] {
+        return !this->leases.empty();
+    }));
+    CHECK(this->leases.front().grantsFrom >= before + 3s);
+}
+
+// Guards against a proof that grows without an answer of the store.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_renewalsFail_proofDoesNotGrow")
+{
+    this->start();
+    REQUIRE(this->runUntil([&] {
+        return this->leases.size() >= 3;
+    }));
+    CHECK(this->leases.back().entry == 1);
+    this->store->faults.down = true;
+    this->runFor(50ms);
+    const TimePoint proved = this->leases.back().provedUntil;
+    this->runFor(500ms);
+    CHECK(this->leases.back().provedUntil == proved);
+}
+
+// Guards against a right to grant that goes on after others have taken over.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_ownEntryHasLapsed_proofEndsAndTheNextEntryIsNew")
+{
+    this->start();
+    REQUIRE(this->runUntil([&] {
+        return this->leases.size() >= 2;
+    }));
+    expireLease(*this->store, this->store->items.at("hosts/front-1").lease);
+    const TimePoint before = BootClock::now();
+    REQUIRE(this->runUntil([&] {
+        return this->leases.back().entry == 2;
+    }));
+    CHECK(this->leases[this->leases.size() - 2].provedUntil == TimePoint{});
+    CHECK(this->leases.back().grantsFrom >= before + 3s);
+}
+
 TEST_CASE_METHOD(ControllerFixture, "fleetController_manyHostsStart_watchCallsAreBatched")
 {
     this->start();
--- a/tests/test_request_quota.cpp
+++ b/tests/test_request_quota.cpp
@@ -102,6 +102,7 @@
     auto hosts = hostsIn(64, 3);
     const auto namesOf = [&hosts](const std::vector<std::size_t> &indexes) {
         std::vector<std::string> names;
+        names.reserve(indexes.size());
         for (const std::size_t index : indexes) {
             names.push_back(hosts[index].host.value);
         }
@@ -116,17 +117,19 @@
 // Guards against buckets that hold at least one token each and so add up to more than the allowed excess.
 TEST_CASE("quotaShareOf_anyLimit_capacitiesAndStartsStayWithinTheExcess", "[quota]")
 {
-    for (const unsigned domains : {1U, 3U}) {
-        const auto hosts = hostsIn(360, domains);
-        for (const double rate : {0.3, 1.0, 8.0, 40.0, 128.0, 500.0}) {
-            for (const double burst : {0.0, 1.0, 20.0, 500.0}) {
-                const QuotaLimit limit{rate, burst};
-                const std::size_t holders = quotaHolders(workspaceA, limit, {}, hosts).size();
-                const QuotaShare share = quotaShareOf(limit, {}, holders);
-                const auto count = static_cast<double>(holders);
-                INFO("domains " << domains << " rate " << rate << " burst " << burst << " holders " << holders);
-                CHECK(count * share.perSecond == Approx(rate));
-                CHECK(count * (share.capacity + share.start) - burst <= allowedExcess(limit, {}));
+    for (const QuotaAllowance allowance : {QuotaAllowance{}, QuotaAllowance{5s, 0.02, 15}}) {
+        for (const unsigned domains : {1U, 3U, 11U}) {
+            const auto hosts = hostsIn(360, domains);
+            for (const double rate : {0.3, 1.0, 8.0, 40.0, 128.0, 500.0}) {
+                for (const double burst : {0.0, 1.0, 20.0, 500.0}) {
+                    const QuotaLimit limit{rate, burst};
+                    const std::size_t holders = quotaHolders(workspaceA, limit, allowance, hosts).size();
+                    const QuotaShare share = quotaShareOf(limit, allowance, holders);
+                    const auto count = static_cast<double>(holders);
+                    INFO("domains " << domains << " rate " << rate << " burst " << burst << " holders " << holders);
+                    CHECK(count * share.perSecond == Approx(rate));
+                    CHECK(count * (share.capacity + share.start) - burst <= allowedExcess(limit, allowance));
+                }
             }
         }
     }
