--- a/src/entry/caller_service_func.h
+++ b/src/entry/caller_service_func.h
@@ -4,6 +4,7 @@
 #include "job/job_registry_base.h"
 #include "policy/config_proof_type.h"
 #include "proxy/proxy_base.h"
+#include "quota/request_quotas_base.h"
 
 namespace skylark {
 
@@ -13,6 +14,7 @@
     std::shared_ptr<JobRegistry> jobs; ///< Accepts, reads and cancels batch jobs.
     DomainId domain; ///< Failure domain of this host.
     std::shared_ptr<const ConfigProofState> proof; ///< Proof of the configuration; null where the hosts keep none.
+    std::shared_ptr<RequestQuotas> quotas{}; ///< Quotas of workspaces; null when there are none.
 };
 
 /** @return The request handler of the HTTP server for callers. */
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -32,6 +32,7 @@
     bool reachable{true}; ///< Whether the last call to the service succeeded.
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
     std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
+    HostLease entryProof; ///< Proof that the host's entry is alive.
     bool leaving{false}; ///< Whether the host's entry is being removed.
     std::uint64_t configRevision{0}; ///< Revision in the service of the last configuration document that was adopted or refused; 0 for none.
     unsigned refusedProofCalls{0}; ///< Consecutive transactions without writes of which the service did not return the outcome, although it answers reads.
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -6,6 +6,7 @@
 #include "http/http_client_func.h"
 #include "metrics/metrics_func.h"
 #include "policy/config_proof_type.h"
+#include "policy/request_quota_type.h"
 #include "store/kv_store_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -38,6 +39,7 @@
     std::chrono::milliseconds leaseTtl{3000}; ///< Lifetime of the host's entry without a renewal.
     bool provesConfig{false}; ///< Whether the host asks for proofs while the configuration has workspaces; stale reads of the configuration are then rare.
     std::chrono::milliseconds leaseRenewal{1000}; ///< Interval of renewals; one renewal may fail before the lease expires.
+    std::function<void(const HostLease &lease)> onLease; ///< Called with each proof that the host's entry is alive, and when it has ended; may be empty.
 };
 
 using SnapshotPtr = std::shared_ptr<const FleetSnapshot>;
