Feature: Place requests on targets that probably hold parts of their prompts

Cause: A target that holds the beginning of a prompt answers sooner, but the choice of a target did not know the parts of prompts.

Change: For routes with session affinity, each host estimates which targets hold which parts: from its own history for each target (bounded, evicted as the target reads tokens, within its memory), and by rendezvous hashing of the last shared part, over as many targets as its load needs. The time to read a token is a least squares fit of the time to the first event of requests that found a free slot; its slope less two standard errors counts, and nothing is weighed before it is significant. balanceRequest() subtracts the time saved, less 10 ms and less the expected wait on counts of that age. Slow, silent and suspect targets attract nothing. Among otherwise equal targets the one that holds more goes first. The decoder keeps the tokens of each part.

Passed: test_kept_prompt, test_spread, test_forward, test_silence, test_crash_quarantine, test_metrics, test_event_log. Guards taken out, each with the test that failed: slow, silent or suspect targets (balanceRequest_partKeptOnSlowSilentOrSuspectTarget_doesNotCount), expected wait (balanceRequest_waitLongerThanSaved_choosesFreeSlot, balanceRequest_lastSlotOnOldCounts_isNotFilledForASmallSaving), least saving (balanceRequest_fewMillisecondsSaved_choiceStaysAsItIs), common ranking (estimateKeptTokens_partThatNoHostHasSeen_hostsPreferTheSameTarget), spread (estimateKeptTokens_partWithHighLoad_spreadsOverMoreTargets), bounds of both tables (recordSentPrompt_manyParts_historyStaysBounded), eviction by tokens read (placement_longPromptsOnOldCounts_callersGetNoLess), least number of requests (timePerToken_noEvidence_isUnknown), standard errors (timePerToken_timesIndependentOfThePrompt_isMostlyUnknown), correction and guesses (comparableFirstEvent_promptsOfDifferentLength_comparesTargetsOnly), guesses in the fit (placement_longPrompts_areReadLessAndAnsweredSooner), session affinity (forward_routeWithoutSessionAffinity_keepsNoHistory). The check for an unknown memory size only saves time: no test fails without it.

--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -33,7 +33,7 @@
     EventInfo{EventKind::TargetRefused, "targets", "target_refused", "detail"},
     EventInfo{EventKind::TargetEntryMissing, "targets", "target_entry_missing", "kept_ms return_age_ms written_revision return_revision"},
     EventInfo{EventKind::PeerChanged, "peers", "peer_changed", "state domain address"},
-    EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
+    EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms kept_tokens kept_gain_ms"},
     EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms silent_ms events phase prompt_parts request"},
     EventInfo{EventKind::Resumed, "route", "resumed", "after"},
     EventInfo{EventKind::LimitChanged, "targets", "limit_changed", "source limited per_second sent"},
--- a/src/policy/load_balance.cpp
+++ b/src/policy/load_balance.cpp
@@ -4,6 +4,8 @@
 #include "core/hash_func.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numbers>
 
 namespace skylark {
 
@@ -19,6 +21,9 @@
 constexpr double tieBreakRange = 0.02; ///< Range of the random part of a score, which breaks ties.
 constexpr std::chrono::milliseconds minRefusalDelay{200}; ///< Shortest retry delay: one step of the targets and the way back to the caller.
 constexpr unsigned percent = 100;
+constexpr double millisecondsPerUnit = 100.0; ///< Time that a score of 1 stands for: the answer time that otherDomainCost refers to.
+constexpr double minSavedMs = 10.0; ///< Savings up to this do not count: they are below the noise of answer times.
+constexpr double minDelayMs = 20.0; ///< Added to the age of counts: an early status and its transmission.
 
 unsigned queueBound(const BalanceCandidate &candidate, const BalanceLimits &limits)
 {
@@ -33,6 +38,42 @@
     return candidate.online + candidate.batch >= candidate.slots ? BalanceReason::BatchYields : BalanceReason::FreeSlot;
 }
 
+/** @return Expected number of requests beyond @p free that other hosts have on the target unseen: the mean excess of a normal variable. */
+double expectedExcess(double free, double deviation)
+{
+    const double z = free / deviation;
+    const double density = std::exp(-z * z / 2) / std::sqrt(2 * std::numbers::pi);
+    return deviation * (density - z * std::erfc(z / std::numbers::sqrt2) / 2);
+}
+
+/**
+ * @return Expected wait at the target in milliseconds: for the known requests ahead, and for those that arrived while the counts aged. Arrivals and
+ * departures within that age are taken as independent, each at the rate at which the target's slots turn over.
+ */
+double expectedWaitMs(const BalanceCandidate &candidate, std::chrono::milliseconds serviceTime)
+{
+    const double slots = std::max(1U, candidate.slots);
+    const double service = std::max(1.0, static_cast<double>(serviceTime.count()));
+    const double age = minDelayMs + static_cast<double>(candidate.countsAge.count());
+    const double deviation = std::sqrt(2 * (std::min<double>(candidate.online, slots) + 1) * std::min(1.0, age / service));
+    return expectedExcess(slots - candidate.online - 0.5, deviation) * service / slots;
+}
+
+/** @return Whether kept parts may draw requests to the target. */
+bool mayAttract(const BalanceCandidate &candidate)
+{
+    return !candidate.silent && !candidate.suspect && candidate.slowness <= 1.0;
+}
+
+/** @return By how much the kept parts of the prompt outweigh the wait at the target, in milliseconds; 0 for a target that must not attract requests. */
+double gainMs(const BalanceCandidate &candidate, const BalanceLimits &limits)
+{
+    if (candidate.savedMs <= minSavedMs || !mayAttract(candidate)) {
+        return 0;
+    }
+    return std::max(0.0, candidate.savedMs - minSavedMs - expectedWaitMs(candidate, limits.serviceTime));
+}
+
 double score(const BalanceCandidate &candidate, std::uint64_t &random)
 {
     const double slots = std::max(1U, candidate.slots);
@@ -43,6 +84,9 @@
     value += candidate.sameDomain ? 0.0 : otherDomainCost + ageCost * static_cast<double>(std::max(candidate.countsAge - maxFreshAge, {}).count());
     value += candidate.silent ? silentCost : 0.0;
     value += candidate.suspect ? suspectCost : 0.0;
+    // Of targets that are otherwise equal, the one that holds more is taken. This also gives requests with fewer tokens to read, from which their time is
+    // learned.
+    value -= mayAttract(candidate) ? tieBreakRange * candidate.keptShare : 0.0;
     return value + tieBreakRange * static_cast<double>(nextRandom(random) >> 11U) / static_cast<double>(1ULL << 53U);
 }
 
@@ -72,6 +116,7 @@
     BalanceChoice choice;
     const BalanceCandidate *best = nullptr;
     double bestScore = 0;
+    double bestGain = 0;
     std::uint64_t random = draw;
     for (const BalanceCandidate &candidate : candidates) {
         if (candidate.tried) {
@@ -85,16 +130,18 @@
             choice.reason = BalanceReason::RateLimited;
             continue;
         }
-        const double value = score(candidate, random);
+        const double gain = gainMs(candidate, limits);
+        const double value = score(candidate, random) - gain / millisecondsPerUnit;
         if (best == nullptr || value < bestScore) {
             best = &candidate;
             bestScore = value;
+            bestGain = gain;
         }
     }
     if (best == nullptr) {
         return choice;
     }
-    return {reasonOf(*best), best->id, best->online, best->batch};
+    return {reasonOf(*best), best->id, best->online, best->batch, best->keptTokens, bestGain, best->keptGuessed, best->slowness};
 }
 
 std::chrono::milliseconds refusalDelay(const RefusalInput &input)
--- a/src/policy/load_balance_type.h
+++ b/src/policy/load_balance_type.h
@@ -22,11 +22,16 @@
     bool tried{false}; ///< Whether this request failed on it.
     bool rateLimited{false}; ///< Whether this host must not send it a request now, because of the target's rate limit.
     double slowness{1.0}; ///< Time to the first answer divided by the median of the service; 1 when unknown.
+    double keptTokens{0}; ///< Tokens of the request's prompt that the target is expected to hold.
+    double keptShare{0}; ///< The same as a share of the prompt.
+    bool keptGuessed{false}; ///< Whether that rests on the ranking alone, not on what this host has sent.
+    double savedMs{0}; ///< Time that they are expected to save, in milliseconds; 0 when it is unknown.
 };
 
 /** Limit of the queue at a target, which bounds the wait of a request. */
 struct BalanceLimits {
     unsigned queuePerSlotPercent{50}; ///< Online requests that may wait at a target, in percent of its slots; at least one may wait.
+    std::chrono::milliseconds serviceTime{700}; ///< Time that a request holds a slot.
 };
 
 /** Outcome of load balancing for one request. */
@@ -45,6 +50,10 @@
     TargetId target; ///< Empty when the reason is Full or NoTarget.
     unsigned online{0}; ///< Known online requests on the target.
     unsigned batch{0}; ///< Known batch items on the target.
+    double keptTokens{0}; ///< Tokens of the prompt that the target is expected to hold.
+    double savedMs{0}; ///< Time by which kept parts of the prompt outweigh the wait at the target; 0 when they did not count.
+    bool keptGuessed{false}; ///< Whether @c keptTokens rests on the ranking alone.
+    double slowness{1.0}; ///< Slowness of the target.
 };
 
 } // namespace skylark
--- a/src/policy/prompt_part_type.h
+++ b/src/policy/prompt_part_type.h
@@ -3,6 +3,7 @@
 
 #include "core/id_type.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace skylark {
@@ -34,6 +35,8 @@
     std::vector<PromptPartId> shared; ///< Parts that other requests may share, in order; all but the last one.
     PromptPartId own; ///< Last part, which belongs to the request or its session.
     PromptPartId request{}; ///< The whole request, the same whenever it comes again; 0 for a batch item.
+    std::vector<std::uint32_t> sharedTokens{}; ///< Tokens of each part in @c shared; empty where they are not known.
+    std::uint32_t ownTokens{0}; ///< Tokens of the last part.
 };
 
 } // namespace skylark
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
+#include <cmath>
 
 namespace skylark {
 
@@ -29,12 +30,13 @@
     if (attempt.end == AttemptEnd::Answered) {
         recordSoundRun(proxy, forwarding.call.prompt);
         const bool measurable = forwarding.tried.empty() && reason == BalanceReason::FreeSlot && forwarding.firstAt;
-        recordTargetSuccess(proxy, target.id, measurable ? std::optional(std::chrono::duration_cast<milliseconds>(*forwarding.firstAt - begun)) : std::nullopt);
+        recordTargetSuccess(proxy, target.id, measurable ? recordPromptRead(forwarding, *forwarding.firstAt - begun) : std::nullopt);
         return;
     }
     if (attempt.end == AttemptEnd::CallerGone) {
         return;
     }
+    recordPromptFailure(forwarding, target.id);
     forwarding.tried.push_back(target.id);
     if (attempt.end == AttemptEnd::Failed) {
         forwarding.ranOn.push_back(target.id);
@@ -120,7 +122,10 @@
                     {"peers_age_ms", oldestStatusAge(proxy.loadTracker, begun).count()},
                     {"attempt", forwarding.runs + forwarding.refusals + 1},
                     {"config", forwarding.config->version.value},
-                    {"left_ms", timeLeft(forwarding).count()}});
+                    {"left_ms", timeLeft(forwarding).count()},
+                    {"kept_tokens", std::llround(choice.keptTokens)},
+                    {"kept_gain_ms", std::llround(choice.savedMs)}});
+        recordPromptSent(forwarding, choice);
         recordTrial(proxy.quarantine, forwarding.call.prompt, begun);
         attempt = co_await attemptOn(forwarding, target);
     }
@@ -149,7 +154,8 @@
             co_await refuseQuarantined(forwarding, last, *quarantined);
             co_return;
         }
-        const auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
+        auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
+        weighKeptPrompt(forwarding, candidates);
         const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(proxy.random));
         const bool unplaced = choice.target.empty();
         if (unplaced && !attempted) {
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -33,6 +33,7 @@
     std::chrono::milliseconds longestGap{0}; ///< Longest time between two writes of events to the caller.
     /** Last progress of the current attempt: sending the request, the head of the answer, or an event; other bytes are none. */
     TimePoint progressAt{};
+    std::optional<SentPrompt> sentPrompt; ///< What was expected of the prompt at the target of the current attempt; empty where that is not estimated.
     RunProgress progress; ///< Progress of the current or most recent attempt.
     bool started{false}; ///< Whether sending the answer to the caller has begun.
     std::optional<TimePoint> firstAt; ///< When the first event or the complete answer was received; empty before.
@@ -94,6 +95,22 @@
  */
 [[nodiscard]] bool leaveSilentTarget(Forwarding &forwarding);
 
+/** Estimates which candidates hold parts of the request's prompt. Does nothing unless the route has session affinity. */
+void weighKeptPrompt(const Forwarding &forwarding, std::vector<BalanceCandidate> &candidates);
+
+/** Records that the request is sent to the chosen target, which will hold its prompt. Does nothing unless the route has session affinity. */
+void recordPromptSent(Forwarding &forwarding, const BalanceChoice &choice);
+
+/** Records that an attempt failed, so that @p target may not hold the prompt. */
+void recordPromptFailure(const Forwarding &forwarding, const TargetId &target);
+
+/**
+ * Records the time to the first event of a request that found a free slot.
+ * @param firstAnswer Time from the beginning of the attempt to the first event or the complete answer.
+ * @return The time by which targets are compared; empty when it depends on a guess.
+ */
+std::optional<std::chrono::milliseconds> recordPromptRead(const Forwarding &forwarding, std::chrono::nanoseconds firstAnswer);
+
 /** Sends the request to @p target and relays its answer to the caller. */
 boost::asio::awaitable<Attempt> attemptOn(Forwarding &forwarding, TargetEntry target);
 
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -8,6 +8,7 @@
 #include "http/http_server_func.h"
 #include "metrics/metrics_func.h"
 #include "policy/crash_quarantine_func.h"
+#include "policy/kept_prompt_func.h"
 #include "policy/load_balance_func.h"
 #include "policy/rate_limit_func.h"
 #include "policy/silence_func.h"
@@ -52,6 +53,7 @@
     LeavingTargets leavingTargets; ///< Targets that have said in an answer that they are leaving.
     RateLimitTable rateLimits; ///< Rate limits that targets have named.
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
+    std::map<ServiceId, KeptPrompts> keptPrompts; ///< Prompt parts that targets probably hold; only of services with a route that has session affinity.
     std::function<void()> onUrgentNews; ///< Schedules an early announcement to the hosts of all failure domains; may be empty.
     std::function<void(const QuarantineChange &change)> onQuarantine; ///< Stores a change that this host decided; may be empty.
     std::function<void(LoadChange change)> onLoadChange; ///< Schedules an early announcement of this host's requests in flight.
--- a/src/proxy/target_answer.cpp
+++ b/src/proxy/target_answer.cpp
@@ -28,6 +28,9 @@
     };
     std::erase_if(proxy.health, isGone);
     std::erase_if(proxy.rateLimits.targets, isGone);
+    for (auto &[service, kept] : proxy.keptPrompts) {
+        std::erase_if(kept.targets, isGone);
+    }
     forgetGoneTargets(proxy.leavingTargets, listed, BootClock::now());
 }
 
