Fix: Concurrent jobs at different hosts exceeded the limit of waiting tokens

Each host accepted jobs up to half of max_count without a condition, by its own knowledge: 12 jobs at 7 hosts were all accepted, 489,600 tokens against a bound of 440,000. A job is now accepted by a write whose condition is the revision of a ledger, the waiting tokens by job of one workspace on one route, or of all callers where there are no workspaces. What a host knows of the jobs in it only lowers the sum, because waiting tokens never grow. Sums of tokens no longer wrap around. The test of decideJobAdmission expects the condition also below half of the limit.

--- a/src/job/job_policy.cpp
+++ b/src/job/job_policy.cpp
@@ -4,6 +4,7 @@
 #include "core/invariant_func.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -23,6 +24,12 @@
 constexpr std::chrono::milliseconds maxResultDelay{1000}; ///< Bounds the finished work that is lost with its host.
 constexpr int resultDelayShare = 8; ///< Results wait for at most this fraction of the time until they are due.
 
+std::uint64_t addSaturated(std::uint64_t left, std::uint64_t right)
+{
+    const std::uint64_t most = std::numeric_limits<std::uint64_t>::max();
+    return right > most - left ? most : left + right;
+}
+
 std::set<std::uint32_t> listedIndexes(const StoredJob &record)
 {
     std::set<std::uint32_t> indexes;
@@ -42,7 +49,7 @@
     std::uint64_t tokens = 0;
     const auto listed = listedIndexes(record);
     for (std::uint32_t i = 0; i < record.items.size(); ++i) {
-        tokens += listed.contains(i) ? 0 : record.items[i].tokens;
+        tokens = addSaturated(tokens, listed.contains(i) ? 0 : record.items[i].tokens);
     }
     return tokens;
 }
@@ -52,10 +59,38 @@
     if (limit == 0) {
         return JobAdmission::Accept;
     }
-    if (waiting + tokens > limit) {
-        return JobAdmission::Refuse;
+    const bool fits = tokens <= limit && waiting <= limit - tokens;
+    return fits ? JobAdmission::AcceptSerialized : JobAdmission::Refuse;
+}
+
+std::uint64_t totalTokens(const WaitingLedger &ledger)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[job, tokens] : ledger.tokens) {
+        sum = addSaturated(sum, tokens);
+    }
+    return sum;
+}
+
+std::uint64_t totalTokens(const std::vector<ItemHead> &items)
+{
+    std::uint64_t sum = 0;
+    for (const ItemHead &item : items) {
+        sum = addSaturated(sum, item.tokens);
+    }
+    return sum;
+}
+
+WaitingLedger reduceLedger(WaitingLedger ledger, const std::map<JobId, std::uint64_t> &known, const std::set<JobId> &gone)
+{
+    for (const auto &[job, tokens] : known) {
+        const auto [entry, added] = ledger.tokens.try_emplace(job, tokens);
+        entry->second = std::min(entry->second, tokens);
     }
-    return waiting + tokens <= limit / 2 ? JobAdmission::Accept : JobAdmission::AcceptSerialized;
+    std::erase_if(ledger.tokens, [&](const auto &entry) {
+        return entry.second == 0 || gone.contains(entry.first);
+    });
+    return ledger;
 }
 
 AppendDecision appendResults(const StoredJob &present, const SessionId &own, const std::map<std::uint32_t, ItemState> &finished)
--- a/src/job/job_policy_func.h
+++ b/src/job/job_policy_func.h
@@ -5,22 +5,44 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace skylark {
 
 /** Outcome of the admission check of a job. */
 enum class JobAdmission : std::uint8_t {
-    Accept, ///< It fits into half of the limit; hosts may accept jobs concurrently.
-    AcceptSerialized, ///< It fits, but the write must be conditional on no other host having accepted a job on the route meanwhile.
+    Accept, ///< There is no limit; hosts may accept jobs concurrently.
+    AcceptSerialized, ///< It fits; the write must be conditional on no other host having accepted a job of the workspace on the route meanwhile.
     Refuse, ///< It exceeds the limit.
 };
 
 /** @return Tokens of the items without a result; 0 if the job was ended. */
 [[nodiscard]] std::uint64_t waitingTokens(const StoredJob &record);
 
+/** Tokens with which the accepted jobs of one workspace on one route wait, as stored with its last acceptance there. */
+struct WaitingLedger {
+    std::map<JobId, std::uint64_t> tokens; ///< Tokens by job; an upper bound, because items may have finished since.
+};
+
+/** @return Tokens of all jobs in @p ledger; the largest number if the sum does not fit. */
+[[nodiscard]] std::uint64_t totalTokens(const WaitingLedger &ledger);
+
+/** @return Tokens of all items; the largest number if the sum does not fit. */
+[[nodiscard]] std::uint64_t totalTokens(const std::vector<ItemHead> &items);
+
+/**
+ * Lowers a ledger to what this host knows of its jobs. Every known revision of a record gives an upper bound, because finished items and ended jobs never wait
+ * again; so the sum holds even if the record is old. Jobs without waiting tokens are removed.
+ * @param known Waiting tokens of the open and closed jobs of the workspace on the route that this host knows; jobs that the ledger lacks are added, because
+ *        a former program accepted them without it.
+ * @param gone Jobs whose record has been removed.
+ */
+[[nodiscard]] WaitingLedger reduceLedger(WaitingLedger ledger, const std::map<JobId, std::uint64_t> &known, const std::set<JobId> &gone);
+
 /**
- * Decides whether a job may be accepted on a route.
+ * Decides whether a job may be accepted on a route. Load: a dozen jobs that arrive at as many hosts within a millisecond, each of a tenth of the limit. Every
+ * acceptance is conditional on the ledger from which it was decided, so that concurrent ones are decided one after another, whatever each host knows.
  * @param waiting Tokens that already wait on the route.
  * @param tokens Tokens of the job.
  * @param limit Maximum of waiting tokens; 0 for no limit.
--- a/src/job/job_record.cpp
+++ b/src/job/job_record.cpp
@@ -63,9 +63,35 @@
     return key.starts_with(recordPrefix);
 }
 
-std::string jobQuotaKey(std::string_view host, std::string_view prefix)
+std::string jobQuotaKey(std::string_view host, std::string_view prefix, const WorkspaceId &workspace)
 {
-    return std::string(quotaPrefix) + hash128Hex(std::string(host) + ' ' + std::string(prefix));
+    const std::string route = std::string(host) + ' ' + std::string(prefix);
+    return std::string(quotaPrefix) + hash128Hex(workspace.empty() ? route : route + '\n' + workspace.value);
+}
+
+std::string encodeLedger(const WaitingLedger &ledger)
+{
+    boost::json::object jobs;
+    for (const auto &[job, tokens] : ledger.tokens) {
+        jobs[job.value] = tokens;
+    }
+    return boost::json::serialize(boost::json::object{{"jobs", std::move(jobs)}});
+}
+
+WaitingLedger decodeLedger(std::string_view value)
+{
+    WaitingLedger ledger;
+    const auto object = parseJsonObject(value);
+    const auto *jobs = object ? object->if_contains("jobs") : nullptr;
+    if (jobs == nullptr || !jobs->is_object()) {
+        return ledger;
+    }
+    for (const auto &entry : jobs->get_object()) {
+        if (const auto tokens = numberIn<std::uint64_t>(entry.value())) {
+            ledger.tokens[JobId{std::string(entry.key())}] = *tokens;
+        }
+    }
+    return ledger;
 }
 
 std::string jobBodyKey(const JobId &job, std::uint32_t part)
--- a/src/job/job_record_func.h
+++ b/src/job/job_record_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/result_type.h"
+#include "job/job_policy_func.h"
 #include "job/job_type.h"
 
 #include <string>
@@ -21,8 +22,17 @@
 /** @return Whether @p key is the key of a job record. */
 [[nodiscard]] bool isJobRecordKey(std::string_view key);
 
-/** @return Key that each acceptance of a job on the route of @p host and @p prefix writes; a condition on its revision serializes acceptances. */
-[[nodiscard]] std::string jobQuotaKey(std::string_view host, std::string_view prefix);
+/**
+ * @return Key of the ledger of waiting tokens that each acceptance of a job of @p workspace on the route of @p host and @p prefix writes; a condition on its
+ *         revision serializes acceptances. @param workspace Empty for callers without one.
+ */
+[[nodiscard]] std::string jobQuotaKey(std::string_view host, std::string_view prefix, const WorkspaceId &workspace);
+
+/** @return Stored form of @p ledger. */
+[[nodiscard]] std::string encodeLedger(const WaitingLedger &ledger);
+
+/** @return The ledger in @p value; empty when it is none, as former programs wrote it. */
+[[nodiscard]] WaitingLedger decodeLedger(std::string_view value);
 
 /** @return Key of the part with number @p part, from 0, of the submission's body. */
 [[nodiscard]] std::string jobBodyKey(const JobId &job, std::uint32_t part);
--- a/tests/test_job_policy.cpp
+++ b/tests/test_job_policy.cpp
@@ -146,10 +146,14 @@
 TEST_CASE("decideJobAdmission_limit_isNeverExceeded", "[accept]")
 {
     CHECK(decideJobAdmission(0, 5000, 0) == JobAdmission::Accept);
-    CHECK(decideJobAdmission(0, 400, 1000) == JobAdmission::Accept);
+    CHECK(decideJobAdmission(0, 400, 1000) == JobAdmission::AcceptSerialized);
     CHECK(decideJobAdmission(200, 400, 1000) == JobAdmission::AcceptSerialized);
     CHECK(decideJobAdmission(600, 400, 1000) == JobAdmission::AcceptSerialized);
     CHECK(decideJobAdmission(601, 400, 1000) == JobAdmission::Refuse);
+    CHECK(decideJobAdmission(0, 1001, 1000) == JobAdmission::Refuse);
+    // A sum that does not fit into the number must not wrap around.
+    CHECK(decideJobAdmission(600, std::numeric_limits<std::uint64_t>::max() - 100, 1000) == JobAdmission::Refuse);
+    CHECK(totalTokens({ItemHead{"a", std::numeric_limits<std::uint64_t>::max()}, ItemHead{"b", 2}}) == std::numeric_limits<std::uint64_t>::max());
 }
 
 TEST_CASE("mayClaim_ownerState_decides", "[claim]")
