--- a/tests/test_config_proof.cpp
+++ b/tests/test_config_proof.cpp
@@ -533,6 +533,17 @@
     CHECK(this->store->counts.commits == commits + 1);
 }
 
+// Guards against a proof of a configuration that its operators have removed.
+TEST_CASE_METHOD(ProveFixture, "proveConfig_documentRemoved_givesNoProof")
+{
+    this->putConfig(1);
+    this->start();
+    REQUIRE(this->reaches(1));
+    removeKey(*this->store, "op/config");
+    CHECK_FALSE(this->prove());
+    CHECK(this->version() == 1);
+}
+
 // Guards against a missed second configuration right after the first, and against a large one.
 TEST_CASE_METHOD(ProveFixture, "proveConfig_twoConfigurationsInSuccessionOneLarge_lastOneIsProved")
 {
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -79,6 +79,25 @@
     CHECK(read.store == Endpoint{"10.200.1.7", 8142});
 }
 
+// Guards against limits on revocation that are not read, and against proofs in deployments that do not ask for them.
+TEST_CASE("settings_boundsOfAccess_areReadOrHaveDefaults", "[settings]")
+{
+    const auto plain = platform::decodeSettings(validSettings);
+    REQUIRE(isOk(plain));
+    CHECK_FALSE(valueOf(plain).entry.access.revokesEverywhere);
+    CHECK(valueOf(plain).entry.access.revocationLimit == 5000ms);
+    CHECK(valueOf(plain).entry.access.configLimit == 3000ms);
+    CHECK(valueOf(plain).entry.access.quotaOverage == 0.1);
+    std::string text = validSettings;
+    text.insert(text.find("grace_s"), "revoke_everywhere = true\nrevoke_ms = 6000\nconfig_apply_ms = 2000\nquota_overage = 0.2\n");
+    const auto bounded = platform::decodeSettings(text);
+    REQUIRE(isOk(bounded));
+    CHECK(valueOf(bounded).entry.access.revokesEverywhere);
+    CHECK(valueOf(bounded).entry.access.revocationLimit == 6000ms);
+    CHECK(valueOf(bounded).entry.access.configLimit == 2000ms);
+    CHECK(valueOf(bounded).entry.access.quotaOverage == 0.2);
+}
+
 TEST_CASE("settings_withMistakes_nameEachByItsKey", "[settings]")
 {
     std::string text = textWithout(textWithout(validSettings, "zone ="), "readiness =");
