--- a/src/policy/request_quota_func.h
+++ b/src/policy/request_quota_func.h
@@ -20,7 +20,7 @@
 inline constexpr std::chrono::milliseconds heldTokenLife{250};
 
 /** Most holders that are asked for one request. */
-inline constexpr unsigned maxQuotaAsks = 6;
+inline constexpr unsigned maxQuotaAsks = 8;
 
 /** Longest time that a request waits for its token. Callers want their answer within 300 ms. */
 inline constexpr std::chrono::milliseconds maxQuotaWait{150};
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -77,6 +77,7 @@
     std::shared_ptr<const FleetSnapshot> snapshot{std::make_shared<const FleetSnapshot>()}; ///< Latest snapshot.
     std::unique_ptr<FleetController> controller; ///< Null until start().
     std::vector<QuarantineEntry> quarantined; ///< Entries that the controller has reported.
+    std::shared_ptr<const KvStore> calls{storeInterface(store)}; ///< Calls of the controller.
     std::vector<HostLease> leases; ///< Proofs of the own entry that the controller has reported.
 
     void start(std::chrono::milliseconds expiryGrace = 400ms, std::chrono::milliseconds targetHeartbeat = 200ms, std::chrono::milliseconds leaseRenewal = 100ms)
@@ -95,7 +96,7 @@
         };
         this->controller = FleetController::create(
             this->loop.get_executor(),
-            storeInterface(this->store),
+            this->calls,
             platform::makeFleetWire(),
             options,
             MetricsRegistry::create(),
@@ -597,6 +598,27 @@
     CHECK(this->leases.front().grantsFrom >= before + 3s);
 }
 
+// Guards against a host that takes the place of an entry which has lapsed since it was seen, so that others have taken over.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_predecessorLapsesMeanwhile_waitsUntilOthersKnow")
+{
+    putKey(*this->store, "hosts/front-1", encodeHostEntry({HostId{"front-1"}, SessionId{"earlier"}, DomainId{"north"}, {"127.0.0.1", 7000}}));
+    auto lapsing = std::make_shared<KvStore>(*this->calls);
+    lapsing->commit = [this, commit = this->calls->commit](KvTransaction transaction) -> boost::asio::awaitable<Result<KvTransactionResult>> {
+        auto result = co_await commit(std::move(transaction));
+        if (isOk(result) && !valueOf(result).applied && this->store->items.contains("hosts/front-1")) {
+            removeKey(*this->store, "hosts/front-1");
+        }
+        co_return result;
+    };
+    this->calls = lapsing;
+    const TimePoint before = BootClock::now();
+    this->start();
+    REQUIRE(this->runUntil([&] {
+        return !this->leases.empty();
+    }));
+    CHECK(this->leases.front().grantsFrom >= before + 3s);
+}
+
 // Guards against a proof that grows without an answer of the store.
 TEST_CASE_METHOD(ControllerFixture, "fleetController_renewalsFail_proofDoesNotGrow")
 {
--- a/tests/test_quotas.cpp
+++ b/tests/test_quotas.cpp
@@ -179,6 +179,19 @@
     CHECK(this->hosts[0]->quotas->table.counts.silent == 1);
 }
 
+// Guards against a target that works on a request whose caller has gone, because the wait for the token was not deducted.
+TEST_CASE_METHOD(QuotaFixture, "admitRequest_waitsForItsToken_waitCountsAgainstTheDeadline")
+{
+    this->runFor(2500ms);
+    this->hosts[0]->lost = 1;
+    CHECK(this->sendMany(6, {0}) == 6);
+    std::uint64_t least = 3000;
+    for (const auto &run : this->replicas.front()->runs) {
+        least = std::min(least, run->budgetMs);
+    }
+    CHECK(least <= 2980);
+}
+
 // Guards against holders that grant without a proved entry.
 TEST_CASE_METHOD(QuotaFixture, "admitRequest_noHolderMayGrant_saysThatItDoesNotKnow")
 {
