Fix: Names and values that callers supply are validated against the grammar of HTTP before they are sent to targets

Cause: item headers, paths and identifiers of a job were taken from its JSON as they were, and the HTTP library writes fields without a look at them.

The HTTP client refuses to write what is not exactly one request. Items of jobs that were accepted earlier are not validated again; one that cannot be sent becomes a dead letter.

A 400's text no longer becomes a label of skylark_own_failures_total, since it can repeat what the caller sent.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,7 @@
 /** @file http_client.cpp HTTP client over Boost.Beast. */
 #include "http/http_client_func.h"
 
+#include "http/http_grammar_func.h"
 #include "http/socket_read_func.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -163,6 +164,15 @@
     return message;
 }
 
+/** @return InvalidRequest if @p request cannot be written as exactly one HTTP request: its target would run something else, or a second request. */
+Result<Done> checkMessage(const HttpRequest &request)
+{
+    if (const auto part = findInvalidPart(request)) {
+        return makeError(ErrorCode::InvalidRequest, *part + " is malformed", RunState::No);
+    }
+    return Done{};
+}
+
 /** Reads the head of a response. */
 asio::awaitable<beast::error_code> readHeadBytes(HttpConnection &connection)
 {
@@ -289,6 +299,9 @@
     if (abort && abort->aborted) {
         co_return makeError(ErrorCode::Cancelled, "aborted before the request was sent");
     }
+    if (const auto valid = checkMessage(request); !isOk(valid)) {
+        co_return errorOf(valid);
+    }
     const OpeningRegistration registration(abort, connection.get());
     auto message = makeMessage(endpoint, std::move(request));
     connection->stream.expires_after(timeouts.send);
@@ -423,6 +436,9 @@
         co_return errorOf(opened);
     }
     HttpConnectionPtr connection = std::move(valueOf(opened));
+    if (const auto valid = checkMessage(request); !isOk(valid)) {
+        co_return errorOf(valid);
+    }
     auto message = makeMessage(endpoint, std::move(request));
     message.set(http::field::expect, "100-continue");
     http::request_serializer<http::string_body> serializer(message);
--- a/src/job/job_item_read.cpp
+++ b/src/job/job_item_read.cpp
@@ -19,6 +19,7 @@
     ProxyCall call;
     call.id.value = job.value;
     call.target = found->second.record.path;
+    call.accepted = true;
     const std::uint32_t parts = found->second.record.bodyParts;
     for (std::uint32_t part = 0; part < parts; ++part) {
         auto item = co_await registry->store->get(jobBodyKey(job, part), KvFreshness::Linearizable);
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -157,7 +157,9 @@
     const unsigned maxAttempts = route != nullptr ? std::max(1U, route->maxAttempts) : 1;
     run.failures += error.code == ErrorCode::TargetFailed ? 1 : 0;
     run.targetEnds += isTargetEnd(error) && run.progress.events == 0 ? 1 : 0;
-    if (error.code == ErrorCode::TargetRejected || run.failures >= maxAttempts) {
+    // An item that cannot be written as one request was accepted by an earlier version, and can never be sent.
+    const bool impossible = error.code == ErrorCode::TargetRejected || error.code == ErrorCode::InvalidRequest;
+    if (impossible || run.failures >= maxAttempts) {
         finishItem(owned, run, ItemState::Failed);
         return;
     }
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -29,6 +29,7 @@
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer; empty when the request does not say.
     std::uint64_t lastEventId{0}; ///< Last event that the caller received; 0 for none.
     PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
+    bool accepted{false}; ///< Whether it is the submission of a job that was accepted before. Its items are not validated again.
     WorkspaceId workspace; ///< Workspace of the caller's API key; empty before the key was checked, and where none is needed.
 };
 
@@ -77,7 +78,7 @@
     std::function<PromptParts(const HttpHeaders &headers)> readPromptParts; ///< Reads the parts of the prompt; malformed ones are left out.
     std::function<AnswerHead(int status, const HttpHeaders &headers)> readAnswerHead; ///< Parses the status and headers of a target's answer.
     std::function<Result<JobSubmission>(const ProxyCall &call)>
-        decodeSubmission; ///< Decodes the items of a batch job; InvalidRequest names the offending item.
+        decodeSubmission; ///< Decodes the items of a batch job; InvalidRequest names the offending item and field.
     std::function<std::string(const JobPage &page)> encodePage; ///< Builds the body that answers a JobReadCall.
 };
 
--- a/src/proxy/forward_answer.cpp
+++ b/src/proxy/forward_answer.cpp
@@ -152,7 +152,10 @@
         response.headers.push_back({"Retry-After", retryAfterText(*retryAfter)});
     }
     response.body = boost::json::serialize(boost::json::object{{"error", reason}});
-    addCounter(*proxy.metrics, "skylark_own_failures_total", {{"status", std::to_string(status)}, {"reason", reason}});
+    // The text of a malformed request's refusal may repeat what its caller sent, so it must not become a series of its own.
+    constexpr int statusBadRequest = 400;
+    const std::string_view label = status == statusBadRequest ? "invalid" : reason;
+    addCounter(*proxy.metrics, "skylark_own_failures_total", {{"status", std::to_string(status)}, {"reason", label}});
     co_await sendResponse(responder, std::move(response));
 }
 
--- a/src/traffic/filter.cpp
+++ b/src/traffic/filter.cpp
@@ -1,6 +1,7 @@
 /** @file filter.cpp Filter chain for callers' requests. */
 #include "traffic/filter_func.h"
 
+#include "http/http_grammar_func.h"
 #include "traffic/chat_wire_func.h"
 #include "traffic/generation_func.h"
 #include "traffic/job_handlers_func.h"
@@ -184,6 +185,12 @@
     if (context.request.target.size() > maxPathBytes) {
         co_return makeError(ErrorCode::InvalidRequest, "path is over the limit of " + std::to_string(maxPathBytes) + " bytes");
     }
+    // Method, target and headers of a service call are written to its target.
+    if (auto part = findInvalidPart(context.request)) {
+        Error error = makeError(ErrorCode::InvalidRequest, *part + " is malformed");
+        error.param = std::move(*part);
+        co_return error;
+    }
     const std::size_t limit = path == "/v1/jobs" ? impl.context.settings->maxJobBody : impl.context.settings->maxRequestBody;
     if (context.request.body.size() > limit) {
         co_return makeError(ErrorCode::PayloadTooLarge, "body is over the limit of " + std::to_string(limit) + " bytes");
--- a/src/traffic/service_send.cpp
+++ b/src/traffic/service_send.cpp
@@ -6,6 +6,7 @@
 #include "core/table/error_table.h"
 #include "engine/engine_response_func.h"
 #include "policy/retry_func.h"
+#include "proxy/proxy_base.h"
 #include "traffic/answer_stream_func.h"
 #include "traffic/crash_evidence_func.h"
 #include "traffic/error_render_func.h"
@@ -22,7 +23,7 @@
 
 namespace {
 
-/** Header fields of one connection or of this system; not passed on to the service. */
+/** Header fields that this system sets or consumes itself; not passed on to the service, like those of one connection. */
 constexpr std::array<std::string_view, 10> droppedHeaders{"host",
                                                           "connection",
                                                           "content-length",
@@ -49,7 +50,7 @@
     request.method = context.request.method;
     request.target = std::move(target);
     request.body = context.request.body;
-    for (const HttpHeader &header : context.request.headers) {
+    for (const HttpHeader &header : endToEndHeaders(context.request.headers)) {
         const bool dropped = std::any_of(droppedHeaders.begin(), droppedHeaders.end(), [&header](std::string_view name) {
             return boost::algorithm::iequals(header.name, name);
         });
--- a/tests/test_service_calls.cpp
+++ b/tests/test_service_calls.cpp
@@ -1,4 +1,5 @@
 /** @file test_service_calls.cpp Tests of the callers' server: calls of plain services on stand-in targets. */
+#include "support/raw_caller.h"
 #include "support/traffic_fixture.h"
 
 using namespace skylark;
@@ -15,6 +16,18 @@
         return this->first.serviceCalls + this->second.serviceCalls;
     }
 
+    /** Sends the request line and headers @p start with a key of the workspace. @return What arrives within two seconds at most. */
+    std::string rawCall(const std::string &start)
+    {
+        test::RawCaller caller(this->context.online, this->endpoint());
+        caller.write(start + "Host: h\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n");
+        for (unsigned i = 0; i < 100 && caller.received.find("\r\n\r\n") == std::string::npos; ++i) {
+            this->runFor(20ms);
+            caller.poll();
+        }
+        return caller.received;
+    }
+
     HttpResponse postOrder(const std::string &body, const std::string &key)
     {
         HttpHeaders headers;
@@ -42,6 +55,24 @@
     CHECK(this->calls() == 1);
 }
 
+// Guards against a call that its target reads in another way than this host, and against headers of the caller's connection that reach the target.
+TEST_CASE_METHOD(ServiceFixture, "serviceCall_outsideTheGrammar_isRefusedAndHopByHopHeadersAreNotForwarded")
+{
+    this->startServer();
+    CHECK(this->rawCall("GET /v1/services/shop/items/%zz HTTP/1.1\r\n").starts_with("HTTP/1.1 400 "));
+    // Refused where it is accepted, and not only where a call is written to a target.
+    CHECK(this->rawCall("GET /v1/models?%zz HTTP/1.1\r\n").starts_with("HTTP/1.1 400 "));
+    CHECK(this->rawCall("GET /v1/services/shop/items/\xc3\xa9 HTTP/1.1\r\n").starts_with("HTTP/1.1 400 "));
+    CHECK(this->calls() == 0);
+    CHECK(
+        this->rawCall("GET /v1/services/shop/items/3 HTTP/1.1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nX-Kept: 1\r\n").starts_with("HTTP/1.1 200 "));
+    REQUIRE(this->calls() == 1);
+    const StubTarget &used = this->first.serviceCalls == 1 ? this->first : this->second;
+    CHECK(headerValue(used.requests[0].headers, "X-Kept") == "1");
+    CHECK(headerValue(used.requests[0].headers, "X-Hop").empty());
+    CHECK(headerValue(used.requests[0].headers, "TE").empty());
+}
+
 // A target closes the connection after it has received a call that is not repeatable. The call must not be sent again, as it may have run.
 TEST_CASE_METHOD(ServiceFixture, "serviceCall_notRepeatableCutAfterSending_oneExecutionRunMaybe")
 {
