Fix: A success reaches a caller only with the target's signature and the request's id

Cause: isAnswerTo() accepted any answer that named no request and had no signature, also a success.

Change: answersRequest() asks of a success (2xx) for signature and id; it decides for requests, streams and batch items. Failures are accepted as before; a refusal that names another request is not this one's. An answer that belongs to no request says nothing of the target's rate limit or end. The HTTP client closes a connection with bytes after the answer or while idle and reports them; the target is then avoided as after a failure, with skylark_unsolicited_bytes_total and the event unsolicited_bytes. Interim responses are read past. skylarkd: a success of a plain service needs the request's id; unsolicited bytes are counted by address and logged.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -32,6 +32,7 @@
     Placed, ///< A request was sent to a target.
     AttemptFailed, ///< An attempt to run a request on a target failed.
     Resumed, ///< A broken stream was continued on another target.
+    UnsolicitedBytes, ///< A target sent bytes that belong to no request.
     LimitChanged, ///< A target named another rate limit, or none any more.
     PartQuarantined, ///< Requests with a prompt part, or one request whenever it comes again, are rejected, because they crash targets.
     PartReleased, ///< A run with a quarantined prompt part, or of a quarantined request, was sound.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -36,6 +36,7 @@
     EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
     EventInfo{EventKind::AttemptFailed, "route", "attempt_failed", "target error run detail ran_ms silent_ms events phase prompt_parts request"},
     EventInfo{EventKind::Resumed, "route", "resumed", "after"},
+    EventInfo{EventKind::UnsolicitedBytes, "targets", "unsolicited_bytes", "target"},
     EventInfo{EventKind::LimitChanged, "targets", "limit_changed", "source limited per_second sent"},
     EventInfo{EventKind::PartQuarantined, "route", "part_quarantined", "kind source crashes requests round lasts_ms"},
     EventInfo{EventKind::PartReleased, "route", "part_released", "kind round"},
--- a/src/engine/engine_call.cpp
+++ b/src/engine/engine_call.cpp
@@ -214,7 +214,9 @@
     if (!isOk(response)) {
         co_return handleTransportError(*http, endpoint, errorOf(response));
     }
-    if (auto mismatch = checkRequestIdEcho(valueOf(response).headers, requestId, false)) {
+    // Additional bytes of a service can look like a success; a failure may come from a part of it that knows no request ids.
+    const bool success = valueOf(response).status >= 200 && valueOf(response).status < 300;
+    if (auto mismatch = checkRequestIdEcho(valueOf(response).headers, requestId, success)) {
         co_return std::move(*mismatch);
     }
     co_return response;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -39,6 +39,8 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+constexpr int firstFinalStatus = 200; ///< Responses with a lower status are interim ones.
+constexpr unsigned maxInterimResponses = 8; ///< Bounds what a peer can make a request read before its response.
 constexpr std::chrono::milliseconds lateReadTime{100}; ///< Time limit for reading bytes that have arrived by the time limit of a read.
 
 /** @return Whether a read reached its own time limit, which leaves the connection open. */
@@ -62,20 +64,40 @@
     return makeError(isTimeout(error) ? timeoutCode : otherCode, endpointText + ": " + error.message(), run);
 }
 
-HttpConnectionPtr popIdleConnection(HttpClient &client, const Endpoint &endpoint)
+void reportUnsolicitedBytes(const HttpClient &client, const Endpoint &endpoint)
 {
+    if (client.onUnsolicitedBytes) {
+        client.onUnsolicitedBytes(endpoint);
+    }
+}
+
+/** An idle connection that a request may use. */
+struct PooledConnection {
+    HttpConnectionPtr connection; ///< Null if there is none.
+    bool unsolicitedBytes{false}; ///< Whether the peer had sent bytes on one that was closed for it.
+};
+
+PooledConnection popIdleConnection(HttpClient &client, const Endpoint &endpoint)
+{
+    PooledConnection result;
     const auto found = client.idle.find(endpoint);
     if (found == client.idle.end()) {
-        return nullptr;
+        return result;
     }
     while (!found->second.empty()) {
         HttpConnectionPtr connection = std::move(found->second.back());
         found->second.pop_back();
-        if (BootClock::now() < connection->usableUntil && !isReadable(connection->stream)) {
-            return connection;
+        const SocketInput input = peekInput(connection->stream);
+        if (input == SocketInput::Bytes) {
+            // Read as the response to the next request, they would be handed to the wrong caller.
+            result.unsolicitedBytes = true;
+            reportUnsolicitedBytes(client, endpoint);
+        } else if (input == SocketInput::Nothing && BootClock::now() < connection->usableUntil) {
+            result.connection = std::move(connection);
+            break;
         }
     }
-    return nullptr;
+    return result;
 }
 
 /** @return How long the connection may stay idle: the timeout in the peer's Keep-Alive header minus a margin for transit, at most @p limit. */
@@ -92,6 +114,13 @@
     return std::min(limit, std::max(std::chrono::milliseconds(0), std::chrono::milliseconds(std::chrono::seconds(seconds)) - margin));
 }
 
+/** @return Whether the peer has sent more bytes than those of the response that was read. */
+bool hasMoreBytes(HttpConnection &connection)
+{
+    return connection.buffer.size() > 0 || peekInput(connection.stream) == SocketInput::Bytes;
+}
+
+/** Returns the connection to the pool after a whole response, or closes it. */
 void releaseConnection(HttpExchange &exchange)
 {
     exchange.connection->usableUntil = BootClock::now();
@@ -99,7 +128,12 @@
         exchange.connection->usableUntil += allowedIdleTime(exchange.headers, owner->maxIdleTime);
     }
     const auto client = exchange.client.lock();
-    const bool keep = exchange.connection->parser->keep_alive() && exchange.connection->buffer.size() == 0;
+    const bool more = hasMoreBytes(*exchange.connection);
+    exchange.unsolicitedBytes = exchange.unsolicitedBytes || more;
+    if (client && more) {
+        reportUnsolicitedBytes(*client, exchange.endpoint);
+    }
+    const bool keep = exchange.connection->parser->keep_alive() && !more;
     exchange.connection->parser.reset();
     exchange.connection->stream.expires_never();
     if (client && keep) {
@@ -243,6 +277,23 @@
     }
 }
 
+/** Reads the next head, which may be that of an interim response. After @p timeout the exchange stays open. */
+asio::awaitable<Result<Done>> readNextHead(HttpExchange &exchange, std::chrono::milliseconds timeout)
+{
+    HttpConnection &connection = *exchange.connection;
+    const auto error = co_await readWithin(connection.stream, timeout, lateReadTime, [&connection] {
+        return readHeadBytes(connection);
+    });
+    if (!error) {
+        takeHead(exchange);
+        co_return Done{};
+    }
+    if (!isReadLimit(error) && !connection.aborted) {
+        exchange.connection.reset();
+    }
+    co_return headError(error, exchange.endpoint);
+}
+
 asio::awaitable<Result<HttpResponse>> readResponse(HttpExchange exchange, std::chrono::milliseconds idleTimeout, std::size_t maxBody)
 {
     HttpResponse response;
@@ -288,7 +339,8 @@
                                                ConnectionUse use,
                                                std::shared_ptr<HttpAbortHandle> abort)
 {
-    HttpConnectionPtr connection = use == ConnectionUse::Pooled ? popIdleConnection(*client, endpoint) : nullptr;
+    PooledConnection pooled = use == ConnectionUse::Pooled ? popIdleConnection(*client, endpoint) : PooledConnection();
+    HttpConnectionPtr connection = std::move(pooled.connection);
     if (!connection) {
         auto opened = co_await connect(*client, endpoint, timeouts.connect);
         if (!isOk(opened)) {
@@ -314,23 +366,26 @@
         co_return transportError(error, ErrorCode::IdleTimeout, ErrorCode::SendFailed, RunState::Maybe, endpoint);
     }
     beginResponse(*connection);
-    co_return makeExchange(client, std::move(endpoint), std::move(connection));
+    HttpExchange exchange = makeExchange(client, std::move(endpoint), std::move(connection));
+    exchange.unsolicitedBytes = pooled.unsolicitedBytes;
+    co_return exchange;
 }
 
 asio::awaitable<Result<Done>> httpReadHead(HttpExchange &exchange, std::chrono::milliseconds timeout)
 {
-    HttpConnection &connection = *exchange.connection;
-    const auto error = co_await readWithin(connection.stream, timeout, lateReadTime, [&connection] {
-        return readHeadBytes(connection);
-    });
-    if (!error) {
-        takeHead(exchange);
-        co_return Done{};
-    }
-    if (!isReadLimit(error) && !connection.aborted) {
-        exchange.connection.reset();
+    const TimePoint end = BootClock::now() + timeout;
+    for (unsigned interim = 0; interim <= maxInterimResponses; ++interim) {
+        const auto left = std::max(std::chrono::milliseconds(1), std::chrono::ceil<std::chrono::milliseconds>(end - BootClock::now()));
+        auto head = co_await readNextHead(exchange, left);
+        if (!isOk(head) || exchange.status >= firstFinalStatus) {
+            co_return head;
+        }
+        exchange.status = 0;
+        exchange.headers.clear();
+        beginResponse(*exchange.connection);
     }
-    co_return headError(error, exchange.endpoint);
+    exchange.connection.reset();
+    co_return makeError(ErrorCode::ProtocolError, "too many interim responses", RunState::Maybe);
 }
 
 asio::awaitable<Result<HttpExchange>> httpOpen(std::shared_ptr<HttpClient> client,
@@ -449,7 +504,7 @@
     }
     beginResponse(*connection);
     HttpExchange exchange = makeExchange(client, endpoint, std::move(connection));
-    const auto continueHead = co_await httpReadHead(exchange, timeouts.firstByte);
+    const auto continueHead = co_await readNextHead(exchange, timeouts.firstByte);
     if (!isOk(continueHead)) {
         Error error = errorOf(continueHead);
         error.run = RunState::No;
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -29,6 +29,7 @@
     boost::asio::any_io_executor executor; ///< Executor of the thread that owns the client.
     std::map<Endpoint, std::vector<HttpConnectionPtr>> idle; ///< Reusable connections by endpoint; the one released last is at the end.
     std::size_t maxIdlePerEndpoint{64}; ///< Maximum number of idle connections to one endpoint.
+    std::function<void(const Endpoint &endpoint)> onUnsolicitedBytes; ///< Called when a peer has sent bytes that belong to no request; may be empty.
     std::chrono::milliseconds maxIdleTime{30000}; ///< Connections idle for longer than this are not reused; the peer's Keep-Alive header can shorten it.
 
     /** Creates a client that runs on @p executor. */
@@ -50,6 +51,8 @@
     HttpHeaders headers; ///< Header fields of the response.
     Endpoint endpoint; ///< Address of the peer.
     HttpConnectionPtr connection; ///< Null after the end of the body or a failure.
+    /** Whether the peer sent bytes that belong to no request: after the response, or on the idle connection that the request was to use. */
+    bool unsolicitedBytes{false};
     std::weak_ptr<HttpClient> client; ///< Client to whose pool the connection returns; empty when it is not to be reused.
 };
 
@@ -77,7 +80,7 @@
                                                       ConnectionUse use,
                                                       std::shared_ptr<HttpAbortHandle> abort);
 
-/** Reads the response head. After @p timeout the exchange stays open, and the call may be repeated. */
+/** Reads the head of the response, past interim (1xx) ones. After @p timeout the exchange stays open, and the call may be repeated. */
 boost::asio::awaitable<Result<Done>> httpReadHead(HttpExchange &exchange, std::chrono::milliseconds timeout);
 
 /** Reads the next part of the body. @return An empty optional at the end, after which the connection may be reused. */
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -106,6 +106,7 @@
     const HttpTimeouts timeouts{targetConnectTimeout, sendTimeout, firstAnswerTimeout, gapTimeout};
     run->abort = std::make_shared<HttpAbortHandle>();
     run->progress = {};
+    run->unsolicitedBytes = false;
     const TimePoint sentAt = BootClock::now();
     recordSend(proxy.rateLimits, target.id, sentAt);
     auto opened = co_await httpOpen(proxy.http, target.endpoint, std::move(request), timeouts, ConnectionUse::Pooled, run->abort);
@@ -116,13 +117,13 @@
         co_return errorOf(opened);
     }
     HttpExchange &exchange = valueOf(opened);
-    const AnswerHead head = readAnswer(proxy, target, exchange, sentAt);
+    const AnswerHead head = readAnswer(proxy, target, exchange, call.id, sentAt);
     const int status = exchange.status;
-    if (head.notRun) {
+    if (head.notRun && answersRequest(head, status, call.id)) {
         co_await drainResponse(exchange);
         co_return makeError(ErrorCode::TargetOverloaded, std::to_string(status), RunState::No);
     }
-    if (head.requestId != call.id.value) {
+    if (head.requestId != call.id.value || !answersRequest(head, status, call.id)) {
         httpAbort(exchange);
         co_return makeError(ErrorCode::ResponseMismatch, head.requestId, RunState::Maybe);
     }
@@ -135,6 +136,7 @@
     run->reading = &exchange;
     auto outcome = co_await readOutput(proxy, *run, call.prompt, exchange);
     run->reading = nullptr;
+    run->unsolicitedBytes = exchange.unsolicitedBytes;
     co_return outcome;
 }
 
@@ -211,6 +213,9 @@
     if (isOk(outcome)) {
         runner->itemRunTime = runner->itemRunTime.count() == 0 ? runTime : (runner->itemRunTime * (runTimeSamples - 1) + runTime) / runTimeSamples;
         recordTargetSuccess(*runner->proxy, target.id, {});
+        if (run->unsolicitedBytes) {
+            recordUnsolicitedBytes(*runner->proxy, target, item);
+        }
         recordSoundRun(*runner->proxy, prompt);
         finishItem(owned->second, *run, ItemState::Completed);
         logEvent(EventKind::ItemFinished, item, {{"job", job.value}, {"state", "completed"}, {"events", run->events}, {"took_ms", took}});
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -33,6 +33,7 @@
     std::vector<TargetId> avoided; ///< Targets of the last failed runs; not chosen for the next one.
     std::shared_ptr<HttpAbortHandle> abort; ///< Aborts the opening of the present exchange; null while none is open or being opened.
     HttpExchange *reading{nullptr}; ///< Exchange whose body is being read, or null; owned by the coroutine of the run.
+    bool unsolicitedBytes{false}; ///< Whether the target of the present run sent bytes that belong to no request.
     bool yielded{false}; ///< Whether the present run was cancelled in favour of online requests, or because the host hands over its jobs or gives up the item.
     bool cancelled{false}; ///< Whether this host must not run the item any more: it lost the job, the job ended, or the item has a result.
     ItemState state{ItemState::Completed}; ///< Final state; valid in phase Finished.
--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -36,6 +36,7 @@
     MetricInfo{"skylark_refusals_total", "Requests refused as not run, by route and reason."},
     MetricInfo{"skylark_own_failures_total", "Failures that this host answered itself, by status and reason."},
     MetricInfo{"skylark_leaving_targets_total", "Targets that said in an answer that they are leaving."},
+    MetricInfo{"skylark_unsolicited_bytes_total", "Connections on which a target sent bytes that belong to no request, by target or address."},
     MetricInfo{"skylark_unserved_requests_total", "Requests that were not read whole or got no response from their handler, by cause."},
     MetricInfo{"skylark_items_total", "Batch items that ended on this host, by outcome."},
     MetricInfo{"skylark_items_yielded_total", "Batch items that gave their slot up to online requests."},
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -125,6 +125,9 @@
         attempt = co_await attemptOn(forwarding, target);
     }
     recordAttempt(forwarding, target, attempt, begun, choice.reason);
+    if (attempt.unsolicitedBytes) {
+        recordUnsolicitedBytes(proxy, target, forwarding.call.id.value);
+    }
     co_return attempt;
 }
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -16,12 +16,6 @@
 constexpr milliseconds lateReadTime{100}; ///< Time after the deadline for reading what has arrived, since this process may not have run.
 constexpr milliseconds refusalBodyTimeout{50}; ///< Time limit for reading that body, after which the connection is closed rather than reused.
 
-/** @return Whether an answer belongs to @p call. An answer that names no request is accepted only without a signature. */
-bool isAnswerTo(const AnswerHead &answerHead, const ProxyCall &call)
-{
-    return answerHead.requestId.empty() ? !answerHead.signedByTarget : answerHead.requestId == call.id.value;
-}
-
 /** @return Whether the answer may be read further: until the deadline, and after it as long as there is something to read, but not for long. */
 bool mayReadOn(Forwarding &forwarding)
 {
@@ -199,16 +193,17 @@
 /** Relays the answer whose head was read. */
 asio::awaitable<Attempt> relayAnswer(Forwarding &forwarding, const TargetEntry &target, HttpExchange &exchange, TimePoint sentAt)
 {
-    const AnswerHead answerHead = readAnswer(*forwarding.proxy, target, exchange, sentAt);
+    const AnswerHead answerHead = readAnswer(*forwarding.proxy, target, exchange, forwarding.call.id, sentAt);
+    if (!answersRequest(answerHead, exchange.status, forwarding.call.id)) {
+        httpAbort(exchange);
+        const std::string detail = std::to_string(exchange.status) + " for '" + answerHead.requestId + (answerHead.signedByTarget ? "'" : "', not signed");
+        co_return failedAttempt(forwarding, makeError(ErrorCode::ResponseMismatch, detail, RunState::Maybe));
+    }
     if (answerHead.notRun) {
         const bool wasRead = co_await readRefusal(exchange);
         const std::string detail = std::to_string(exchange.status) + (wasRead ? "" : ", the body was not read to its end");
         co_return failedAttempt(forwarding, makeError(ErrorCode::TargetOverloaded, detail, RunState::No));
     }
-    if (!isAnswerTo(answerHead, forwarding.call)) {
-        httpAbort(exchange);
-        co_return failedAttempt(forwarding, makeError(ErrorCode::ResponseMismatch, answerHead.requestId, RunState::Maybe));
-    }
     forwarding.progress.answerBegun = true;
     forwarding.progressAt = BootClock::now();
     if (forwarding.route->kind == CallKind::Stream && exchange.status == 200) {
@@ -261,7 +256,9 @@
     if (!isOk(head)) {
         co_return failedAttempt(forwarding, errorOf(head));
     }
-    co_return co_await relayAnswer(forwarding, target, valueOf(sent), sentAt);
+    Attempt attempt = co_await relayAnswer(forwarding, target, valueOf(sent), sentAt);
+    attempt.unsolicitedBytes = valueOf(sent).unsolicitedBytes;
+    co_return attempt;
 }
 
 } // namespace skylark
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -53,6 +53,7 @@
 struct Attempt {
     AttemptEnd end{AttemptEnd::Failed};
     Error error; ///< Why the attempt failed; unused when it was answered.
+    bool unsolicitedBytes{false}; ///< Whether the target sent bytes that belong to no request.
     std::optional<HttpResponse> answer; ///< Error response of the target; sent to the caller if this is the last attempt and no stream has begun.
 };
 
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -94,10 +94,20 @@
 void applyFleet(Proxy &proxy, SnapshotPtr snapshot);
 
 /**
- * Reads the head of an answer and records what @p target says of itself in it: its rate limit, and whether it is leaving.
+ * @return Whether an answer with @p status belongs to request @p id. A success has to prove it by the signature and the id, because additional bytes of a
+ * target can look like one. A failure that names no request belongs to the present one if it has no signature, a refusal in any case.
+ */
+[[nodiscard]] bool answersRequest(const AnswerHead &head, int status, const RequestId &id);
+
+/**
+ * Reads the head of an answer and records what @p target says of itself in it, unless it belongs to another request than @p id: its rate limit, and whether
+ * it is leaving.
  * @param sentAt When the request was sent.
  */
-[[nodiscard]] AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, TimePoint sentAt);
+[[nodiscard]] AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, const RequestId &id, TimePoint sentAt);
+
+/** Records that @p target has sent bytes that belong to no request, which counts as a failure of it. @param request Request during which they were found. */
+void recordUnsolicitedBytes(Proxy &proxy, const TargetEntry &target, const std::string &request);
 
 /**
  * Records the rate limit that an answer names, or that it names none.
--- a/src/proxy/target_answer.cpp
+++ b/src/proxy/target_answer.cpp
@@ -1,4 +1,5 @@
 /** @file target_answer.cpp What targets say of themselves in their answers, and what the list of targets says of them. */
+#include "core/event_log_func.h"
 #include "proxy/proxy_base.h"
 
 #include <utility>
@@ -33,9 +34,25 @@
 
 } // namespace
 
-AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, TimePoint sentAt)
+bool answersRequest(const AnswerHead &head, int status, const RequestId &id)
+{
+    const bool named = head.requestId == id.value;
+    if (head.notRun) {
+        return named || head.requestId.empty();
+    }
+    const bool success = status >= 200 && status < 300;
+    if (success) {
+        return named && head.signedByTarget;
+    }
+    return named || (head.requestId.empty() && !head.signedByTarget);
+}
+
+AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, const RequestId &id, TimePoint sentAt)
 {
     AnswerHead head = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
+    if (!answersRequest(head, exchange.status, id)) {
+        return head;
+    }
     const bool isFromTarget = head.instance.empty() || head.instance == target.id;
     if (head.leaving && isFromTarget) {
         recordLeavingTarget(proxy, target, exchange);
@@ -44,6 +61,13 @@
     return head;
 }
 
+void recordUnsolicitedBytes(Proxy &proxy, const TargetEntry &target, const std::string &request)
+{
+    addCounter(*proxy.metrics, "skylark_unsolicited_bytes_total", {{"target", target.id.value}});
+    logEvent(EventKind::UnsolicitedBytes, request, {{"target", target.id.value}});
+    recordTargetFailure(proxy, target);
+}
+
 void applyFleet(Proxy &proxy, SnapshotPtr snapshot)
 {
     const SnapshotPtr before = std::exchange(proxy.fleet, std::move(snapshot));
--- a/src/traffic/caller_server.cpp
+++ b/src/traffic/caller_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <glog/logging.h>
 
 namespace skylark {
 
@@ -154,6 +155,11 @@
     Impl &impl = *server->impl;
     impl.batch = std::move(batch);
     impl.http = HttpClient::create(context.online.get_executor());
+    impl.http->onUnsolicitedBytes = [metrics = context.metrics](const Endpoint &endpoint) {
+        const std::string address = endpoint.address + ":" + std::to_string(endpoint.port);
+        LOG(WARNING) << "[route] " << address << " has sent bytes that belong to no request; the connection is closed";
+        addCounter(*metrics, "skylark_unsolicited_bytes_total", {{"target", address}});
+    };
     impl.seed = context.settings->seed != 0 ? context.settings->seed : hash64(randomIdHex());
     auto kv = KvClient::create(context.settings->platform, impl.http);
     if (!isOk(kv)) {
--- a/tests/support/traffic_fixture.cpp
+++ b/tests/support/traffic_fixture.cpp
@@ -110,6 +110,9 @@
         abortConnection(responder);
         co_return;
     }
+    if (this->omitsRequestId) {
+        response.headers.clear();
+    }
     response.body = "served " + request.target + " " + request.body;
     co_await sendResponse(responder, std::move(response));
 }
--- a/tests/support/traffic_fixture.h
+++ b/tests/support/traffic_fixture.h
@@ -42,6 +42,7 @@
     unsigned tokens{10}; ///< Tokens of a whole answer: "w0 ", "w1 " and so on.
     bool draining{false}; ///< "draining" in the load report.
     bool refusesAsDraining{false}; ///< Whether the answer of TargetMode::NotRun says that the target is draining.
+    bool omitsRequestId{false}; ///< Whether responses to service calls do not echo the request id.
     int generations{0};
     int serviceCalls{0};
     int callersGone{0}; ///< Requests whose connection was closed before the response was complete.
