Fix: An entry that lacks a field of the format names no target

Cause: decodeTarget() checked only the fields that the host uses. What the host had learned of a target stayed with its identifier when the service or address changed.

Change: each field of the format is checked for presence, type and range; born is optional, unknown fields are ignored. Refused entries are logged and counted with the field. isSameTarget(): another service, address or start is a new target, of which nothing is known. skylarkd checks the entries of its list in the same way, leaves out only the invalid ones (one without an id hid the whole list before), and takes another service for another target.

standins/site and the soak wrote entries without version and cold_remaining_ms; they are complete now. Entries in tests come from support/target_entry.h.

--- a/src/control/target_list.cpp
+++ b/src/control/target_list.cpp
@@ -78,8 +78,10 @@
             continue;
         }
         const auto known = control->targets.find(info.id);
-        if (known == control->targets.end() || known->second.info.endpoint != info.endpoint) {
-            // A different address means a different process, so the state of the old one is discarded.
+        const bool same = known != control->targets.end() && known->second.info.endpoint == info.endpoint && known->second.info.kind == info.kind
+                          && known->second.info.service == info.service;
+        if (!same) {
+            // A different address or service means a different process, so the state of the old one is discarded.
             LOG(INFO) << "[place] target " << info.id.value << " at " << info.endpoint.address << ":" << info.endpoint.port << " is listed";
             next[info.id].info = info;
             continue;
@@ -110,7 +112,11 @@
         auto list = co_await platformTargets(*control->kv);
         recordPlatformResult(*control);
         if (isOk(list)) {
-            applyTargetList(control, std::move(valueOf(list)));
+            for (const Error &error : valueOf(list).refused) {
+                LOG(WARNING) << "[place] " << error.detail << "; it names no target";
+                addCounter(*control->context.metrics, "skylark_target_entries_refused_total", {{"field", error.param}});
+            }
+            applyTargetList(control, std::move(valueOf(list).targets));
         }
         // During an outage the last list is kept; targets that disappear are detected by refused connections.
         const std::chrono::nanoseconds interval = hostListInterval(control->targetList.size(), control->context.settings->hostListInterval);
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -30,7 +30,7 @@
     EventInfo{EventKind::ConfigAdopted, "config", "config_adopted", "version before source routes"},
     EventInfo{EventKind::ConfigRefused, "config", "config_refused", "in_force detail"},
     EventInfo{EventKind::TargetChanged, "targets", "target_changed", "state source service domain address"},
-    EventInfo{EventKind::TargetRefused, "targets", "target_refused", "detail"},
+    EventInfo{EventKind::TargetRefused, "targets", "target_refused", "field detail"},
     EventInfo{EventKind::TargetEntryMissing, "targets", "target_entry_missing", "kept_ms return_age_ms written_revision return_revision"},
     EventInfo{EventKind::PeerChanged, "peers", "peer_changed", "state domain address"},
     EventInfo{EventKind::Placed, "route", "placed", "route target reason online batch peers_age_ms attempt config left_ms"},
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -34,8 +34,9 @@
 {
     auto decoded = impl.wire.decodeTarget(id.value, item.value);
     if (!isOk(decoded)) {
-        addCounter(*impl.metrics, "skylark_target_entries_refused_total");
-        logEvent(EventKind::TargetRefused, id.value, {{"detail", errorOf(decoded).detail}});
+        const Error &error = errorOf(decoded);
+        addCounter(*impl.metrics, "skylark_target_entries_refused_total", {{"field", error.param}});
+        logEvent(EventKind::TargetRefused, id.value, {{"field", error.param}, {"detail", error.detail}});
         return forgetTarget(impl, id);
     }
     TargetEntry &entry = valueOf(decoded);
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -100,6 +100,12 @@
     bool operator==(const TargetEntry &other) const = default;
 };
 
+/** @return Whether two entries under one identifier are of the same target: one with another service, address or start is a new one. */
+[[nodiscard]] inline bool isSameTarget(const TargetEntry &left, const TargetEntry &right)
+{
+    return left.service == right.service && left.endpoint == right.endpoint && left.born == right.born;
+}
+
 /** Targets by identifier; immutable once published. */
 using TargetMap = std::map<TargetId, TargetEntry>;
 
--- a/src/fleet/leaving_targets.cpp
+++ b/src/fleet/leaving_targets.cpp
@@ -5,9 +5,13 @@
 
 namespace {
 
-/** @return Whether @p target is of the lifetime @p left or of an earlier one. The address decides when a start is not known. */
+/** @return Whether @p target is of the lifetime @p left or of an earlier one. The address decides when a start is not known; another service is a new target.
+ */
 bool hasLeft(const LeavingLifetime &left, const TargetEntry &target)
 {
+    if (left.service != target.service) {
+        return false;
+    }
     if (left.born && target.born) {
         return *target.born <= *left.born;
     }
@@ -24,6 +28,7 @@
     if (isNews || target.born > lifetime.born) {
         lifetime.born = target.born;
         lifetime.endpoint = target.endpoint;
+        lifetime.service = target.service;
     }
     lifetime.knownAt = now;
     return isNews;
--- a/src/fleet/leaving_targets_base.h
+++ b/src/fleet/leaving_targets_base.h
@@ -9,6 +9,7 @@
 struct LeavingLifetime {
     std::optional<UnixTime> born; ///< Start of the lifetime; empty when the target's entry did not say.
     Endpoint endpoint; ///< Address of the lifetime.
+    ServiceId service; ///< Service of the lifetime.
     TimePoint knownAt{}; ///< When the target last said that it is leaving, or was last listed.
 };
 
--- a/src/keyvalue/kv_client_func.h
+++ b/src/keyvalue/kv_client_func.h
@@ -97,7 +97,13 @@
 /** Requests permission from the weight store to load the weights of a model version once. @return RateLimited if its rate limit is reached. */
 boost::asio::awaitable<Result<Done>> reserveWeightFetch(KvClient &client, ModelId model, std::string version);
 
+/** The platform's list of targets. */
+struct PlatformTargets {
+    std::vector<TargetInfo> targets; ///< Targets of the valid entries.
+    std::vector<Error> refused; ///< One for each entry that lacks a field or has an invalid one; @c param names the field.
+};
+
 /** Reads the platform's list of targets, which may lag behind. */
-boost::asio::awaitable<Result<std::vector<TargetInfo>>> platformTargets(KvClient &client);
+boost::asio::awaitable<Result<PlatformTargets>> platformTargets(KvClient &client);
 
 } // namespace skylark
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -90,7 +90,7 @@
  */
 [[nodiscard]] std::vector<BalanceCandidate> candidatesOf(Proxy &proxy, const ServiceId &service, const std::vector<TargetId> &tried, const DomainId &domain);
 
-/** Replaces the snapshot of the fleet, and forgets what was learned of targets that are not listed any more. */
+/** Replaces the snapshot of the fleet, and forgets what was learned of targets that are not listed any more or were replaced. */
 void applyFleet(Proxy &proxy, SnapshotPtr snapshot);
 
 /**
--- a/src/proxy/target_answer.cpp
+++ b/src/proxy/target_answer.cpp
@@ -2,6 +2,7 @@
 #include "core/event_log_func.h"
 #include "proxy/proxy_base.h"
 
+#include <set>
 #include <utility>
 
 namespace skylark {
@@ -20,12 +21,21 @@
     httpCloseAfterUse(exchange);
 }
 
-/** Forgets what was learned of targets that are not listed any more. */
-void forgetUnlistedTargets(Proxy &proxy)
+/** Forgets what was learned of targets that are not listed any more, or in whose place another one is listed. @param before Targets listed until now, or null.
+ */
+void forgetGoneTargets(Proxy &proxy, const std::shared_ptr<const TargetMap> &before)
 {
     const TargetMap &listed = *proxy.fleet->targets;
-    const auto isGone = [&listed](const auto &entry) {
-        return !listed.contains(entry.first);
+    std::set<TargetId> replaced;
+    for (const auto &[id, entry] : before ? *before : TargetMap()) {
+        const auto found = listed.find(id);
+        if (found != listed.end() && !isSameTarget(entry, found->second)) {
+            replaced.insert(id);
+            httpCloseIdle(*proxy.http, entry.endpoint, BootClock::now());
+        }
+    }
+    const auto isGone = [&listed, &replaced](const auto &entry) {
+        return !listed.contains(entry.first) || replaced.contains(entry.first);
     };
     std::erase_if(proxy.health, isGone);
     std::erase_if(proxy.rateLimits.targets, isGone);
@@ -72,7 +82,7 @@
 {
     const SnapshotPtr before = std::exchange(proxy.fleet, std::move(snapshot));
     if (proxy.fleet->targets && proxy.fleet->targets != before->targets) {
-        forgetUnlistedTargets(proxy);
+        forgetGoneTargets(proxy, before->targets);
     }
     updateSenders(proxy);
 }
--- a/standins/site/main.cpp
+++ b/standins/site/main.cpp
@@ -44,9 +44,15 @@
 void putReplica(MemoryStore &store, const Replica &replica)
 {
     const std::string address = "127.0.0.1:" + std::to_string(listenPort(*replica.server));
-    putKey(store,
-           "servers/" + replica.id,
-           json::serialize(json::object{{"service", "llm"}, {"address", address}, {"zone", "north"}, {"slots", 8}, {"state", "ready"}, {"sequence", 1}}));
+    const json::object entry{{"service", "llm"},
+                             {"address", address},
+                             {"zone", "north"},
+                             {"version", "v1"},
+                             {"slots", 8},
+                             {"state", "ready"},
+                             {"cold_remaining_ms", 0},
+                             {"sequence", 1}};
+    putKey(store, "servers/" + replica.id, json::serialize(entry));
 }
 
 int runSite()
--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -148,8 +148,10 @@
     const json::object entry{{"service", service},
                              {"address", endpoint.address + ":" + std::to_string(endpoint.port)},
                              {"zone", "north"},
+                             {"version", "v1"},
                              {"slots", targetSlots},
                              {"state", "ready"},
+                             {"cold_remaining_ms", 0},
                              {"sequence", 1}};
     putKey(*site.store, std::string(platform::prefixTargets) + target->id, json::serialize(entry));
     site.targets.push_back(std::move(target));
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -9,6 +9,7 @@
 #include "memory_store_base.h"
 #include "store/key_mirror_func.h"
 #include "support/process_func.h"
+#include "support/target_entry.h"
 
 #include <boost/asio/detached.hpp>
 
@@ -113,7 +114,7 @@
 
     void putTarget(const std::string &id, const std::string &state)
     {
-        putKey(*this->store, "servers/" + id, R"({"service":"s","address":"127.0.0.1:9000","zone":"north","slots":4,"state":")" + state + R"("})");
+        putKey(*this->store, "servers/" + id, boost::json::serialize(targetEntryWith("state", boost::json::string(state))));
     }
 
     [[nodiscard]] std::uint64_t version() const
@@ -338,9 +339,7 @@
 TEST_CASE_METHOD(ControllerFixture, "fleetController_targetRestartsUnderItsIdentifier_snapshotHasItsNewStart")
 {
     const auto putBorn = [this](std::int64_t born) {
-        putKey(*this->store,
-               "servers/i-1",
-               R"({"service":"s","address":"127.0.0.1:9000","zone":"north","slots":4,"state":"ready","born":)" + std::to_string(born) + "}");
+        putKey(*this->store, "servers/i-1", boost::json::serialize(targetEntryWith("born", born)));
     };
     const auto isBorn = [this](std::chrono::milliseconds born) {
         const auto &targets = this->snapshot->targets;
@@ -362,11 +361,14 @@
 TEST_CASE_METHOD(ControllerFixture, "fleetController_invalidTargetEntries_areIgnored")
 {
     this->start();
-    putKey(*this->store, "servers/odd-1", "not json");
-    putKey(*this->store, "servers/odd-2", R"({"service":7,"address":"127.0.0.1:1","slots":4,"state":"ready"})");
-    putKey(*this->store, "servers/odd-3", R"({"service":"s","address":"nowhere","slots":4,"state":"ready"})");
-    putKey(*this->store, "servers/odd-4", R"({"service":"s","address":"127.0.0.1:1","slots":4,"state":"asleep"})");
-    putKey(*this->store, "servers/odd-5", R"({"service":"s","address":"127.0.0.1:1x","slots":4,"state":"ready"})");
+    const std::vector<std::string> odd{"not json",
+                                       boost::json::serialize(targetEntryWith("service", 7)),
+                                       boost::json::serialize(targetEntryWith("address", "nowhere")),
+                                       boost::json::serialize(targetEntryWith("state", "asleep")),
+                                       boost::json::serialize(targetEntryWith("address", "127.0.0.1:1x"))};
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+        putKey(*this->store, "servers/odd-" + std::to_string(i), odd[i]);
+    }
     this->putTarget("i-1", "ready");
     REQUIRE(this->runUntil([this] {
         return this->hasTarget("i-1", false);
@@ -374,6 +376,30 @@
     CHECK(this->snapshot->targets->size() == 1);
 }
 
+// Guards against requests to the wrong service while another writer's entry, which lacks fields, is in the place of a target's own one (review/4).
+TEST_CASE_METHOD(ControllerFixture, "fleetController_entryOverwrittenWithoutFields_namesNoTargetUntilItIsWhole")
+{
+    this->start();
+    this->putTarget("i-1", "ready");
+    this->putTarget("i-2", "ready");
+    REQUIRE(this->runUntil([this] {
+        return this->hasTarget("i-1", false) && this->hasTarget("i-2", false);
+    }));
+    boost::json::object entry = targetEntryWith("service", "other");
+    entry.erase("zone");
+    putKey(*this->store, "servers/i-1", boost::json::serialize(entry));
+    CHECK(this->runUntil(
+        [this] {
+            return !this->hasTarget("i-1", false);
+        },
+        3s));
+    CHECK(this->hasTarget("i-2", false));
+    this->putTarget("i-1", "ready");
+    CHECK(this->runUntil([this] {
+        return this->hasTarget("i-1", false);
+    }));
+}
+
 // Guards against dropping live targets whose entries expired while the service was down: requests must still be sent to them.
 TEST_CASE_METHOD(ControllerFixture, "fleetController_entryExpiredDuringOutage_isKeptForTheGracePeriod")
 {
--- a/tests/test_leaving_target.cpp
+++ b/tests/test_leaving_target.cpp
@@ -409,3 +409,27 @@
     }));
     CHECK(this->leaving.arrivals == 1);
 }
+
+// Guards against a new target under a known identifier that is avoided, or takes no requests, because of what another one did before it.
+TEST_CASE_METHOD(LeavingFixture, "target_otherServiceAddressOrStartUnderItsIdentifier_isANewTarget")
+{
+    Proxy &proxy = *this->host->proxy;
+    const TargetEntry listed = this->leavingEntry();
+    std::vector<TargetEntry> others(3, listed);
+    others[0].service.value = "other";
+    others[1].endpoint.port = 1;
+    others[2].born = firstBorn + 1s;
+    for (const TargetEntry &other : others) {
+        this->leavingEntry() = listed;
+        this->publish();
+        recordTargetFailure(proxy, listed);
+        this->publish();
+        REQUIRE(proxy.health.contains(listed.id));
+        this->leavingEntry() = other;
+        this->publish();
+        CHECK_FALSE(proxy.health.contains(listed.id));
+    }
+    CHECK(recordLeaving(proxy.leavingTargets, listed, BootClock::now()));
+    CHECK(isLeaving(proxy.leavingTargets, listed));
+    CHECK_FALSE(isLeaving(proxy.leavingTargets, others[0]));
+}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -279,18 +279,52 @@
                    "POST",
                    "/targets",
                    R"([{"id":"e1","kind":"engine","domain":"a","address":"127.0.0.1","port":9000,"checks_fencing":false,"order_timeout_ms":700}])");
-    CHECK(valueOf(this->run(platformTargets(*this->kv))).empty());
+    CHECK(valueOf(this->run(platformTargets(*this->kv))).targets.empty());
     this->runFor(1800ms);
     const auto listed = this->run(platformTargets(*this->kv));
     REQUIRE(isOk(listed));
-    REQUIRE(valueOf(listed).size() == 1);
-    const TargetInfo &info = valueOf(listed).front();
+    REQUIRE(valueOf(listed).targets.size() == 1);
+    const TargetInfo &info = valueOf(listed).targets.front();
     CHECK(info.id.value == "e1");
     CHECK(info.endpoint == Endpoint{"127.0.0.1", 9000});
     CHECK(info.orderTimeout == 700ms);
     CHECK_FALSE(info.checksFencing);
     this->callJson(this->standin.endpoint, "POST", "/targets", R"([{"id":"e1","leaving":true}])");
-    CHECK_FALSE(valueOf(this->run(platformTargets(*this->kv))).front().leaving);
+    CHECK_FALSE(valueOf(this->run(platformTargets(*this->kv))).targets.front().leaving);
     this->runFor(1800ms);
-    CHECK(valueOf(this->run(platformTargets(*this->kv))).front().leaving);
+    CHECK(valueOf(this->run(platformTargets(*this->kv))).targets.front().leaving);
+}
+
+// Guards against a target that is used although its entry lacks fields, and against one such entry that hides the valid ones.
+TEST_CASE_METHOD(PlatformFixture, "platformTargets_entryWithoutAField_namesNoTargetAndTheOthersHold")
+{
+    const std::string valid = R"({"id":"e1","kind":"engine","domain":"a","address":"127.0.0.1","port":9000})";
+    const std::vector<std::pair<std::string, std::string>> odd{
+        {"kind", R"({"id":"o1","domain":"a","address":"127.0.0.1","port":9000})"},
+        {"kind", R"({"id":"o2","kind":"odd","domain":"a","address":"127.0.0.1","port":9000})"},
+        {"service", R"({"id":"o3","kind":"service","domain":"a","address":"127.0.0.1","port":9000})"},
+        {"domain", R"({"id":"o4","kind":"engine","domain":7,"address":"127.0.0.1","port":9000})"},
+        {"address", R"({"id":"o5","kind":"engine","domain":"a","address":"nowhere","port":9000})"},
+        {"port", R"({"id":"o6","kind":"engine","domain":"a","address":"127.0.0.1","port":"9000"})"},
+        {"port", R"({"id":"o7","kind":"engine","domain":"a","address":"127.0.0.1","port":70000})"},
+        {"leaving", R"({"id":"o8","kind":"engine","domain":"a","address":"127.0.0.1","port":9000,"leaving":"yes"})"}};
+    std::string all = valid;
+    for (const auto &[field, entry] : odd) {
+        all += "," + entry;
+    }
+    this->callJson(this->standin.endpoint, "POST", "/targets", "[" + all + "]");
+    this->runFor(1800ms);
+    const auto listed = this->run(platformTargets(*this->kv));
+    REQUIRE(isOk(listed));
+    REQUIRE(valueOf(listed).targets.size() == 1);
+    CHECK(valueOf(listed).targets.front().id.value == "e1");
+    REQUIRE(valueOf(listed).refused.size() == odd.size());
+    for (const Error &error : valueOf(listed).refused) {
+        CHECK(std::count_if(odd.begin(),
+                            odd.end(),
+                            [&error](const auto &entry) {
+                                return entry.first == error.param && error.detail.find(error.param) != std::string::npos;
+                            })
+              > 0);
+    }
 }
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -6,6 +6,7 @@
 #include "store_client_func.h"
 #include "store_server_func.h"
 #include "support/process_func.h"
+#include "support/target_entry.h"
 
 using namespace skylark;
 using namespace skylark::test;
@@ -129,7 +130,8 @@
 TEST_CASE("targetEntry_startOfTheTarget_isReadOrTheEntryIsRefused", "[documents]")
 {
     const auto decode = [](const std::string &members) {
-        return platform::decodeTarget("i-1", R"({"service":"s","address":"127.0.0.1:9000","zone":"z","slots":4,"state":"ready")" + members + "}");
+        const std::string entry = boost::json::serialize(test::targetEntryObject());
+        return platform::decodeTarget("i-1", entry.substr(0, entry.size() - 1) + members + "}");
     };
     for (const char *whole : {R"(,"born":1764892000123)", R"(,"born":1764892000123.0)"}) {
         const auto entry = decode(whole);
@@ -144,6 +146,61 @@
     }
 }
 
+// Guards against requests to a target whose entry another writer has overwritten with one that lacks fields (review/4).
+TEST_CASE("targetEntry_withoutAFieldOfTheFormat_isRefused", "[documents]")
+{
+    for (const char *name : {"service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "sequence"}) {
+        INFO(name);
+        boost::json::object entry = test::targetEntryObject();
+        entry.erase(name);
+        const auto without = platform::decodeTarget("i-1", boost::json::serialize(entry));
+        REQUIRE_FALSE(isOk(without));
+        CHECK(errorOf(without).param == name);
+        CHECK(errorOf(without).detail.find(name) != std::string::npos);
+        for (const boost::json::value &odd : {boost::json::value(nullptr), boost::json::value(boost::json::array{1}), boost::json::value(true)}) {
+            CHECK_FALSE(isOk(platform::decodeTarget("i-1", boost::json::serialize(test::targetEntryWith(name, odd)))));
+        }
+    }
+}
+
+TEST_CASE("targetEntry_fieldOfAnotherType_isRefused", "[documents]")
+{
+    const std::vector<std::pair<std::string, boost::json::value>> fields{{"service", ""},
+                                                                         {"service", 7},
+                                                                         {"address", "nowhere"},
+                                                                         {"address", "127.0.0.1:0"},
+                                                                         {"address", "target.example:80"},
+                                                                         {"zone", ""},
+                                                                         {"zone", 3},
+                                                                         {"version", 1},
+                                                                         {"slots", 0},
+                                                                         {"slots", -4},
+                                                                         {"slots", "4"},
+                                                                         {"slots", 1.5},
+                                                                         {"slots", 5000000000},
+                                                                         {"state", "asleep"},
+                                                                         {"cold_remaining_ms", "0"},
+                                                                         {"cold_remaining_ms", -1},
+                                                                         {"sequence", "4"},
+                                                                         {"sequence", -1},
+                                                                         {"sequence", 1.5}};
+    for (const auto &[name, value] : fields) {
+        const std::string entry = boost::json::serialize(test::targetEntryWith(name, value));
+        INFO(entry);
+        CHECK_FALSE(isOk(platform::decodeTarget("i-1", entry)));
+    }
+}
+
+TEST_CASE("targetEntry_withUnknownFields_isRead", "[documents]")
+{
+    const auto entry = platform::decodeTarget("i-1", boost::json::serialize(test::targetEntryWith("stage", "combined")));
+    REQUIRE(isOk(entry));
+    CHECK(valueOf(entry).service.value == "s");
+    CHECK(valueOf(entry).domain.value == "north");
+    CHECK(valueOf(entry).slots == 4);
+    CHECK_FALSE(valueOf(entry).leaving);
+}
+
 TEST_CASE("call_toATarget_hasSystemHeadersAndNoHopByHopHeaders", "[calls]")
 {
     const CallWire wire = platform::makeCallWire();
