--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -45,6 +45,7 @@
     MetricInfo{"skylark_config_proofs_total", "Proofs of the configuration that were adopted, by source."},
     MetricInfo{"skylark_jobs_over_limit_total", "Jobs refused because of the limit of waiting tokens, by route."},
     MetricInfo{"skylark_job_accept_conflicts_total", "Writes of jobs that another change of the job or its ledger overtook."},
+    MetricInfo{"skylark_unsolicited_bytes_total", "Connections on which a target sent bytes that belong to no request, by target or address."},
     MetricInfo{"skylark_unserved_requests_total", "Requests that were not read whole or got no response from their handler, by cause."},
     MetricInfo{"skylark_items_total", "Batch items that ended on this host, by outcome."},
     MetricInfo{"skylark_items_yielded_total", "Batch items that gave their slot up to online requests."},
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -32,6 +32,7 @@
     PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
     std::string apiKey; ///< Key of the caller; empty when there is none or more than one. Must not be logged.
     std::chrono::milliseconds waited{0}; ///< Time that the request has waited before it was forwarded; counts against its deadline.
+    bool accepted{false}; ///< Whether it is the submission of a job that was accepted before. Its items are not validated again.
     WorkspaceId workspace; ///< Workspace of the caller's API key; empty before the key was checked, and where none is needed.
 };
 
@@ -84,7 +85,7 @@
     std::function<PromptParts(const HttpHeaders &headers)> readPromptParts; ///< Reads the parts of the prompt; malformed ones are left out.
     std::function<AnswerHead(int status, const HttpHeaders &headers)> readAnswerHead; ///< Parses the status and headers of a target's answer.
     std::function<Result<JobSubmission>(const ProxyCall &call)>
-        decodeSubmission; ///< Decodes the items of a batch job; InvalidRequest names the offending item.
+        decodeSubmission; ///< Decodes the items of a batch job; InvalidRequest names the offending item and field.
     std::function<std::string(const JobPage &page)> encodePage; ///< Builds the body that answers a JobReadCall.
 };
 
--- a/src/proxy/target_answer.cpp
+++ b/src/proxy/target_answer.cpp
@@ -1,6 +1,8 @@
 /** @file target_answer.cpp What targets say of themselves in their answers, and what the list of targets says of them. */
+#include "core/event_log_func.h"
 #include "proxy/proxy_base.h"
 
+#include <set>
 #include <utility>
 
 namespace skylark {
@@ -19,12 +21,21 @@
     httpCloseAfterUse(exchange);
 }
 
-/** Forgets what was learned of targets that are not listed any more. */
-void forgetUnlistedTargets(Proxy &proxy)
+/** Forgets what was learned of targets that are not listed any more, or in whose place another one is listed. @param before Targets listed until now, or null.
+ */
+void forgetGoneTargets(Proxy &proxy, const std::shared_ptr<const TargetMap> &before)
 {
     const TargetMap &listed = *proxy.fleet->targets;
-    const auto isGone = [&listed](const auto &entry) {
-        return !listed.contains(entry.first);
+    std::set<TargetId> replaced;
+    for (const auto &[id, entry] : before ? *before : TargetMap()) {
+        const auto found = listed.find(id);
+        if (found != listed.end() && !isSameTarget(entry, found->second)) {
+            replaced.insert(id);
+            httpCloseIdle(*proxy.http, entry.endpoint, BootClock::now());
+        }
+    }
+    const auto isGone = [&listed, &replaced](const auto &entry) {
+        return !listed.contains(entry.first) || replaced.contains(entry.first);
     };
     std::erase_if(proxy.health, isGone);
     std::erase_if(proxy.rateLimits.targets, isGone);
@@ -36,9 +47,25 @@
 
 } // namespace
 
-AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, TimePoint sentAt)
+bool answersRequest(const AnswerHead &head, int status, const RequestId &id)
+{
+    const bool named = head.requestId == id.value;
+    if (head.notRun) {
+        return named || head.requestId.empty();
+    }
+    const bool success = status >= 200 && status < 300;
+    if (success) {
+        return named && head.signedByTarget;
+    }
+    return named || (head.requestId.empty() && !head.signedByTarget);
+}
+
+AnswerHead readAnswer(Proxy &proxy, const TargetEntry &target, HttpExchange &exchange, const RequestId &id, TimePoint sentAt)
 {
     AnswerHead head = proxy.wire.readAnswerHead(exchange.status, exchange.headers);
+    if (!answersRequest(head, exchange.status, id)) {
+        return head;
+    }
     const bool isFromTarget = head.instance.empty() || head.instance == target.id;
     if (head.leaving && isFromTarget) {
         recordLeavingTarget(proxy, target, exchange);
@@ -47,11 +74,18 @@
     return head;
 }
 
+void recordUnsolicitedBytes(Proxy &proxy, const TargetEntry &target, const std::string &request)
+{
+    addCounter(*proxy.metrics, "skylark_unsolicited_bytes_total", {{"target", target.id.value}});
+    logEvent(EventKind::UnsolicitedBytes, request, {{"target", target.id.value}});
+    recordTargetFailure(proxy, target);
+}
+
 void applyFleet(Proxy &proxy, SnapshotPtr snapshot)
 {
     const SnapshotPtr before = std::exchange(proxy.fleet, std::move(snapshot));
     if (proxy.fleet->targets && proxy.fleet->targets != before->targets) {
-        forgetUnlistedTargets(proxy);
+        forgetGoneTargets(proxy, before->targets);
     }
     updateSenders(proxy);
 }
