Feature: Bound the predicted wait of requests where workspaces are configured

Cause: Requests waited at targets until they were late, because the wait was bounded by half of the slots of a target and not by a time.

Change: Where the configuration has workspaces and the route has a latency target, a first attempt is placed only where its predicted wait is within what the target leaves after the usual time to the first event; the wait counts the slowness of the target and what may have arrived while the counts aged. Each step of the priority (of the workspace, else of the route) takes a fifth of the wait away. Where every target exceeds that, a request is placed late while less than 0.7 of the capacity is offered, otherwise it is refused with 503 and the reason predicted_wait. Callers get times of return one after the other, at the distance that the free capacity serves, at most a third of their time. The size of a request has no influence. All other deployments keep the bound of half of the slots.

--- a/src/policy/load_balance.cpp
+++ b/src/policy/load_balance.cpp
@@ -41,6 +41,9 @@
 /** @return Expected number of requests beyond @p free that other hosts have on the target unseen: the mean excess of a normal variable. */
 double expectedExcess(double free, double deviation)
 {
+    if (deviation <= 0) {
+        return std::max(0.0, -free);
+    }
     const double z = free / deviation;
     const double density = std::exp(-z * z / 2) / std::sqrt(2 * std::numbers::pi);
     return deviation * (density - z * std::erfc(z / std::numbers::sqrt2) / 2);
@@ -55,10 +58,16 @@
     const double slots = std::max(1U, candidate.slots);
     const double service = std::max(1.0, static_cast<double>(serviceTime.count()));
     const double age = minDelayMs + static_cast<double>(candidate.countsAge.count());
-    const double deviation = std::sqrt(2 * (std::min<double>(candidate.online, slots) + 1) * std::min(1.0, age / service));
+    const double deviation = std::sqrt(2 * (std::min<double>(candidate.online, slots) + (candidate.online > 0 ? 1.0 : 0.0)) * std::min(1.0, age / service));
     return expectedExcess(slots - candidate.online - 0.5, deviation) * service / slots;
 }
 
+/** @return Predicted wait at the target: until as many of its requests are done as are in the way, at its measured speed. */
+std::chrono::milliseconds predictedWait(const BalanceCandidate &candidate, const BalanceLimits &limits)
+{
+    return std::chrono::milliseconds(std::llround(expectedWaitMs(candidate, limits.serviceTime) * candidate.slowness));
+}
+
 /** @return Whether kept parts may draw requests to the target. */
 bool mayAttract(const BalanceCandidate &candidate)
 {
@@ -103,6 +112,8 @@
         return "queued";
     case BalanceReason::Full:
         return "full";
+    case BalanceReason::LateStart:
+        return "predicted_wait";
     case BalanceReason::RateLimited:
         return "rate_limited";
     case BalanceReason::NoTarget:
@@ -122,7 +133,13 @@
         if (candidate.tried) {
             continue;
         }
-        if (candidate.online >= queueBound(candidate, limits)) {
+        if (limits.maxWait && predictedWait(candidate, limits) > *limits.maxWait) {
+            const auto wait = predictedWait(candidate, limits);
+            choice.wait = choice.reason == BalanceReason::LateStart ? std::min(choice.wait, wait) : wait;
+            choice.reason = BalanceReason::LateStart;
+            continue;
+        }
+        if (!limits.maxWait && candidate.online >= queueBound(candidate, limits)) {
             choice.reason = BalanceReason::Full;
             continue;
         }
@@ -138,10 +155,15 @@
             bestGain = gain;
         }
     }
+    if (best == nullptr && choice.reason == BalanceReason::LateStart && limits.lateWait > limits.maxWait) {
+        BalanceLimits late = limits;
+        late.maxWait = late.lateWait;
+        return balanceRequest(candidates, late, draw);
+    }
     if (best == nullptr) {
         return choice;
     }
-    return {reasonOf(*best), best->id, best->online, best->batch, best->keptTokens, bestGain, best->keptGuessed, best->slowness};
+    return {reasonOf(*best), best->id, best->online, best->batch, best->keptTokens, bestGain, predictedWait(*best, limits), best->keptGuessed, best->slowness};
 }
 
 std::chrono::milliseconds refusalDelay(const RefusalInput &input)
--- a/src/policy/load_balance_type.h
+++ b/src/policy/load_balance_type.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace skylark {
@@ -32,6 +33,8 @@
 struct BalanceLimits {
     unsigned queuePerSlotPercent{50}; ///< Online requests that may wait at a target, in percent of its slots; at least one may wait.
     std::chrono::milliseconds serviceTime{700}; ///< Time that a request holds a slot.
+    std::optional<std::chrono::milliseconds> maxWait; ///< Longest predicted wait at a target; replaces the bound by the number of its slots.
+    std::chrono::milliseconds lateWait{0}; ///< Longest predicted wait where every target exceeds maxWait; less than maxWait if the request must not be late.
 };
 
 /** Outcome of load balancing for one request. */
@@ -40,6 +43,7 @@
     BatchYields, ///< A batch item must be preempted for the request.
     Queued, ///< The request waits at the target behind other online requests.
     Full, ///< The queue of every untried target is full; no further request could be served in time.
+    LateStart, ///< The predicted wait at every untried target exceeds the bound.
     RateLimited, ///< Every untried target that is not full has a rate limit that this host has used up.
     NoTarget, ///< There are no candidates, or this request has tried all of them.
 };
@@ -52,6 +56,7 @@
     unsigned batch{0}; ///< Known batch items on the target.
     double keptTokens{0}; ///< Tokens of the prompt that the target is expected to hold.
     double savedMs{0}; ///< Time by which kept parts of the prompt outweigh the wait at the target; 0 when they did not count.
+    std::chrono::milliseconds wait{0}; ///< Predicted wait at the target; for LateStart, the shortest one at any target.
     bool keptGuessed{false}; ///< Whether @c keptTokens rests on the ranking alone.
     double slowness{1.0}; ///< Slowness of the target.
 };
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -30,6 +30,9 @@
     if (attempt.end == AttemptEnd::Answered) {
         recordSoundRun(proxy, forwarding.call.prompt);
         const bool measurable = forwarding.tried.empty() && reason == BalanceReason::FreeSlot && forwarding.firstAt;
+        if (measurable) {
+            recordServiceTime(forwarding, begun);
+        }
         recordTargetSuccess(proxy, target.id, measurable ? recordPromptRead(forwarding, *forwarding.firstAt - begun) : std::nullopt);
         return;
     }
@@ -123,6 +126,7 @@
                     {"attempt", forwarding.runs + forwarding.refusals + 1},
                     {"config", forwarding.config->version.value},
                     {"left_ms", timeLeft(forwarding).count()},
+                    {"wait_ms", choice.wait.count()},
                     {"kept_tokens", std::llround(choice.keptTokens)},
                     {"kept_gain_ms", std::llround(choice.savedMs)}});
         recordPromptSent(forwarding, choice);
@@ -155,11 +159,12 @@
             co_return;
         }
         auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
-        weighKeptPrompt(forwarding, candidates);
-        const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(proxy.random));
+        const BalanceLimits limits = limitsOf(forwarding, candidates);
+        weighKeptPrompt(forwarding, limits.serviceTime, candidates);
+        const BalanceChoice choice = balanceRequest(candidates, limits, nextRandom(proxy.random));
         const bool unplaced = choice.target.empty();
         if (unplaced && !attempted) {
-            co_await refuseUnplaced(forwarding, candidates, choice.reason);
+            co_await refuseUnplaced(forwarding, candidates, choice, limits);
             recordOutcome(forwarding, 503, "refused");
             co_return;
         }
--- a/src/proxy/forward_answer.cpp
+++ b/src/proxy/forward_answer.cpp
@@ -28,21 +28,30 @@
     return {text.data(), static_cast<std::size_t>(length)};
 }
 
+/** Load because of which a request is refused. */
+struct RefusalLoad {
+    unsigned online{0}; ///< Online requests on all candidate targets.
+    unsigned slots{0}; ///< Slots of all candidate targets.
+    milliseconds wait{0}; ///< Shortest predicted wait at any target, where the wait is bounded.
+    milliseconds allowedWait{0}; ///< Longest predicted wait with which the request would have been placed.
+};
+
 /**
  * Answers 503 to a request that ran on no target.
  * @param delay Value of the Retry-After header.
- * @param online Online requests on all candidate targets, for the log line; 0 when they did not matter.
- * @param slots Slots of all candidate targets, likewise.
+ * @param load Load for the log line; zeros when it did not matter.
  */
-asio::awaitable<void> refuse(Forwarding &forwarding, std::string_view reason, milliseconds delay, unsigned online, unsigned slots)
+asio::awaitable<void> refuse(Forwarding &forwarding, std::string_view reason, milliseconds delay, RefusalLoad load)
 {
     SKY_INVARIANT(Promise::NotRun, forwarding.runs == 0);
     logEvent(EventKind::Refused,
              forwarding.call.id.value,
              {{"route", forwarding.route->name},
               {"reason", reason},
-              {"online", online},
-              {"slots", slots},
+              {"online", load.online},
+              {"slots", load.slots},
+              {"wait_ms", load.wait.count()},
+              {"allowed_wait_ms", load.allowedWait.count()},
               {"retry_after_ms", delay.count()},
               {"config", forwarding.config->version.value},
               {"left_ms", timeLeft(forwarding).count()}});
@@ -86,8 +95,12 @@
            {"target", forwarding.target.value}});
 }
 
-asio::awaitable<void> refuseUnplaced(Forwarding &forwarding, const std::vector<BalanceCandidate> &candidates, BalanceReason reason)
+asio::awaitable<void> refuseUnplaced(Forwarding &forwarding,
+                                     const std::vector<BalanceCandidate> &candidates,
+                                     const BalanceChoice &choice,
+                                     const BalanceLimits &limits)
 {
+    const BalanceReason reason = choice.reason;
     RefusalInput input{.serviceTime = usualServiceTime, .remaining = timeLeft(forwarding), .draw = nextRandom(forwarding.proxy->random)};
     input.rateLimited = reason == BalanceReason::RateLimited;
     for (const BalanceCandidate &candidate : candidates) {
@@ -95,8 +108,11 @@
         input.online += candidate.online;
         input.slots += candidate.slots;
     }
-    const milliseconds delay = reason == BalanceReason::NoTarget ? noTargetRetryDelay : refusalDelay(input);
-    co_await refuse(forwarding, balanceReasonName(reason), delay, input.online, input.slots);
+    milliseconds delay = reason == BalanceReason::NoTarget ? noTargetRetryDelay : refusalDelay(input);
+    if (reason == BalanceReason::LateStart) {
+        delay = returnDelayOf(forwarding, candidates, choice, limits);
+    }
+    co_await refuse(forwarding, balanceReasonName(reason), delay, {input.online, input.slots, choice.wait, limits.maxWait.value_or(milliseconds(0))});
 }
 
 asio::awaitable<void> refuseQuarantined(Forwarding &forwarding, const Attempt &last, milliseconds left)
@@ -105,7 +121,7 @@
         co_await failRequest(forwarding, last);
         co_return;
     }
-    co_await refuse(forwarding, "quarantined", left, 0, 0);
+    co_await refuse(forwarding, "quarantined", left, {});
     recordOutcome(forwarding, 503, "refused");
 }
 
@@ -134,8 +150,7 @@
         co_await refuse(forwarding,
                         late ? "deadline" : "targets_refused",
                         refusalDelay({.remaining = timeLeft(forwarding), .draw = nextRandom(forwarding.proxy->random)}),
-                        0,
-                        0);
+                        {});
         recordOutcome(forwarding, 503, "refused");
         co_return;
     }
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -70,8 +70,11 @@
  */
 void recordOutcome(const Forwarding &forwarding, int status, std::string_view outcome);
 
-/** Answers 503 to a request that no target can serve in time. @param reason Full or NoTarget. */
-boost::asio::awaitable<void> refuseUnplaced(Forwarding &forwarding, const std::vector<BalanceCandidate> &candidates, BalanceReason reason);
+/** Answers 503 to a request that no target can serve in time. @param choice Its reason is Full, LateStart, RateLimited or NoTarget. */
+boost::asio::awaitable<void> refuseUnplaced(Forwarding &forwarding,
+                                            const std::vector<BalanceCandidate> &candidates,
+                                            const BalanceChoice &choice,
+                                            const BalanceLimits &limits);
 
 /**
  * Answers a request with a quarantined prompt part: 503 if it has run on no target, otherwise like failRequest().
@@ -95,8 +98,32 @@
  */
 [[nodiscard]] bool leaveSilentTarget(Forwarding &forwarding);
 
-/** Estimates which candidates hold parts of the request's prompt. Does nothing unless the route has session affinity. */
-void weighKeptPrompt(const Forwarding &forwarding, std::vector<BalanceCandidate> &candidates);
+/** @return Priority of a request: that of its workspace, or of its route where it has none. */
+[[nodiscard]] unsigned priorityOf(const RoutingConfig &config, const RouteRule &route, const WorkspaceId &workspace);
+
+/** @return This host's online requests in flight on the targets of @p service. */
+[[nodiscard]] unsigned ownOnline(const Proxy &proxy, const ServiceId &service);
+
+/**
+ * @return The limits for placing the request: a bound on its predicted wait where the configuration has workspaces and the route a latency target; otherwise,
+ * and after a first attempt, a bound on the number that waits. Counts the request.
+ */
+[[nodiscard]] BalanceLimits limitsOf(const Forwarding &forwarding, const std::vector<BalanceCandidate> &candidates);
+
+/** @return Delay after which the caller of a request that is refused for its predicted wait should return. */
+[[nodiscard]] std::chrono::milliseconds returnDelayOf(const Forwarding &forwarding,
+                                                      const std::vector<BalanceCandidate> &candidates,
+                                                      const BalanceChoice &choice,
+                                                      const BalanceLimits &limits);
+
+/** Records the time that a request which found a free slot took, where it is needed. @param begun When its attempt began. */
+void recordServiceTime(const Forwarding &forwarding, TimePoint begun);
+
+/**
+ * Estimates which candidates hold parts of the request's prompt. Does nothing unless the route has session affinity.
+ * @param serviceTime Time that a request holds a slot.
+ */
+void weighKeptPrompt(const Forwarding &forwarding, std::chrono::milliseconds serviceTime, std::vector<BalanceCandidate> &candidates);
 
 /** Records that the request is sent to the chosen target, which will hold its prompt. Does nothing unless the route has session affinity. */
 void recordPromptSent(Forwarding &forwarding, const BalanceChoice &choice);
--- a/src/proxy/prompt_placement.cpp
+++ b/src/proxy/prompt_placement.cpp
@@ -17,27 +17,16 @@
     return forwarding.route->sessionAffinity && found != forwarding.config->services.end() ? found->second.cacheTokens : 0;
 }
 
-/** @return This host's online requests in flight on the targets of @p service. */
-unsigned ownOnline(const Proxy &proxy, const ServiceId &service)
-{
-    unsigned online = 0;
-    for (const auto &[id, counts] : proxy.loadTracker.own) {
-        const auto found = proxy.fleet->targets->find(id);
-        online += found != proxy.fleet->targets->end() && found->second.service == service ? counts.online : 0;
-    }
-    return online;
-}
-
 } // namespace
 
-void weighKeptPrompt(const Forwarding &forwarding, std::vector<BalanceCandidate> &candidates)
+void weighKeptPrompt(const Forwarding &forwarding, milliseconds serviceTime, std::vector<BalanceCandidate> &candidates)
 {
     Proxy &proxy = *forwarding.proxy;
     const std::uint64_t cacheTokens = cacheTokensOf(forwarding);
     if (cacheTokens == 0 || !proxy.fleet->targets) {
         return;
     }
-    const KeptPromptInput input{.cacheTokens = cacheTokens, .ownOnline = ownOnline(proxy, forwarding.service)};
+    const KeptPromptInput input{.cacheTokens = cacheTokens, .ownOnline = ownOnline(proxy, forwarding.service), .serviceTime = serviceTime};
     estimateKeptTokens(proxy.keptPrompts[forwarding.service], forwarding.call.prompt, input, candidates, BootClock::now());
 }
 
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -12,6 +12,7 @@
 #include "policy/load_balance_func.h"
 #include "policy/rate_limit_func.h"
 #include "policy/silence_func.h"
+#include "policy/wait_bound_type.h"
 #include "proxy/call_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -54,6 +55,7 @@
     RateLimitTable rateLimits; ///< Rate limits that targets have named.
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
     std::map<ServiceId, KeptPrompts> keptPrompts; ///< Prompt parts that targets probably hold; only of services with a route that has session affinity.
+    std::map<ServiceId, ServiceLoad> serviceLoads; ///< Only of services whose requests have a bounded wait or session affinity.
     std::function<void()> onUrgentNews; ///< Schedules an early announcement to the hosts of all failure domains; may be empty.
     std::function<void(const QuarantineChange &change)> onQuarantine; ///< Stores a change that this host decided; may be empty.
     std::function<void(LoadChange change)> onLoadChange; ///< Schedules an early announcement of this host's requests in flight.
--- a/tests/support/placement_simulation.h
+++ b/tests/support/placement_simulation.h
@@ -4,6 +4,7 @@
 #include "core/hash_func.h"
 #include "policy/kept_prompt_func.h"
 #include "policy/load_balance_func.h"
+#include "policy/wait_bound_func.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,6 +35,7 @@
     double tokensPerMs{100.0};
     std::uint64_t cacheTokens{101495};
     bool keptPrompts{false}; ///< Whether kept prompt parts are weighed; otherwise today's choice.
+    bool boundedWait{false}; ///< Whether the wait is bounded by a time; otherwise today's bound.
     std::uint64_t seed{1};
 };
 
@@ -49,9 +51,18 @@
     double firstMs{0}; ///< Mean time to the first event of served attempts.
     double unreadTokens{0}; ///< Mean number of prompt tokens that had to be read.
     unsigned placedByKept{0};
+    unsigned urgentRefusals{0}; ///< Refused attempts of the more urgent kind, which half of the callers have.
+    unsigned otherRefusals{0};
+    unsigned largeRefusals{0}; ///< Refused attempts of the largest tenth.
+    unsigned urgentServed{0};
+    unsigned otherServed{0};
+    unsigned largeServed{0};
+    double lateMs{0}; ///< Sum of the times to the first event of late answers.
     unsigned largestShare{0}; ///< Largest number of requests that one target got.
 };
 
+constexpr unsigned largeSize = 54; ///< The largest tenth of the requests takes more steps.
+
 /** The simulation; run() may be called once. */
 struct PlacementSimulation {
     struct Request {
@@ -59,8 +70,10 @@
         unsigned size{1};
         unsigned target{0};
         unsigned attempts{0};
+        unsigned priority{0};
         double sentAt{0}; ///< Arrival of the current attempt.
         double placedAt{0};
+        double firstAt{0};
         double deadline{0};
         SentPrompt sent; ///< What the host expected.
         bool freeSlot{false}; ///< Whether it was placed on a free slot.
@@ -85,6 +98,7 @@
         std::vector<double> heardAt; ///< When they were taken.
         std::vector<double> firstMs; ///< Average time to the first answer, by target.
         KeptPrompts kept;
+        ServiceLoad load;
     };
     enum class Kind : std::uint8_t { Arrival, First, End, Announce, Deliver, Return };
     struct Event {
@@ -189,6 +203,7 @@
         request.prompt.sharedTokens = {this->scene.sharedTokens};
         request.prompt.own = promptPart(0x1000000 + this->requests.size());
         request.prompt.ownTokens = this->scene.ownTokens;
+        request.priority = this->requests.size() % 2;
         this->requests.push_back(std::move(request));
         ++this->result.callers;
         this->place(static_cast<unsigned>(this->requests.size() - 1));
@@ -239,15 +254,46 @@
             }
             estimateKeptTokens(host.kept, request.prompt, {.cacheTokens = this->scene.cacheTokens, .ownOnline = own}, candidates, this->time());
         }
-        const BalanceChoice choice = balanceRequest(candidates, {}, nextRandom(this->random));
+        BalanceLimits limits;
+        if (this->scene.boundedWait) {
+            limits = this->limitsOf(host, request, candidates);
+        }
+        const BalanceChoice choice = balanceRequest(candidates, limits, nextRandom(this->random));
         if (choice.target.empty()) {
-            this->refuse(number, candidates);
+            this->refuse(number, candidates, limits, choice);
             return;
         }
         this->send(number, choice);
     }
 
-    void refuse(unsigned number, const std::vector<BalanceCandidate> &candidates)
+    /** Counts the request and bounds its wait as a host does. */
+    BalanceLimits limitsOf(Host &host, const Request &request, const std::vector<BalanceCandidate> &candidates)
+    {
+        unsigned own = 0;
+        unsigned all = 0;
+        for (unsigned i = 0; i < candidates.size(); ++i) {
+            own += host.own[i];
+            all += candidates[i].online;
+        }
+        recordArrival(host.load, own, all, this->time());
+        const WaitBoundInput input{.latencyTarget = toMs(this->scene.latencyMs),
+                                   .timeLeft = toMs(request.deadline - this->now),
+                                   .priority = request.priority,
+                                   .slots = this->scene.targets * this->scene.slots};
+        BalanceLimits limits;
+        limits.serviceTime = host.load.serviceMs > 0 ? toMs(host.load.serviceMs) : limits.serviceTime;
+        const AllowedWait allowed = allowedWait(host.load, input, this->time());
+        limits.maxWait = allowed.usual;
+        limits.lateWait = allowed.late;
+        return limits;
+    }
+
+    static std::chrono::milliseconds toMs(double value)
+    {
+        return std::chrono::milliseconds(std::llround(value));
+    }
+
+    void refuse(unsigned number, const std::vector<BalanceCandidate> &candidates, const BalanceLimits &limits, const BalanceChoice &choice)
     {
         Request &request = this->requests[number];
         ++this->result.refusals;
@@ -256,7 +302,16 @@
             input.online += candidate.online;
             input.slots += candidate.slots;
         }
-        const double delay = static_cast<double>(refusalDelay(input).count());
+        auto delay = static_cast<double>(refusalDelay(input).count());
+        if (limits.maxWait) {
+            ServiceLoad &load = this->hosts[request.host].load;
+            const ReturnInput returning{choice.wait, *limits.maxWait, toMs(request.deadline - this->now), input.slots};
+            delay = static_cast<double>(returnDelay(load, returning, this->time()).count());
+        }
+        if (this->warm) {
+            ++(request.priority == 0 ? this->result.urgentRefusals : this->result.otherRefusals);
+            this->result.largeRefusals += request.size > largeSize ? 1 : 0;
+        }
         if (request.attempts >= 2 || delay > (request.deadline - this->now) / 3) {
             ++this->result.refused;
             return;
@@ -329,10 +384,14 @@
 
     void onFirst(unsigned number)
     {
-        const Request &request = this->requests[number];
+        Request &request = this->requests[number];
+        request.firstAt = this->now;
         const double took = this->now - request.sentAt;
         ++(took <= this->scene.latencyMs ? this->result.good : this->result.late);
         this->result.firstMs += took;
+        this->result.lateMs += took <= this->scene.latencyMs ? 0 : took;
+        ++(request.priority == 0 ? this->result.urgentServed : this->result.otherServed);
+        this->result.largeServed += request.size > largeSize ? 1 : 0;
         Host &host = this->hosts[request.host];
         const double ran = this->now - request.placedAt;
         const auto sample = this->scene.keptPrompts ? comparableFirstEvent(host.kept.fit, request.sent, ran) : std::optional(ran);
@@ -350,7 +409,11 @@
         const Request &request = this->requests[number];
         Target &target = this->targets[request.target];
         std::erase(target.running, number);
-        --this->hosts[request.host].own[request.target];
+        Host &host = this->hosts[request.host];
+        --host.own[request.target];
+        if (this->scene.boundedWait && request.freeSlot) {
+            recordServiceTime(host.load, toMs(request.firstAt - request.placedAt), toMs(this->now - request.placedAt));
+        }
         if (!target.queue.empty()) {
             const unsigned next = target.queue.front();
             target.queue.pop_front();
