Fix: Findings of the review of workspaces and quotas

A host whose watch of the host list reported nothing kept its old list, and so a too large share of every quota, without limit: the list is now read every 2 s at a tenth of the price where the configuration has workspaces (test: fleetController_watchOfHostsMissesAChange_...). Comments that the reviewer stumbled on.

--- a/src/fleet/fleet_config.cpp
+++ b/src/fleet/fleet_config.cpp
@@ -47,7 +47,7 @@
     setGauge(*impl.metrics, "skylark_config_version", {}, static_cast<double>(config.version.value));
     impl.state.config = std::make_shared<const RoutingConfig>(std::move(config));
     impl.state.configDocument = std::make_shared<const std::string>(document);
-    setConfigPollInterval(impl);
+    setPollIntervals(impl);
     publishFleet(impl);
 }
 
@@ -120,13 +120,16 @@
 
 } // namespace
 
-void setConfigPollInterval(FleetController::Impl &impl)
+void setPollIntervals(FleetController::Impl &impl)
 {
-    if (!impl.config) {
-        return;
+    const bool hasWorkspaces = impl.state.config && impl.state.config->workspaces;
+    if (impl.config) {
+        const bool proves = impl.options.provesConfig && hasWorkspaces;
+        impl.config->options.pollInterval = proves ? configPollIntervalProved : configPollIntervalFor(impl.state.peers.size() + 1);
+    }
+    if (impl.hosts) {
+        impl.hosts->options.pollInterval = hostPollIntervalFor(hasWorkspaces);
     }
-    const bool proves = impl.options.provesConfig && impl.state.config && impl.state.config->workspaces;
-    impl.config->options.pollInterval = proves ? configPollIntervalProved : configPollIntervalFor(impl.state.peers.size() + 1);
 }
 
 void onConfig(const FleetImplPtr &impl, const KeyMirrorUpdate &update)
--- a/src/fleet/fleet_config_func.h
+++ b/src/fleet/fleet_config_func.h
@@ -5,8 +5,8 @@
 
 namespace skylark {
 
-/** Sets the interval of the stale reads of the configuration from the number of hosts, and from whether this host asks for proofs. */
-void setConfigPollInterval(FleetController::Impl &impl);
+/** Sets the intervals of the stale reads of the configuration and of the host list from the number of hosts and from the configuration. */
+void setPollIntervals(FleetController::Impl &impl);
 
 /** Adopts the configuration if its entry has changed. */
 void onConfig(const FleetImplPtr &impl, const KeyMirrorUpdate &update);
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -45,7 +45,7 @@
     impl->quarantine->options.watchEnabled = watchesQuarantine(peers.size() + 1);
     impl->state.peers = std::move(peers);
     impl->state.peersKnown = true;
-    setConfigPollInterval(*impl);
+    setPollIntervals(*impl);
     publishFleet(*impl);
 }
 
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -35,7 +35,7 @@
     HostLease entryProof; ///< Proof that the host's entry is alive.
     bool leaving{false}; ///< Whether the host's entry is being removed.
     std::uint64_t configRevision{0}; ///< Revision in the service of the last configuration document that was adopted or refused; 0 for none.
-    unsigned refusedProofCalls{0}; ///< Consecutive transactions without writes of which the service did not return the outcome, although it answers reads.
+    unsigned refusedProofCalls{0}; ///< Consecutive proof transactions with an unknown outcome that a read followed.
     bool pullingConfig{false}; ///< Whether a request for a peer's configuration is in flight.
     std::shared_ptr<HttpClient> peerHttp; ///< Client for configuration pulls.
     std::uint64_t random{0}; ///< State of the pseudorandom generator.
--- a/src/job/job_access.cpp
+++ b/src/job/job_access.cpp
@@ -21,7 +21,7 @@
 
 bool mayResubmit(const StoredJob &record, const WorkspaceId &workspace)
 {
-    return record.workspace.empty() || workspace.empty() || record.workspace == workspace;
+    return record.workspace.empty() || record.workspace == workspace;
 }
 
 } // namespace skylark
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -203,7 +203,7 @@
     }
     const std::string item = known->second.items[index].id;
     const auto config = runner->proxy->fleet->config;
-    ProxyCall call = makeItemCall(runner->proxy->wire, known->second, known->second.items[index], config && config->workspaces);
+    ProxyCall call = makeItemCall(runner->proxy->wire, known->second, known->second.items[index], !config || config->workspaces);
     const PromptParts prompt = call.prompt;
     recordTrial(runner->proxy->quarantine, prompt, BootClock::now());
     const Result<Done> outcome = co_await runOnTarget(runner, run, std::move(call), target);
--- a/src/policy/config_proof.cpp
+++ b/src/policy/config_proof.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr milliseconds admissionMargin{250}; ///< Covers the time from the check to the send, and the granularity of announced ages.
+constexpr milliseconds admissionMargin{250}; ///< Covers the granularity of announced ages and the difference between the clocks of two hosts.
 constexpr milliseconds announcementMargin{100}; ///< Covers the usual delay of a datagram, which its receiver cannot measure.
 constexpr milliseconds senderProbation{1000}; ///< Datagrams arrive several times in this time, so that the shortest delay is known after it.
 constexpr milliseconds longestSilence{3000}; ///< After a longer silence the sender is new: peer links forget the clocks of silent hosts.
--- a/src/policy/kept_prompt.cpp
+++ b/src/policy/kept_prompt.cpp
@@ -17,7 +17,7 @@
 constexpr double homeConfidence = 0.8; ///< Probability that a target which hosts prefer for a part holds it, if the memory of all targets holds all parts.
 constexpr double nextShare = 0.5; ///< The same for the targets next in the ranking, which take requests while those are full, relative to it.
 constexpr std::chrono::minutes useExpiry{2}; ///< Time after which a part that was not named again no longer counts as in use.
-constexpr std::size_t nextTargets = 1; ///< Number of those.
+constexpr std::size_t nextTargets = 1; ///< Number of targets in the ranking after those that are preferred.
 constexpr double useMemorySeconds = 10.0; ///< Time constant of the counts of uses.
 constexpr double homeShare = 0.5; ///< Share of a target's slots that the requests with one part may take before they spread over one more target.
 constexpr double averageWeight = 0.05; ///< Weight of a new value in a moving average.
--- a/src/policy/kept_prompt_func.h
+++ b/src/policy/kept_prompt_func.h
@@ -18,7 +18,7 @@
 /**
  * Estimates which targets hold parts of @p prompt, and fills keptTokens and savedMs of each candidate. Designed for 5,558 shared parts at 218 requests a
  * second over 71 targets of 8 slots, from hosts that do not see each other's requests: a part that this host has sent to a target is held until the target
- * has read as many tokens as its memory holds; a shared part is taken as held with even odds at the first targets of its rendezvous ranking, as many as its
+ * has read as many tokens as its memory holds; a shared part is probably held at the first targets of its rendezvous ranking, as many as its
  * load needs. Targets that are slow, silent, suspect, rate limited or tried are left out of the ranking. savedMs stays 0 until the fit is known.
  */
 void estimateKeptTokens(KeptPrompts &kept, const PromptParts &prompt, const KeptPromptInput &input, std::vector<BalanceCandidate> &candidates, TimePoint now);
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -99,9 +99,6 @@
  */
 [[nodiscard]] bool leaveSilentTarget(Forwarding &forwarding);
 
-/** @return Priority of a request: that of its workspace, or of its route where it has none. */
-[[nodiscard]] unsigned priorityOf(const RoutingConfig &config, const RouteRule &route, const WorkspaceId &workspace);
-
 /** @return This host's online requests in flight on the targets of @p service. */
 [[nodiscard]] unsigned ownOnline(const Proxy &proxy, const ServiceId &service);
 
--- a/src/proxy/wait_limits.cpp
+++ b/src/proxy/wait_limits.cpp
@@ -1,4 +1,5 @@
 /** @file wait_limits.cpp Bounds the predicted wait of requests where the configuration has workspaces. */
+#include "fleet/workspace_func.h"
 #include "policy/wait_bound_func.h"
 #include "proxy/forwarding_base.h"
 
@@ -22,17 +23,6 @@
 
 } // namespace
 
-unsigned priorityOf(const RoutingConfig &config, const RouteRule &route, const WorkspaceId &workspace)
-{
-    if (!config.workspaces || workspace.empty()) {
-        return route.priority;
-    }
-    const auto found = std::find_if(config.workspaces->begin(), config.workspaces->end(), [&workspace](const WorkspaceRule &rule) {
-        return rule.id == workspace;
-    });
-    return found == config.workspaces->end() ? route.priority : found->priority;
-}
-
 unsigned ownOnline(const Proxy &proxy, const ServiceId &service)
 {
     unsigned online = 0;
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -85,8 +85,8 @@
 }
 
 /**
- * Waits after a failure that followed another one until the service answers other calls. Load: hundreds of hosts with several mirrors each, all of which pay
- * for reads that fail during an outage, while one cheap call of each host notices its end as soon.
+ * Waits after a failure that followed another one until the service answers other calls, for at most maxOutageWait. Load: hundreds of hosts with several
+ * mirrors each, which would all pay for failing reads during an outage. The lease renewal of a host is cheaper and notices the end of the outage.
  */
 asio::awaitable<void> waitForStore(std::shared_ptr<KeyMirror> mirror)
 {
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -767,6 +767,24 @@
 }
 
 // Guards against watch calls of each of hundreds of hosts for each change of the target list, and against leaving targets that are noticed too late.
+// Guards against shares of quotas that are computed from an old list of hosts because a watch reports nothing: without the reads the list stays old for good.
+TEST_CASE_METHOD(ControllerFixture, "fleetController_watchOfHostsMissesAChange_listIsReadAgain")
+{
+    putKey(*this->store, "op/config", R"({"version":1,"routes":[],"tenants":[]})");
+    this->start();
+    REQUIRE(this->runUntil([this] {
+        return this->snapshot->peersKnown && this->version() == 1;
+    }));
+    this->runFor(2700ms); // The first read happens before the configuration is known.
+    this->store->faults.hidesChanges = true;
+    putKey(*this->store, "hosts/front-2", R"({"session":"s2","domain":"north","address":"127.0.0.1","port":7001})");
+    CHECK(this->runUntil(
+        [this] {
+            return this->snapshot->peers.size() == 1;
+        },
+        4s));
+}
+
 // Guards against a price that grows with hosts times changes: each host of a large fleet pays for a call with every change of a quick series.
 TEST_CASE("watchIntervals_largeFleet_groupChanges", "[fleet]")
 {
