Change: Fewer failure domains hold parts of a quota where one token in each would exceed the bound

A bucket holds at least one token. Under settings with little slack, one bucket in each failure domain exceeded burst and allowed excess together; now only the first domains by rendezvous hashing hold parts.

With the limit taken out quotaHolders_littleExcessAllowed_... failed.

--- a/src/policy/request_quota.cpp
+++ b/src/policy/request_quota.cpp
@@ -48,6 +48,24 @@
     return static_cast<std::size_t>(std::max(1.0, std::floor(std::min(byRate, byBurst) / static_cast<double>(domains))));
 }
 
+/** @return Largest number of holders whose buckets, with a token each, stay within burst and excess. */
+std::size_t maxHolders(const QuotaLimit &limit, const QuotaAllowance &allowance)
+{
+    return static_cast<std::size_t>(std::max(1.0, std::floor(limit.burst + (1 - reservedPart) * allowedExcess(limit, allowance))));
+}
+
+/** @return The failure domains that hold parts of a quota: all of them, unless even one bucket in each would be too many. */
+std::vector<DomainId> holdingDomains(const WorkspaceId &workspace, std::vector<DomainId> domains, std::size_t most)
+{
+    if (domains.size() > most) {
+        std::sort(domains.begin(), domains.end(), [&workspace](const DomainId &a, const DomainId &b) {
+            return rendezvousScore(workspace.value, a.value) > rendezvousScore(workspace.value, b.value);
+        });
+        domains.resize(most);
+    }
+    return domains;
+}
+
 } // namespace
 
 double allowedExcess(const QuotaLimit &limit, const QuotaAllowance &allowance)
@@ -68,9 +86,16 @@
     for (std::size_t i = 0; i < hosts.size(); ++i) {
         domains[hosts[i].domain].push_back({rendezvousScore(workspace.value, hosts[i].host.value), i});
     }
+    std::vector<DomainId> names;
+    names.reserve(domains.size());
+    for (const auto &[domain, ranked] : domains) {
+        names.push_back(domain);
+    }
+    names = holdingDomains(workspace, std::move(names), maxHolders(limit, allowance));
     std::vector<std::size_t> holders;
-    const std::size_t wanted = domains.empty() ? 0 : holdersPerDomain(limit, allowance, domains.size());
-    for (auto &[domain, ranked] : domains) {
+    const std::size_t wanted = names.empty() ? 0 : holdersPerDomain(limit, allowance, names.size());
+    for (const DomainId &domain : names) {
+        auto &ranked = domains[domain];
         const std::size_t count = std::min(wanted, ranked.size());
         const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
         std::partial_sort(ranked.begin(), end, ranked.end(), [&hosts](const Ranked &a, const Ranked &b) {
--- a/src/policy/request_quota_func.h
+++ b/src/policy/request_quota_func.h
@@ -30,7 +30,8 @@
 
 /**
  * Chooses the hosts that hold parts of a quota: in each failure domain the same number, the first by rendezvous hashing of workspace and host. Each holder
- * has about 2 requests a second, or more where so many buckets of at least one token would add up to too much beyond the burst.
+ * has about 2 requests a second, or more where so many buckets of at least one token would add up to too much beyond the burst. Where one holder in each
+ * failure domain is too many, only some domains hold parts.
  * @param hosts All hosts, in any order.
  * @return Indexes into @p hosts, by failure domain.
  */
--- a/tests/test_request_quota.cpp
+++ b/tests/test_request_quota.cpp
@@ -135,6 +135,23 @@
     }
 }
 
+// Guards against one bucket of a token in each of many failure domains where the settings allow next to no excess.
+TEST_CASE("quotaHolders_littleExcessAllowed_fewerDomainsHoldParts", "[quota]")
+{
+    const QuotaAllowance allowance{5s, 0.1, 0};
+    const auto hosts = hostsIn(64, 11);
+    for (const double rate : {0.3, 1.0, 8.0, 40.0}) {
+        for (const double burst : {1.0, 3.0, 20.0}) {
+            const QuotaLimit limit{rate, burst};
+            const std::size_t holders = quotaHolders(workspaceA, limit, allowance, hosts).size();
+            const QuotaShare share = quotaShareOf(limit, allowance, holders);
+            INFO("rate " << rate << " burst " << burst << " holders " << holders);
+            CHECK(holders >= 1);
+            CHECK(static_cast<double>(holders) * (share.capacity + share.start) - burst <= allowedExcess(limit, allowance));
+        }
+    }
+}
+
 // Guards against a holder that grants after its entry may have been removed, so that others have taken over its share.
 TEST_CASE("mayGrant_afterTheProvedLease_isRefused", "[quota]")
 {
