Fix: A seldom asked bucket of a quota lost what had accrued, and one without its share accrued

Every change of a host or limit begins an epoch, and accrual was kept over one change only: a holder that was asked less often than hosts came and went refused requests within the quota. Held buckets are now brought up to date when an epoch begins. A bucket whose share was away accrued when it was asked in vain, so that each return of the share added up to half of the allowed excess.

--- a/src/policy/request_quota.cpp
+++ b/src/policy/request_quota.cpp
@@ -142,7 +142,9 @@
     const bool sameEntry = bucket.entry == lease.entry;
     const bool sameEpoch = bucket.epoch == epoch.number;
     if (sameEntry && sameEpoch) {
-        refillTokens(bucket.tokens, now);
+        if (bucket.holds) {
+            refillTokens(bucket.tokens, now);
+        }
         return;
     }
     if (bucket.holds && sameEntry && bucket.epoch + 1 == epoch.number) {
--- a/src/quota/quota_table.cpp
+++ b/src/quota/quota_table.cpp
@@ -15,12 +15,6 @@
 constexpr milliseconds silentTime{500}; ///< Time for which a holder that has not answered, or has no right to grant, is not asked.
 constexpr milliseconds unknownReturnTime{500}; ///< Retry-After while it is not known whether a workspace is over its quota.
 
-void beginEpoch(QuotaTable &table, TimePoint now)
-{
-    ++table.epoch.number;
-    table.epoch.changedAt = now;
-}
-
 /** Chooses the holders of a workspace if hosts or limits have changed since. Done on first use, because most workspaces send to few hosts. */
 void chooseHolders(const QuotaTable &table, const WorkspaceId &workspace, WorkspaceQuota &quota)
 {
@@ -58,6 +52,21 @@
     return &quota;
 }
 
+/**
+ * Begins an epoch after a change of hosts or limits. The buckets that this host holds are brought up to date at once: one that is seldom asked would otherwise
+ * lose what accrued before the last change.
+ */
+void beginEpoch(QuotaTable &table, TimePoint now)
+{
+    ++table.epoch.number;
+    table.epoch.changedAt = now;
+    for (const auto &[workspace, quota] : table.workspaces) {
+        if (quota.bucket.holds) {
+            currentQuota(table, workspace, now);
+        }
+    }
+}
+
 /** Takes a token that was granted in advance. */
 bool takeHeldToken(QuotaTable &table, WorkspaceQuota &quota, TimePoint now)
 {
--- a/tests/test_request_quota.cpp
+++ b/tests/test_request_quota.cpp
@@ -199,6 +199,18 @@
     CHECK(this->takeAll() == 0);
 }
 
+// Guards against tokens that accrue at a host that is asked in vain while another host holds the share.
+TEST_CASE_METHOD(BucketFixture, "updateBucket_askedWhileTheShareIsAway_nothingAccrues", "[quota]")
+{
+    CHECK(this->takeAll() == 1);
+    this->changeEpoch();
+    this->update(false);
+    this->now += 60s;
+    this->update(false);
+    this->changeEpoch();
+    CHECK(this->takeAll() == 0);
+}
+
 // Guards against a full bucket at a host whose entry had lapsed, so that others have granted its share.
 TEST_CASE_METHOD(BucketFixture, "updateBucket_entryWasNew_beginsNearlyEmpty", "[quota]")
 {
@@ -285,6 +297,22 @@
     CHECK(this->asker.counts.tokensLapsed == 1);
 }
 
+// Guards against refusals within the quota while hosts come and go: a bucket that is seldom asked lost what had accrued before the last change.
+TEST_CASE_METHOD(TableFixture, "setQuotaHosts_changesTwiceBetweenRequests_bucketKeepsWhatAccrued", "[quota]")
+{
+    const QuotaStep step = this->ask();
+    while (answerQuotaRequest(this->holder, step.message, this->now).tokens > 0) {
+    }
+    this->now += 60s;
+    this->holder.lease.provedUntil = this->now + 1s;
+    std::vector<QuotaPeer> hosts = this->holder.hosts;
+    hosts.push_back({{HostId{"h9"}, DomainId{"another"}}, {}});
+    setQuotaHosts(this->holder, hosts, this->now);
+    hosts.pop_back();
+    setQuotaHosts(this->holder, hosts, this->now);
+    CHECK(answerQuotaRequest(this->holder, step.message, this->now).tokens == 1);
+}
+
 // Guards against a holder that resumes with a full socket and grants before its lease is renewed.
 TEST_CASE_METHOD(TableFixture, "answerQuotaRequest_afterAPause_grantsNothing", "[quota]")
 {
