--- a/src/fleet/fleet_config.cpp
+++ b/src/fleet/fleet_config.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds pullConnectTimeout{300}; ///< Covers a few round trips between failure domains.
+constexpr unsigned readsUntilRetry = 20; ///< After so many proofs without a transaction, one is tried again.
 constexpr unsigned refusalsUntilReads = 3; ///< After so many transactions without an outcome, proofs are read; a read carries the whole document.
 constexpr std::chrono::milliseconds pullAnswerTimeout{1000}; ///< Covers the transfer of a document of at most 1 MB.
 
@@ -84,6 +85,9 @@
         co_return makeError(ErrorCode::NotFound, "there is no configuration");
     }
     impl->refusedProofCalls += isOk(item) ? 1 : 0;
+    if (impl->refusedProofCalls >= readsUntilRetry) {
+        impl->refusedProofCalls = 0;
+    }
     co_return item;
 }
 
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -139,7 +139,7 @@
     impl->targets =
         startMirror(impl, {.prefix = impl->wire.targetPrefix, .watchInterval = impl->options.targetWatchInterval, .pollInterval = minPollInterval}, onTargets);
     impl->quarantine = startMirror(impl, {.prefix = std::string(quarantineEntryPrefix), .pollInterval = quarantinePollInterval}, onQuarantineEntries);
-    impl->hosts = startMirror(impl, {.prefix = std::string(hostEntryPrefix)}, onHosts);
+    impl->hosts = startMirror(impl, {.prefix = std::string(hostEntryPrefix), .pollInterval = hostPollIntervalFor(true)}, onHosts);
     asio::co_spawn(executor, maintainHostEntry(impl), asio::detached);
     auto controller = std::make_unique<FleetController>();
     controller->impl = std::move(impl);
--- a/src/fleet/fleet_intervals.cpp
+++ b/src/fleet/fleet_intervals.cpp
@@ -12,6 +12,7 @@
 /** The interval between watch calls for the host list grows by this for each host, to batch its changes when all hosts start at once. */
 constexpr std::chrono::milliseconds hostWatchIntervalPerHost{10};
 constexpr std::chrono::milliseconds maxHostWatchInterval{2000}; ///< The other hosts learn of a restarted host within this time; its lease lasts longer.
+constexpr std::chrono::milliseconds hostPollIntervalUnused{60000}; ///< Without workspaces nothing depends on a change of the list that the watch missed.
 constexpr std::chrono::milliseconds storeRetryMax{1000}; ///< Maximum delay between failed calls of a mirror in a small fleet.
 
 constexpr std::size_t largeFleetHosts = 16; ///< From this number of other hosts on, store calls of every host are spared where the others can help.
@@ -34,6 +35,11 @@
     return hosts <= largeFleetHosts ? hostWatchIntervalPerHost * static_cast<int>(hosts) : maxHostWatchInterval;
 }
 
+std::chrono::milliseconds hostPollIntervalFor(bool hasWorkspaces)
+{
+    return hasWorkspaces ? maxHostWatchInterval : hostPollIntervalUnused;
+}
+
 std::chrono::milliseconds configWatchIntervalFor(const FleetOptions &options, std::size_t hosts)
 {
     return hosts <= largeFleetHosts ? std::chrono::milliseconds(0) : options.configLimit / 3;
--- a/src/fleet/fleet_intervals_func.h
+++ b/src/fleet/fleet_intervals_func.h
@@ -36,6 +36,9 @@
  * then. */
 [[nodiscard]] bool watchesQuarantine(std::size_t hosts);
 
+/** @return Interval of the cheap reads of the host list that detect missed changes. Shares of request quotas depend on the list being current. */
+[[nodiscard]] std::chrono::milliseconds hostPollIntervalFor(bool hasWorkspaces);
+
 /** @return Minimum interval between watch calls for the target list. A large fleet uses half of the drain limit, because each host pays for each call. */
 [[nodiscard]] std::chrono::milliseconds targetWatchIntervalFor(const FleetOptions &options, std::size_t hosts);
 
--- a/src/job/job_policy_func.h
+++ b/src/job/job_policy_func.h
@@ -35,7 +35,7 @@
  * Lowers a ledger to what this host knows of its jobs. Every known revision of a record gives an upper bound, because finished items and ended jobs never wait
  * again; so the sum holds even if the record is old. Jobs without waiting tokens are removed.
  * @param known Waiting tokens of the open and closed jobs of the workspace on the route that this host knows; jobs that the ledger lacks are added, because
- *        a former program accepted them without it.
+ *        an earlier version accepted them without it.
  * @param gone Jobs whose record has been removed.
  */
 [[nodiscard]] WaitingLedger reduceLedger(WaitingLedger ledger, const std::map<JobId, std::uint64_t> &known, const std::set<JobId> &gone);
--- a/src/job/job_record_func.h
+++ b/src/job/job_record_func.h
@@ -31,7 +31,7 @@
 /** @return Stored form of @p ledger. */
 [[nodiscard]] std::string encodeLedger(const WaitingLedger &ledger);
 
-/** @return The ledger in @p value; empty when it is none, as former programs wrote it. */
+/** @return The ledger in @p value; empty when it is none, as earlier versions wrote it. */
 [[nodiscard]] WaitingLedger decodeLedger(std::string_view value);
 
 /** @return Key of the part with number @p part, from 0, of the submission's body. */
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -47,7 +47,7 @@
 /** Record of a job in the key-value service. Each write is conditional on the revision of its key. */
 struct StoredJob {
     JobId id;
-    WorkspaceId workspace; ///< Workspace of the caller; empty for a job that needs no key, and in records of former programs.
+    WorkspaceId workspace; ///< Workspace of the caller; empty for a job that needs no key, and in records of earlier versions.
     std::string host; ///< Host of the matched route.
     std::string path; ///< Path of the submission; selects the route together with the host.
     std::string digest; ///< Hash of the submission's body; tells a repeated submission from another one under the same identifier.
