--- a/src/fleet/fleet_intervals_func.h
+++ b/src/fleet/fleet_intervals_func.h
@@ -32,8 +32,8 @@
  */
 [[nodiscard]] std::chrono::milliseconds configWatchIntervalFor(const FleetOptions &options, std::size_t hosts);
 
-/** @return Whether the entries of quarantined parts are watched. The hosts of a large fleet tell one another of new ones and only read the entries now and
- * then. */
+/** @return Whether the entries of quarantined parts are watched. The hosts of a large fleet announce new ones to one another and read the entries at a long
+ * interval. */
 [[nodiscard]] bool watchesQuarantine(std::size_t hosts);
 
 /** @return Interval of the cheap reads of the host list that detect missed changes. Shares of request quotas depend on the list being current. */
