Fix: Clients that nobody controls end no process: byte account, framing limit, limits on progress

A host held whatever its clients sent: trailers and chunk extensions without end, bodies by growing copies, any number of the largest bodies and answers. One byte account for the process (src/http/memory_account) now has a budget from limits.memory_mb; requests and answers reserve before they are read on, a quarter is kept for small requests, and the holder with the largest product of bytes and time without progress is closed while others wait. Decisions are pure functions in src/policy/memory_budget. Trailers and chunk extensions count against the limit of the head (431); a body without progress or below a minimum rate after 30 s gets 408; a request without memory gets 503 before it runs. Without limits.memory_mb the budget is half of the machine's memory.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -36,6 +36,7 @@
     PartQuarantined, ///< Requests with a prompt part, or one request whenever it comes again, are rejected, because they crash targets.
     PartReleased, ///< A run with a quarantined prompt part, or of a quarantined request, was sound.
     Refused, ///< A request was refused and did not run.
+    ClientLimited, ///< A client met a limit on memory or progress: it was refused, or its connection closed.
     Answered, ///< A request got its final response.
     JobAccepted, ///< A batch job was stored.
     JobRefused, ///< A batch job was refused.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -40,6 +40,7 @@
     EventInfo{EventKind::PartQuarantined, "route", "part_quarantined", "kind source crashes requests round lasts_ms"},
     EventInfo{EventKind::PartReleased, "route", "part_released", "kind round"},
     EventInfo{EventKind::Refused, "admit", "refused", "route reason online slots retry_after_ms config left_ms"},
+    EventInfo{EventKind::ClientLimited, "admit", "client_limited", "cause bytes idle_ms held budget"},
     EventInfo{EventKind::Answered, "route", "answered", "route status outcome took_ms first_ms attempts events longest_gap_ms target"},
     EventInfo{EventKind::JobAccepted, "job", "job_accepted", "route items tokens waiting took_ms"},
     EventInfo{EventKind::JobRefused, "job", "job_refused", "route reason tokens waiting limit detail"},
--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -15,6 +15,7 @@
 using ServicePtr = std::shared_ptr<const CallerService>;
 
 constexpr std::chrono::milliseconds notReadyRetryAfter{500}; ///< Retry-After of responses that are sent before the first configuration is loaded.
+constexpr std::chrono::milliseconds jobMemoryRetryAfter{1000}; ///< Retry-After of a job for which there is no memory; items finish several times a second.
 constexpr int statusAccepted = 202;
 constexpr int statusOk = 200;
 
@@ -35,6 +36,12 @@
 /** Decodes a batch submission and accepts it as a job. */
 asio::awaitable<void> submitJob(ServicePtr service, HttpResponder &responder, ProxyCall call, const RouteRule &route)
 {
+    const JobId job{call.id.value};
+    if (service->mayTakeJob && !service->jobs->jobs.contains(job) && !service->mayTakeJob(call.body.size())) {
+        logEvent(EventKind::JobRefused, call.id.value, {{"route", route.name}, {"reason", "memory"}, {"detail", "the items of unfinished jobs take too much"}});
+        co_await sendFailure(*service->proxy, responder, 503, "memory", jobMemoryRetryAfter);
+        co_return;
+    }
     auto submission = service->proxy->wire.decodeSubmission(call);
     if (!isOk(submission)) {
         logEvent(EventKind::JobRefused, call.id.value, {{"route", route.name}, {"reason", "invalid"}, {"detail", errorOf(submission).detail}});
--- a/src/entry/caller_service_func.h
+++ b/src/entry/caller_service_func.h
@@ -4,6 +4,8 @@
 #include "job/job_registry_base.h"
 #include "proxy/proxy_base.h"
 
+#include <functional>
+
 namespace skylark {
 
 /** Dependencies of the handler. */
@@ -11,6 +13,7 @@
     std::shared_ptr<Proxy> proxy; ///< Forwards online requests to targets.
     std::shared_ptr<JobRegistry> jobs; ///< Accepts, reads and cancels batch jobs.
     DomainId domain; ///< Failure domain of this host.
+    std::function<bool(std::size_t bytes)> mayTakeJob{}; ///< Whether there is memory for the items of a submission of this size; null for always.
 };
 
 /** @return The request handler of the HTTP server for callers. */
--- a/src/entry/entry_host_func.h
+++ b/src/entry/entry_host_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/fleet_controller_func.h"
+#include "policy/memory_budget_type.h"
 #include "proxy/call_type.h"
 
 #include <functional>
@@ -21,6 +22,13 @@
     double quotaSlack{20}; ///< Requests by which a request quota may be exceeded in addition.
 };
 
+/** Limits on clients that the configuration does not set. */
+struct ClientLimits {
+    std::uint64_t memoryMegabytes{0}; ///< Memory that may be held for callers; 0 derives it from the memory limit of the process.
+    BodyLimits body; ///< Limits on the progress of a request body.
+    std::chrono::milliseconds memoryWait{5000}; ///< Time for which a request waits for memory before it is refused.
+};
+
 /** Settings of an entry host. */
 struct EntrySettings {
     HostId host; ///< Host name, unique in the fleet.
@@ -35,8 +43,9 @@
     std::chrono::milliseconds targetHeartbeat{1200}; ///< Interval at which targets renew their entries in the key-value service.
     std::chrono::milliseconds stopLimit{8000}; ///< Time from SIGTERM until the platform kills the process.
     std::size_t maxDescriptors{4096}; ///< Maximum number of open file descriptors of the process.
-    std::uint64_t memoryMegabytes{0}; ///< Memory limit of the process; 0 when unknown. Only logged.
+    std::uint64_t memoryMegabytes{0}; ///< Memory limit of the process; 0 when unknown.
     AccessLimits access;
+    ClientLimits clients;
 };
 
 /** Wire formats and clients of a deployment platform. */
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -276,6 +276,7 @@
     impl->exchange = std::move(valueOf(exchange));
     HttpServerOptions serverOptions;
     serverOptions.listen = impl->options.listen;
+    serverOptions.memory = impl->options.memory;
     auto server = HttpServer::create(executor, serverOptions, [weak](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
         const auto strong = weak.lock();
         HttpResponse response = strong ? answerPeer(*strong, request) : HttpResponse{.status = 503, .headers = {}, .body = {}};
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -15,6 +15,7 @@
     SessionId session; ///< Identifier of this run of its process.
     DomainId domain; ///< Failure domain of this host.
     Endpoint listen; ///< Listen address: UDP for status datagrams, TCP for configuration pulls.
+    std::shared_ptr<MemoryAccount> memory{}; ///< Account of the bytes held for other hosts; may be null.
     std::function<void(const HostStatus &status)> onStatus; ///< Called for each status of another host that is newer than its last one.
     std::function<void(HostStatus &status)> completeStatus; ///< Adds fields that the link does not know, such as job revisions, to each status sent.
     /** Encodes a job that this host owns, without the results up to @c after; empty if it owns no such job. */
--- a/src/http/http_connection_base.h
+++ b/src/http/http_connection_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http/http_server_func.h"
+#include "http/memory_account_base.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -41,7 +42,32 @@
     std::function<HttpResponse()> renderUnfinished; ///< Renders the response of answerUnfinished(); null sends 504 without a body.
     ConnectionState state{ConnectionState::Idle};
     bool keepAlive{true}; ///< Whether the connection stays open after the current response.
+    std::shared_ptr<MemoryHold> hold; ///< Bytes of this connection in the account of the process.
+    std::uint64_t requestBytes{0}; ///< Part of them for the request.
+    std::uint64_t answerBytes{0}; ///< Part of them for the answer.
     std::uint64_t requestNumber{0}; ///< Number of the current request, so that a watch for an earlier request does not act on this one.
 };
 
+inline constexpr std::uint64_t connectionBytes = 12288; ///< What an open connection takes: its state, coroutine frames and first read.
+
+/** @return The bytes that @p connection holds with a request and an answer of these sizes. */
+[[nodiscard]] inline std::uint64_t totalBytes(std::uint64_t request, std::uint64_t answer)
+{
+    return connectionBytes + request + answer;
+}
+
+/** Sets the bytes of the answer of @p connection, which is there already. */
+inline void holdAnswer(HttpServerConnection &connection, std::uint64_t bytes)
+{
+    connection.answerBytes = bytes;
+    setHeldBytes(*connection.hold, totalBytes(connection.requestBytes, bytes));
+}
+
+/** Gives back what @p connection holds for its request and answer. */
+inline void releaseRequest(HttpServerConnection &connection)
+{
+    connection.requestBytes = 0;
+    holdAnswer(connection, 0);
+}
+
 } // namespace skylark
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -4,9 +4,13 @@
 #include "core/table/error_table.h"
 #include "http/socket_read_func.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
+#include <sys/socket.h>
+#include <variant>
 
 namespace skylark {
 
@@ -14,14 +18,15 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using asio::ip::tcp;
+using std::chrono::milliseconds;
 
 namespace {
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readBytes = 4096; ///< Maximum size in bytes of a read outside the HTTP parser.
 /** Time limit for reading the rest of a rejected request: closing a connection with unread data resets it, and the caller loses the response. */
-constexpr std::chrono::milliseconds lingerTime{500};
-constexpr std::chrono::milliseconds lateReadTime{500}; ///< Time limit for reading the rest of a request that has arrived in part by its time limit.
+constexpr milliseconds lingerTime{500};
+constexpr milliseconds lateReadTime{500}; ///< Time limit for reading the rest of a request that has arrived in part by its time limit.
 
 HttpRequest convertRequest(http::request<http::string_body> message)
 {
@@ -62,26 +67,184 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
-asio::awaitable<beast::error_code> readHead(std::shared_ptr<HttpServerConnection> connection, RequestParser &parser)
+/** A request that is being received. */
+struct Receiving {
+    std::shared_ptr<HttpServerConnection> connection;
+    std::shared_ptr<HttpServer::Impl> server;
+    std::uint32_t maxHeader; ///< Limits at the begin of the request.
+    std::size_t maxBody;
+    RequestParser parser{};
+    std::uint64_t framing{0}; ///< Bytes of the head, of chunk extensions and of trailers.
+    unsigned copies{1}; ///< Copies of the body that exist while the request is handled.
+    std::optional<std::uint64_t> announced{}; ///< Length of the body if the head names it.
+    TimePoint bodySince{}; ///< When the body began; later by the times in which the server did not read.
+    TimePoint lastByteAt{}; ///< Likewise, of the last byte.
+    TimePoint bodyUntil{}; ///< End of HttpServerOptions::bodyTimeout.
+    bool late{false}; ///< Whether bytes were read after that, for which bodyUntil was moved.
+};
+
+/** Why a request was not received; without an error the connection was lost. */
+struct ReceiveFailure {
+    std::optional<Error> error{};
+    std::optional<ClientLimit> limit{};
+};
+
+asio::awaitable<beast::error_code> readHead(Receiving &receiving)
 {
-    const auto [error, bytes] = co_await http::async_read_header(connection->stream, connection->buffer, parser, awaitTuple);
+    const auto [error, bytes] = co_await http::async_read_header(receiving.connection->stream, receiving.connection->buffer, receiving.parser, awaitTuple);
+    receiving.framing += bytes;
     co_return error;
 }
 
-asio::awaitable<beast::error_code> readBody(std::shared_ptr<HttpServerConnection> connection, RequestParser &parser)
+/** Lets the account end the reading of a request. */
+struct ClosableRead {
+    HttpServerConnection &connection;
+
+    explicit ClosableRead(HttpServerConnection &reading)
+        : connection(reading)
+    {
+        this->connection.hold->progressAt = BootClock::now();
+        this->connection.hold->close = [this] {
+            beast::error_code ignored;
+            this->connection.stream.socket().cancel(ignored);
+        };
+    }
+    ClosableRead(const ClosableRead &) = delete;
+    ClosableRead &operator=(const ClosableRead &) = delete;
+    ~ClosableRead()
+    {
+        this->connection.hold->close = nullptr;
+    }
+};
+
+milliseconds timeSince(TimePoint then)
 {
-    const auto [error, bytes] = co_await http::async_read(connection->stream, connection->buffer, parser, awaitTuple);
-    co_return error;
+    return std::chrono::duration_cast<milliseconds>(BootClock::now() - then);
+}
+
+ReceiveFailure limitFailure(ClientLimit limit, ErrorCode code, std::string detail)
+{
+    return {makeError(code, std::move(detail)), limit};
+}
+
+ReceiveFailure memoryFailure(const Receiving &receiving)
+{
+    const bool closed = receiving.connection->hold->closed;
+    return limitFailure(closed ? ClientLimit::MemoryClosed : ClientLimit::MemoryWait, ErrorCode::NotReady, "no memory for the request");
+}
+
+/** Reserves what the request and the next @p more bytes of its body need. @return Whether they may be read. */
+asio::awaitable<bool> makeRoom(Receiving &receiving, std::uint64_t more)
+{
+    const auto connection = receiving.connection;
+    const std::uint64_t received = receiving.parser.get().body().size() + more;
+    const std::uint64_t body = bodyReservation(received, receiving.announced, receiving.maxBody) * receiving.copies;
+    const std::uint64_t wanted = std::max(connection->requestBytes, receiving.framing + body);
+    const TimePoint began = BootClock::now();
+    const bool reserved = co_await reserveMemory(connection->hold, totalBytes(wanted, 0), receiving.server->options.memoryWait);
+    if (reserved) {
+        connection->requestBytes = wanted;
+    }
+    const auto paused = BootClock::now() - began;
+    connection->hold->progressAt += paused;
+    receiving.bodySince += paused;
+    receiving.lastByteAt += paused;
+    receiving.bodyUntil += paused;
+    co_return reserved;
+}
+
+/** Parses what has been received. */
+beast::error_code parseInput(Receiving &receiving)
+{
+    beast::flat_buffer &buffer = receiving.connection->buffer;
+    std::string &body = receiving.parser.get().body();
+    if (!receiving.announced && body.size() + buffer.size() > smallHoldBytes && body.capacity() < receiving.maxBody) {
+        // Pages that are not written take no memory; growing would copy the body and hold it twice.
+        body.reserve(receiving.maxBody);
+    }
+    beast::error_code error;
+    if (buffer.size() > 0 && !receiving.parser.is_done()) {
+        buffer.consume(receiving.parser.put(buffer.data(), error));
+    }
+    if (buffer.size() == 0) {
+        buffer.shrink_to_fit();
+    }
+    const beast::error_code needMore = http::error::need_more;
+    return error == needMore ? beast::error_code() : error;
+}
+
+/** @return The number of bytes to read at once; not far beyond the body, since the bytes of a next request would be held until this one is handled. */
+std::size_t nextReadBytes(const Receiving &receiving)
+{
+    constexpr std::size_t announcedRead = std::size_t{64} << 10U;
+    constexpr std::size_t chunkedRead = std::size_t{16} << 10U;
+    const auto left = receiving.parser.content_length_remaining();
+    return left ? static_cast<std::size_t>(std::clamp<std::uint64_t>(*left, 1, announcedRead)) : chunkedRead;
+}
+
+/** @return Why the body is not waited for any longer; nothing while it is. */
+std::optional<ReceiveFailure> findSlowness(const Receiving &receiving, const BodyProgress &progress)
+{
+    const HttpServerOptions &options = receiving.server->options;
+    if (receiving.connection->hold->closed) {
+        return memoryFailure(receiving);
+    }
+    const BodyVerdict verdict = judgeBody(options.bodyLimits, progress);
+    if (verdict == BodyVerdict::Stalled) {
+        return limitFailure(ClientLimit::BodyStalled, ErrorCode::HeaderTimeout, "request body made no progress");
+    }
+    if (verdict == BodyVerdict::TooSlow) {
+        return limitFailure(ClientLimit::BodyTooSlow, ErrorCode::HeaderTimeout, "request body was too slow");
+    }
+    if (BootClock::now() >= receiving.bodyUntil) {
+        return ReceiveFailure{makeError(ErrorCode::HeaderTimeout, "request did not arrive in time"), {}};
+    }
+    return std::nullopt;
+}
+
+/** Receives the next bytes of a body into the buffer. What has arrived is read whatever the time is: the process may have been late itself. */
+asio::awaitable<std::optional<ReceiveFailure>> receiveBytes(Receiving &receiving)
+{
+    HttpServerConnection &connection = *receiving.connection;
+    for (;;) {
+        const std::size_t size = nextReadBytes(receiving);
+        const auto space = connection.buffer.prepare(size);
+        const auto got = ::recv(connection.stream.socket().native_handle(), space.data(), size, MSG_DONTWAIT);
+        if (got > 0) {
+            connection.buffer.commit(static_cast<std::size_t>(got));
+            recordMoved(*connection.hold, static_cast<std::uint64_t>(got));
+            receiving.lastByteAt = BootClock::now();
+            if (receiving.lastByteAt >= receiving.bodyUntil && !receiving.late) {
+                receiving.late = true;
+                receiving.bodyUntil = receiving.lastByteAt + lateReadTime;
+            }
+            co_return std::nullopt;
+        }
+        if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+            co_return ReceiveFailure{};
+        }
+        if (connection.buffer.size() == 0) {
+            connection.buffer.shrink_to_fit();
+        }
+        const BodyProgress progress{timeSince(receiving.bodySince), timeSince(receiving.lastByteAt), receiving.parser.get().body().size()};
+        if (auto failure = findSlowness(receiving, progress)) {
+            co_return failure;
+        }
+        const auto left = std::chrono::ceil<milliseconds>(receiving.bodyUntil - BootClock::now());
+        const auto wait = std::min(left, nextBodyVerdict(receiving.server->options.bodyLimits, progress));
+        const auto deadline = ReadDeadline::create(connection.stream, std::max(milliseconds(1), wait));
+        co_await connection.stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
+    }
 }
 
 /** @return How long @p connection may wait for the first bytes of a request. */
-std::chrono::milliseconds idleLimit(const HttpServer::Impl &server, const HttpServerConnection &connection)
+milliseconds idleLimit(const HttpServer::Impl &server, const HttpServerConnection &connection)
 {
-    constexpr std::chrono::milliseconds firstRequestTime{500}; // The request of a new connection is in transit.
+    constexpr milliseconds firstRequestTime{500}; // The request of a new connection is in transit.
     if (!server.closeIdle) {
         return keepAliveInForce(server);
     }
-    return connection.requestNumber == 0 ? firstRequestTime : std::chrono::milliseconds(0);
+    return connection.requestNumber == 0 ? firstRequestTime : milliseconds(0);
 }
 
 /** Waits for the first bytes of a request. @return Whether there are any; otherwise the caller has closed the connection, or it was idle for too long. */
@@ -91,12 +254,15 @@
     for (;;) {
         const auto left = idleSince + idleLimit(*server, *connection) - std::chrono::steady_clock::now();
         if (left.count() > 0) {
-            const auto deadline = ReadDeadline::create(connection->stream, std::chrono::ceil<std::chrono::milliseconds>(left));
+            const auto deadline = ReadDeadline::create(connection->stream, std::chrono::ceil<milliseconds>(left));
             const auto [error] = co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
             if (!error) {
                 co_return true;
             }
         }
+        if (connection->hold->closed) {
+            co_return false;
+        }
         const SocketInput input = peekInput(connection->stream);
         if (input != SocketInput::Nothing || std::chrono::steady_clock::now() >= idleSince + idleLimit(*server, *connection)) {
             co_return input == SocketInput::Bytes;
@@ -122,11 +288,162 @@
     return std::nullopt;
 }
 
-/** @return Whether a read of a body ended because the connection did, so that there is nobody to answer. */
-bool isConnectionLost(const beast::error_code &error)
+/** @return Size of the fields of a message on the wire. */
+std::uint64_t fieldBytes(const http::fields &fields)
 {
-    const beast::error_code partial = http::error::partial_message;
-    return error && error != beast::error::timeout && (error == partial || error.category() != partial.category());
+    constexpr std::uint64_t separators = 4; // Colon, space and line end.
+    std::uint64_t bytes = 0;
+    for (const auto &field : fields) {
+        bytes += field.name_string().size() + field.value().size() + separators;
+    }
+    return bytes;
+}
+
+/** Reads the body whose head has been read. Memory for it is reserved before each read. */
+asio::awaitable<std::optional<ReceiveFailure>> receiveBody(Receiving &receiving)
+{
+    auto countExtensions = [&receiving](std::uint64_t /*size*/, boost::beast::string_view extensions, beast::error_code &error) {
+        receiving.framing += extensions.size();
+        if (receiving.framing > receiving.maxHeader) {
+            error = http::error::header_limit;
+        }
+    };
+    receiving.parser.on_chunk_header(countExtensions);
+    receiving.parser.eager(true);
+    const std::uint64_t headFields = fieldBytes(receiving.parser.get());
+    const ReceiveFailure tooLarge =
+        limitFailure(ClientLimit::FramingTooLarge, ErrorCode::HeaderTooLarge, "head, chunk extensions and trailers exceed the size limit");
+    for (;;) {
+        const beast::error_code error = parseInput(receiving);
+        if (error == http::error::header_limit) {
+            co_return tooLarge;
+        }
+        if (error) {
+            co_return ReceiveFailure{findReadError(receiving.maxBody, error), {}};
+        }
+        if (receiving.parser.is_done()) {
+            break;
+        }
+        if (receiving.framing + receiving.connection->buffer.size() > receiving.maxHeader) {
+            co_return tooLarge; // A line of the chunked coding, or trailers, that have not ended.
+        }
+        const bool room = co_await makeRoom(receiving, nextReadBytes(receiving));
+        if (!room) {
+            co_return memoryFailure(receiving);
+        }
+        auto failure = co_await receiveBytes(receiving);
+        if (failure) {
+            co_return failure;
+        }
+    }
+    if (receiving.framing + fieldBytes(receiving.parser.get()) - headFields > receiving.maxHeader) {
+        co_return tooLarge;
+    }
+    co_return std::nullopt;
+}
+
+/** Reads the head of a request, of which some bytes are there. */
+asio::awaitable<std::optional<ReceiveFailure>> receiveHead(Receiving &receiving)
+{
+    HttpServerConnection &connection = *receiving.connection;
+    receiving.parser.body_limit(receiving.maxBody);
+    receiving.parser.header_limit(receiving.maxHeader);
+    const std::string_view begin(static_cast<const char *>(connection.buffer.data().data()), connection.buffer.size());
+    if (begin.find("\r\n\r\n") == std::string_view::npos) {
+        receiving.framing = receiving.maxHeader; // The rest may be as long as that.
+        const bool room = co_await makeRoom(receiving, 0);
+        receiving.framing = 0;
+        if (!room) {
+            co_return memoryFailure(receiving);
+        }
+    }
+    const beast::error_code error = co_await readWithin(connection.stream, receiving.server->options.headTimeout, lateReadTime, [&receiving] {
+        return readHead(receiving);
+    });
+    if (connection.hold->closed) {
+        co_return memoryFailure(receiving);
+    }
+    if (error == http::error::end_of_stream || error == asio::error::connection_reset) {
+        co_return ReceiveFailure{};
+    }
+    if (auto rejection = findReadError(receiving.maxBody, error)) {
+        co_return ReceiveFailure{std::move(rejection), {}};
+    }
+    if (receiving.parser.get().count(http::field::host) > 1) {
+        co_return ReceiveFailure{makeError(ErrorCode::InvalidRequest, "more than one Host header"), {}};
+    }
+    co_return std::nullopt;
+}
+
+/** Tells the caller to send the body if it waits for that. @return Whether the connection is still there. */
+asio::awaitable<bool> answerExpectation(const Receiving &receiving)
+{
+    if (!boost::beast::iequals(receiving.parser.get()[http::field::expect], "100-continue")) {
+        co_return true;
+    }
+    http::response<http::empty_body> proceed(http::status::continue_, 11);
+    receiving.connection->stream.expires_after(receiving.server->options.bodyTimeout);
+    const auto [error, bytes] = co_await http::async_write(receiving.connection->stream, proceed, awaitTuple);
+    co_return !error;
+}
+
+/** Prepares the reading of the body: how much memory its request will take, and its time limits. */
+void beginBody(Receiving &receiving)
+{
+    const HttpServerOptions &options = receiving.server->options;
+    if (const auto length = receiving.parser.content_length()) {
+        receiving.announced = *length;
+    }
+    if (options.bodyCopies && !receiving.parser.is_done()) {
+        HttpRequest head;
+        head.method = std::string(receiving.parser.get().method_string());
+        head.target = std::string(receiving.parser.get().target());
+        head.headers.push_back({"Host", std::string(receiving.parser.get()[http::field::host])});
+        receiving.copies = options.bodyCopies(head);
+    }
+    receiving.bodySince = BootClock::now();
+    receiving.lastByteAt = receiving.bodySince;
+    receiving.bodyUntil = receiving.bodySince + options.bodyTimeout;
+}
+
+/** Receives one request, of which some bytes are there. @return The request, or why there is none; its bytes are freed by then. */
+asio::awaitable<std::variant<HttpRequest, ReceiveFailure>> receiveRequest(std::shared_ptr<HttpServerConnection> connection,
+                                                                          std::shared_ptr<HttpServer::Impl> server)
+{
+    const ClosableRead closable(*connection);
+    Receiving receiving{connection, server, server->options.maxHeader, server->options.maxBody};
+    auto failure = co_await receiveHead(receiving);
+    if (failure) {
+        co_return *failure;
+    }
+    const bool connected = co_await answerExpectation(receiving);
+    if (!connected) {
+        co_return ReceiveFailure{};
+    }
+    beginBody(receiving);
+    failure = co_await receiveBody(receiving);
+    if (failure) {
+        if (!failure->error) {
+            reportUnserved(server->options, ErrorCode::CallerGone);
+        }
+        co_return *failure;
+    }
+    const bool room = co_await makeRoom(receiving, 0);
+    if (!room) {
+        co_return memoryFailure(receiving);
+    }
+    connection->requestBytes = receiving.framing + receiving.parser.get().body().size() * receiving.copies + connection->buffer.capacity();
+    setHeldBytes(*connection->hold, totalBytes(connection->requestBytes, 0));
+    connection->keepAlive = receiving.parser.get().keep_alive();
+    co_return convertRequest(receiving.parser.release());
+}
+
+/** Reports a client that met a limit; the account reports those that it closes. */
+void reportLimit(const HttpServerConnection &connection, const HttpServerOptions &options, const ReceiveFailure &failure)
+{
+    if (failure.limit && *failure.limit != ClientLimit::MemoryClosed && options.onClientLimit) {
+        options.onClientLimit({*failure.limit, connection.hold->bytes, timeSince(connection.hold->progressAt)});
+    }
 }
 
 } // namespace
@@ -151,15 +468,15 @@
     return response;
 }
 
-std::chrono::milliseconds keepAliveInForce(const HttpServer::Impl &server)
+milliseconds keepAliveInForce(const HttpServer::Impl &server)
 {
-    const std::chrono::milliseconds current = server.options.keepAlive;
+    const milliseconds current = server.options.keepAlive;
     return std::chrono::steady_clock::now() < server.longerUntil ? std::max(server.longerKeepAlive, current) : current;
 }
 
 asio::awaitable<void> refuseConnection(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
 {
-    constexpr std::chrono::milliseconds requestTime{1000}; // A response before the request would not be taken for its response.
+    constexpr milliseconds requestTime{1000}; // A response before the request would not be taken for its response.
     {
         const auto deadline = ReadDeadline::create(connection->stream, requestTime);
         co_await connection->stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
@@ -171,8 +488,9 @@
 
 asio::awaitable<std::optional<HttpRequest>> readRequest(std::shared_ptr<HttpServerConnection> connection, std::shared_ptr<HttpServer::Impl> server)
 {
-    const HttpServerOptions &options = server->options;
     if (connection->buffer.size() == 0) {
+        connection->buffer.shrink_to_fit();
+        const ClosableRead closable(*connection);
         if (!co_await waitForInput(connection, server)) {
             co_return std::nullopt;
         }
@@ -183,45 +501,19 @@
         connection->buffer.commit(bytes);
     }
     connection->state = ConnectionState::Reading;
-    RequestParser parser;
-    parser.body_limit(options.maxBody);
-    parser.header_limit(options.maxHeader);
-    const std::size_t maxBody = options.maxBody;
-    const beast::error_code headError = co_await readWithin(connection->stream, options.headTimeout, lateReadTime, [&connection, &parser] {
-        return readHead(connection, parser);
-    });
-    if (headError == http::error::end_of_stream || headError == asio::error::connection_reset) {
-        co_return std::nullopt;
-    }
-    auto rejection = findReadError(maxBody, headError);
-    if (!rejection && parser.get().count(http::field::host) > 1) {
-        rejection = makeError(ErrorCode::InvalidRequest, "more than one Host header");
-    }
-    if (rejection) {
-        co_await rejectRequest(connection, options, *rejection);
-        co_return std::nullopt;
-    }
-    if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> proceed(http::status::continue_, 11);
-        connection->stream.expires_after(options.bodyTimeout);
-        const auto [error, bytes] = co_await http::async_write(connection->stream, proceed, awaitTuple);
-        if (error) {
-            co_return std::nullopt;
-        }
-    }
-    const beast::error_code bodyError = co_await readWithin(connection->stream, options.bodyTimeout, lateReadTime, [&connection, &parser] {
-        return readBody(connection, parser);
-    });
-    if (isConnectionLost(bodyError)) {
-        reportUnserved(options, ErrorCode::CallerGone);
-        co_return std::nullopt;
+    auto received = co_await receiveRequest(connection, server);
+    if (auto *request = std::get_if<HttpRequest>(&received)) {
+        co_return std::move(*request);
     }
-    if (const auto bodyRejection = findReadError(maxBody, bodyError)) {
-        co_await rejectRequest(connection, options, *bodyRejection);
-        co_return std::nullopt;
+    const ReceiveFailure &failure = std::get<ReceiveFailure>(received);
+    reportLimit(*connection, server->options, failure);
+    connection->buffer.clear();
+    connection->buffer.shrink_to_fit();
+    releaseRequest(*connection);
+    if (failure.error) {
+        co_await rejectRequest(connection, server->options, *failure.error);
     }
-    connection->keepAlive = parser.get().keep_alive();
-    co_return convertRequest(parser.release());
+    co_return std::nullopt;
 }
 
 } // namespace skylark
--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -2,6 +2,7 @@
 #include "http/http_connection_base.h"
 #include "http/socket_read_func.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -33,10 +34,32 @@
     return makeError(ErrorCode::CallerGone, error.message(), RunState::Maybe);
 }
 
+/** Lets the account close a connection while a write to its caller waits. */
+struct ClosableWrite {
+    std::shared_ptr<HttpServerConnection> connection;
+
+    explicit ClosableWrite(std::shared_ptr<HttpServerConnection> writing)
+        : connection(std::move(writing))
+    {
+        this->connection->hold->progressAt = BootClock::now();
+        this->connection->hold->close = [raw = this->connection.get()] {
+            raw->keepAlive = false;
+            raw->stream.close();
+        };
+    }
+    ClosableWrite(const ClosableWrite &) = delete;
+    ClosableWrite &operator=(const ClosableWrite &) = delete;
+    ~ClosableWrite()
+    {
+        this->connection->hold->close = nullptr;
+    }
+};
+
 /** Writes @p buffers. The time limit applies to each step, so that a caller that reads slowly gets all of them. */
 template<typename Buffers>
 asio::awaitable<beast::error_code> writeInSteps(std::shared_ptr<HttpServerConnection> connection, Buffers buffers)
 {
+    const ClosableWrite closable(connection);
     beast::buffers_suffix<Buffers> rest(std::move(buffers));
     while (beast::buffer_bytes(rest) > 0) {
         connection->stream.expires_after(connection->writeTimeout);
@@ -45,6 +68,7 @@
             co_return error;
         }
         rest.consume(bytes);
+        recordMoved(*connection->hold, bytes);
     }
     co_return beast::error_code();
 }
@@ -59,9 +83,27 @@
 
 } // namespace
 
+asio::awaitable<bool> reserveAnswer(HttpResponder &responder, std::uint64_t bytes, std::chrono::milliseconds limit)
+{
+    const auto connection = responder.connection;
+    recordMoved(*connection->hold, bytes - std::min(bytes, connection->answerBytes));
+    const bool reserved = co_await reserveMemory(connection->hold, totalBytes(connection->requestBytes, bytes), limit);
+    connection->hold->progressAt = BootClock::now();
+    if (reserved) {
+        connection->answerBytes = std::max(connection->answerBytes, bytes);
+    }
+    co_return reserved;
+}
+
+bool isClosedForMemory(const HttpResponder &responder)
+{
+    return responder.connection->hold->closed;
+}
+
 asio::awaitable<Result<Done>> sendResponse(HttpResponder &responder, HttpResponse response)
 {
     const auto connection = responder.connection;
+    holdAnswer(*connection, std::max<std::uint64_t>(connection->answerBytes, response.body.size()));
     http::response<http::string_body> message(static_cast<http::status>(response.status), 11);
     setHeaders(message, response.headers);
     message.body() = std::move(response.body);
@@ -72,10 +114,12 @@
     connection->state = ConnectionState::Responding;
     http::response_serializer<http::string_body> serializer(message);
     beast::error_code error;
+    const ClosableWrite closable(connection);
     while (!error && !serializer.is_done()) {
         connection->stream.expires_after(connection->writeTimeout);
         const auto [stepError, bytes] = co_await http::async_write_some(connection->stream, serializer, awaitTuple);
         error = stepError;
+        recordMoved(*connection->hold, bytes);
     }
     responder.finished = !error;
     co_return writeResult(*connection, error);
@@ -103,7 +147,9 @@
     if (data.empty()) {
         co_return Done{};
     }
+    holdAnswer(*connection, data.size());
     const auto error = co_await writeInSteps(connection, http::make_chunk(asio::buffer(data)));
+    holdAnswer(*connection, 0);
     co_return writeResult(*connection, error);
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -116,6 +116,7 @@
 {
     auto connection =
         std::make_shared<HttpServerConnection>(HttpServerConnection{beast::tcp_stream(std::move(socket)), {}, impl, impl->options.writeTimeout, {}});
+    connection->hold = std::make_shared<MemoryHold>(impl->options.memory, connectionBytes);
     beast::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     return connection;
@@ -139,6 +140,7 @@
             break;
         }
         co_await handleRequest(impl, connection, std::move(*request));
+        releaseRequest(*connection);
     }
     closeConnection(*connection);
 }
@@ -224,6 +226,23 @@
 
 } // namespace
 
+std::string_view clientLimitName(ClientLimit limit)
+{
+    switch (limit) {
+    case ClientLimit::BodyStalled:
+        return "body_stalled";
+    case ClientLimit::BodyTooSlow:
+        return "body_too_slow";
+    case ClientLimit::FramingTooLarge:
+        return "framing_too_large";
+    case ClientLimit::MemoryWait:
+        return "memory_wait";
+    case ClientLimit::MemoryClosed:
+        return "memory_closed";
+    }
+    return "unknown";
+}
+
 Result<std::unique_ptr<HttpServer>> HttpServer::create(const asio::any_io_executor &executor, HttpServerOptions options, HttpHandler handler)
 {
     beast::error_code error;
@@ -246,6 +265,14 @@
     if (error) {
         return makeError(ErrorCode::InvalidSettings, options.listen.address + ":" + std::to_string(options.listen.port) + ": " + error.message());
     }
+    if (!options.memory) {
+        options.memory = MemoryAccount::create(executor, budgetFor(0, machineMemory()));
+        options.memory->onClose = [report = options.onClientLimit](const MemoryHold &hold, std::chrono::milliseconds idle) {
+            if (report) {
+                report({ClientLimit::MemoryClosed, hold.bytes, idle});
+            }
+        };
+    }
     auto server = std::make_unique<HttpServer>();
     server->impl = std::make_shared<Impl>(Impl{std::move(acceptor), std::move(options), std::move(handler)});
     asio::co_spawn(executor, acceptLoop(server->impl), asio::detached);
--- a/src/http/http_server_func.h
+++ b/src/http/http_server_func.h
@@ -3,6 +3,7 @@
 
 #include "core/result_type.h"
 #include "http/http_type.h"
+#include "policy/memory_budget_type.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -11,16 +12,42 @@
 
 namespace skylark {
 
+struct MemoryAccount;
+
+/** Why a client was refused or its connection closed, besides errors in its request. */
+enum class ClientLimit : std::uint8_t {
+    BodyStalled, ///< A body made no progress.
+    BodyTooSlow, ///< A body was slower than the minimum rate.
+    FramingTooLarge, ///< Chunk extensions or trailers exceeded the limit of the head.
+    MemoryWait, ///< No memory became free for a request in time.
+    MemoryClosed, ///< The connection held much without progress while others waited for memory.
+};
+
+/** @return Name of a cause in logs and metrics. */
+[[nodiscard]] std::string_view clientLimitName(ClientLimit limit);
+
+/** A client that met a limit. */
+struct ClientLimitReport {
+    ClientLimit cause{};
+    std::uint64_t bytes{0}; ///< Bytes held for it, or the size that exceeded the limit.
+    std::chrono::milliseconds idle{0}; ///< Time since its last progress, or of its wait.
+};
+
 /** Listening address and limits of a server. */
 struct HttpServerOptions {
     Endpoint listen; ///< Address to listen on; port 0 selects a free port.
     std::size_t maxBody{std::size_t{8} << 20U}; ///< Largest request body in bytes.
     std::uint32_t maxHeader{8192}; ///< Largest request head in bytes.
     std::chrono::milliseconds headTimeout{5000}; ///< Time to receive a request head, counted from its first byte.
-    std::chrono::milliseconds bodyTimeout{30000}; ///< Time to receive a request body.
+    std::chrono::milliseconds bodyTimeout{30000}; ///< Time to receive a request body, whatever its rate.
     std::chrono::milliseconds keepAlive{60000}; ///< Time after which an idle connection is closed.
     std::chrono::milliseconds writeTimeout{10000}; ///< Time after which a connection is closed whose caller reads nothing of a response.
     std::size_t maxConnections{4096}; ///< Requests on further connections are refused with 503.
+    BodyLimits bodyLimits; ///< Limits on the progress of a request body.
+    std::chrono::milliseconds memoryWait{5000}; ///< Time for which a request waits for memory before it is refused with 503.
+    std::shared_ptr<MemoryAccount> memory; ///< Account of the bytes held for callers; null for one with half of the machine's memory.
+    std::function<unsigned(const HttpRequest &head)> bodyCopies; ///< Copies of a body that exist while its request is handled; null for one.
+    std::function<void(const ClientLimitReport &)> onClientLimit; ///< Called for each client that met a limit; may be null.
     std::function<HttpResponse(const Error &)> renderError; ///< Renders errors of reading a request (400, 408, 413, 431); null sends an empty body.
     std::function<void(ErrorCode)> onUnserved; ///< Called for each request that did not reach the handler, or got no response from it; may be null.
 };
@@ -34,6 +61,16 @@
     bool finished{false}; ///< Whether the response was sent completely.
 };
 
+/**
+ * Waits until the process may hold an answer of @p bytes for this caller, before it is read from a target.
+ * @param limit Longest wait.
+ * @return Whether it may; otherwise the caller's connection may be closed.
+ */
+boost::asio::awaitable<bool> reserveAnswer(HttpResponder &responder, std::uint64_t bytes, std::chrono::milliseconds limit);
+
+/** @return Whether the connection is to be closed without a response, because it held too much of the memory for too long. */
+[[nodiscard]] bool isClosedForMemory(const HttpResponder &responder);
+
 /** Sends a complete response. */
 boost::asio::awaitable<Result<Done>> sendResponse(HttpResponder &responder, HttpResponse response);
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -1,8 +1,10 @@
 /** @file forward_attempt.cpp One attempt of a request on a target: sends it, and relays the answer as it arrives. */
+#include "policy/memory_budget_func.h"
 #include "proxy/forwarding_base.h"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
 
 namespace skylark {
 
@@ -35,6 +37,31 @@
     return now < forwarding.lateUntil;
 }
 
+/** @return The length of an answer that its head names. */
+std::optional<std::uint64_t> announcedLength(const HttpExchange &exchange)
+{
+    const std::string_view text = headerValue(exchange.headers, "Content-Length");
+    std::uint64_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    return error == std::errc() && !text.empty() ? std::optional(length) : std::nullopt;
+}
+
+/**
+ * Makes room for the next bytes of an answer. While there is none, the target's connection is not read on.
+ * @return Whether there is room; otherwise the caller's connection is to be closed, or the time is over.
+ */
+asio::awaitable<bool> makeRoom(Forwarding &forwarding, const HttpExchange &exchange, std::string &body, std::size_t more, std::size_t maxBytes)
+{
+    const std::size_t needed = body.size() + more;
+    const std::uint64_t reserved = bodyReservation(needed, announcedLength(exchange), maxBytes);
+    const bool hasRoom = co_await reserveAnswer(forwarding.responder, reserved, std::max(milliseconds(1), timeLeft(forwarding)));
+    if (needed > smallHoldBytes && body.capacity() < maxBytes) {
+        // Pages that are not written take no memory; growing would copy the answer and hold it twice.
+        body.reserve(announcedLength(exchange).value_or(maxBytes) <= maxBytes ? std::max(needed, announcedLength(exchange).value_or(maxBytes)) : maxBytes);
+    }
+    co_return hasRoom;
+}
+
 /** Reads the rest of a body. Each read is bounded by the time left until the request's deadline. @return ProtocolError if it exceeds @p maxBytes. */
 asio::awaitable<Result<std::string>> readBody(Forwarding &forwarding, HttpExchange &exchange, std::size_t maxBytes)
 {
@@ -47,6 +74,12 @@
         if (!valueOf(piece)) {
             co_return body;
         }
+        const bool hasRoom = co_await makeRoom(forwarding, exchange, body, valueOf(piece)->size(), maxBytes);
+        if (!hasRoom) {
+            forwarding.callerGone = forwarding.callerGone || isClosedForMemory(forwarding.responder);
+            httpAbort(exchange);
+            co_return makeError(ErrorCode::IdleTimeout, "no memory for the answer", RunState::Maybe);
+        }
         body += *valueOf(piece);
         if (body.size() > maxBytes || !mayReadOn(forwarding)) {
             httpAbort(exchange);
--- a/src/traffic/caller_server.cpp
+++ b/src/traffic/caller_server.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <glog/logging.h>
 
 namespace skylark {
 
@@ -25,6 +26,9 @@
 /** Filters in the order in which they run; the last one answers the caller. */
 constexpr std::array<Filter, 6> filterChain{checkReadiness, authenticate, checkLimits, matchRoute, admit, execute};
 
+constexpr std::chrono::milliseconds longestBodyTime{
+    600000}; ///< Limit on the time of a body whatever its rate; the limits on its progress end a slow one earlier.
+constexpr unsigned bodyCopies = 4; ///< Of a body: text, parsed text, decoded items, and what is sent or stored.
 constexpr std::size_t maxRequestIdBytes = 256; ///< Longer ids are replaced by a new one.
 constexpr std::chrono::milliseconds drainPollInterval{20}; ///< Interval between checks of the running requests in a planned stop.
 
@@ -130,11 +134,21 @@
     countRequest(*impl, context);
 }
 
-HttpServerOptions makeOptions(const Settings &settings, const Endpoint &listen)
+HttpServerOptions makeOptions(const HostContext &context, const Endpoint &listen)
 {
+    const Settings &settings = *context.settings;
     HttpServerOptions options;
     options.listen = listen;
     options.maxBody = std::max(settings.maxRequestBody, settings.maxJobBody);
+    options.bodyTimeout = longestBodyTime;
+    options.bodyCopies = [](const HttpRequest & /*head*/) {
+        return bodyCopies;
+    };
+    options.onClientLimit = [metrics = context.metrics](const ClientLimitReport &report) {
+        addCounter(*metrics, "skylark_client_limits_total", {{"cause", clientLimitName(report.cause)}});
+        LOG(WARNING) << "[admit] client limited: " << clientLimitName(report.cause) << ", " << report.bytes << " bytes held, idle for " << report.idle.count()
+                     << " ms";
+    };
     options.renderError = [](const Error &error) {
         return renderError(error, {});
     };
@@ -164,7 +178,7 @@
     auto handler = [weak = std::weak_ptr<Impl>(server->impl)](HttpRequest request, HttpResponder &responder) {
         return handleCaller(weak.lock(), std::move(request), responder);
     };
-    auto listening = HttpServer::create(context.online.get_executor(), makeOptions(*context.settings, self->http), handler);
+    auto listening = HttpServer::create(context.online.get_executor(), makeOptions(context, self->http), handler);
     if (!isOk(listening)) {
         return errorOf(listening);
     }
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -1,5 +1,6 @@
 /** @file test_http_connection.cpp Tests that each request that has arrived is answered, whatever happens to its connection. */
 #include "http/http_server_func.h"
+#include "http/memory_account_base.h"
 #include "support/process_func.h"
 #include "support/raw_caller.h"
 
@@ -416,3 +417,155 @@
         },
         1s));
 }
+
+namespace {
+
+/** A server with a small budget. */
+struct HttpMemoryFixture : HttpConnectionFixture {
+    std::map<ClientLimit, int> limits; ///< Number of reports of the server by cause.
+    std::shared_ptr<MemoryAccount> memory{MemoryAccount::create(loop.get_executor(), makeBudget(std::uint64_t{1} << 20U))};
+
+    HttpMemoryFixture()
+    {
+        this->options.maxBody = 600000;
+        this->options.maxHeader = 2048;
+        this->options.bodyTimeout = 10s;
+        this->options.memory = this->memory;
+        const auto report = [this](const ClientLimitReport &met) {
+            ++this->limits[met.cause];
+        };
+        this->options.onClientLimit = report;
+        this->memory->onClose = [report](const MemoryHold & /*hold*/, std::chrono::milliseconds /*idle*/) {
+            report({ClientLimit::MemoryClosed});
+        };
+    }
+
+    /** Sends @p bytes, and waits until the server has answered or closed the connection. @return What was received. */
+    std::string exchange(const std::string &bytes)
+    {
+        RawCaller caller(this->loop, this->endpoint);
+        caller.write(bytes);
+        CHECK(this->runUntil([&caller] {
+            caller.poll();
+            return caller.closed || !caller.received.empty();
+        }));
+        return caller.received;
+    }
+};
+
+std::string postHead(const std::string &framing)
+{
+    return "POST /echo HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against trailers that are not counted against the limit of the head.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_trailersOverHeaderLimit_answers431")
+{
+    this->listen();
+    const std::string trailers = "X-Trailer: " + std::string(2000, 't') + "\r\n\r\n";
+    CHECK(this->exchange(postHead("Transfer-Encoding: chunked") + "1\r\na\r\n0\r\n" + trailers).starts_with("HTTP/1.1 431"));
+    CHECK(this->requests == 0);
+    CHECK(this->limits[ClientLimit::FramingTooLarge] == 1);
+}
+
+// Guards against chunk extensions that are each small, but not together.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_extensionsOverHeaderLimit_answers431")
+{
+    this->listen();
+    std::string body;
+    for (unsigned i = 0; i < 30; ++i) {
+        body += "1;e=" + std::string(80, 'e') + "\r\na\r\n";
+    }
+    CHECK(this->exchange(postHead("Transfer-Encoding: chunked") + body + "0\r\n\r\n").starts_with("HTTP/1.1 431"));
+    CHECK(this->requests == 0);
+}
+
+// Guards against refusing trailers and extensions within the limit.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_framingWithinHeaderLimit_isServed")
+{
+    this->listen();
+    CHECK(this->exchange(postHead("Transfer-Encoding: chunked") + "1;e=f\r\na\r\n0\r\nX-Trailer: t\r\n\r\n").starts_with(okLine));
+}
+
+// Guards against a body without progress that holds its memory until the limit of the whole body.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_bodyStalls_answers408")
+{
+    this->options.bodyLimits.stall = 100ms;
+    this->listen();
+    CHECK(this->exchange(postHead("Content-Length: 1000") + "part").starts_with("HTTP/1.1 408"));
+    CHECK(this->limits[ClientLimit::BodyStalled] == 1);
+}
+
+// Guards against a body that trickles and is never without progress for long.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_bodyTooSlow_answers408")
+{
+    this->options.bodyLimits = {.stall = 5000ms, .grace = 200ms, .minRate = 1000};
+    this->listen();
+    RawCaller caller(this->loop, this->endpoint);
+    caller.write(postHead("Content-Length: 100000"));
+    CHECK(this->runUntil([&caller] {
+        caller.poll();
+        if (!caller.closed && caller.received.empty()) {
+            caller.write("b");
+        }
+        return caller.closed || !caller.received.empty();
+    }));
+    CHECK(caller.received.starts_with("HTTP/1.1 408"));
+    CHECK(this->limits[ClientLimit::BodyTooSlow] == 1);
+}
+
+// Guards against cutting off a body whose link is slow but steady, beyond the time after which the minimum rate applies.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_bodySlowButSteady_isServed")
+{
+    this->options.bodyLimits = {.stall = 5000ms, .grace = 200ms, .minRate = 1000};
+    this->listen();
+    RawCaller caller(this->loop, this->endpoint);
+    caller.write(postHead("Content-Length: 10000"));
+    for (unsigned i = 0; i < 20; ++i) {
+        caller.write(std::string(500, 'b'));
+        this->runFor(40ms);
+    }
+    CHECK(this->runUntil([&caller] {
+        caller.poll();
+        return !caller.received.empty();
+    }));
+    CHECK(caller.received.starts_with(okLine));
+}
+
+// Guards against a body that stops short of its end and keeps the memory for which another request waits.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_budgetUsedByUnfinishedBody_itIsRefusedAndOtherServed")
+{
+    this->listen();
+    RawCaller unfinished(this->loop, this->endpoint);
+    unfinished.write(postHead("Content-Length: 500000") + std::string(499000, 'b'));
+    this->runFor(50ms);
+    CHECK(this->memory->use.large >= 500000);
+    RawCaller other(this->loop, this->endpoint);
+    boost::asio::write(other.socket, boost::asio::buffer(postHead("Content-Length: 500000")));
+    std::string rest(500000, 'b');
+    CHECK(this->runUntil([&] {
+        boost::system::error_code error;
+        rest.erase(0, rest.empty() ? 0 : other.socket.write_some(boost::asio::buffer(rest), error));
+        other.poll();
+        unfinished.poll();
+        return !other.received.empty() && !unfinished.received.empty();
+    }));
+    CHECK(other.received.starts_with(okLine));
+    CHECK(unfinished.received.starts_with("HTTP/1.1 503"));
+    CHECK(this->limits[ClientLimit::MemoryClosed] == 1);
+}
+
+// Guards against a connection that keeps the account's bytes after its request, or after its end.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_requestsEnd_bytesAreGivenBack")
+{
+    this->listen();
+    CHECK(this->exchange(postHead("Content-Length: 300000") + std::string(300000, 'b')).starts_with(okLine));
+    CHECK(this->exchange(postHead("Content-Length: 700000")).starts_with("HTTP/1.1 413"));
+    CHECK(this->runUntil([this] {
+        return openConnections(*this->server) == 0;
+    }));
+    CHECK(this->memory->use.held == 0);
+    CHECK(this->memory->use.large == 0);
+}
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -79,6 +79,27 @@
     CHECK(read.store == Endpoint{"10.200.1.7", 8142});
 }
 
+// Guards against settings of client limits that have no effect, and against defaults that a legal client meets.
+TEST_CASE("settings_clientLimits_areReadOrHaveDefaults", "[settings]")
+{
+    const auto defaults = platform::decodeSettings(validSettings);
+    REQUIRE(isOk(defaults));
+    CHECK(valueOf(defaults).entry.clients.memoryMegabytes == 0);
+    CHECK(valueOf(defaults).entry.clients.memoryWait == 5s);
+    CHECK(valueOf(defaults).entry.clients.body.stall == 30s);
+    CHECK(valueOf(defaults).entry.clients.body.grace == 30s);
+    CHECK(valueOf(defaults).entry.clients.body.minRate == 16384);
+    const auto set = platform::decodeSettings(std::string(validSettings)
+                                              + "\n[skylark]\ncaller_memory_mb = 20\nmemory_wait_ms = 700\nbody_stall_ms = 800\nbody_grace_ms = 900\n"
+                                                "body_min_bytes_per_s = 1000\nunknown = 1\n");
+    REQUIRE(isOk(set));
+    CHECK(valueOf(set).entry.clients.memoryMegabytes == 20);
+    CHECK(valueOf(set).entry.clients.memoryWait == 700ms);
+    CHECK(valueOf(set).entry.clients.body.stall == 800ms);
+    CHECK(valueOf(set).entry.clients.body.grace == 900ms);
+    CHECK(valueOf(set).entry.clients.body.minRate == 1000);
+}
+
 TEST_CASE("settings_withMistakes_nameEachByItsKey", "[settings]")
 {
     std::string text = textWithout(textWithout(validSettings, "zone ="), "readiness =");
