Fix: Waiting requests do not block or close one another, and small ones keep their part beside a single large holder

A body that waited for memory was closed although the host did not read it, a single large holder above the budget shut small requests out, and the first 64 KB of a body made its holder large.

--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -138,7 +138,8 @@
 {
     const auto connection = receiving.connection;
     const std::uint64_t received = receiving.parser.get().body().size() + more;
-    const std::uint64_t body = bodyReservation(received, receiving.announced, receiving.maxBody) * receiving.copies;
+    const bool proved = receiving.parser.is_done() || received > bodyProofBytes;
+    const std::uint64_t body = proved ? bodyReservation(received, receiving.announced, receiving.maxBody) * receiving.copies : received;
     const std::uint64_t wanted = std::max(connection->requestBytes, receiving.framing + body);
     const TimePoint began = BootClock::now();
     const bool reserved = co_await reserveMemory(connection->hold, totalBytes(wanted, 0), receiving.server->options.memoryWait);
@@ -177,9 +178,10 @@
 std::size_t nextReadBytes(const Receiving &receiving)
 {
     constexpr std::size_t announcedRead = std::size_t{64} << 10U;
-    constexpr std::size_t chunkedRead = std::size_t{16} << 10U;
+    constexpr std::size_t shortRead = std::size_t{16} << 10U;
     const auto left = receiving.parser.content_length_remaining();
-    return left ? static_cast<std::size_t>(std::clamp<std::uint64_t>(*left, 1, announcedRead)) : chunkedRead;
+    const std::size_t most = left && receiving.parser.get().body().size() >= bodyProofBytes ? announcedRead : shortRead;
+    return left ? static_cast<std::size_t>(std::clamp<std::uint64_t>(*left, 1, most)) : most;
 }
 
 /** @return Why the body is not waited for any longer; nothing while it is. */
--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -33,7 +33,7 @@
 MemoryPressure pressureOf(const MemoryAccount &account, TimePoint now)
 {
     TimePoint first = account.exceededSince.value_or(now);
-    bool smallWaits = account.use.held > account.budget.bytes;
+    bool smallWaits = account.exceededSince && account.use.held - account.use.large > account.budget.kept;
     for (const auto &waiter : account.waiters) {
         first = std::min(first, waiter->since);
         smallWaits = smallWaits || isSmallWait(*waiter);
--- a/src/policy/memory_budget.cpp
+++ b/src/policy/memory_budget.cpp
@@ -16,19 +16,19 @@
 constexpr milliseconds patience{200}; ///< Wait for memory after which a holder is closed: requests that are being handled end in the meantime.
 constexpr milliseconds closeInterval{50}; ///< Time for the memory of a closed holder to be given back.
 constexpr milliseconds activeTime{100}; ///< A holder that has made progress in this time is not closed.
-constexpr std::uint64_t announcedFrom = 65536; ///< Received bytes that show that the client does send the body that it has announced.
 
 bool isLarge(std::uint64_t bytes)
 {
     return bytes > smallHoldBytes;
 }
 
-/** @return The holder with the most bytes of those that wait; large holders that wait for one another would otherwise do so until their time is over. */
-std::optional<std::size_t> largestWaiting(const std::vector<MemoryHolder> &holders)
+/** @return The holder with the most bytes of those that wait, or nothing; large holders that wait for one another would otherwise do so until their time is
+ * over. */
+std::optional<std::size_t> largestWaiting(const std::vector<MemoryHolder> &holders, bool alsoSmall)
 {
     std::optional<std::size_t> chosen;
     for (std::size_t i = 0; i < holders.size(); ++i) {
-        if (holders[i].waits && isLarge(holders[i].bytes) && (!chosen || holders[i].bytes > holders[*chosen].bytes)) {
+        if (holders[i].waits && (alsoSmall || isLarge(holders[i].bytes)) && (!chosen || holders[i].bytes > holders[*chosen].bytes)) {
             chosen = i;
         }
     }
@@ -60,7 +60,8 @@
 bool mayHold(const MemoryBudget &budget, const MemoryUse &use, std::uint64_t own, std::uint64_t more)
 {
     if (!isLarge(own + more)) {
-        return use.held + more <= budget.bytes;
+        // A single large holder may exceed the budget; small ones still have their part.
+        return use.held + more <= budget.bytes || use.held - use.large + more <= budget.kept;
     }
     const MemoryUse after = changeUse(use, own, own + more);
     const bool alone = after.large - after.jobs == own + more;
@@ -99,12 +100,12 @@
             chosen = i;
         }
     }
-    return chosen || anyMoves ? chosen : largestWaiting(holders);
+    return chosen || (anyMoves && !pressure.smallWaits) ? chosen : largestWaiting(holders, pressure.smallWaits);
 }
 
 std::uint64_t bodyReservation(std::uint64_t received, std::optional<std::uint64_t> announced, std::uint64_t maxBody)
 {
-    if (received <= announcedFrom) {
+    if (received <= bodyProofBytes) {
         return received;
     }
     return std::max(received, std::min(announced.value_or(std::bit_ceil(received)), maxBody));
--- a/src/policy/memory_budget_type.h
+++ b/src/policy/memory_budget_type.h
@@ -21,6 +21,8 @@
 
 inline constexpr std::uint64_t smallHoldBytes = 65536; ///< A holder with at most this many bytes is small: a connection, its head and a body of some 20 KB.
 
+inline constexpr std::uint64_t bodyProofBytes = 32768; ///< Received bytes that show that a client does send its body; with them a holder is still small.
+
 /** One holder, as a candidate to be closed. */
 struct MemoryHolder {
     std::uint64_t bytes{0};
--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -569,3 +569,38 @@
     CHECK(this->memory->use.held == 0);
     CHECK(this->memory->use.large == 0);
 }
+
+// Guards against a kept connection that keeps the bytes of its last request.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_keptConnection_bytesOfItsRequestAreGivenBack")
+{
+    this->listen();
+    const auto caller = this->connect();
+    caller->write(postHead("Content-Length: 300000") + std::string(300000, 'b'));
+    CHECK(this->runUntil([&caller] {
+        caller->poll();
+        return caller->received.size() > 300000;
+    }));
+    this->runFor(20ms);
+    CHECK_FALSE(caller->closed);
+    CHECK(this->memory->use.large == 0);
+}
+
+// Guards against an answer that its caller does not read and that keeps the memory for which another request waits.
+TEST_CASE_METHOD(HttpMemoryFixture, "httpServer_budgetUsedByUnreadAnswer_itIsClosedAndOtherServed")
+{
+    this->listen();
+    const auto unread = this->connect();
+    unread->write("GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(this->runUntil([this] {
+        return this->memory->use.large > largeBody;
+    }));
+    this->runFor(200ms);
+    const auto other = this->connect();
+    other->write(postHead("Content-Length: 300000") + std::string(300000, 'b'));
+    CHECK(this->runUntil([&other] {
+        other->poll();
+        return !other->received.empty();
+    }));
+    CHECK(other->received.starts_with(okLine));
+    CHECK(this->limits[ClientLimit::MemoryClosed] == 1);
+}
--- a/tests/test_memory_budget.cpp
+++ b/tests/test_memory_budget.cpp
@@ -131,6 +131,9 @@
     const MemoryUse use{12 * mebibyte, 12 * mebibyte};
     CHECK_FALSE(mayHold(budget, use, 0, mebibyte));
     CHECK(mayHold(budget, use, 0, smallHoldBytes));
+    // A single large holder that exceeds the budget leaves that part, too.
+    CHECK(mayHold(budget, {32 * mebibyte, 32 * mebibyte}, 0, smallHoldBytes));
+    CHECK_FALSE(mayHold(budget, {37 * mebibyte, 32 * mebibyte}, 0, smallHoldBytes));
 }
 
 // Guards against refusing a legal request that is larger than the budget although nothing else is being served.
