Fix: A handled request does not wait behind bodies that wait, and is not closed for it

The answer of a handled request queued behind bodies that waited for memory and was closed as the largest of them: of 72 of the largest requests at once one was answered.

--- a/src/http/http_response.cpp
+++ b/src/http/http_response.cpp
@@ -86,6 +86,10 @@
 asio::awaitable<bool> reserveAnswer(HttpResponder &responder, std::uint64_t bytes, std::chrono::milliseconds limit)
 {
     const auto connection = responder.connection;
+    if (bytes <= smallHoldBytes) {
+        holdAnswer(*connection, std::max(connection->answerBytes, bytes)); // The request ends and gives back more than that.
+        co_return true;
+    }
     recordMoved(*connection->hold, bytes - std::min(bytes, connection->answerBytes));
     const bool reserved = co_await reserveMemory(connection->hold, totalBytes(connection->requestBytes, bytes), limit);
     connection->hold->progressAt = BootClock::now();
--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -96,7 +96,7 @@
     }
 }
 
-/** Grants bytes to those that wait, in their order; small ones do not wait behind large ones. */
+/** Grants bytes to those that wait, in the order of the list; small ones do not wait behind large ones. */
 void grantWaiters(MemoryAccount &account)
 {
     bool largeWaits = false;
@@ -125,7 +125,9 @@
         : account(owner)
         , waiter(std::move(waiting))
     {
-        this->account.waiters.push_back(this->waiter);
+        // A large holder goes first: it gives its bytes back once it has the rest.
+        auto &waiters = this->account.waiters;
+        waiters.insert(this->waiter->hold->bytes > smallHoldBytes ? waiters.begin() : waiters.end(), this->waiter);
     }
     WaiterRegistration(const WaiterRegistration &) = delete;
     WaiterRegistration &operator=(const WaiterRegistration &) = delete;
--- a/src/http/memory_account_base.h
+++ b/src/http/memory_account_base.h
@@ -32,7 +32,7 @@
     MemoryBudget budget;
     MemoryUse use;
     std::set<MemoryHold *> holds;
-    std::list<std::shared_ptr<MemoryWaiter>> waiters; ///< In order of arrival.
+    std::list<std::shared_ptr<MemoryWaiter>> waiters; ///< In the order in which they are granted: large holders, then by arrival.
     std::uint64_t waits{0}; ///< Number of waits so far.
     std::uint64_t closed{0}; ///< Number of holders closed so far.
     TimePoint closedAt{}; ///< When a holder was closed last.
