--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -40,6 +40,7 @@
     Refused, ///< A request was refused and did not run.
     QuotaRefused, ///< A request was refused because of its workspace's quota, and did not run.
     QuotaRight, ///< This host's right to grant tokens of quotas began, was proved anew or ended.
+    ClientLimited, ///< A client met a limit on memory or progress: it was refused, or its connection closed.
     Answered, ///< A request got its final response.
     JobAccepted, ///< A batch job was stored.
     JobRefused, ///< A batch job was refused.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -48,6 +48,7 @@
               "quota_refused",
               "workspace reason per_second burst holders empty asks hosts hosts_age_ms waited_ms retry_after_ms config"},
     EventInfo{EventKind::QuotaRight, "admit", "quota_right", "state entry proved_for_ms grants_in_ms"},
+    EventInfo{EventKind::ClientLimited, "admit", "client_limited", "cause bytes idle_ms held budget"},
     EventInfo{EventKind::Answered, "route", "answered", "route status outcome took_ms first_ms attempts events longest_gap_ms target"},
     EventInfo{EventKind::JobAccepted, "job", "job_accepted", "route workspace items tokens waiting limit conflicts took_ms"},
     EventInfo{EventKind::JobRefused, "job", "job_refused", "route reason workspace tokens waiting limit conflicts detail"},
--- a/src/entry/caller_service_func.h
+++ b/src/entry/caller_service_func.h
@@ -6,6 +6,8 @@
 #include "proxy/proxy_base.h"
 #include "quota/request_quotas_base.h"
 
+#include <functional>
+
 namespace skylark {
 
 /** Dependencies of the handler. */
@@ -15,6 +17,7 @@
     DomainId domain; ///< Failure domain of this host.
     std::shared_ptr<const ConfigProofState> proof; ///< Proof of the configuration; null where the hosts keep none.
     std::shared_ptr<RequestQuotas> quotas{}; ///< Quotas of workspaces; null when there are none.
+    std::function<bool(std::size_t bytes)> mayTakeJob{}; ///< Whether there is memory for the items of a submission of this size; null for always.
 };
 
 /** @return The request handler of the HTTP server for callers. */
