--- a/tests/test_http_connection.cpp
+++ b/tests/test_http_connection.cpp
@@ -68,6 +68,12 @@
                 timer.cancel();
             });
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        } else if (path == "/watchedLate") {
+            asio::steady_timer timer(this->loop, 150ms);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            onCallerDisconnect(responder, [this] {
+                ++this->callersGone;
+            });
         } else if (path == "/throw") {
             throw std::runtime_error("handler failed");
         } else if (path == "/stream") {
@@ -369,6 +375,21 @@
         400ms));
 }
 
+// Guards against a request that is forwarded for nobody: its caller left while it waited for admission, before the handler watched the connection.
+TEST_CASE_METHOD(HttpConnectionFixture, "callerDisconnect_beforeTheHandlerWatches_isReportedAtOnce")
+{
+    this->listen();
+    const auto caller = this->connect();
+    caller->write("GET /watchedLate HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->runFor(30ms);
+    caller->socket.close();
+    CHECK(this->runUntil(
+        [this] {
+            return this->callersGone == 1;
+        },
+        1s));
+}
+
 // Guards against a look for the end of a connection that acts on the next request of the caller.
 TEST_CASE_METHOD(HttpConnectionFixture, "callerDisconnect_nextRequestWasSentAhead_bothAreAnswered")
 {
