--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -97,27 +97,11 @@
     durations.newer.startedAt = now;
 }
 
-std::string escapeLabel(std::string_view value)
-{
-    std::string escaped;
-    for (const char c : value) {
-        if (c == '\\' || c == '"') {
-            escaped.push_back('\\');
-        }
-        if (c == '\n') {
-            escaped += "\\n";
-            continue;
-        }
-        escaped.push_back(c);
-    }
-    return escaped;
-}
-
 std::string renderLabels(MetricLabels labels)
 {
     std::string text;
     for (const auto &[name, value] : labels) {
-        text += (text.empty() ? "" : ",") + std::string(name) + "=\"" + escapeLabel(value) + "\"";
+        text += (text.empty() ? "" : ",") + std::string(name) + "=\"" + escapeMetricLabel(value) + "\"";
     }
     return text;
 }
@@ -176,6 +160,22 @@
 
 } // namespace
 
+std::string escapeMetricLabel(std::string_view value)
+{
+    std::string escaped;
+    for (const char c : value) {
+        if (c == '\\' || c == '"') {
+            escaped.push_back('\\');
+        }
+        if (c == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        escaped.push_back(c);
+    }
+    return escaped;
+}
+
 /** Metric families by name. */
 struct MetricsRegistry::Impl {
     mutable std::mutex mutex; ///< Protects families.
--- a/src/metrics/metrics_func.h
+++ b/src/metrics/metrics_func.h
@@ -42,4 +42,7 @@
 /** @return All series in the text exposition format, version 0.0.4. */
 [[nodiscard]] std::string renderMetrics(const MetricsRegistry &registry);
 
+/** @return @p value as it stands in a label of the text exposition format. */
+[[nodiscard]] std::string escapeMetricLabel(std::string_view value);
+
 } // namespace skylark
--- a/src/policy/kept_prompt.cpp
+++ b/src/policy/kept_prompt.cpp
@@ -87,7 +87,8 @@
     return found->second;
 }
 
-bool mayAttract(const BalanceCandidate &candidate)
+/** @return Whether the target may be one that hosts prefer for a part. */
+bool mayBePreferred(const BalanceCandidate &candidate)
 {
     return !candidate.silent && !candidate.suspect && !candidate.tried && !candidate.rateLimited && candidate.slowness <= 1.0;
 }
@@ -98,7 +99,7 @@
     std::vector<std::pair<std::uint64_t, std::size_t>> scores;
     scores.reserve(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (mayAttract(candidates[i])) {
+        if (mayBePreferred(candidates[i])) {
             std::uint64_t state = historyOf(kept, candidates[i].id).hash ^ part.value;
             scores.emplace_back(nextRandom(state), i);
         }
--- a/src/policy/request_quota.cpp
+++ b/src/policy/request_quota.cpp
@@ -21,12 +21,12 @@
 constexpr double lookaheadSeconds = 0.1; ///< Well below heldTokenLife, so that almost every token is used.
 constexpr unsigned maxAsked = 16; ///< Bounds what a lost answer wastes.
 constexpr double rateSeconds = 1; ///< Time over which a rate is averaged.
-constexpr milliseconds maxPromise{2000}; ///< A sender asks several holders and uses one token, so promises far ahead would be too many.
+constexpr milliseconds maxPromise{2000}; ///< A sender asks several holders and uses one token, so that promises for a later time would mostly not be used.
 constexpr milliseconds minEmptyTime{20}; ///< Two requests in this time do not ask the same holder.
 constexpr milliseconds maxEmptyTime{1000}; ///< Tokens that were promised to others and not fetched lie idle for at most this time.
 constexpr milliseconds maxReturnTime{30000}; ///< Beyond the time that any caller waits.
-constexpr milliseconds ownDomainTimeout{20}; ///< Round trip of 0.2 ms, and the time until the holder is scheduled.
-constexpr milliseconds otherDomainTimeout{60}; ///< Round trip of 7 ms, likewise.
+constexpr milliseconds ownDomainTimeout{20}; ///< Mostly the time until the holder is scheduled.
+constexpr milliseconds otherDomainTimeout{60}; ///< The same, and a round trip between failure domains.
 
 std::chrono::nanoseconds seconds(double value)
 {
--- a/src/quota/quota_metrics.cpp
+++ b/src/quota/quota_metrics.cpp
@@ -1,4 +1,5 @@
 /** @file quota_metrics.cpp Metrics of the request quotas. */
+#include "metrics/metrics_func.h"
 #include "policy/request_quota_func.h"
 #include "quota/request_quotas_base.h"
 
@@ -18,18 +19,6 @@
     double refused{0};
 };
 
-std::string escapedLabel(const std::string &text)
-{
-    std::string escaped;
-    for (const char c : text) {
-        if (c == '\\' || c == '"') {
-            escaped += '\\';
-        }
-        escaped += c == '\n' ? ' ' : c;
-    }
-    return escaped;
-}
-
 /** @return The busiest workspaces, and the sum of the others under an empty name. */
 std::vector<WorkspaceRates> busiestWorkspaces(const QuotaTable &table, TimePoint now)
 {
@@ -97,7 +86,7 @@
     out << "# TYPE skylark_quota_may_grant gauge\nskylark_quota_may_grant " << (mayGrant(quotas.table.lease, now) ? 1 : 0) << '\n';
     out << "# TYPE skylark_quota_workspace_requests_per_second gauge\n";
     for (const WorkspaceRates &rates : busiestWorkspaces(quotas.table, now)) {
-        const std::string labels = "{workspace=\"" + escapedLabel(rates.name) + "\",outcome=\"";
+        const std::string labels = "{workspace=\"" + escapeMetricLabel(rates.name) + "\",outcome=\"";
         out << "skylark_quota_workspace_requests_per_second" << labels << "admitted\"} " << rates.admitted << '\n';
         out << "skylark_quota_workspace_requests_per_second" << labels << "refused\"} " << rates.refused << '\n';
     }
--- a/src/quota/quota_table_func.h
+++ b/src/quota/quota_table_func.h
@@ -28,7 +28,7 @@
 /** Records that a holder has not answered in time. */
 void recordSilence(QuotaTable &table, std::uint64_t number, TimePoint now);
 
-/** Counts a request that was admitted; for one that was asked for and granted. */
+/** Counts a request that was admitted by the answer of another holder; nextStep() counts those that need none. */
 void recordAdmitted(QuotaTable &table, const WorkspaceId &workspace, TimePoint now);
 
 } // namespace skylark
--- a/src/quota/quota_table_type.h
+++ b/src/quota/quota_table_type.h
@@ -58,7 +58,7 @@
 struct QuotaCounts {
     std::uint64_t admitted{0};
     std::uint64_t refusedEmpty{0}; ///< Holders said that they have no token.
-    std::uint64_t refusedUnknown{0}; ///< No holder said anything of its tokens.
+    std::uint64_t refusedUnknown{0}; ///< No holder with a right to grant answered.
     std::uint64_t tokensGranted{0}; ///< By this host, as a holder.
     std::uint64_t tokensReceived{0}; ///< By this host, in time.
     std::uint64_t tokensLate{0}; ///< Received after the request had asked another holder; not used.
--- a/src/quota/request_quotas.cpp
+++ b/src/quota/request_quotas.cpp
@@ -151,7 +151,7 @@
                  {},
                  {{"state", holds ? "proved" : "ended"},
                   {"entry", lease.entry},
-                  {"proved_for_ms", since(now, lease.provedUntil).count()},
+                  {"proved_for_ms", std::max<std::int64_t>(since(now, lease.provedUntil).count(), 0)},
                   {"grants_in_ms", std::max<std::int64_t>(since(now, lease.grantsFrom).count(), 0)}});
     }
 }
