Test: The requests of test_quotas carry API keys

The fixture's requests now carry the keys of its workspaces or use a public route; no check changes.

--- a/tests/test_quotas.cpp
+++ b/tests/test_quotas.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::string_view workspaceHeader = "X-Test-Workspace";
-
 /** One host with quotas and a socket for datagrams. */
 struct QuotaTestHost {
     std::shared_ptr<RequestQuotas> quotas;
@@ -25,17 +23,6 @@
         : quotas(RequestQuotas::create(fixture.loop.get_executor(), HostId{name}, DomainId{"north"}, {5s, 0.1, 2}, SessionId{"session-" + name}))
         , entry(fixture, name, false, quotas)
     {
-        // Stands for the check of the API key.
-        this->entry.proxy->wire.decode = [decode = this->entry.proxy->wire.decode](HttpRequest request) {
-            const std::string workspace(headerValue(request.headers, workspaceHeader));
-            auto call = decode(std::move(request));
-            if (isOk(call)) {
-                if (auto *proxied = std::get_if<ProxyCall>(&valueOf(call))) {
-                    proxied->workspace.value = workspace;
-                }
-            }
-            return call;
-        };
         PeerLinkOptions options{HostId{name}, SessionId{"session-" + name}, DomainId{"north"}, this->peers};
         options.onStatus = [](const HostStatus & /*status*/) {
         };
@@ -66,7 +53,10 @@
     ~QuotaTestHost() = default;
 };
 
-/** Three hosts, a replica and a workspace "a" with a quota well below the 20 requests a second that the test sends one after the other. */
+/**
+ * Three hosts, a replica, a workspace "a" with a quota well below the 20 requests a second that the test sends one after the other, a workspace "other" without
+ * a quota, and a public route.
+ */
 struct QuotaFixture : EntryFixture {
     static constexpr QuotaAllowance allowance{5s, 0.1, 2};
     static constexpr QuotaLimit limit{6, 10};
@@ -75,7 +65,10 @@
     QuotaFixture()
     {
         this->addReplica("t1", 64);
-        this->config->workspaces = std::vector<WorkspaceRule>{{WorkspaceId{"a"}, {}, 0, limit.perSecond, limit.burst}};
+        this->addRoute("open", "/open/", CallKind::Safe);
+        this->config->routes.back().isPublic = true;
+        this->config->workspaces =
+            std::vector<WorkspaceRule>{{WorkspaceId{"a"}, {"key-a"}, 0, limit.perSecond, limit.burst}, {WorkspaceId{"other"}, {"key-other"}, 0, 0, 0}};
         for (const char *name : {"h0", "h1", "h2"}) {
             this->hosts.push_back(std::make_unique<QuotaTestHost>(*this, name));
         }
@@ -102,10 +95,13 @@
         }
     }
 
+    /** Sends a request with the key of @p workspace, or on the public route if it is empty. */
     HttpResponse send(std::size_t host, const std::string &workspace = "a")
     {
-        HttpRequest request = EntryTestHost::request("q" + std::to_string(++this->sent), "/lookup/x");
-        request.headers.push_back({std::string(workspaceHeader), workspace});
+        HttpRequest request = EntryTestHost::request("q" + std::to_string(++this->sent), workspace.empty() ? "/open/x" : "/lookup/x");
+        if (!workspace.empty()) {
+            request.headers.push_back({std::string(platform::headerApiKey), "key-" + workspace});
+        }
         return this->hosts[host]->entry.send(std::move(request));
     }
 
