Codechange: The memory that an entry host holds for its callers has a file of its own

They move to src/entry/caller_memory without a change of behaviour; the settings move to client_limits_type.h.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -6,11 +6,10 @@
 #include "core/event_loop_func.h"
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
+#include "entry/caller_memory_func.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
 #include "entry/proof_upkeep_func.h"
-#include "fleet/route_match_func.h"
-#include "http/memory_account_base.h"
 #include "job/job_peer_func.h"
 #include "job/job_runner_func.h"
 #include "quota/request_quotas_base.h"
@@ -23,7 +22,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <malloc.h>
 #include <sys/stat.h>
 #include <thread>
 
@@ -39,11 +37,6 @@
 constexpr milliseconds stopPollInterval{50}; ///< Interval of the checks for remaining work during shutdown.
 constexpr milliseconds logFlushTimeout{200}; ///< Longest wait for buffered log lines to be written on exit.
 constexpr milliseconds settingsPollInterval{2000}; ///< Interval of the checks of the settings file's modification time.
-constexpr milliseconds jobMemoryInterval{1000}; ///< Interval of the sums over the items of jobs.
-constexpr milliseconds longestBodyTime{600000}; ///< Limit on the time of a body whatever its rate; the limits on its progress end a slow one earlier.
-constexpr unsigned forwardedCopies = 2; ///< Of a body: one for further attempts, one that is being sent.
-/** Of a submission: text, parsed text, decoded items, parts in the store's transaction, and their encoded form twice, a third larger each time. */
-constexpr unsigned submissionCopies = 8;
 constexpr std::size_t reservedDescriptors = 700; ///< File descriptors kept for files and for connections to targets and other hosts.
 
 /** Components of the host. Both threads refer to it until the process exits. */
@@ -53,7 +46,7 @@
     asio::io_context control{1}; ///< Event loop of the control thread.
     asio::io_context traffic{1}; ///< Event loop of the traffic thread.
     std::shared_ptr<MetricsRegistry> metrics; ///< Shared by both threads.
-    std::shared_ptr<MemoryAccount> memory; ///< Bytes held for callers. Traffic thread.
+    std::shared_ptr<CallerMemory> memory; ///< Bytes held for callers. Traffic thread.
     SessionId session; ///< Random identifier of this run of the process.
     std::unique_ptr<FleetController> fleet; ///< Control thread.
     std::shared_ptr<Proxy> proxy; ///< Traffic thread.
@@ -120,7 +113,7 @@
 {
     HttpServerOptions options;
     options.listen = listen;
-    options.memory = host.memory;
+    options.memory = host.memory->account;
     return HttpServer::create(
         host.traffic.get_executor(), options, [answer = std::move(answer)](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
             HttpResponse response = answer(request);
@@ -142,9 +135,9 @@
     setGauge(*host.metrics, "skylark_active_requests", {}, static_cast<double>(activeRequests(*host.callerServer)));
     setGauge(
         *host.metrics, "skylark_status_age_seconds", {}, std::chrono::duration<double>(oldestStatusAge(host.proxy->loadTracker, BootClock::now())).count());
-    setGauge(*host.metrics, "skylark_caller_memory_bytes", {}, static_cast<double>(host.memory->use.held));
-    setGauge(*host.metrics, "skylark_caller_memory_budget_bytes", {}, static_cast<double>(host.memory->budget.bytes));
-    setGauge(*host.metrics, "skylark_caller_memory_waits", {}, static_cast<double>(host.memory->waits));
+    setGauge(*host.metrics, "skylark_caller_memory_bytes", {}, static_cast<double>(host.memory->account->use.held));
+    setGauge(*host.metrics, "skylark_caller_memory_budget_bytes", {}, static_cast<double>(host.memory->account->budget.bytes));
+    setGauge(*host.metrics, "skylark_caller_memory_waits", {}, static_cast<double>(host.memory->account->waits));
     setGauge(*host.metrics, "skylark_log_lines_dropped", {}, static_cast<double>(eventLinesDropped()));
     HttpResponse response;
     response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
@@ -152,60 +145,6 @@
     return response;
 }
 
-/** Counts and logs a client that met a limit. */
-void reportClientLimit(EntryHost &host, const ClientLimitReport &report)
-{
-    addCounter(*host.metrics, "skylark_client_limits_total", {{"cause", clientLimitName(report.cause)}});
-    logEvent(EventKind::ClientLimited,
-             {},
-             {{"cause", clientLimitName(report.cause)},
-              {"bytes", report.bytes},
-              {"idle_ms", report.idle.count()},
-              {"held", host.memory->use.held},
-              {"budget", host.memory->budget.bytes}});
-}
-
-/** Creates the account of the bytes that are held for callers. */
-std::shared_ptr<MemoryAccount> makeMemoryAccount(EntryHost &host)
-{
-    const std::uint64_t own = host.settings.clients.memoryMegabytes;
-    const MemoryBudget budget = own > 0 ? makeBudget(own << 20U) : budgetFor(host.settings.memoryMegabytes, machineMemory());
-    auto account = MemoryAccount::create(host.traffic.get_executor(), budget);
-    account->onClose = [&host](const MemoryHold &hold, milliseconds idle) {
-        reportClientLimit(host, {ClientLimit::MemoryClosed, hold.bytes, idle});
-    };
-    return account;
-}
-
-/** @return The number of copies of a request's body that exist while it is handled. */
-unsigned copiesOfBody(const EntryHost &host, const HttpRequest &head)
-{
-    const auto config = host.proxy->fleet->config;
-    const RouteRule *route = config ? matchRoute(*config, headerValue(head.headers, "Host"), targetPath(head.target)) : nullptr;
-    return route != nullptr && route->kind == CallKind::Batch ? submissionCopies : forwardedCopies;
-}
-
-/** Sums up the bytes of the items of unfinished jobs. */
-std::uint64_t updateJobBytes(EntryHost &host)
-{
-    std::uint64_t bytes = 0;
-    for (const auto &[id, known] : host.jobs->jobs) {
-        for (const JobItem &item : known.items) {
-            bytes += sizeof(JobItem) + item.body.size();
-        }
-    }
-    setJobBytes(*host.memory, bytes);
-    return bytes;
-}
-
-asio::awaitable<void> watchJobBytes(EntryHost &host)
-{
-    for (;;) {
-        co_await sleepFor(jobMemoryInterval);
-        updateJobBytes(host);
-    }
-}
-
 Result<Done> openServers(EntryHost &host)
 {
     HttpServerOptions options;
@@ -214,19 +153,10 @@
     options.onUnserved = [&host](ErrorCode cause) {
         addCounter(*host.metrics, "skylark_unserved_requests_total", {{"cause", errorInfo(cause).name}});
     };
-    options.memory = host.memory;
-    options.bodyTimeout = longestBodyTime;
-    options.bodyLimits = host.settings.clients.body;
-    options.memoryWait = host.settings.clients.memoryWait;
-    options.bodyCopies = [&host](const HttpRequest &head) {
-        return copiesOfBody(host, head);
-    };
-    options.onClientLimit = [&host](const ClientLimitReport &report) {
-        reportClientLimit(host, report);
-    };
+    applyCallerMemory(host.memory, options);
     CallerService service{host.proxy, host.jobs, host.settings.domain, host.proof.state, host.quotas};
-    service.mayTakeJob = [&host](std::size_t bytes) {
-        return mayTakeJob(host.memory->budget, updateJobBytes(host), bytes);
+    service.mayTakeJob = [memory = host.memory](std::size_t bytes) {
+        return hasRoomForJob(*memory, bytes);
     };
     auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler(std::move(service)));
     if (!isOk(callers)) {
@@ -264,7 +194,7 @@
 Result<Done> openPeerLink(EntryHost &host)
 {
     PeerLinkOptions options{host.settings.host, host.session, host.settings.domain, host.settings.peers};
-    options.memory = host.memory;
+    options.memory = host.memory->account;
     options.onStatus = [&host](const HostStatus &status) {
         applyAnnouncedRevisions(host.jobs, status);
         if (host.runner) {
@@ -484,16 +414,6 @@
     co_await stopHost(host);
 }
 
-/** Makes freed memory of large blocks go back to the system at once; it would otherwise add to the blocks that are in use. */
-void limitHeapReserve()
-{
-    constexpr int mappedFrom = 262144; // Fixed, because the allocator otherwise raises it up to 32 MiB.
-    constexpr int arenas = 2;
-    ::mallopt(M_MMAP_THRESHOLD, mappedFrom);
-    ::mallopt(M_TRIM_THRESHOLD, 2 * mappedFrom);
-    ::mallopt(M_ARENA_MAX, arenas);
-}
-
 /** Logs why the host cannot start. @return Exit code. */
 int logStartFailure(const Error &error)
 {
@@ -519,7 +439,6 @@
              host.session.value,
              {{"version", "0.2"}, {"role", host.settings.role}, {"domain", host.settings.domain.value}, {"memory_mb", host.settings.memoryMegabytes}});
     const auto executor = host.traffic.get_executor();
-    host.memory = makeMemoryAccount(host);
     host.proxy = std::make_shared<Proxy>();
     host.proxy->executor = executor;
     host.proxy->wire = host.adapters.calls;
@@ -533,6 +452,7 @@
     host.proxy->loadTracker.domain = host.settings.domain;
     host.jobs =
         JobRegistry::create(executor, host.adapters.makeStore(executor, host.metrics), host.metrics, host.session, host.adapters.calls.decodeSubmission);
+    host.memory = CallerMemory::create(executor, host.settings.clients, host.settings.memoryMegabytes, host.proxy, host.jobs);
     openProofUpkeep(host);
     const AccessLimits &access = host.settings.access;
     host.quotas =
@@ -547,7 +467,7 @@
     asio::co_spawn(executor, handleSignals(host), asio::detached);
     asio::co_spawn(executor, watchSettings(host), asio::detached);
     asio::co_spawn(executor, maintainProof(host.proof), asio::detached);
-    asio::co_spawn(executor, watchJobBytes(host), asio::detached);
+    asio::co_spawn(executor, watchJobBytes(host.memory), asio::detached);
     startFleetController(host);
     std::thread controlThread([&host] {
         const auto guard = asio::make_work_guard(host.control);
--- a/src/entry/entry_host_func.h
+++ b/src/entry/entry_host_func.h
@@ -1,8 +1,8 @@
 /** @file entry_host_func.h An entry host: forwards callers' requests to targets and runs batch jobs; all persistent state is in a key-value service. */
 #pragma once
 
+#include "entry/client_limits_type.h"
 #include "fleet/fleet_controller_func.h"
-#include "policy/memory_budget_type.h"
 #include "proxy/call_type.h"
 
 #include <functional>
@@ -22,13 +22,6 @@
     double quotaSlack{20}; ///< Requests by which a request quota may be exceeded in addition.
 };
 
-/** Limits on clients that the configuration does not set. */
-struct ClientLimits {
-    std::uint64_t memoryMegabytes{0}; ///< Memory that may be held for callers; 0 derives it from the memory limit of the process.
-    BodyLimits body; ///< Limits on the progress of a request body.
-    std::chrono::milliseconds memoryWait{5000}; ///< Time for which a request waits for memory before it is refused.
-};
-
 /** Settings of an entry host. */
 struct EntrySettings {
     HostId host; ///< Host name, unique in the fleet.
