Test: Callers of the soak carry an API key

The soak's configurations have had tenants, whose keys no host checked; now every request of the soak got 401. All callers carry the key that the configurations list.

--- a/tests/support/soak_client.cpp
+++ b/tests/support/soak_client.cpp
@@ -47,6 +47,7 @@
 {
     std::string text = call.method + ' ' + call.target + " HTTP/1.1\r\nHost: h.example\r\n" + std::string(platform::headerRequestId) + ": " + call.id + "\r\n"
                        + std::string(platform::headerDeadline) + ": " + std::to_string(call.budget.count()) + "\r\n";
+    text += std::string(platform::headerApiKey) + ": " + std::string(soakApiKey) + "\r\n";
     for (const HttpHeader &header : call.headers) {
         text += header.name + ": " + header.value + "\r\n";
     }
--- a/tests/support/soak_client_func.h
+++ b/tests/support/soak_client_func.h
@@ -10,9 +10,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace skylark::test {
 
+inline constexpr std::string_view soakApiKey = "soak-key"; ///< Key of all callers of the soak; its configurations list it.
+
 /** Request of a soak test. */
 struct SoakCall {
     std::string id; ///< Request id.
--- a/tests/support/soak_site.cpp
+++ b/tests/support/soak_site.cpp
@@ -60,7 +60,7 @@
     for (unsigned number = 0; number < config.addedRoutes; ++number) {
         routes.push_back(routeObject("added-" + std::to_string(number), "safe", "ledger", otherTimeout, false));
     }
-    const json::array tenants{json::object{{"name", "t"}, {"max_count", config.tenantTokens}}};
+    const json::array tenants{json::object{{"name", "t"}, {"api_keys", json::array{soakApiKey}}, {"max_count", config.tenantTokens}}};
     const json::object limits{
         {"max_header_bytes", 16384}, {"max_body_bytes", 1000000}, {"header_timeout_ms", 3000}, {"idle_timeout_ms", config.idleLimit.count()}};
     return json::serialize(
