--- a/tests/support/loaded_host.cpp
+++ b/tests/support/loaded_host.cpp
@@ -104,8 +104,10 @@
     const json::object entry{{"service", "ledger"},
                              {"address", "127.0.0.1:" + std::to_string(listenPort(*this->target))},
                              {"zone", "north"},
+                             {"version", "v1"},
                              {"slots", 64},
                              {"state", "ready"},
+                             {"cold_remaining_ms", 0},
                              {"sequence", 1}};
     putKey(*store, std::string(platform::prefixTargets) + "i-1", json::serialize(entry));
     this->thread = std::thread([this] {
--- a/tests/test_workspace_host.cpp
+++ b/tests/test_workspace_host.cpp
@@ -46,7 +46,9 @@
             return ReplicaPlan{.stream = false};
         };
         const std::string address = "127.0.0.1:" + std::to_string(listenPort(*this->replica->server));
-        putKey(*this->store, "servers/i-1", R"({"service":"s","address":")" + address + R"(","zone":"north","slots":8,"state":"ready","sequence":1})");
+        putKey(*this->store,
+               "servers/i-1",
+               R"({"service":"s","address":")" + address + R"(","zone":"north","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"sequence":1})");
         this->putConfig(1, {firstKey, secondKey});
         this->addHost("front-1", "127.0.6.1");
         this->addHost("front-2", "127.0.6.2");
