--- a/review/standin2/review_site.py
+++ b/review/standin2/review_site.py
@@ -166,6 +166,8 @@
         self.stale_s = 0.0  # Age of stale reads.
         self.silent = set()  # Names of hosts that get no response.
         self.refusing = {}  # Names of hosts that get this status.
+        self.lost_share = 0.0  # Share of the writes whose answer is lost.
+        self.late = False  # Whether these writes are done 1 to 6 s later, if their condition still holds.
         self.changed = asyncio.Condition()
         self.doors = {}
         self.watch_log = None  # Called for each answered or lost watch.
@@ -194,7 +196,6 @@
         self.revision += 1
         self.apply(key, value, lease)
         await self.notify()
-        return self.revision
 
     async def remove(self, key):
         if key in self.items:
@@ -258,6 +259,10 @@
         if self.host in self.store.refusing:
             await channel.send(response_bytes(self.store.refusing[self.host]))
             return
+        if request.path == "/-/kv-txn" and random.random() < self.store.lost_share:
+            channel.dead = True
+            if self.store.late:
+                await asyncio.sleep(random.uniform(1, 6))
         status, body = await self.answer(channel, request)
         if self.lost(channel):
             if request.path == "/-/kv-watch":
@@ -341,12 +346,14 @@
             return 412, {"items": [item_json(r["key"], store.items[r["key"]]) for r in rows if r["key"] in store.items]}
         if body.get("writes") or body.get("remove"):
             store.revision += 1
+            revision = store.revision  # Another change may follow while the watches are woken.
             for write in body.get("writes", []):
                 store.apply(write["key"], base64.b64decode(write["value"]), write.get("lease", 0))
             for key in body.get("remove", []):
                 if key in store.items:
                     store.apply(key, None)
             await store.notify()
+            return 200, {"revision": revision}
         return 200, {"revision": store.revision}
 
 
