--- a/review/standin2/review_site.py
+++ b/review/standin2/review_site.py
@@ -236,7 +236,9 @@
 def item_json(key, entry, revision=None):
     if entry is None:
         return {"key": key, "revision": revision, "tombstone": True}
-    return {"key": key, "value": base64.b64encode(entry["value"]).decode(), "revision": entry["revision"], "created": entry["created"],
+    if "text" not in entry:
+        entry["text"] = base64.b64encode(entry["value"]).decode()
+    return {"key": key, "value": entry["text"], "revision": entry["revision"], "created": entry["created"],
             "lease": entry["lease"]}
 
 
@@ -484,7 +486,7 @@
 class Host:
     """A skylark-host process on a front machine."""
 
-    def __init__(self, record, folder, name, address, zone, store_address, bounds=None):
+    def __init__(self, record, folder, name, address, zone, store_address, bounds=None, memory_mb=260):
         self.record, self.name, self.address, self.zone = record, name, address, zone
         self.front, self.ready_port, self.peer = free_port(address), free_port(address), free_port(address)
         self.settings = os.path.join(folder, name + ".toml")
@@ -498,9 +500,9 @@
                 'internal_ports = [%d,%d]\nseeds = []\nbootstrap = true\nin_fault_budget = false\ndiscovery = "platform"\nentry = "vip"\n'
                 'heartbeat_ms = 1200\ncontracts = ["base","drain","config","cost","recover","batch","stream","engine","platform"]\n'
                 '[zones]\nz1 = "r"\nz2 = "r"\nz3 = "r"\n[listen]\nfront = "%s:%d"\nreadiness = "%s:%d"\n'
-                '[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = 260\nfds = 4200\nlink_mbps = 1000.0\ndisk_mb = 0\n'
+                '[limits]\ncpu_share = 0.25\ncores = 1\nmemory_mb = %d\nfds = 4200\nlink_mbps = 1000.0\ndisk_mb = 0\n'
                 '[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\n' % (
-                    name, address, zone, self.peer, self.peer, address, self.front, address, self.ready_port))
+                    name, address, zone, self.peer, self.peer, address, self.front, address, self.ready_port, memory_mb))
         text += "".join("%s = %s\n" % pair for pair in values.items())
         text += ('[platform]\naddress = "%s"\nform = "kv"\nwrites_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\n'
                  'min_ttl_ms = 1000\n' % store_address)
@@ -520,6 +522,14 @@
             self.record.write("host %s gets signal %d" % (self.name, number))
             self.process.send_signal(number)
 
+    def memory_mb(self):
+        """@return Resident memory of the process in MB; 0 if it does not run."""
+        try:
+            with open("/proc/%d/status" % self.process.pid, encoding="ascii") as file:
+                return next((int(line.split()[1]) / 1024 for line in file if line.startswith("VmRSS")), 0)
+        except (OSError, ValueError):
+            return 0
+
     async def ready(self, limit=15):
         until = now() + limit
         while now() < until:
@@ -614,7 +624,7 @@
         self.hosts, self.replicas, self.tasks = [], [], []
         self.record.write("the case runs %s its disruption" % ("with" if self.trouble else "without"))
 
-    async def open(self, hosts, config_document, zones=("z1", "z2", "z3"), bounds=None):
+    async def open(self, hosts, config_document, zones=("z1", "z2", "z3"), bounds=None, memory_mb=260):
         if not os.path.exists(os.path.join(REPO, HOST_PROGRAM)):
             raise CannotRun(HOST_PROGRAM + " is not built")
         self.tasks.append(asyncio.ensure_future(self.store.run_leases()))
@@ -622,7 +632,7 @@
         for number, address in enumerate(loopback_addresses(hosts)):
             name = "front-%d" % (number + 1)
             door = await self.store.open_door(name)
-            self.hosts.append(Host(self.record, self.folder, name, address, zones[number % len(zones)], door, bounds))
+            self.hosts.append(Host(self.record, self.folder, name, address, zones[number % len(zones)], door, bounds, memory_mb))
 
     async def add_replica(self, ident, service, **options):
         zone = options.pop("zone", "z1")
