--- a/review/standin2/review_site.py
+++ b/review/standin2/review_site.py
@@ -669,6 +669,11 @@
     """Runs a case. @param main Coroutine function of the site; returns a list of what broke the rule. Exits with 1 if it was broken, 0 if it held, 2 if the
     case could not run."""
 
+    def stop(_number, _frame):
+        raise SystemExit(2)  # The hosts are ended on the way out.
+
+    signal.signal(signal.SIGTERM, stop)
+
     async def body():
         site = Site(case_folder)
         try:
