Add: Tasks that end with an exception are logged and counted

The three threads of skylarkd run the event loop that skylark-host has, which outlives the exception of a handler; until now it ended the process.

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -3,11 +3,10 @@
 
 #include "batch/batch_internal_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace skylark {
@@ -45,7 +44,7 @@
 {
     asio::post(service.impl->context.batch, [state = service.impl] {
         if (!std::exchange(state->started, true)) {
-            asio::co_spawn(state->context.batch, executionLoop(state), asio::detached);
+            startTask(state->context.batch.get_executor(), "batch execution", executionLoop(state));
         }
     });
 }
--- a/src/batch/claims.cpp
+++ b/src/batch/claims.cpp
@@ -1,11 +1,10 @@
 /** @file claims.cpp Claims groups, verifies them after a lease expiry and drops them. */
 #include "batch/batch_internal_func.h"
 #include "batch/batch_record_func.h"
+#include "core/task_func.h"
 #include "policy/claim_func.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace skylark {
 
@@ -55,7 +54,7 @@
     addCounter(*state->context.metrics, "skylark_batch_groups_claimed_total", {{"how", how}});
     logBatch(*state,
              "group " + std::to_string(index) + " of job " + job.value + " " + std::string(how) + " at epoch " + std::to_string(group->record.epoch.value));
-    asio::co_spawn(state->context.batch, loadGroup(state, group), asio::detached);
+    startTask(state->context.batch.get_executor(), "load of a group", loadGroup(state, group));
 }
 
 /** @return Whether the current record, as contained in the conflict error, rules out the claim; otherwise the record and its version must be read. */
--- a/src/batch/drain.cpp
+++ b/src/batch/drain.cpp
@@ -1,11 +1,9 @@
 /** @file drain.cpp Planned shutdown: releases the held groups with their partial results. */
 #include "batch/batch_internal_func.h"
 #include "batch/batch_record_func.h"
+#include "core/task_func.h"
 #include "policy/claim_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace skylark {
 
 namespace asio = boost::asio;
@@ -51,7 +49,7 @@
     for (const auto &group : held) {
         const bool finishing = group->phase == GroupPhase::Finishing || (group->phase == GroupPhase::Running && group->left == 0);
         if (!finishing) {
-            asio::co_spawn(state->context.batch, releaseGroup(state, group), asio::detached);
+            startTask(state->context.batch.get_executor(), "release of a group", releaseGroup(state, group));
         }
     }
     const TimePoint deadline = BootClock::now() + groupDrainTimeout;
--- a/src/batch/execution.cpp
+++ b/src/batch/execution.cpp
@@ -2,12 +2,11 @@
 #include "batch/batch_internal_func.h"
 #include "batch/batch_record_func.h"
 #include "batch/job_parse_func.h"
+#include "core/task_func.h"
 #include "policy/item_attempt_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace skylark {
@@ -104,7 +103,7 @@
     for (const auto &group : state->held) {
         if (group->unverified && !group->verifying && mayCallKv(*state)) {
             group->verifying = true;
-            asio::co_spawn(state->context.batch, verifyGroup(state, group), asio::detached);
+            startTask(state->context.batch.get_executor(), "verification of a group", verifyGroup(state, group));
         }
     }
 }
@@ -114,7 +113,7 @@
     for (const auto &group : state->held) {
         if (group->phase == GroupPhase::Running && group->left == 0) {
             group->phase = GroupPhase::Finishing;
-            asio::co_spawn(state->context.batch, finishGroup(state, group), asio::detached);
+            startTask(state->context.batch.get_executor(), "completion of a group", finishGroup(state, group));
         }
     }
 }
@@ -341,7 +340,7 @@
         const auto group = nextClaim(*work);
         if (group && wantsGroup(*state, iteration, work->record->workspace, modelOfGroup(*work->record, *group))) {
             state->claiming = true;
-            asio::co_spawn(state->context.batch, runClaim(state, work->record->id, *group), asio::detached);
+            startTask(state->context.batch.get_executor(), "claim of a group", runClaim(state, work->record->id, *group));
             return;
         }
         const bool wanted = wantsAnyGroup(*state, iteration, *work->record);
@@ -349,7 +348,7 @@
             work->scannedAt = now;
             state->nextIdleScan = now + idleScanInterval(*iteration.snapshot);
             state->claiming = true;
-            asio::co_spawn(state->context.batch, runScan(state, work->record->id, wanted), asio::detached);
+            startTask(state->context.batch.get_executor(), "scan of a job", runScan(state, work->record->id, wanted));
             return;
         }
     }
--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -2,6 +2,7 @@
 #include "batch/batch_internal_func.h"
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
+#include "core/task_func.h"
 #include "policy/claim_func.h"
 #include "policy/item_attempt_func.h"
 #include "policy/silence_type.h"
@@ -9,7 +10,6 @@
 #include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -245,7 +245,7 @@
     run->exclusive = exclusive;
     target.running.push_back(run);
     recordStreamStarted(*state->context.loads, run->target, StreamKind::Batch, context.now);
-    asio::co_spawn(state->context.batch, runItem(state, run), asio::detached);
+    startTask(state->context.batch.get_executor(), "run of an item", runItem(state, run));
     return true;
 }
 
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -1,12 +1,11 @@
 /** @file progress.cpp Progress, list, cancellation and results of jobs for callers, and their status for operators. */
 #include "batch/batch_internal_func.h"
 #include "batch/batch_record_func.h"
+#include "core/task_func.h"
 #include "policy/batch_order_func.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
 namespace skylark {
@@ -139,7 +138,7 @@
     }
     if (record->inputBlobs.size() != record->groupCount) {
         if (mayCallKv(state) && state.fetching.insert(record->id).second) {
-            asio::co_spawn(state.context.batch, fetchJob(state.shared_from_this(), record->id), asio::detached);
+            startTask(state.context.batch.get_executor(), "read of a job record", fetchJob(state.shared_from_this(), record->id));
         }
         return;
     }
--- a/src/batch/submission.cpp
+++ b/src/batch/submission.cpp
@@ -4,12 +4,11 @@
 #include "batch/job_parse_func.h"
 #include "core/hash_func.h"
 #include "core/invariant_func.h"
+#include "core/task_func.h"
 #include "policy/batch_order_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -59,7 +58,7 @@
     upload->workers = std::min(parallelUploads, upload->blobs.size());
     const std::size_t workers = upload->workers;
     for (std::size_t i = 0; i < workers; ++i) {
-        asio::co_spawn(state->context.batch, uploadWorker(state, upload), asio::detached);
+        startTask(state->context.batch.get_executor(), "upload of blobs", uploadWorker(state, upload));
     }
     while (upload->workers > 0) {
         co_await upload->done.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -1,10 +1,9 @@
 /** @file control.cpp Construction and start of the control component, and its functions for other threads. */
 #include "control/controller_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
@@ -133,18 +132,18 @@
 {
     const ControlPtr &control = handle.impl;
     LOG(INFO) << "[member] host " << control->self.id.value << " starts session " << control->session.value;
-    const auto spawn = [&control](asio::awaitable<void> controller) {
-        asio::co_spawn(control->context.control, std::move(controller), asio::detached);
+    const auto start = [&control](std::string_view name, asio::awaitable<void> controller) {
+        startTask(control->context.control.get_executor(), name, std::move(controller));
     };
-    spawn(runLease(control));
-    spawn(runConfigWatch(control));
-    spawn(runPulls(control));
-    spawn(runMembership(control));
-    spawn(runTargetList(control));
-    spawn(runLoadPolls(control));
-    spawn(runJobWatch(control));
-    spawn(runDecline(control));
-    spawn(runPlacement(control));
+    start("session lease", runLease(control));
+    start("watch of the configuration", runConfigWatch(control));
+    start("pulls from hosts", runPulls(control));
+    start("membership", runMembership(control));
+    start("target list", runTargetList(control));
+    start("load reports", runLoadPolls(control));
+    start("watch of jobs", runJobWatch(control));
+    start("decline", runDecline(control));
+    start("placement", runPlacement(control));
 }
 
 void requestYield(Control &handle, const TargetId &target, unsigned slots)
--- a/src/control/placement_controller.cpp
+++ b/src/control/placement_controller.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <glog/logging.h>
 
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -1,11 +1,10 @@
 /** @file target_controller.cpp Assigns batch owners, collects load reports and tracks leaving targets. */
 #include "control/controller_func.h"
+#include "core/task_func.h"
 #include "engine/engine_client_func.h"
 #include "policy/membership_func.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 namespace skylark {
@@ -161,7 +160,7 @@
                 continue;
             }
             target.polling = true;
-            asio::co_spawn(control->context.control, pollTarget(control, id, target.info.endpoint), asio::detached);
+            startTask(control->context.control.get_executor(), "load report", pollTarget(control, id, target.info.endpoint));
         }
         co_await pauseFor(control, control->context.settings->loadPollInterval);
     }
--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -19,7 +19,7 @@
     Stopped, ///< The process exits.
     Reload, ///< The settings file was reloaded.
     Settings, ///< The settings file was rejected.
-    UnexpectedError, ///< A handler ended with an exception; the process goes on.
+    UnexpectedError, ///< A handler or a task ended with an exception; the process goes on.
     Ready, ///< The readiness of this host changed.
     DependencyLost, ///< A dependency stopped answering.
     DependencyBack, ///< A dependency answers again.
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -1,7 +1,7 @@
 /** @file event_loop.cpp Runs an event loop that outlives the errors of single handlers. */
 #include "core/event_loop_func.h"
 
-#include "core/event_log_func.h"
+#include "core/task_func.h"
 
 #include <exception>
 
@@ -17,7 +17,7 @@
         } catch (const std::exception &error) {
             // One malformed message must not end the work of all callers of the process.
             ++failures;
-            logEvent(EventKind::UnexpectedError, {}, {{"thread", thread}, {"detail", error.what()}});
+            reportUnexpectedError(thread, error.what());
         }
     }
 }
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -23,7 +23,7 @@
     EventInfo{EventKind::Stopped, "host", "stopped", "active waited_ms"},
     EventInfo{EventKind::Reload, "host", "reload", "changed"},
     EventInfo{EventKind::Settings, "host", "settings_refused", "detail"},
-    EventInfo{EventKind::UnexpectedError, "host", "unexpected_error", "thread detail"},
+    EventInfo{EventKind::UnexpectedError, "host", "unexpected_error", "task detail"},
     EventInfo{EventKind::Ready, "host", "ready", "ready config targets"},
     EventInfo{EventKind::DependencyLost, "store", "dependency_lost", "dependency error detail"},
     EventInfo{EventKind::DependencyBack, "store", "dependency_back", "dependency down_ms"},
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -4,6 +4,8 @@
 #include "batch/batch_service_func.h"
 #include "blob/blob_store_func.h"
 #include "control/control_base.h"
+#include "core/event_loop_func.h"
+#include "core/task_func.h"
 #include "daemon/host_context_base.h"
 #include "peer/peer_rpc_func.h"
 #include "traffic/caller_server_func.h"
@@ -11,7 +13,6 @@
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -227,16 +228,16 @@
     startControl(*impl.control);
     startBatch(*impl.batch);
     if (impl.store) {
-        asio::co_spawn(impl.context.batch, repairLoop(impl), asio::detached);
+        startTask(impl.context.batch.get_executor(), "repair of blobs", repairLoop(impl));
     }
-    asio::co_spawn(impl.context.control, waitForSignal(impl), asio::detached);
+    startTask(impl.context.control.get_executor(), "planned stop", waitForSignal(impl));
     std::thread online([&impl] {
-        impl.context.online.run();
+        runEventLoop(impl.context.online, "online");
     });
     std::thread batch([&impl] {
-        impl.context.batch.run();
+        runEventLoop(impl.context.batch, "batch");
     });
-    impl.context.control.run();
+    runEventLoop(impl.context.control, "control");
     online.join();
     batch.join();
 }
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -6,6 +6,7 @@
 #include "core/event_loop_func.h"
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
+#include "core/task_func.h"
 #include "entry/caller_memory_func.h"
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
@@ -14,8 +15,6 @@
 #include "job/job_runner_func.h"
 #include "quota/request_quotas_base.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -364,7 +363,7 @@
     announceClose(*host.callerServer);
     scheduleEarlyStatus(*host.peers);
     bool released = false; // Lives as long as the process: this function does not return.
-    asio::co_spawn(host.traffic, releaseAllJobs(host, released), asio::detached);
+    startTask(host.traffic.get_executor(), "release of jobs", releaseAllJobs(host, released));
     const TimePoint waitUntil = stopStartedAt + host.settings.stopLimit - stopMargin;
     bool closed = false;
     for (;;) {
@@ -464,10 +463,10 @@
     }
     host.runner = JobRunner::create(host.proxy, host.jobs, host.settings.host, host.settings.cancelLimit);
     startJobRegistry(host.jobs);
-    asio::co_spawn(executor, handleSignals(host), asio::detached);
-    asio::co_spawn(executor, watchSettings(host), asio::detached);
-    asio::co_spawn(executor, maintainProof(host.proof), asio::detached);
-    asio::co_spawn(executor, watchJobBytes(host.memory), asio::detached);
+    startTask(executor, "signals", handleSignals(host));
+    startTask(executor, "watch of the settings", watchSettings(host));
+    startTask(executor, "proof of the configuration", maintainProof(host.proof));
+    startTask(executor, "memory of jobs", watchJobBytes(host.memory));
     startFleetController(host);
     std::thread controlThread([&host] {
         const auto guard = asio::make_work_guard(host.control);
--- a/src/entry/storage_host.cpp
+++ b/src/entry/storage_host.cpp
@@ -5,10 +5,9 @@
 #include "core/event_log_func.h"
 #include "core/event_loop_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "store/key_mirror_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -51,11 +50,11 @@
     mirror->onUpdate = [&loop, store, settings](const KeyMirrorUpdate &update) {
         for (const KvItem &item : update.changed) {
             if (!item.deleted && item.key == settings.retireKey) {
-                asio::co_spawn(loop, reportRetired(store, settings), asio::detached);
+                startTask(loop.get_executor(), "report of the host's state", reportRetired(store, settings));
             }
         }
     };
-    asio::co_spawn(loop, runKeyMirror(mirror), asio::detached);
+    startTask(loop.get_executor(), "watch of orders", runKeyMirror(mirror));
     asio::signal_set signals(loop, SIGTERM, SIGINT);
     signals.async_wait([&loop](const boost::system::error_code & /*error*/, int /*signal*/) {
         loop.stop();
--- a/src/fleet/fleet_config.cpp
+++ b/src/fleet/fleet_config.cpp
@@ -3,12 +3,10 @@
 
 #include "core/event_log_func.h"
 #include "core/invariant_func.h"
+#include "core/task_func.h"
 #include "fleet/fleet_intervals_func.h"
 #include "fleet/workspace_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace skylark {
 
 namespace asio = boost::asio;
@@ -147,7 +145,7 @@
 
 void proveConfig(FleetController &controller, std::function<void(std::optional<ConfigProof>)> done)
 {
-    asio::co_spawn(controller.impl->executor, proveConfigNow(controller.impl, std::move(done)), asio::detached);
+    startTask(controller.impl->executor, "proof of the configuration", proveConfigNow(controller.impl, std::move(done)));
 }
 
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer)
@@ -158,7 +156,7 @@
         return;
     }
     impl->pullingConfig = true;
-    asio::co_spawn(impl->executor, pullConfig(impl, peer), asio::detached);
+    startTask(impl->executor, "pull of the configuration", pullConfig(impl, peer));
 }
 
 } // namespace skylark
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -3,6 +3,7 @@
 
 #include "core/async_sleep_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "fleet/fleet_config_func.h"
 #include "fleet/fleet_controller_base.h"
 #include "fleet/fleet_intervals_func.h"
@@ -10,9 +11,6 @@
 #include "fleet/host_entry_func.h"
 #include "fleet/host_entry_upkeep_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace skylark {
 
 namespace asio = boost::asio;
@@ -107,9 +105,9 @@
             recordStoreFailure(*strong, error);
         }
     };
-    asio::co_spawn(impl->executor, runKeyMirror(mirror), asio::detached);
+    startTask(impl->executor, "watch of " + mirror->options.prefix, runKeyMirror(mirror));
     if (mirror->options.pollInterval.count() > 0) {
-        asio::co_spawn(impl->executor, pollKeyMirror(mirror), asio::detached);
+        startTask(impl->executor, "reads of " + mirror->options.prefix, pollKeyMirror(mirror));
     }
     return mirror;
 }
@@ -140,7 +138,7 @@
         startMirror(impl, {.prefix = impl->wire.targetPrefix, .watchInterval = impl->options.targetWatchInterval, .pollInterval = minPollInterval}, onTargets);
     impl->quarantine = startMirror(impl, {.prefix = std::string(quarantineEntryPrefix), .pollInterval = quarantinePollInterval}, onQuarantineEntries);
     impl->hosts = startMirror(impl, {.prefix = std::string(hostEntryPrefix), .pollInterval = hostPollIntervalFor(true)}, onHosts);
-    asio::co_spawn(executor, maintainHostEntry(impl), asio::detached);
+    startTask(executor, "upkeep of the host's entry", maintainHostEntry(impl));
     auto controller = std::make_unique<FleetController>();
     controller->impl = std::move(impl);
     return controller;
@@ -158,12 +156,12 @@
 
 void writeQuarantineEntry(FleetController &controller, const QuarantineEntry &entry)
 {
-    asio::co_spawn(controller.impl->executor, storeQuarantineEntry(controller.impl, entry), asio::detached);
+    startTask(controller.impl->executor, "write of a quarantine", storeQuarantineEntry(controller.impl, entry));
 }
 
 void removeQuarantineEntry(FleetController &controller, PromptPartId part)
 {
-    asio::co_spawn(controller.impl->executor, deleteQuarantineEntry(controller.impl, part), asio::detached);
+    startTask(controller.impl->executor, "removal of a quarantine", deleteQuarantineEntry(controller.impl, part));
 }
 
 } // namespace skylark
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -3,10 +3,9 @@
 
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
+#include "core/task_func.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 namespace skylark {
@@ -124,7 +123,7 @@
         return removeTarget(*impl, id);
     }
     if (impl->expiredTargets.empty()) {
-        asio::co_spawn(impl->executor, removeExpiredTargets(impl), asio::detached);
+        startTask(impl->executor, "removal of targets", removeExpiredTargets(impl));
     }
     impl->expiredTargets.insert(id);
     return false;
--- a/src/fleet/host_entry_upkeep.cpp
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -3,12 +3,10 @@
 
 #include "core/async_sleep_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "fleet/host_entry_func.h"
 #include "policy/request_quota_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace skylark {
 
 namespace asio = boost::asio;
@@ -85,6 +83,15 @@
     co_return true;
 }
 
+/** Ends the lease of the host's entry and calls @p done. */
+asio::awaitable<void> endHostEntry(FleetImplPtr impl, std::function<void()> done)
+{
+    if (impl->lease != 0) {
+        co_await impl->store->endLease(impl->lease);
+    }
+    done();
+}
+
 } // namespace
 
 asio::awaitable<void> maintainHostEntry(FleetImplPtr impl)
@@ -113,15 +120,7 @@
 {
     const FleetImplPtr impl = controller.impl;
     impl->leaving = true;
-    asio::co_spawn(
-        impl->executor,
-        [](FleetImplPtr owner, std::function<void()> finished) -> asio::awaitable<void> {
-            if (owner->lease != 0) {
-                co_await owner->store->endLease(owner->lease);
-            }
-            finished();
-        }(impl, std::move(done)),
-        asio::detached);
+    startTask(impl->executor, "removal of the host's entry", endHostEntry(impl, std::move(done)));
 }
 
 } // namespace skylark
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,14 +2,13 @@
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/table/error_table.h"
+#include "core/task_func.h"
 #include "http/http_connection_base.h"
 #include "http/http_request_reader_func.h"
 #include "http/socket_read_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -82,7 +81,7 @@
     try {
         co_await impl->handler(std::move(request), responder);
     } catch (const std::exception &error) {
-        logEvent(EventKind::UnexpectedError, {}, {{"thread", "http"}, {"detail", error.what()}});
+        reportUnexpectedError("request of a caller", error.what());
     }
     connection->callerGone = nullptr;
     connection->renderUnfinished = nullptr;
@@ -164,7 +163,7 @@
 {
     const bool accepted = impl->connections.size() < impl->options.maxConnections;
     auto task = accepted ? serveConnection(impl, std::move(socket)) : refuseOverLimit(impl, std::move(socket));
-    asio::co_spawn(impl->acceptor.get_executor(), std::move(task), asio::detached);
+    startTask(impl->acceptor.get_executor(), "connection of a caller", std::move(task));
 }
 
 /** Accepts connections while the server listens. What cannot be accepted or refused yet waits in the listen backlog. */
@@ -279,7 +278,7 @@
     }
     auto server = std::make_unique<HttpServer>();
     server->impl = std::make_shared<Impl>(Impl{std::move(acceptor), std::move(options), std::move(handler)});
-    asio::co_spawn(executor, acceptLoop(server->impl), asio::detached);
+    startTask(executor, "accepting of connections", acceptLoop(server->impl));
     return server;
 }
 
--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -2,11 +2,10 @@
 #include "http/memory_account_base.h"
 
 #include "core/async_sleep_func.h"
+#include "core/task_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <unistd.h>
 
@@ -92,7 +91,7 @@
 {
     if (!account.watching) {
         account.watching = true;
-        asio::co_spawn(account.executor, watchPressure(account.shared_from_this()), asio::detached);
+        startTask(account.executor, "watch of memory", watchPressure(account.shared_from_this()));
     }
 }
 
--- a/src/job/job_claims.cpp
+++ b/src/job/job_claims.cpp
@@ -116,7 +116,7 @@
         input.unregisteredFor = std::chrono::duration_cast<milliseconds>(now - missing.unregisteredSince);
         input.rank = rankFor(*runner, job, now);
         if (mayClaim(input) && runner->claimsAndRemovals.insert(job).second) {
-            spawnLater(runner, [runner, id = job] {
+            spawnLater(runner, "claim of a job", [runner, id = job] {
                 return claimOrphanedJob(runner, id);
             });
         }
@@ -133,7 +133,7 @@
         known.items.clear();
         const bool expired = now - known.knownSince > runner->closedRetention && now - known.closedSince > runner->closedReadTime;
         if (expired && mayRemove(*runner, known.record, now) && runner->claimsAndRemovals.insert(job).second) {
-            spawnLater(runner, [runner, record = known.record, revision = known.revision] {
+            spawnLater(runner, "removal of a job", [runner, record = known.record, revision = known.revision] {
                 return removeJob(runner, record, revision);
             });
         }
--- a/src/job/job_ownership.cpp
+++ b/src/job/job_ownership.cpp
@@ -1,12 +1,11 @@
 /** @file job_ownership.cpp Jobs that this host owns: reconciling them with their records, loading them, storing results and checkpoints. */
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "job/job_record_func.h"
 #include "job/job_runner_base.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace skylark {
@@ -67,10 +66,10 @@
 
 } // namespace
 
-void spawnLater(const RunnerPtr &runner, std::function<asio::awaitable<void>()> task)
+void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<asio::awaitable<void>()> task)
 {
-    asio::post(runner->registry->executor, [runner, task = std::move(task)] {
-        asio::co_spawn(runner->registry->executor, task(), asio::detached);
+    asio::post(runner->registry->executor, [runner, name, task = std::move(task)] {
+        startTask(runner->registry->executor, name, task());
     });
 }
 
--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -3,10 +3,9 @@
 
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "job/job_record_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 namespace skylark {
@@ -100,8 +99,8 @@
             onMirrorUpdate(strong, update);
         }
     };
-    asio::co_spawn(registry->executor, runKeyMirror(registry->mirror), asio::detached);
-    asio::co_spawn(registry->executor, pollKeyMirror(registry->mirror), asio::detached);
+    startTask(registry->executor, "watch of job records", runKeyMirror(registry->mirror));
+    startTask(registry->executor, "reads of job records", pollKeyMirror(registry->mirror));
 }
 
 void applyJobRecord(const std::shared_ptr<JobRegistry> &registry, const KvItem &item)
@@ -170,7 +169,7 @@
     found->second.fetching = true;
     // Later, because the caller may iterate over jobs, which the read can change.
     asio::post(registry->executor, [registry, job] {
-        asio::co_spawn(registry->executor, readRecord(registry, job), asio::detached);
+        startTask(registry->executor, "read of a job record", readRecord(registry, job));
     });
     return true;
 }
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -2,13 +2,12 @@
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "fleet/route_match_func.h"
 #include "job/job_record_func.h"
 #include "job/job_runner_base.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -69,18 +68,18 @@
         const bool checkpointDue = unfinishedEvents(owned) > owned.checkpointedEvents + minNewEvents && now - owned.checkpointedAt >= checkpointInterval;
         if (!owned.loaded && !owned.loading) {
             owned.loading = true;
-            spawnLater(runner, [runner, id = job] {
+            spawnLater(runner, "load of a job", [runner, id = job] {
                 return loadOwnedJob(runner, id);
             });
         }
         if (owned.firstFinishedAt != TimePoint{} && !owned.writing && now - owned.firstFinishedAt >= resultDelayOf(*runner, known, owned)) {
             owned.writing = true;
-            spawnLater(runner, [runner, id = job] {
+            spawnLater(runner, "write of results", [runner, id = job] {
                 return storeFinishedItems(runner, id);
             });
         } else if (checkpointDue && !owned.writing) {
             owned.writing = true;
-            spawnLater(runner, [runner, id = job] {
+            spawnLater(runner, "write of checkpoints", [runner, id = job] {
                 return checkpointOwnedJob(runner, id, false);
             });
         }
@@ -199,7 +198,7 @@
                 {"record_age_ms", std::chrono::duration_cast<milliseconds>(now - known.confirmedAt).count()}});
     // The guard counts the item as load from now on, not only from the first step of its coroutine.
     auto guard = std::make_shared<const InFlightGuard>(loadTrackerOf(runner->proxy), target.id, true);
-    spawnLater(runner, [runner, item, run, entry = target, guard = std::move(guard)] {
+    spawnLater(runner, "run of an item", [runner, item, run, entry = target, guard = std::move(guard)] {
         return runItem(runner, item.job, item.index, run, entry, guard);
     });
 }
@@ -308,7 +307,7 @@
             reconcileOwnedJob(*strong, job);
         }
     };
-    asio::co_spawn(impl->registry->executor, runLoop(impl), asio::detached);
+    startTask(impl->registry->executor, "job runner", runLoop(impl));
     auto runner = std::make_unique<JobRunner>();
     runner->impl = std::move(impl);
     return runner;
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -97,8 +97,11 @@
 boost::asio::awaitable<void> runItem(
     RunnerPtr runner, JobId job, std::uint32_t index, std::shared_ptr<ItemRun> run, TargetEntry target, std::shared_ptr<const InFlightGuard> guard);
 
-/** Starts @p task after the present handler, so that it does not change containers that the handler iterates over. */
-void spawnLater(const RunnerPtr &runner, std::function<boost::asio::awaitable<void>()> task);
+/**
+ * Starts @p task after the present handler, so that it does not change containers that the handler iterates over.
+ * @param name Name of the task in the log; a literal.
+ */
+void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<boost::asio::awaitable<void>()> task);
 
 /** Brings the owned jobs in line with the record of @p job: adds or drops the job, and drops items that have a result. */
 void reconcileOwnedJob(JobRunner::Impl &runner, const JobId &job);
--- a/src/metrics/process_gauges.cpp
+++ b/src/metrics/process_gauges.cpp
@@ -1,4 +1,5 @@
-/** @file process_gauges.cpp Gauges of this process's resident memory and open file descriptors, read from /proc. */
+/** @file process_gauges.cpp Gauges of this process: resident memory and open file descriptors, read from /proc, and unexpected errors. */
+#include "core/task_func.h"
 #include "metrics/metrics_func.h"
 
 #include <filesystem>
@@ -22,6 +23,7 @@
     if (!unreadable) {
         setGauge(registry, "process_open_fds", {}, static_cast<double>(std::distance(begin(descriptors), end(descriptors))));
     }
+    setGauge(registry, "skylark_unexpected_errors", {}, static_cast<double>(unexpectedErrors()));
 }
 
 } // namespace skylark
--- a/src/traffic/target_failure.cpp
+++ b/src/traffic/target_failure.cpp
@@ -3,13 +3,11 @@
 
 #include "core/invariant_func.h"
 #include "core/table/error_table.h"
+#include "core/task_func.h"
 #include "engine/engine_client_func.h"
 #include "policy/retry_func.h"
 #include "policy/silence_func.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 namespace skylark {
 
 namespace asio = boost::asio;
@@ -75,7 +73,7 @@
         return;
     }
     checked = now;
-    asio::co_spawn(impl.http->executor, checkDraining(impl.shared_from_this(), target), asio::detached);
+    startTask(impl.http->executor, "check of a target", checkDraining(impl.shared_from_this(), target));
 }
 
 bool isUnresponsive(ErrorCode code)
@@ -102,7 +100,7 @@
         dropSilentConnections(impl, target.endpoint);
     }
     if (error.run == RunState::Maybe && isUnresponsive(error.code) && target.kind == TargetKind::Engine) {
-        asio::co_spawn(impl.http->executor, cancelUnresponsive(impl.http, target.endpoint, attempt), asio::detached);
+        startTask(impl.http->executor, "cancellation of an attempt", cancelUnresponsive(impl.http, target.endpoint, attempt));
     }
     if (error.targetLeaving) {
         markLeaving(impl, target, "refusal");
