Fix: An accepted item with a header of more than 65,533 bytes was neither run nor listed

Cause: Boost.Beast keeps header fields in a container with 16-bit lengths and throws std::length_error for a longer value. The client built every request in it, so that the exception ended the item's coroutine before anything was sent. The parsers fill the same container: a caller's request with such a field within the operator's limit of the head, and one with such a trailer, lost their connection without an answer.

No limit was put on items, because the accepted ones can all be sent now.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,12 +1,15 @@
 /** @file http_client.cpp HTTP client over Boost.Beast. */
 #include "http/http_client_func.h"
 
-#include "http/http_grammar_func.h"
+#include "http/http_parser_base.h"
+#include "http/http_request_writer_func.h"
 #include "http/socket_read_func.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -24,7 +27,7 @@
 struct HttpConnection {
     beast::tcp_stream stream; ///< Socket with timeouts.
     beast::flat_buffer buffer; ///< Bytes received but not parsed yet.
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<HttpParser<false, http::buffer_body>> parser;
     TimePoint openedAt;
     TimePoint usableUntil{}; ///< While idle: time after which the peer may have closed the connection.
     bool aborted{false}; ///< Whether the exchange was aborted.
@@ -180,31 +183,12 @@
     co_return connection;
 }
 
-http::request<http::string_body> makeMessage(const Endpoint &endpoint, HttpRequest request)
+/** Writes a whole request. @return The error, and the number of bytes that were written. */
+asio::awaitable<std::pair<beast::error_code, std::size_t>> writeRequest(HttpConnection &connection, const std::string &head, const std::string &body)
 {
-    http::request<http::string_body> message;
-    message.method_string(request.method);
-    message.target(request.target);
-    message.version(11);
-    for (const HttpHeader &header : request.headers) {
-        message.insert(header.name, header.value);
-    }
-    if (message.count(http::field::host) == 0) {
-        message.set(http::field::host, endpoint.address + ":" + std::to_string(endpoint.port));
-    }
-    message.keep_alive(true);
-    message.body() = std::move(request.body);
-    message.prepare_payload();
-    return message;
-}
-
-/** @return InvalidRequest if @p request cannot be written as exactly one HTTP request: its target would run something else, or a second request. */
-Result<Done> checkMessage(const HttpRequest &request)
-{
-    if (const auto part = findInvalidPart(request)) {
-        return makeError(ErrorCode::InvalidRequest, *part + " is malformed", RunState::No);
-    }
-    return Done{};
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(head), asio::buffer(body)};
+    const auto [error, bytes] = co_await asio::async_write(connection.stream, buffers, awaitTuple);
+    co_return std::pair(error, bytes);
 }
 
 /** Reads the head of a response. */
@@ -270,10 +254,10 @@
 /** Copies the head that was read to the exchange. */
 void takeHead(HttpExchange &exchange)
 {
-    const auto &message = exchange.connection->parser->get();
-    exchange.status = static_cast<int>(message.result_int());
-    for (const auto &field : message) {
-        exchange.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    const auto &parser = *exchange.connection->parser;
+    exchange.status = static_cast<int>(parser.get().result_int());
+    for (HttpHeader &header : headersOf(parser)) {
+        exchange.headers.push_back(std::move(header));
     }
 }
 
@@ -351,13 +335,13 @@
     if (abort && abort->aborted) {
         co_return makeError(ErrorCode::Cancelled, "aborted before the request was sent");
     }
-    if (const auto valid = checkMessage(request); !isOk(valid)) {
-        co_return errorOf(valid);
+    const auto head = renderRequestHead(request, endpoint);
+    if (!isOk(head)) {
+        co_return errorOf(head);
     }
     const OpeningRegistration registration(abort, connection.get());
-    auto message = makeMessage(endpoint, std::move(request));
     connection->stream.expires_after(timeouts.send);
-    const auto [error, sent] = co_await http::async_write(connection->stream, message, awaitTuple);
+    const auto [error, sent] = co_await writeRequest(*connection, valueOf(head), request.body);
     if (error) {
         if (sent == 0) {
             co_return transportError(error, ErrorCode::ConnectFailed, ErrorCode::ConnectFailed, RunState::No, endpoint);
@@ -491,14 +475,13 @@
         co_return errorOf(opened);
     }
     HttpConnectionPtr connection = std::move(valueOf(opened));
-    if (const auto valid = checkMessage(request); !isOk(valid)) {
-        co_return errorOf(valid);
+    request.headers.push_back({"Expect", "100-continue"});
+    const auto requestHead = renderRequestHead(request, endpoint);
+    if (!isOk(requestHead)) {
+        co_return errorOf(requestHead);
     }
-    auto message = makeMessage(endpoint, std::move(request));
-    message.set(http::field::expect, "100-continue");
-    http::request_serializer<http::string_body> serializer(message);
     connection->stream.expires_after(timeouts.send);
-    const auto [headError, headBytes] = co_await http::async_write_header(connection->stream, serializer, awaitTuple);
+    const auto [headError, headBytes] = co_await writeRequest(*connection, valueOf(requestHead), {});
     if (headError) {
         co_return transportError(headError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::No, endpoint);
     }
@@ -519,7 +502,7 @@
         co_return errorOf(precheckResult);
     }
     exchange.connection->stream.expires_after(timeouts.send);
-    const auto [bodyError, bodyBytes] = co_await http::async_write(exchange.connection->stream, serializer, awaitTuple);
+    const auto [bodyError, bodyBytes] = co_await writeRequest(*exchange.connection, {}, request.body);
     if (bodyError) {
         co_return transportError(bodyError, ErrorCode::SendFailed, ErrorCode::SendFailed, RunState::Maybe, endpoint);
     }
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -2,6 +2,7 @@
 #include "http/http_request_reader_func.h"
 
 #include "core/table/error_table.h"
+#include "http/http_parser_base.h"
 #include "http/socket_read_func.h"
 
 #include <algorithm>
@@ -28,18 +29,6 @@
 constexpr milliseconds lingerTime{500};
 constexpr milliseconds lateReadTime{500}; ///< Time limit for reading the rest of a request that has arrived in part by its time limit.
 
-HttpRequest convertRequest(http::request<http::string_body> message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message) {
-        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
-    request.body = std::move(message.body());
-    return request;
-}
-
 /** Closes the sending side, then reads and discards what the caller still sends, for at most lingerTime. */
 asio::awaitable<void> drainInput(std::shared_ptr<HttpServerConnection> connection)
 {
@@ -65,7 +54,18 @@
     co_await drainInput(connection);
 }
 
-using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = HttpParser<true, http::string_body>;
+
+/** @return The request that @p parser has read, whose body is moved out of it. */
+HttpRequest takeRequest(RequestParser &parser)
+{
+    HttpRequest request;
+    request.method = std::string(parser.get().method_string());
+    request.target = std::string(parser.get().target());
+    request.headers = headersOf(parser);
+    request.body = std::move(parser.get().body());
+    return request;
+}
 
 /** A request that is being received. */
 struct Receiving {
@@ -290,14 +290,17 @@
     return std::nullopt;
 }
 
-/** @return Size of the fields of a message on the wire. */
-std::uint64_t fieldBytes(const http::fields &fields)
+/** @return Size on the wire of the fields that @p parser has read. */
+std::uint64_t fieldBytes(const RequestParser &parser)
 {
     constexpr std::uint64_t separators = 4; // Colon, space and line end.
     std::uint64_t bytes = 0;
-    for (const auto &field : fields) {
+    for (const auto &field : parser.get()) {
         bytes += field.name_string().size() + field.value().size() + separators;
     }
+    for (const HttpHeader &field : parser.longFields) {
+        bytes += field.name.size() + field.value.size() + separators;
+    }
     return bytes;
 }
 
@@ -312,7 +315,7 @@
     };
     receiving.parser.on_chunk_header(countExtensions);
     receiving.parser.eager(true);
-    const std::uint64_t headFields = fieldBytes(receiving.parser.get());
+    const std::uint64_t headFields = fieldBytes(receiving.parser);
     const ReceiveFailure tooLarge =
         limitFailure(ClientLimit::FramingTooLarge, ErrorCode::HeaderTooLarge, "head, chunk extensions and trailers exceed the size limit");
     for (;;) {
@@ -338,7 +341,7 @@
             co_return failure;
         }
     }
-    if (receiving.framing + fieldBytes(receiving.parser.get()) - headFields > receiving.maxHeader) {
+    if (receiving.framing + fieldBytes(receiving.parser) - headFields > receiving.maxHeader) {
         co_return tooLarge;
     }
     co_return std::nullopt;
@@ -437,7 +440,7 @@
     connection->requestBytes = receiving.framing + receiving.parser.get().body().size() * receiving.copies + connection->buffer.capacity();
     setHeldBytes(*connection->hold, totalBytes(connection->requestBytes, 0));
     connection->keepAlive = receiving.parser.get().keep_alive();
-    co_return convertRequest(receiving.parser.release());
+    co_return takeRequest(receiving.parser);
 }
 
 /** Reports a client that met a limit; the account reports those that it closes. */
--- a/standins/replica.cpp
+++ b/standins/replica.cpp
@@ -205,7 +205,7 @@
     replica->id = std::move(id);
     HttpServerOptions options;
     options.listen = {"127.0.0.1", port};
-    options.maxHeader = 65536;
+    options.maxHeader = 1U << 20U;
     const std::weak_ptr<Replica> weak = replica;
     auto server = HttpServer::create(executor, options, [weak](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
         if (const auto strong = weak.lock()) {
