Fix: What an exception left behind when it ended a task was waited for without end

Cause: coroutines that nobody waits for had marked something as in progress (an item as running, a job as loading, a record as being read, a host's entry as kept) and only they themselves took the mark away. An exception dropped them and left the mark. One key that its handler could not take ended a host's watch of targets, hosts, configuration or jobs for good.

Change: startTask() calls the starter back, which takes its mark away; startLoop() starts a loop again after 250 ms; catchExceptions() makes an exception an ordinary error. A mirror hands a failed update over again key by key. Items and store calls are repeated after a delay and count neither as failures of targets nor as attempts.

The tasks of skylarkd, signals, memory and accepting were read and use the same functions; no test throws in them.

--- a/src/batch/batch_service.cpp
+++ b/src/batch/batch_service.cpp
@@ -44,7 +44,9 @@
 {
     asio::post(service.impl->context.batch, [state = service.impl] {
         if (!std::exchange(state->started, true)) {
-            startTask(state->context.batch.get_executor(), "batch execution", executionLoop(state));
+            startLoop(state->context.batch.get_executor(), "batch execution", [state] {
+                return executionLoop(state);
+            });
         }
     });
 }
--- a/src/batch/drain.cpp
+++ b/src/batch/drain.cpp
@@ -49,7 +49,9 @@
     for (const auto &group : held) {
         const bool finishing = group->phase == GroupPhase::Finishing || (group->phase == GroupPhase::Running && group->left == 0);
         if (!finishing) {
-            startTask(state->context.batch.get_executor(), "release of a group", releaseGroup(state, group));
+            startTask(state->context.batch.get_executor(), "release of a group", releaseGroup(state, group), [state, group] {
+                dropGroup(*state, group, GroupStatus::HeldElsewhere);
+            });
         }
     }
     const TimePoint deadline = BootClock::now() + groupDrainTimeout;
--- a/src/batch/execution.cpp
+++ b/src/batch/execution.cpp
@@ -103,7 +103,9 @@
     for (const auto &group : state->held) {
         if (group->unverified && !group->verifying && mayCallKv(*state)) {
             group->verifying = true;
-            startTask(state->context.batch.get_executor(), "verification of a group", verifyGroup(state, group));
+            startTask(state->context.batch.get_executor(), "verification of a group", verifyGroup(state, group), [group] {
+                group->verifying = false;
+            });
         }
     }
 }
@@ -113,7 +115,9 @@
     for (const auto &group : state->held) {
         if (group->phase == GroupPhase::Running && group->left == 0) {
             group->phase = GroupPhase::Finishing;
-            startTask(state->context.batch.get_executor(), "completion of a group", finishGroup(state, group));
+            startLoop(state->context.batch.get_executor(), "completion of a group", [state, group] {
+                return finishGroup(state, group);
+            });
         }
     }
 }
@@ -329,6 +333,14 @@
     state->claiming = false;
 }
 
+/** @return Function that ends the claim or scan that is running. */
+std::function<void()> endOfClaim(const BatchStatePtr &state)
+{
+    return [state] {
+        state->claiming = false;
+    };
+}
+
 /** Starts a claim or a scan if one is due. Only one runs at a time, which bounds the load on the key-value service. */
 void acquireWork(const BatchStatePtr &state, Iteration &iteration)
 {
@@ -340,7 +352,7 @@
         const auto group = nextClaim(*work);
         if (group && wantsGroup(*state, iteration, work->record->workspace, modelOfGroup(*work->record, *group))) {
             state->claiming = true;
-            startTask(state->context.batch.get_executor(), "claim of a group", runClaim(state, work->record->id, *group));
+            startTask(state->context.batch.get_executor(), "claim of a group", runClaim(state, work->record->id, *group), endOfClaim(state));
             return;
         }
         const bool wanted = wantsAnyGroup(*state, iteration, *work->record);
@@ -348,7 +360,7 @@
             work->scannedAt = now;
             state->nextIdleScan = now + idleScanInterval(*iteration.snapshot);
             state->claiming = true;
-            startTask(state->context.batch.get_executor(), "scan of a job", runScan(state, work->record->id, wanted));
+            startTask(state->context.batch.get_executor(), "scan of a job", runScan(state, work->record->id, wanted), endOfClaim(state));
             return;
         }
     }
--- a/src/batch/item_run.cpp
+++ b/src/batch/item_run.cpp
@@ -120,7 +120,8 @@
     pauseTarget(*state, *run, error);
     bool targetEnded = false;
     if (mayMeanTargetEnded(error.code)) {
-        auto report = co_await readLoad(state->http, run->endpoint, probeTimeouts);
+        // The item is in no queue until this has ended.
+        auto report = co_await catchExceptions("load report", readLoad(state->http, run->endpoint, probeTimeouts));
         targetEnded = !isOk(report);
     }
     if (run->group->phase == GroupPhase::Dropped) {
@@ -180,14 +181,30 @@
 void finishRun(BatchState &state, const std::shared_ptr<RunningItem> &run, TimePoint begin, unsigned tokens)
 {
     const TimePoint now = BootClock::now();
+    BatchItem &item = run->group->items[run->item];
+    std::string line = renderItemResult(item, run->group->model);
     endRun(state, run);
     recordStreamSuccess(*state.context.loads, run->target);
     if (tokens > 1) {
         const double tokenMs = std::chrono::duration<double, std::milli>(now - begin).count() / tokens;
         recordTokenTiming(*state.context.loads, run->target, std::nullopt, tokenMs, now);
     }
+    recordResult(state, *run->group, item, std::move(line));
+}
+
+/** Makes an item whose run was ended by an exception wait for its next one, if this host still has to run it. */
+void resetFailedRun(BatchState &state, const std::shared_ptr<RunningItem> &run)
+{
+    if (run->ended) {
+        return;
+    }
+    endRun(state, run);
+    if (run->group->phase == GroupPhase::Dropped) {
+        return;
+    }
     BatchItem &item = run->group->items[run->item];
-    recordResult(state, *run->group, item, renderItemResult(item, run->group->model));
+    item.notBefore = BootClock::now() + interruptionDelay(++item.history.interruptions);
+    requeue(run);
 }
 
 asio::awaitable<void> runItem(BatchStatePtr state, std::shared_ptr<RunningItem> run)
@@ -245,7 +262,9 @@
     run->exclusive = exclusive;
     target.running.push_back(run);
     recordStreamStarted(*state->context.loads, run->target, StreamKind::Batch, context.now);
-    startTask(state->context.batch.get_executor(), "run of an item", runItem(state, run));
+    startTask(state->context.batch.get_executor(), "run of an item", runItem(state, run), [state, run] {
+        resetFailedRun(*state, run);
+    });
     return true;
 }
 
--- a/src/batch/progress.cpp
+++ b/src/batch/progress.cpp
@@ -138,7 +138,10 @@
     }
     if (record->inputBlobs.size() != record->groupCount) {
         if (mayCallKv(state) && state.fetching.insert(record->id).second) {
-            startTask(state.context.batch.get_executor(), "read of a job record", fetchJob(state.shared_from_this(), record->id));
+            const BatchStatePtr shared = state.shared_from_this();
+            startTask(state.context.batch.get_executor(), "read of a job record", fetchJob(shared, record->id), [shared, id = record->id] {
+                shared->fetching.erase(id);
+            });
         }
         return;
     }
--- a/src/batch/results.cpp
+++ b/src/batch/results.cpp
@@ -4,6 +4,7 @@
 #include "batch/job_parse_func.h"
 #include "core/json_member_func.h"
 #include "core/table/error_table.h"
+#include "core/task_func.h"
 #include "policy/claim_func.h"
 #include "policy/item_attempt_func.h"
 
@@ -249,7 +250,7 @@
 asio::awaitable<void> loadGroup(BatchStatePtr state, std::shared_ptr<HeldGroup> group)
 {
     while (group->phase == GroupPhase::Loading) {
-        const auto loaded = co_await readInput(state, group);
+        const auto loaded = co_await catchExceptions("load of a group", readInput(state, group));
         if (isOk(loaded)) {
             group->phase = group->phase == GroupPhase::Loading ? GroupPhase::Running : group->phase;
             wakeExecutionLoop(*state);
--- a/src/batch/submission.cpp
+++ b/src/batch/submission.cpp
@@ -41,7 +41,7 @@
 {
     while (!upload->error && upload->next < upload->blobs.size()) {
         auto &[id, data] = upload->blobs[upload->next++];
-        const auto stored = co_await storeReplicated(*state->blobs, id, std::move(data));
+        const auto stored = co_await catchExceptions("upload of a blob", storeReplicated(*state->blobs, id, std::move(data)));
         if (isOk(stored)) {
             ++upload->stored;
         } else if (!upload->error) {
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -132,18 +132,20 @@
 {
     const ControlPtr &control = handle.impl;
     LOG(INFO) << "[member] host " << control->self.id.value << " starts session " << control->session.value;
-    const auto start = [&control](std::string_view name, asio::awaitable<void> controller) {
-        startTask(control->context.control.get_executor(), name, std::move(controller));
+    const auto start = [&control](std::string_view name, asio::awaitable<void> (*controller)(ControlPtr)) {
+        startLoop(control->context.control.get_executor(), name, [control, controller] {
+            return controller(control);
+        });
     };
-    start("session lease", runLease(control));
-    start("watch of the configuration", runConfigWatch(control));
-    start("pulls from hosts", runPulls(control));
-    start("membership", runMembership(control));
-    start("target list", runTargetList(control));
-    start("load reports", runLoadPolls(control));
-    start("watch of jobs", runJobWatch(control));
-    start("decline", runDecline(control));
-    start("placement", runPlacement(control));
+    start("session lease", runLease);
+    start("watch of the configuration", runConfigWatch);
+    start("pulls from hosts", runPulls);
+    start("membership", runMembership);
+    start("target list", runTargetList);
+    start("load reports", runLoadPolls);
+    start("watch of jobs", runJobWatch);
+    start("decline", runDecline);
+    start("placement", runPlacement);
 }
 
 void requestYield(Control &handle, const TargetId &target, unsigned slots)
--- a/src/control/placement_controller.cpp
+++ b/src/control/placement_controller.cpp
@@ -1,6 +1,7 @@
 /** @file placement_controller.cpp Loads and unloads models according to the configuration, under a fenced lease. */
 #include "control/controller_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 #include "engine/engine_client_func.h"
 #include "policy/placement_func.h"
 
@@ -173,7 +174,7 @@
 }
 
 /** Plans placement once and sends the orders; stops at the first load that the weight store refuses. */
-asio::awaitable<void> runPlacementRound(ControlPtr control, PlacementLease lease, std::map<TargetId, TimePoint> &pending)
+asio::awaitable<void> sendOrders(ControlPtr control, PlacementLease lease, std::map<TargetId, TimePoint> &pending)
 {
     if (!control->fleet) {
         co_return;
@@ -188,6 +189,21 @@
     }
 }
 
+/** Acquires or releases the placement lease if need be, and sends the orders of one round while this host holds it. */
+asio::awaitable<Result<Done>> runPlacementRound(ControlPtr control, PlacementLease &lease, std::map<TargetId, TimePoint> &pending)
+{
+    co_await acquirePlatformCall(control);
+    if (lease.held && !isCandidate(*control)) {
+        co_await release(control, lease);
+    } else if (!lease.held && isCandidate(*control)) {
+        co_await acquire(control, lease);
+    }
+    if (lease.held) {
+        co_await sendOrders(control, lease, pending);
+    }
+    co_return Done{};
+}
+
 } // namespace
 
 asio::awaitable<void> runPlacement(ControlPtr control)
@@ -203,15 +219,8 @@
         if (!leaseValid) {
             continue;
         }
-        co_await acquirePlatformCall(control);
-        if (lease.held && !isCandidate(*control)) {
-            co_await release(control, lease);
-        } else if (!lease.held && isCandidate(*control)) {
-            co_await acquire(control, lease);
-        }
-        if (lease.held) {
-            co_await runPlacementRound(control, lease, pending);
-        }
+        // The lease outlives the exception of a round: a loop that is started anew would not know that this host holds it.
+        co_await catchExceptions("placement", runPlacementRound(control, lease, pending));
     }
 }
 
--- a/src/control/target_controller.cpp
+++ b/src/control/target_controller.cpp
@@ -160,7 +160,11 @@
                 continue;
             }
             target.polling = true;
-            startTask(control->context.control.get_executor(), "load report", pollTarget(control, id, target.info.endpoint));
+            startTask(control->context.control.get_executor(), "load report", pollTarget(control, id, target.info.endpoint), [control, polled = id] {
+                if (const auto found = control->targets.find(polled); found != control->targets.end()) {
+                    found->second.polling = false;
+                }
+            });
         }
         co_await pauseFor(control, control->context.settings->loadPollInterval);
     }
--- a/src/core/task.cpp
+++ b/src/core/task.cpp
@@ -1,6 +1,7 @@
 /** @file task.cpp Starts coroutines that nobody waits for, and reports those that end with an exception. */
 #include "core/task_func.h"
 
+#include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 
 #include <atomic>
@@ -14,8 +15,25 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds restartDelay{250}; ///< Bounds the work and the log lines of a loop that fails at once each time.
+
 std::atomic<std::uint64_t> errorCount{0};
 
+asio::awaitable<void> repeatUntilDone(std::string name, std::function<asio::awaitable<void>()> run)
+{
+    for (;;) {
+        std::exception_ptr failure;
+        try {
+            co_await run();
+            co_return;
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        reportUnexpectedError(name, describeException(failure));
+        co_await sleepFor(restartDelay);
+    }
+}
+
 } // namespace
 
 void reportUnexpectedError(std::string_view task, std::string_view detail)
@@ -54,4 +72,20 @@
     });
 }
 
+void startLoop(const asio::any_io_executor &executor, std::string_view name, std::function<asio::awaitable<void>()> run)
+{
+    startTask(executor, name, repeatUntilDone(std::string(name), std::move(run)));
+}
+
+bool tryRun(std::string_view name, const std::function<void()> &step)
+{
+    try {
+        step();
+        return true;
+    } catch (...) {
+        reportUnexpectedError(name, describeException(std::current_exception()));
+        return false;
+    }
+}
+
 } // namespace skylark
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -228,9 +228,13 @@
     startControl(*impl.control);
     startBatch(*impl.batch);
     if (impl.store) {
-        startTask(impl.context.batch.get_executor(), "repair of blobs", repairLoop(impl));
+        startLoop(impl.context.batch.get_executor(), "repair of blobs", [&impl] {
+            return repairLoop(impl);
+        });
     }
-    startTask(impl.context.control.get_executor(), "planned stop", waitForSignal(impl));
+    startTask(impl.context.control.get_executor(), "planned stop", waitForSignal(impl), [&impl] {
+        stopLoops(impl);
+    });
     std::thread online([&impl] {
         runEventLoop(impl.context.online, "online");
     });
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -356,14 +356,15 @@
 asio::awaitable<void> stopHost(EntryHost &host)
 {
     const TimePoint stopStartedAt = BootClock::now();
-    host.proxy->stopping = true;
     updateSenders(*host.proxy);
     logEvent(EventKind::Stop, {}, {{"active", activeRequests(*host.callerServer)}});
     logReadiness(host);
     announceClose(*host.callerServer);
     scheduleEarlyStatus(*host.peers);
     bool released = false; // Lives as long as the process: this function does not return.
-    startTask(host.traffic.get_executor(), "release of jobs", releaseAllJobs(host, released));
+    startTask(host.traffic.get_executor(), "release of jobs", releaseAllJobs(host, released), [&released] {
+        released = true;
+    });
     const TimePoint waitUntil = stopStartedAt + host.settings.stopLimit - stopMargin;
     bool closed = false;
     for (;;) {
@@ -399,18 +400,30 @@
     exitProcess(EXIT_SUCCESS);
 }
 
+/** Starts the shutdown; one that an exception ends leaves the process at once. */
+void startStop(EntryHost &host)
+{
+    host.proxy->stopping = true;
+    startTask(host.traffic.get_executor(), "planned stop", stopHost(host), [&host] {
+        answerUnfinished(*host.callerServer);
+        exitProcess(EXIT_FAILURE);
+    });
+}
+
 /** Reloads the settings on SIGHUP and shuts the host down on SIGTERM or SIGINT. */
 asio::awaitable<void> handleSignals(EntryHost &host)
 {
     asio::signal_set signals(host.traffic, SIGTERM, SIGINT, SIGHUP);
     for (;;) {
         const int signal = co_await signals.async_wait(asio::use_awaitable);
-        if (signal != SIGHUP) {
-            break;
+        if (signal == SIGHUP) {
+            tryRun("reload", [&host] {
+                reload(host);
+            });
+        } else if (!host.proxy->stopping) {
+            startStop(host);
         }
-        reload(host);
     }
-    co_await stopHost(host);
 }
 
 /** Logs why the host cannot start. @return Exit code. */
@@ -464,9 +477,15 @@
     host.runner = JobRunner::create(host.proxy, host.jobs, host.settings.host, host.settings.cancelLimit);
     startJobRegistry(host.jobs);
     startTask(executor, "signals", handleSignals(host));
-    startTask(executor, "watch of the settings", watchSettings(host));
-    startTask(executor, "proof of the configuration", maintainProof(host.proof));
-    startTask(executor, "memory of jobs", watchJobBytes(host.memory));
+    startLoop(executor, "watch of the settings", [&host] {
+        return watchSettings(host);
+    });
+    startLoop(executor, "proof of the configuration", [&host] {
+        return maintainProof(host.proof);
+    });
+    startLoop(executor, "memory of jobs", [&host] {
+        return watchJobBytes(host.memory);
+    });
     startFleetController(host);
     std::thread controlThread([&host] {
         const auto guard = asio::make_work_guard(host.control);
--- a/src/entry/storage_host.cpp
+++ b/src/entry/storage_host.cpp
@@ -50,11 +50,15 @@
     mirror->onUpdate = [&loop, store, settings](const KeyMirrorUpdate &update) {
         for (const KvItem &item : update.changed) {
             if (!item.deleted && item.key == settings.retireKey) {
-                startTask(loop.get_executor(), "report of the host's state", reportRetired(store, settings));
+                startLoop(loop.get_executor(), "report of the host's state", [store, settings] {
+                    return reportRetired(store, settings);
+                });
             }
         }
     };
-    startTask(loop.get_executor(), "watch of orders", runKeyMirror(mirror));
+    startLoop(loop.get_executor(), "watch of orders", [mirror] {
+        return runKeyMirror(mirror);
+    });
     asio::signal_set signals(loop, SIGTERM, SIGINT);
     signals.async_wait([&loop](const boost::system::error_code & /*error*/, int /*signal*/) {
         loop.stop();
--- a/src/fleet/fleet_config.cpp
+++ b/src/fleet/fleet_config.cpp
@@ -143,9 +143,11 @@
     }
 }
 
-void proveConfig(FleetController &controller, std::function<void(std::optional<ConfigProof>)> done)
+void proveConfig(FleetController &controller, const std::function<void(std::optional<ConfigProof>)> &done)
 {
-    startTask(controller.impl->executor, "proof of the configuration", proveConfigNow(controller.impl, std::move(done)));
+    startTask(controller.impl->executor, "proof of the configuration", proveConfigNow(controller.impl, done), [done] {
+        done(std::nullopt);
+    });
 }
 
 void pullNewerConfig(FleetController &controller, Revision version, const Endpoint &peer)
@@ -156,7 +158,9 @@
         return;
     }
     impl->pullingConfig = true;
-    startTask(impl->executor, "pull of the configuration", pullConfig(impl, peer));
+    startTask(impl->executor, "pull of the configuration", pullConfig(impl, peer), [impl] {
+        impl->pullingConfig = false;
+    });
 }
 
 } // namespace skylark
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -105,9 +105,13 @@
             recordStoreFailure(*strong, error);
         }
     };
-    startTask(impl->executor, "watch of " + mirror->options.prefix, runKeyMirror(mirror));
+    startLoop(impl->executor, "watch of " + mirror->options.prefix, [mirror] {
+        return runKeyMirror(mirror);
+    });
     if (mirror->options.pollInterval.count() > 0) {
-        startTask(impl->executor, "reads of " + mirror->options.prefix, pollKeyMirror(mirror));
+        startLoop(impl->executor, "reads of " + mirror->options.prefix, [mirror] {
+            return pollKeyMirror(mirror);
+        });
     }
     return mirror;
 }
@@ -138,7 +142,9 @@
         startMirror(impl, {.prefix = impl->wire.targetPrefix, .watchInterval = impl->options.targetWatchInterval, .pollInterval = minPollInterval}, onTargets);
     impl->quarantine = startMirror(impl, {.prefix = std::string(quarantineEntryPrefix), .pollInterval = quarantinePollInterval}, onQuarantineEntries);
     impl->hosts = startMirror(impl, {.prefix = std::string(hostEntryPrefix), .pollInterval = hostPollIntervalFor(true)}, onHosts);
-    startTask(executor, "upkeep of the host's entry", maintainHostEntry(impl));
+    startLoop(executor, "upkeep of the host's entry", [impl] {
+        return maintainHostEntry(impl);
+    });
     auto controller = std::make_unique<FleetController>();
     controller->impl = std::move(impl);
     return controller;
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -74,10 +74,10 @@
  * Asks the service whether the configuration in force is the newest one, and adopts a newer one.
  * @param done Called on the executor, after the snapshot with the configuration was published; with an empty proof when the call failed.
  */
-void proveConfig(FleetController &controller, std::function<void(std::optional<ConfigProof>)> done);
+void proveConfig(FleetController &controller, const std::function<void(std::optional<ConfigProof>)> &done);
 
 /** Ends the lease of the host's entry, so that other hosts take over its jobs, and then calls @p done. */
-void removeHostEntry(FleetController &controller, std::function<void()> done);
+void removeHostEntry(FleetController &controller, const std::function<void()> &done);
 
 /** Writes the entry of a quarantined part; it is removed after the longest time for which hosts remember a part. */
 void writeQuarantineEntry(FleetController &controller, const QuarantineEntry &entry);
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -123,7 +123,9 @@
         return removeTarget(*impl, id);
     }
     if (impl->expiredTargets.empty()) {
-        startTask(impl->executor, "removal of targets", removeExpiredTargets(impl));
+        startLoop(impl->executor, "removal of targets", [impl] {
+            return removeExpiredTargets(impl);
+        });
     }
     impl->expiredTargets.insert(id);
     return false;
--- a/src/fleet/host_entry_upkeep.cpp
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -116,11 +116,11 @@
     }
 }
 
-void removeHostEntry(FleetController &controller, std::function<void()> done)
+void removeHostEntry(FleetController &controller, const std::function<void()> &done)
 {
     const FleetImplPtr impl = controller.impl;
     impl->leaving = true;
-    startTask(impl->executor, "removal of the host's entry", endHostEntry(impl, std::move(done)));
+    startTask(impl->executor, "removal of the host's entry", endHostEntry(impl, done), done);
 }
 
 } // namespace skylark
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -152,7 +152,6 @@
 asio::awaitable<void> refuseOverLimit(std::shared_ptr<HttpServer::Impl> impl, tcp::socket socket)
 {
     const auto connection = makeConnection(impl, std::move(socket));
-    ++impl->refusing;
     co_await refuseConnection(connection, impl);
     --impl->refusing;
     closeConnection(*connection);
@@ -162,8 +161,14 @@
 void startConnection(const std::shared_ptr<HttpServer::Impl> &impl, tcp::socket socket)
 {
     const bool accepted = impl->connections.size() < impl->options.maxConnections;
-    auto task = accepted ? serveConnection(impl, std::move(socket)) : refuseOverLimit(impl, std::move(socket));
-    startTask(impl->acceptor.get_executor(), "connection of a caller", std::move(task));
+    if (accepted) {
+        startTask(impl->acceptor.get_executor(), "connection of a caller", serveConnection(impl, std::move(socket)));
+        return;
+    }
+    ++impl->refusing;
+    startTask(impl->acceptor.get_executor(), "refusal of a connection", refuseOverLimit(impl, std::move(socket)), [impl] {
+        --impl->refusing;
+    });
 }
 
 /** Accepts connections while the server listens. What cannot be accepted or refused yet waits in the listen backlog. */
@@ -278,7 +283,9 @@
     }
     auto server = std::make_unique<HttpServer>();
     server->impl = std::make_shared<Impl>(Impl{std::move(acceptor), std::move(options), std::move(handler)});
-    startTask(executor, "accepting of connections", acceptLoop(server->impl));
+    startLoop(executor, "accepting of connections", [impl = server->impl] {
+        return acceptLoop(impl);
+    });
     return server;
 }
 
--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -91,7 +91,9 @@
 {
     if (!account.watching) {
         account.watching = true;
-        startTask(account.executor, "watch of memory", watchPressure(account.shared_from_this()));
+        startLoop(account.executor, "watch of memory", [watched = account.shared_from_this()] {
+            return watchPressure(watched);
+        });
     }
 }
 
--- a/src/job/job_claims.cpp
+++ b/src/job/job_claims.cpp
@@ -17,6 +17,14 @@
 constexpr milliseconds claimDelayAfterStart{700}; ///< No claims before this age of the runner; by then the status of every live host has arrived.
 constexpr std::size_t maxRemovalsPerWrite = kvTransactionEntries - 1; ///< A condition takes one entry of a transaction.
 
+/** @return Function that ends the claim or removal of @p job. */
+std::function<void()> endOf(const RunnerPtr &runner, const JobId &job)
+{
+    return [runner, job] {
+        runner->claimsAndRemovals.erase(job);
+    };
+}
+
 asio::awaitable<void> claimOrphanedJob(RunnerPtr runner, JobId job)
 {
     co_await claimJob(runner->registry, job);
@@ -116,9 +124,13 @@
         input.unregisteredFor = std::chrono::duration_cast<milliseconds>(now - missing.unregisteredSince);
         input.rank = rankFor(*runner, job, now);
         if (mayClaim(input) && runner->claimsAndRemovals.insert(job).second) {
-            spawnLater(runner, "claim of a job", [runner, id = job] {
-                return claimOrphanedJob(runner, id);
-            });
+            spawnLater(
+                runner,
+                "claim of a job",
+                [runner, id = job] {
+                    return claimOrphanedJob(runner, id);
+                },
+                endOf(runner, job));
         }
     }
 }
@@ -133,9 +145,13 @@
         known.items.clear();
         const bool expired = now - known.knownSince > runner->closedRetention && now - known.closedSince > runner->closedReadTime;
         if (expired && mayRemove(*runner, known.record, now) && runner->claimsAndRemovals.insert(job).second) {
-            spawnLater(runner, "removal of a job", [runner, record = known.record, revision = known.revision] {
-                return removeJob(runner, record, revision);
-            });
+            spawnLater(
+                runner,
+                "removal of a job",
+                [runner, record = known.record, revision = known.revision] {
+                    return removeJob(runner, record, revision);
+                },
+                endOf(runner, job));
         }
     }
 }
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -193,6 +193,19 @@
     }
 }
 
+void resetFailedRun(ItemRun &run)
+{
+    run.abort.reset();
+    run.reading = nullptr; // The exchange was destroyed with the coroutine.
+    run.yielded = false;
+    if (run.cancelled || run.phase != ItemPhase::Running) {
+        return;
+    }
+    ++run.exceptions;
+    run.phase = ItemPhase::Pending;
+    run.notBefore = BootClock::now() + itemRetryDelay(run.failures, run.exceptions);
+}
+
 asio::awaitable<void> runItem(
     RunnerPtr runner, JobId job, std::uint32_t index, std::shared_ptr<ItemRun> run, TargetEntry target, std::shared_ptr<const InFlightGuard> guard)
 {
--- a/src/job/job_ownership.cpp
+++ b/src/job/job_ownership.cpp
@@ -66,10 +66,10 @@
 
 } // namespace
 
-void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<asio::awaitable<void>()> task)
+void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<asio::awaitable<void>()> task, std::function<void()> onFailure)
 {
-    asio::post(runner->registry->executor, [runner, name, task = std::move(task)] {
-        startTask(runner->registry->executor, name, task());
+    asio::post(runner->registry->executor, [runner, name, task = std::move(task), onFailure = std::move(onFailure)] {
+        startTask(runner->registry->executor, name, task(), onFailure);
     });
 }
 
--- a/src/job/job_registry.cpp
+++ b/src/job/job_registry.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+/** Ends the read of a record that refreshRecord() has started. */
+void endRefresh(JobRegistry &registry, const JobId &job)
+{
+    if (const auto found = registry.jobs.find(job); found != registry.jobs.end()) {
+        found->second.fetching = false;
+    }
+}
+
 asio::awaitable<void> readRecord(std::shared_ptr<JobRegistry> registry, JobId job)
 {
     const auto exists = co_await fetchJob(registry, job);
@@ -45,9 +53,7 @@
     } else if (!valueOf(exists)) {
         removeRecord(*registry, job);
     }
-    if (const auto found = registry->jobs.find(job); found != registry->jobs.end()) {
-        found->second.fetching = false;
-    }
+    endRefresh(*registry, job);
 }
 
 void onMirrorUpdate(const std::shared_ptr<JobRegistry> &registry, const KeyMirrorUpdate &update)
@@ -99,8 +105,12 @@
             onMirrorUpdate(strong, update);
         }
     };
-    startTask(registry->executor, "watch of job records", runKeyMirror(registry->mirror));
-    startTask(registry->executor, "reads of job records", pollKeyMirror(registry->mirror));
+    startLoop(registry->executor, "watch of job records", [mirror = registry->mirror] {
+        return runKeyMirror(mirror);
+    });
+    startLoop(registry->executor, "reads of job records", [mirror = registry->mirror] {
+        return pollKeyMirror(mirror);
+    });
 }
 
 void applyJobRecord(const std::shared_ptr<JobRegistry> &registry, const KvItem &item)
@@ -169,7 +179,10 @@
     found->second.fetching = true;
     // Later, because the caller may iterate over jobs, which the read can change.
     asio::post(registry->executor, [registry, job] {
-        startTask(registry->executor, "read of a job record", readRecord(registry, job));
+        startTask(registry->executor, "read of a job record", readRecord(registry, job), [registry, job] {
+            endRefresh(*registry, job);
+            registry->nextRefreshAt = BootClock::now() + refreshRetryDelay;
+        });
     });
     return true;
 }
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned roundsPerClaimCheck = 10; ///< Claims and removals are checked once in so many rounds.
 constexpr milliseconds checkpointInterval{4000}; ///< Least time between two checkpoints of a job; about half of an item's run time is lost with its host.
 constexpr std::uint64_t minNewEvents = 20; ///< Up to so many new events are not worth the write of a checkpoint.
+constexpr milliseconds storeRetryDelay{1000}; ///< Pause of the store calls for a job after one that ended with an exception.
 
 /** Fails the unfinished items of a job whose retention is over or whose route was removed or is no batch route any more. */
 void failExpiredItems(JobRunner::Impl &runner, const KnownJob &known, OwnedJob &owned)
@@ -58,6 +59,18 @@
     return resultDelay(static_cast<std::size_t>(unfinished), std::chrono::duration_cast<milliseconds>(untilDue));
 }
 
+/** Starts @p task, which calls the store for @p job. If an exception ends it, the next call for the job follows after a pause. */
+void startStoreCall(const RunnerPtr &runner, std::string_view name, const JobId &job, std::function<asio::awaitable<void>()> task)
+{
+    spawnLater(runner, name, std::move(task), [runner, job] {
+        if (const auto owned = runner->owned.find(job); owned != runner->owned.end()) {
+            owned->second.loading = false;
+            owned->second.writing = false;
+            owned->second.storeRetryAt = BootClock::now() + storeRetryDelay;
+        }
+    });
+}
+
 /** Fails expired items of owned jobs, and schedules the loading of jobs and the storing of results and checkpoints. */
 void scheduleStoreCalls(const RunnerPtr &runner)
 {
@@ -65,21 +78,24 @@
     for (auto &[job, owned] : runner->owned) {
         const KnownJob &known = runner->registry->jobs.at(job);
         failExpiredItems(*runner, known, owned);
+        if (now < owned.storeRetryAt) {
+            continue;
+        }
         const bool checkpointDue = unfinishedEvents(owned) > owned.checkpointedEvents + minNewEvents && now - owned.checkpointedAt >= checkpointInterval;
         if (!owned.loaded && !owned.loading) {
             owned.loading = true;
-            spawnLater(runner, "load of a job", [runner, id = job] {
+            startStoreCall(runner, "load of a job", job, [runner, id = job] {
                 return loadOwnedJob(runner, id);
             });
         }
         if (owned.firstFinishedAt != TimePoint{} && !owned.writing && now - owned.firstFinishedAt >= resultDelayOf(*runner, known, owned)) {
             owned.writing = true;
-            spawnLater(runner, "write of results", [runner, id = job] {
+            startStoreCall(runner, "write of results", job, [runner, id = job] {
                 return storeFinishedItems(runner, id);
             });
         } else if (checkpointDue && !owned.writing) {
             owned.writing = true;
-            spawnLater(runner, "write of checkpoints", [runner, id = job] {
+            startStoreCall(runner, "write of checkpoints", job, [runner, id = job] {
                 return checkpointOwnedJob(runner, id, false);
             });
         }
@@ -198,9 +214,15 @@
                 {"record_age_ms", std::chrono::duration_cast<milliseconds>(now - known.confirmedAt).count()}});
     // The guard counts the item as load from now on, not only from the first step of its coroutine.
     auto guard = std::make_shared<const InFlightGuard>(loadTrackerOf(runner->proxy), target.id, true);
-    spawnLater(runner, "run of an item", [runner, item, run, entry = target, guard = std::move(guard)] {
-        return runItem(runner, item.job, item.index, run, entry, guard);
-    });
+    spawnLater(
+        runner,
+        "run of an item",
+        [runner, item, run, entry = target, guard = std::move(guard)] {
+            return runItem(runner, item.job, item.index, run, entry, guard);
+        },
+        [run] {
+            resetFailedRun(*run);
+        });
 }
 
 /** Keeps since when items have waited without interruption. @return Whether items of a service wait of which none did before. */
@@ -307,7 +329,9 @@
             reconcileOwnedJob(*strong, job);
         }
     };
-    startTask(impl->registry->executor, "job runner", runLoop(impl));
+    startLoop(impl->registry->executor, "job runner", [impl] {
+        return runLoop(impl);
+    });
     auto runner = std::make_unique<JobRunner>();
     runner->impl = std::move(impl);
     return runner;
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -26,6 +26,7 @@
     std::uint64_t events{0}; ///< Number of events in the text.
     unsigned failures{0}; ///< Number of runs that the target itself reported as failed.
     unsigned targetEnds{0}; ///< Number of runs in a row under which the target ended before the first event; they only delay the next one.
+    unsigned exceptions{0}; ///< Number of runs that an exception in this host ended; they only delay the next one, too.
     TimePoint notBefore{}; ///< Earliest time of the next run after a failure.
     TimePoint startedAt{}; ///< Start of the present run.
     TargetId target; ///< Target of the present run.
@@ -47,6 +48,7 @@
     bool writing{false}; ///< Whether results or checkpoints are being stored.
     TimePoint checkpointedAt{}; ///< When the last write of checkpoints began.
     std::uint64_t checkpointedEvents{0}; ///< Number of events in the checkpoints of that write.
+    TimePoint storeRetryAt{}; ///< No call for the job before this time, because the last one ended with an exception.
     TimePoint firstFinishedAt{}; ///< Start of the delay after which results that are not stored yet are written together; TimePoint{} if there are none.
 };
 
@@ -100,8 +102,12 @@
 /**
  * Starts @p task after the present handler, so that it does not change containers that the handler iterates over.
  * @param name Name of the task in the log; a literal.
+ * @param onFailure Called if an exception ends the task: undoes what marks it as running.
  */
-void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<boost::asio::awaitable<void>()> task);
+void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<boost::asio::awaitable<void>()> task, std::function<void()> onFailure);
+
+/** Makes an item whose run was ended by an exception pending again, if this host still has to run it. */
+void resetFailedRun(ItemRun &run);
 
 /** Brings the owned jobs in line with the record of @p job: adds or drops the job, and drops items that have a result. */
 void reconcileOwnedJob(JobRunner::Impl &runner, const JobId &job);
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -3,6 +3,7 @@
 
 #include "core/async_sleep_func.h"
 #include "core/hash_func.h"
+#include "core/task_func.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -21,10 +22,23 @@
     return delay - std::chrono::milliseconds(quarter) + std::chrono::milliseconds(nextRandom(random) % static_cast<std::uint64_t>(2 * quarter));
 }
 
+/** Calls the handler of updates. @return Whether it has handled @p update. */
+bool handleUpdate(const KeyMirror &mirror, const KeyMirrorUpdate &update)
+{
+    return tryRun("update of " + mirror.options.prefix, [&mirror, &update] {
+        mirror.onUpdate(update);
+    });
+}
+
+/** Hands @p update to the handler. A change that cannot be handled does not keep the others back: after an exception each is handed over by itself. */
 void notifyUpdate(const std::shared_ptr<KeyMirror> &mirror, const KeyMirrorUpdate &update)
 {
-    if (mirror->onUpdate && (update.complete || !update.changed.empty())) {
-        mirror->onUpdate(update);
+    const bool isNews = update.complete || !update.changed.empty();
+    if (!mirror->onUpdate || !isNews || handleUpdate(*mirror, update)) {
+        return;
+    }
+    for (const KvItem &item : update.changed) {
+        handleUpdate(*mirror, {{item}, update.complete});
     }
 }
 
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -38,7 +38,8 @@
     bool synced{false}; ///< Whether the last read or watch call succeeded.
     TimePoint confirmedAt{}; ///< Start of the last successful call: the mirror contains at least the changes made before it.
     std::function<void()> onAnswer; ///< Called before onUpdate when a call succeeded that a service without its latest state could not have answered.
-    std::function<void(const KeyMirrorUpdate &)> onUpdate; ///< Called after changes, and after each read of the whole prefix.
+    /** Called after changes, and after each read of the whole prefix. After an exception, the same changes are handed over again, one at a time. */
+    std::function<void(const KeyMirrorUpdate &)> onUpdate;
     std::function<void(const Error &)> onFailure; ///< Called after each failed call.
     std::function<bool()> isStoreAnswering; ///< Whether the service answers other calls; after repeated failures the mirror waits for it. May be empty.
     bool stopped{false}; ///< Makes the coroutines return after their current call.
