Fix: An answer with a head of more than 8 KiB was lost, and a trailer without end grew in memory

Callers of jobs saw an item that had run and was never listed; callers of routes got 502.

Change: the client takes heads up to 64 KiB, so that each of their fields can also be written into a response, and holds at most 128 KiB unparsed, so that a trailer or chunk header without end ends the connection. A log line names the first 32 parts of a prompt, as one with 6,300 parts would fill the buffer of the log.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -42,6 +42,9 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+/** Largest head of a response. Every field of it can be written into a response of this process, whose container holds 65,533 bytes a field. */
+constexpr std::uint32_t maxHeadBytes = 65536;
+constexpr std::size_t maxUnparsedBytes = std::size_t{2} * maxHeadBytes; ///< Bounds what a peer can send as one head, chunk header or trailer.
 constexpr int firstFinalStatus = 200; ///< Responses with a lower status are interim ones.
 constexpr unsigned maxInterimResponses = 8; ///< Bounds what a peer can make a request read before its response.
 constexpr std::chrono::milliseconds lateReadTime{100}; ///< Time limit for reading bytes that have arrived by the time limit of a read.
@@ -172,7 +175,7 @@
     if (error) {
         co_return makeError(ErrorCode::ConnectFailed, endpoint.address + " is not an IP address");
     }
-    HttpConnectionPtr connection(new HttpConnection{beast::tcp_stream(client.executor), {}, {}, BootClock::now()});
+    HttpConnectionPtr connection(new HttpConnection{beast::tcp_stream(client.executor), beast::flat_buffer(maxUnparsedBytes), {}, BootClock::now()});
     connection->stream.expires_after(timeout);
     const auto [connectError] = co_await connection->stream.async_connect(tcp::endpoint(address, endpoint.port), awaitTuple);
     if (connectError) {
@@ -210,6 +213,7 @@
 {
     connection.parser.emplace();
     connection.parser->body_limit(boost::none);
+    connection.parser->header_limit(maxHeadBytes);
 }
 
 /** @return The error of a request whose response has no head because its read ended with @p error. */
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -141,7 +141,7 @@
  */
 void applyStoredQuarantine(Proxy &proxy, PromptPartId part, std::chrono::milliseconds duration, unsigned rounds);
 
-/** @return Shared parts of @p prompt for a log line: hexadecimal numbers as in the request, separated by commas. */
+/** @return The first shared parts of @p prompt for a log line: hexadecimal numbers as in the request, separated by commas, and the number of further ones. */
 [[nodiscard]] std::string promptPartsText(const PromptParts &prompt);
 
 /** @return Whether the host can serve callers: it has a configuration and a list of targets, and is not shutting down. */
--- a/src/proxy/target_health.cpp
+++ b/src/proxy/target_health.cpp
@@ -109,10 +109,14 @@
 
 std::string promptPartsText(const PromptParts &prompt)
 {
+    constexpr std::size_t maxParts = 32; // Bounds the length of a log line.
     std::string text;
-    for (const PromptPartId part : prompt.shared) {
-        text += text.empty() ? "" : ",";
-        text += hexText(part.value);
+    for (std::size_t i = 0; i < std::min(prompt.shared.size(), maxParts); ++i) {
+        text += i > 0 ? "," : "";
+        text += hexText(prompt.shared[i].value);
+    }
+    if (prompt.shared.size() > maxParts) {
+        text += ",+" + std::to_string(prompt.shared.size() - maxParts);
     }
     return text;
 }
--- a/tests/test_long_headers.cpp
+++ b/tests/test_long_headers.cpp
@@ -1,4 +1,5 @@
 /** @file test_long_headers.cpp Header fields that are longer than the 65,533 bytes which the container of the HTTP library holds. */
+#include "support/byte_target.h"
 #include "support/jobs_fixture.h"
 #include "support/raw_caller.h"
 
@@ -123,3 +124,62 @@
         5s));
     CHECK(caller.received.starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against an accepted item that has run and is never listed, and a caller without an answer, because the head of the answer is longer than 8 KiB.
+TEST_CASE_METHOD(LongHeaderFixture, "answer_headOf20000Bytes_completesTheItemAndReachesTheCaller")
+{
+    const HttpHeader header = longHeader("X-Mark", 20000);
+    this->setPlan({.events = 2, .step = 1ms, .headers = {header}});
+    REQUIRE(this->submit(*this->a, "j1", 1).status == 202);
+    const auto read = this->results(*this->a, "j1", 1, 5s);
+    REQUIRE(read.size() == 1);
+    CHECK(read[0].at("state") == "completed");
+    this->setPlan({.stream = false, .headers = {header}});
+    const HttpResponse answer = this->a->send(EntryTestHost::request("q1", "/lookup/x"));
+    CHECK(answer.status == 200);
+    CHECK(headerValue(answer.headers, "X-Mark") == header.value);
+}
+
+// Guards against an exception for an answer whose fields the HTTP library cannot hold.
+TEST_CASE_METHOD(LongHeaderFixture, "answer_headOverTheLimit_isAFailureOfTheTarget")
+{
+    this->setPlan({.stream = false, .headers = {{"X-Mark", std::string(60000, 'x')}, {"X-Other", std::string(60000, 'x')}}});
+    CHECK(this->a->send(EntryTestHost::request("q1", "/order/x")).status == 502);
+}
+
+// Guards against memory that grows with what a target sends as a trailer without end.
+TEST_CASE_METHOD(LongHeaderFixture, "answer_trailerWithoutEnd_endsTheConnection")
+{
+    ByteTarget target(this->loop);
+    target.answer = [](const std::string &id, unsigned /*number*/) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + ByteTarget::idLine(id) + ByteTarget::signatureLine(id) + "Transfer-Encoding: chunked\r\n\r\n";
+        return ByteAnswer{.bytes = head + "4\r\nbody\r\n0\r\nX-Mark: " + std::string(std::size_t{8} << 20U, 'x')};
+    };
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/x";
+    const TimePoint startedAt = BootClock::now();
+    const auto answer = this->run(httpCall(this->http, target.endpoint(), request, {}, ConnectionUse::Fresh));
+    CHECK_FALSE(isOk(answer));
+    CHECK(BootClock::now() - startedAt < 1s);
+    REQUIRE(this->runUntil(
+        [&target] {
+            return target.closed == 1;
+        },
+        1s));
+}
+
+// Guards against a job that is accepted although its record does not fit into the store, and against answers that cannot name the item.
+TEST_CASE_METHOD(LongHeaderFixture, "submission_identifierThatCannotBeStored_isRefusedAtOnce")
+{
+    json::object document = json::parse(bodyOf("j1", 1)).as_object();
+    document["items"].as_array()[0].as_object()["id"] = std::string(5000, 'i');
+    HttpRequest request = EntryTestHost::request("j1", "/batch/j1");
+    request.body = json::serialize(document);
+    const HttpResponse longItem = this->a->send(std::move(request));
+    CHECK(longItem.status == 400);
+    CHECK(longItem.body.find("items[0].id") != std::string::npos);
+    const HttpResponse longJob = this->submit(*this->a, std::string(200, 'j'), 1);
+    CHECK(longJob.status == 400);
+    CHECK(this->first.arrivals + this->second.arrivals == 0);
+}
