Fix: A watch whose answer was lost was waited for although the store answered other calls again

Cause: nothing arrives any more on a connection on which the store's answer was lost, while TCP stays alive; a watch then waits for its limit of 27 s.

Change: a call that the store did not serve puts the watches in doubt that were sent before its next answer (src/policy/watch_trust); the mirror ends such a watch and sends it again from the same revision, which repeats what was lost. No poll became more frequent: while calls are answered nothing is sent more, and a silence costs one call a watch, four a host. 429 is no doubt, because that store serves the host.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -23,6 +23,7 @@
     Ready, ///< The readiness of this host changed.
     DependencyLost, ///< A dependency stopped answering.
     DependencyBack, ///< A dependency answers again.
+    WatchReplaced, ///< A call that waited for changes of the service was replaced, because its answer may have been lost.
     ConfigAdopted, ///< A configuration was applied.
     ConfigRefused, ///< A configuration document was rejected.
     ConfigProof, ///< The configuration became proved to be the newest, or its proof became too old for requests with keys.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -27,6 +27,7 @@
     EventInfo{EventKind::Ready, "host", "ready", "ready config targets"},
     EventInfo{EventKind::DependencyLost, "store", "dependency_lost", "dependency error detail"},
     EventInfo{EventKind::DependencyBack, "store", "dependency_back", "dependency down_ms"},
+    EventInfo{EventKind::WatchReplaced, "store", "watch_replaced", "prefix reason age_ms"},
     EventInfo{EventKind::ConfigAdopted, "config", "config_adopted", "version before source routes workspaces keys repeated_keys"},
     EventInfo{EventKind::ConfigRefused, "config", "config_refused", "in_force detail"},
     EventInfo{EventKind::ConfigProof, "config", "config_proof", "state source age_ms version hosts rank failed"},
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -2,6 +2,7 @@
 #include "fleet/fleet_controller_func.h"
 
 #include "core/async_sleep_func.h"
+#include "core/event_log_func.h"
 #include "core/hash_func.h"
 #include "core/task_func.h"
 #include "fleet/fleet_config_func.h"
@@ -81,6 +82,12 @@
     co_await impl->store->commit(std::move(transaction));
 }
 
+void logWatchReplaced(FleetController::Impl &impl, std::string_view prefix, WatchDoubt doubt, std::chrono::milliseconds age)
+{
+    addCounter(*impl.metrics, "skylark_watches_replaced_total", {{"reason", watchDoubtName(doubt)}});
+    logEvent(EventKind::WatchReplaced, {}, {{"prefix", prefix}, {"reason", watchDoubtName(doubt)}, {"age_ms", age.count()}});
+}
+
 /** Starts a mirror that calls @p handler after each update. */
 std::shared_ptr<KeyMirror> startMirror(const ImplPtr &impl, KeyMirrorOptions options, void (*handler)(const ImplPtr &, const KeyMirrorUpdate &))
 {
@@ -100,9 +107,19 @@
         const auto strong = weak.lock();
         return !strong || strong->reachable;
     };
-    mirror->onFailure = [weak](const Error &error) {
+    mirror->onFailure = [weak](const Error &error, TimePoint lostAt) {
+        if (const auto strong = weak.lock()) {
+            recordStoreFailure(*strong, error, lostAt);
+        }
+    };
+    mirror->onPoll = [weak](const Error *error, TimePoint sentAt) {
+        if (const auto strong = weak.lock()) {
+            recordStalePoll(*strong, error, sentAt);
+        }
+    };
+    mirror->onWatchReplaced = [weak, prefix = mirror->options.prefix](WatchDoubt doubt, std::chrono::milliseconds age) {
         if (const auto strong = weak.lock()) {
-            recordStoreFailure(*strong, error);
+            logWatchReplaced(*strong, prefix, doubt, age);
         }
     };
     startLoop(impl->executor, "watch of " + mirror->options.prefix, [mirror] {
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -3,6 +3,7 @@
 
 #include "fleet/fleet_controller_func.h"
 #include "policy/store_outage_func.h"
+#include "policy/watch_trust_func.h"
 #include "store/key_mirror_func.h"
 
 #include <map>
@@ -30,6 +31,7 @@
     TimePoint returnOfRevision{}; ///< Return of the service for which returnRevision was recorded.
     TimePoint unreachableSince{}; ///< Start of the current outage, or of the last one.
     bool reachable{true}; ///< Whether the last call to the service succeeded.
+    ServiceTrust trust; ///< Calls that the service did not serve.
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
     std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
     HostLease entryProof; ///< Proof that the host's entry is alive.
@@ -49,7 +51,10 @@
 /** Records a successful call to the service that is not a stale read. */
 void recordStoreSuccess(FleetController::Impl &impl);
 
-/** Records a failed call to the service. */
-void recordStoreFailure(FleetController::Impl &impl, const Error &error);
+/** Records a failed call to the service. @param lostAt When the call was sent or, for a watch, when it ended. */
+void recordStoreFailure(FleetController::Impl &impl, const Error &error, TimePoint lostAt);
+
+/** Records a stale read. @param error Error of the read, or null. @param sentAt When it was sent. */
+void recordStalePoll(FleetController::Impl &impl, const Error *error, TimePoint sentAt);
 
 } // namespace skylark
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -5,6 +5,31 @@
 
 namespace skylark {
 
+namespace {
+
+/** Keeps in mind that answers to watches may have been lost, unless the service has refused the call because of its rate limit and so serves this host. */
+void noteLostCall(FleetController::Impl &impl, const Error &error, TimePoint lostAt)
+{
+    if (error.code != ErrorCode::RateLimited) {
+        recordLostCall(impl.trust, lostAt);
+    }
+}
+
+/** Replaces the watches after the first answer that follows a lost call. */
+void noteServedCall(FleetController::Impl &impl, TimePoint now)
+{
+    if (!recordServedCall(impl.trust, now)) {
+        return;
+    }
+    for (const auto &mirror : {impl.config, impl.targets, impl.hosts, impl.quarantine}) {
+        if (mirror) {
+            doubtWatch(*mirror, WatchDoubt::ServiceReturned, now);
+        }
+    }
+}
+
+} // namespace
+
 void publishFleet(FleetController::Impl &impl)
 {
     impl.state.storeReachable = impl.reachable;
@@ -14,6 +39,7 @@
 void recordStoreSuccess(FleetController::Impl &impl)
 {
     const TimePoint now = BootClock::now();
+    noteServedCall(impl, now);
     recordAnswer(impl.contact, now);
     if (impl.reachable && !impl.state.storeAway) {
         return;
@@ -25,9 +51,10 @@
     publishFleet(impl);
 }
 
-void recordStoreFailure(FleetController::Impl &impl, const Error &error)
+void recordStoreFailure(FleetController::Impl &impl, const Error &error, TimePoint lostAt)
 {
     const TimePoint now = BootClock::now();
+    noteLostCall(impl, error, lostAt);
     addCounter(*impl.metrics, "skylark_store_failures_total", {{"error", errorInfo(error.code).name}});
     const bool away = isStoreAway(impl.contact, now);
     if (!impl.reachable && away == impl.state.storeAway) {
@@ -42,4 +69,13 @@
     publishFleet(impl);
 }
 
+void recordStalePoll(FleetController::Impl &impl, const Error *error, TimePoint sentAt)
+{
+    if (error != nullptr) {
+        noteLostCall(impl, *error, sentAt);
+    } else {
+        noteServedCall(impl, BootClock::now());
+    }
+}
+
 } // namespace skylark
--- a/src/fleet/host_entry_upkeep.cpp
+++ b/src/fleet/host_entry_upkeep.cpp
@@ -70,7 +70,7 @@
     const auto renewed = co_await impl->store->renewLease(impl->lease);
     const bool expired = !isOk(renewed) && errorOf(renewed).code == ErrorCode::LeaseExpired;
     if (!isOk(renewed) && !expired) {
-        recordStoreFailure(*impl, errorOf(renewed));
+        recordStoreFailure(*impl, errorOf(renewed), startedAt);
         co_return false;
     }
     recordStoreSuccess(*impl);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -461,10 +461,15 @@
     }
 }
 
-asio::awaitable<Result<HttpResponse>> httpCall(
-    std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, ConnectionUse use, std::size_t maxBody)
+asio::awaitable<Result<HttpResponse>> httpCall(std::shared_ptr<HttpClient> client,
+                                               Endpoint endpoint,
+                                               HttpRequest request,
+                                               HttpTimeouts timeouts,
+                                               ConnectionUse use,
+                                               std::size_t maxBody,
+                                               std::shared_ptr<HttpAbortHandle> abort)
 {
-    auto opened = co_await httpOpen(std::move(client), std::move(endpoint), std::move(request), timeouts, use);
+    auto opened = co_await httpOpen(std::move(client), std::move(endpoint), std::move(request), timeouts, use, std::move(abort));
     if (!isOk(opened)) {
         co_return errorOf(opened);
     }
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -101,13 +101,18 @@
 /** Closes the exchange's connection; a pending httpRead() returns ErrorCode::Cancelled. Must be called on the client's thread. */
 void httpAbort(HttpExchange &exchange);
 
-/** Sends @p request and reads the whole response. @return ProtocolError if the body is larger than @p maxBody bytes. */
+/**
+ * Sends @p request and reads the whole response.
+ * @param abort Handle that lets another coroutine abort the call until the response head has arrived; may be null.
+ * @return ProtocolError if the body is larger than @p maxBody bytes.
+ */
 boost::asio::awaitable<Result<HttpResponse>> httpCall(std::shared_ptr<HttpClient> client,
                                                       Endpoint endpoint,
                                                       HttpRequest request,
                                                       HttpTimeouts timeouts,
                                                       ConnectionUse use = ConnectionUse::Pooled,
-                                                      std::size_t maxBody = std::size_t{64} << 20U);
+                                                      std::size_t maxBody = std::size_t{64} << 20U,
+                                                      std::shared_ptr<HttpAbortHandle> abort = nullptr);
 
 /**
  * Sends the request head with "Expect: 100-continue" on a new connection, waits for the 100 response, and sends the body only
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -4,6 +4,7 @@
 #include "core/async_sleep_func.h"
 #include "core/hash_func.h"
 #include "core/task_func.h"
+#include "policy/watch_trust_func.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -70,7 +71,9 @@
 asio::awaitable<Result<Done>> watchOnce(std::shared_ptr<KeyMirror> mirror)
 {
     const TimePoint startedAt = BootClock::now();
-    auto changes = co_await mirror->store->watch(mirror->options.prefix, mirror->revision, mirror->options.watchTimeout);
+    mirror->watchSentAt = startedAt;
+    auto changes = co_await mirror->store->watch(mirror->options.prefix, mirror->revision, mirror->options.watchTimeout, mirror->watch);
+    mirror->watchSentAt = TimePoint{};
     if (!isOk(changes)) {
         co_return errorOf(changes);
     }
@@ -98,6 +101,24 @@
     co_return Done{};
 }
 
+/** Makes one stale read and applies what it shows. */
+asio::awaitable<void> pollOnce(std::shared_ptr<KeyMirror> mirror)
+{
+    const TimePoint sentAt = BootClock::now();
+    const auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, KvFreshness::Stale);
+    if (mirror->onPoll) {
+        mirror->onPoll(isOk(page) ? nullptr : &errorOf(page), sentAt);
+    }
+    if (!isOk(page) || !mirror->synced) {
+        co_return;
+    }
+    const KeyMirrorUpdate newer = applyNewerItems(*mirror, valueOf(page));
+    notifyUpdate(mirror, newer);
+    if (hasMissedRemoval(*mirror, valueOf(page))) {
+        co_await refreshKeyMirror(mirror);
+    }
+}
+
 /**
  * Waits after a failure that followed another one until the service answers other calls, for at most maxOutageWait. Load: hundreds of hosts with several
  * mirrors each, which would all pay for failing reads during an outage. The lease renewal of a host is cheaper and notices the end of the outage.
@@ -229,15 +250,21 @@
         if (mirror->stopped || !mirror->synced) {
             continue;
         }
-        const auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, KvFreshness::Stale);
-        if (!isOk(page) || !mirror->synced) {
-            continue;
-        }
-        notifyUpdate(mirror, applyNewerItems(*mirror, valueOf(page)));
-        if (hasMissedRemoval(*mirror, valueOf(page))) {
-            co_await refreshKeyMirror(mirror);
-        }
+        co_await pollOnce(mirror);
+    }
+}
+
+void doubtWatch(KeyMirror &mirror, WatchDoubt doubt, TimePoint doubtedAt)
+{
+    const TimePoint now = BootClock::now();
+    const bool waits = mirror.watchSentAt != TimePoint{} && mirror.watch->cancel;
+    if (!waits || !mustReplaceWatch(mirror.watchSentAt, doubtedAt)) {
+        return;
     }
+    if (mirror.onWatchReplaced) {
+        mirror.onWatchReplaced(doubt, std::chrono::duration_cast<std::chrono::milliseconds>(now - mirror.watchSentAt));
+    }
+    mirror.watch->cancel();
 }
 
 asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror)
@@ -247,7 +274,8 @@
     while (!mirror->stopped) {
         const TimePoint startedAt = BootClock::now();
         Result<Done> outcome = Done{};
-        if (mirror->revision == 0) {
+        const bool wasWatch = mirror->revision != 0;
+        if (!wasWatch) {
             // Without a watch the mirror follows the service by stale reads anyway.
             outcome = co_await readFullPrefix(mirror, mirror->options.watchEnabled ? KvFreshness::Linearizable : KvFreshness::Stale);
         } else {
@@ -259,6 +287,9 @@
         if (isOk(outcome) && !mirror->options.watchEnabled) {
             co_return;
         }
+        if (!isOk(outcome) && errorOf(outcome).code == ErrorCode::Cancelled) {
+            continue; // Replaced: the next watch continues from the same revision.
+        }
         if (isOk(outcome)) {
             delay = mirror->options.retryMin;
             failures = 0;
@@ -273,7 +304,7 @@
         // The failed watch may have missed changes that the service no longer keeps, so the whole prefix is read again.
         mirror->revision = 0;
         if (mirror->onFailure) {
-            mirror->onFailure(errorOf(outcome));
+            mirror->onFailure(errorOf(outcome), wasWatch ? BootClock::now() : startedAt);
         }
         co_await sleepFor(addJitter(delay, mirror->random));
         delay = std::min(delay * 2, mirror->options.retryMax);
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "core/clock_func.h"
+#include "policy/watch_trust_type.h"
 #include "store/kv_store_type.h"
 
 #include <functional>
@@ -40,8 +41,13 @@
     std::function<void()> onAnswer; ///< Called before onUpdate when a call succeeded that a service without its latest state could not have answered.
     /** Called after changes, and after each read of the whole prefix. After an exception, the same changes are handed over again, one at a time. */
     std::function<void(const KeyMirrorUpdate &)> onUpdate;
-    std::function<void(const Error &)> onFailure; ///< Called after each failed call.
+    /** Called after each failed call but the periodic reads. @c lostAt is when it was sent or, for a watch, when it ended. */
+    std::function<void(const Error &error, TimePoint lostAt)> onFailure;
+    std::function<void(const Error *error, TimePoint sentAt)> onPoll; ///< Called after each periodic read, with its error or null. May be empty.
+    std::function<void(WatchDoubt doubt, std::chrono::milliseconds age)> onWatchReplaced; ///< Called when a watch of this age is replaced. May be empty.
     std::function<bool()> isStoreAnswering; ///< Whether the service answers other calls; after repeated failures the mirror waits for it. May be empty.
+    std::shared_ptr<KvWatchHandle> watch{std::make_shared<KvWatchHandle>()}; ///< Ends the watch that waits.
+    TimePoint watchSentAt{}; ///< When the watch that waits was sent; TimePoint{} if none does.
     bool stopped{false}; ///< Makes the coroutines return after their current call.
     std::uint64_t random{1}; ///< State of the random number generator for jitter.
 
@@ -67,6 +73,12 @@
 /** Applies the newer items of @p page, which may be stale, to the mirror. Removals are not applied. */
 [[nodiscard]] KeyMirrorUpdate applyNewerItems(KeyMirror &mirror, const KvItemPage &page);
 
+/**
+ * Replaces the watch if it still waits and must not be trusted any more. The next one reports what the lost answer held, if there was one.
+ * @param doubtedAt As in mustReplaceWatch().
+ */
+void doubtWatch(KeyMirror &mirror, WatchDoubt doubt, TimePoint doubtedAt);
+
 /** Reads the prefix and then watches it until the mirror is stopped. Without watches, returns after the first successful read. */
 boost::asio::awaitable<void> runKeyMirror(std::shared_ptr<KeyMirror> mirror);
 
--- a/src/store/kv_store_type.h
+++ b/src/store/kv_store_type.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,11 @@
     bool compacted{false}; ///< Whether the service no longer has the requested revisions; the caller has to read the whole range again.
 };
 
+/** Lets another coroutine of the same thread end a watch that waits. */
+struct KvWatchHandle {
+    std::function<void()> cancel; ///< Makes the call return ErrorCode::Cancelled. Empty while no call waits.
+};
+
 /** Precondition of a transaction: the revision of one key. */
 struct KvCondition {
     std::string key;
@@ -73,15 +79,18 @@
 
 /**
  * Operations of the service, implemented by an adapter. All of them must be called from one thread.
- * Errors: PlatformUnavailable and RateLimited if the operation was not run, OutcomeUnknown if a write was sent but its response was lost.
+ * Errors: PlatformUnavailable and RateLimited if the operation was not run, OutcomeUnknown if a write was sent but its response was lost, Cancelled for a watch
+ * that was ended by its handle.
  */
 struct KvStore {
     /** Reads one key; an empty optional if it is absent. */
     std::function<boost::asio::awaitable<Result<std::optional<KvItem>>>(std::string key, KvFreshness freshness)> get;
     /** Reads one page of the keys with @c prefix that sort after the key @c after. */
     std::function<boost::asio::awaitable<Result<KvItemPage>>(std::string prefix, std::string after, KvFreshness freshness)> range;
-    /** Waits up to @c wait for changes under @c prefix after revision @c after. */
-    std::function<boost::asio::awaitable<Result<KvWatchResult>>(std::string prefix, std::uint64_t after, std::chrono::milliseconds wait)> watch;
+    /** Waits up to @c wait for changes under @c prefix after revision @c after. @c handle, which may be null, can end the wait. */
+    std::function<boost::asio::awaitable<Result<KvWatchResult>>(
+        std::string prefix, std::uint64_t after, std::chrono::milliseconds wait, std::shared_ptr<KvWatchHandle> handle)>
+        watch;
     /** Runs one transaction. Fails with LeaseExpired if a lease in it has ended. */
     std::function<boost::asio::awaitable<Result<KvTransactionResult>>(KvTransaction transaction)> commit;
     /** Grants a lease and returns its id. */
--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -37,6 +37,7 @@
 {
     KvItem item{key, value, store.revision, deleted};
     store.history.push_back(item);
+    store.revisionTimes[BootClock::now()] = store.revision;
     if (deleted) {
         store.items.erase(key);
     } else {
@@ -75,10 +76,29 @@
     return state;
 }
 
+/** Keeps a call waiting that gets no answer, until its time limit. */
+asio::awaitable<Error> loseAnswer(milliseconds limit)
+{
+    co_await sleepFor(limit);
+    co_return makeError(ErrorCode::PlatformUnavailable, "the store stand-in is set to lose answers");
+}
+
+/** Keeps a watch waiting whose answer was lost. @return The error after its wait, or once @p handle ends it. */
+asio::awaitable<Error> loseWatch(TimePoint until, std::shared_ptr<bool> cancelled)
+{
+    while (!*cancelled && BootClock::now() < until) {
+        co_await sleepFor(milliseconds(5));
+    }
+    co_return makeError(*cancelled ? ErrorCode::Cancelled : ErrorCode::PlatformUnavailable, "the answer to the watch was lost");
+}
+
 asio::awaitable<Result<std::optional<KvItem>>> getKey(StorePtr store, std::string key)
 {
     ++store->counts.gets;
     removeExpired(*store);
+    if (store->faults.silent) {
+        co_return co_await loseAnswer(store->callTimeout);
+    }
     if (store->faults.down) {
         co_return unavailable();
     }
@@ -86,16 +106,31 @@
     co_return found == store->items.end() ? std::optional<KvItem>() : std::optional<KvItem>(found->second.item);
 }
 
+/** @return Revision that a read returns. */
+std::uint64_t readRevision(const MemoryStore &store, KvFreshness freshness)
+{
+    if (freshness == KvFreshness::Linearizable || (store.faults.staleReadRevision == 0 && store.faults.staleReadAge.count() == 0)) {
+        return store.revision;
+    }
+    if (store.faults.staleReadRevision > 0) {
+        return store.faults.staleReadRevision;
+    }
+    const auto later = store.revisionTimes.upper_bound(BootClock::now() - store.faults.staleReadAge);
+    return later == store.revisionTimes.begin() ? 1 : std::prev(later)->second;
+}
+
 asio::awaitable<Result<KvItemPage>> getRange(StorePtr store, std::string prefix, std::string after, KvFreshness freshness)
 {
     ++store->counts.ranges;
     removeExpired(*store);
+    if (store->faults.silent) {
+        co_return co_await loseAnswer(store->callTimeout);
+    }
     if (store->faults.down) {
         co_return unavailable();
     }
-    const bool stale = freshness == KvFreshness::Stale && store->faults.staleReadRevision > 0;
     KvItemPage page;
-    page.storeRevision = stale ? store->faults.staleReadRevision : store->revision;
+    page.storeRevision = readRevision(*store, freshness);
     std::size_t bytes = 0;
     for (auto &[key, item] : stateAt(*store, prefix, page.storeRevision)) {
         if (key <= after) {
@@ -123,18 +158,38 @@
     return changes;
 }
 
-asio::awaitable<Result<KvWatchResult>> watch(StorePtr store, std::string prefix, std::uint64_t after, milliseconds wait)
+asio::awaitable<Result<KvWatchResult>> watch(StorePtr store, std::string prefix, std::uint64_t after, milliseconds wait, std::shared_ptr<KvWatchHandle> handle)
 {
     ++store->counts.watches;
     const TimePoint until = BootClock::now() + wait;
+    const auto cancelled = std::make_shared<bool>(false);
+    if (handle) {
+        handle->cancel = [cancelled, weak = std::weak_ptr(store)] {
+            *cancelled = true;
+            if (const auto strong = weak.lock()) {
+                wakeWatches(*strong);
+            }
+        };
+    }
+    if (store->faults.silent) {
+        co_return co_await loseWatch(until, cancelled);
+    }
     for (;;) {
         removeExpired(*store);
+        if (*cancelled) {
+            co_return makeError(ErrorCode::Cancelled, "the watch was ended");
+        }
         if (store->faults.down || store->abortsWatches) {
             co_return unavailable();
         }
         KvWatchResult changes = store->faults.hidesChanges ? KvWatchResult{{}, store->revision, false} : changesSince(*store, prefix, after);
         changes.compacted = after < store->compactedTo && !store->faults.hidesChanges;
-        if (changes.compacted || !changes.items.empty() || BootClock::now() >= until) {
+        const bool answers = changes.compacted || !changes.items.empty() || BootClock::now() >= until;
+        if (answers && (store->faults.silent || store->faults.lostWatchAnswers.contains(prefix))) {
+            store->faults.lostWatchAnswers.erase(prefix);
+            co_return co_await loseWatch(until, cancelled);
+        }
+        if (answers) {
             co_return changes;
         }
         auto timer = std::make_shared<asio::steady_timer>(store->executor);
@@ -192,6 +247,9 @@
         co_await sleepFor(store->faults.callDelay);
     }
     removeExpired(*store);
+    if (store->faults.silent) {
+        co_return co_await loseAnswer(store->callTimeout);
+    }
     if (store->faults.down) {
         co_return unavailable();
     }
@@ -217,6 +275,9 @@
 
 asio::awaitable<Result<std::uint64_t>> grantLease(StorePtr store, milliseconds ttl)
 {
+    if (store->faults.silent) {
+        co_return co_await loseAnswer(store->callTimeout);
+    }
     if (store->faults.down) {
         co_return unavailable();
     }
@@ -229,6 +290,9 @@
 {
     ++store->counts.renewals;
     removeExpired(*store);
+    if (store->faults.silent) {
+        co_return co_await loseAnswer(store->callTimeout);
+    }
     if (store->faults.down) {
         co_return unavailable();
     }
@@ -267,8 +331,8 @@
     operations->range = [store](std::string prefix, std::string after, KvFreshness freshness) {
         return getRange(store, std::move(prefix), std::move(after), freshness);
     };
-    operations->watch = [store](std::string prefix, std::uint64_t after, milliseconds wait) {
-        return watch(store, std::move(prefix), after, wait);
+    operations->watch = [store](std::string prefix, std::uint64_t after, milliseconds wait, std::shared_ptr<KvWatchHandle> handle) {
+        return watch(store, std::move(prefix), after, wait, std::move(handle));
     };
     operations->commit = [store](KvTransaction transaction) {
         return commit(store, std::move(transaction));
--- a/standins/memory_store_base.h
+++ b/standins/memory_store_base.h
@@ -9,18 +9,22 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 
 namespace skylark::standin {
 
 /** Injected faults; all are off by default. */
 struct StoreFaults {
     bool down{false}; ///< Every call fails with PlatformUnavailable.
+    bool silent{false}; ///< No call gets an answer; a watch whose answer falls into this time gets none until its wait is over.
+    std::set<std::string> lostWatchAnswers; ///< Prefixes of which the next answer to a watch is lost, while all other calls are answered.
     bool hidesChanges{false}; ///< Watches report no changes and end when their wait is over.
     bool losesWriteAnswers{false}; ///< Transactions are applied, but the caller gets OutcomeUnknown.
     bool dropsWrites{false}; ///< Transactions are not applied, and the caller gets OutcomeUnknown.
     std::chrono::milliseconds callDelay{0}; ///< Time until a transaction reaches the service, so that transactions of several hosts overlap.
     std::chrono::milliseconds writeDelay{0}; ///< If not 0, callers get OutcomeUnknown, and writes are applied so much later if their conditions hold then.
     std::uint64_t staleReadRevision{0}; ///< Revision that stale range reads return; 0 for the latest.
+    std::chrono::milliseconds staleReadAge{0}; ///< Age of what stale range reads return, if staleReadRevision is 0.
 };
 
 /** Number of calls received, including failed ones. */
@@ -43,6 +47,7 @@
     boost::asio::any_io_executor executor;
     std::map<std::string, StoredItem> items; ///< Current items by key.
     std::vector<KvItem> history; ///< Changes in order of revision; compact() removes superseded ones.
+    std::map<TimePoint, std::uint64_t> revisionTimes; ///< Revisions by the time of the change.
     std::map<std::uint64_t, TimePoint> leases; ///< Expiry time by lease id.
     std::uint64_t revision{1}; ///< Latest revision; each applied transaction, put and removal increments it.
     std::uint64_t compactedTo{0}; ///< Watches that start before this revision are reported as compacted.
@@ -50,6 +55,7 @@
     std::set<std::shared_ptr<boost::asio::steady_timer>> waiters; ///< Timers of the waiting watches; cancelled to wake them.
     StoreFaults faults;
     StoreCounts counts;
+    std::chrono::milliseconds callTimeout{150}; ///< Time limit of calls that get no answer, on the side of the caller.
     bool abortsWatches{false}; ///< Whether watches fail with PlatformUnavailable.
 
     static std::shared_ptr<MemoryStore> create(boost::asio::any_io_executor executor);
--- a/standins/store_server.cpp
+++ b/standins/store_server.cpp
@@ -5,6 +5,10 @@
 #include "core/json_member_func.h"
 #include "names.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 
 namespace skylark::standin {
@@ -89,7 +93,7 @@
         co_return storeResponse(200, {{"items", itemArray(found.items)}, {"has_more", found.more}, {"store_revision", found.storeRevision}});
     }
     const std::chrono::milliseconds wait(parseNumber(queryParameter(request.target, "wait_ms")));
-    auto changes = co_await store->watch(prefix, parseNumber(after), wait);
+    auto changes = co_await store->watch(prefix, parseNumber(after), wait, nullptr);
     if (!isOk(changes)) {
         co_return storeErrorResponse(errorOf(changes));
     }
@@ -131,15 +135,29 @@
     co_return storeResponse(404);
 }
 
+/** Waits until the caller closes the connection on which a response was lost. */
+asio::awaitable<void> loseResponse(HttpResponder &responder)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
+    onCallerDisconnect(responder, [timer] {
+        timer->cancel();
+    });
+    co_await timer->async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 } // namespace
 
-Result<std::unique_ptr<HttpServer>> serveStore(const std::shared_ptr<MemoryStore> &store, std::uint16_t port)
+Result<std::unique_ptr<HttpServer>> serveStore(const std::shared_ptr<MemoryStore> &store, std::uint16_t port, const std::shared_ptr<const StoreLink> &link)
 {
     HttpServerOptions options;
     options.listen = {"127.0.0.1", port};
     options.maxBody = std::size_t{16} << 20U;
     const auto operations = storeInterface(store);
-    return HttpServer::create(store->executor, options, [operations](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+    return HttpServer::create(store->executor, options, [operations, link](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
+        if (link && link->silent) {
+            co_await loseResponse(responder);
+            co_return;
+        }
         const bool read = request.method == "GET";
         HttpResponse response;
         if (read) {
@@ -147,6 +165,10 @@
         } else {
             response = co_await handleWrite(operations, std::move(request));
         }
+        if (link && link->silent) {
+            co_await loseResponse(responder);
+            co_return;
+        }
         co_await sendResponse(responder, std::move(response));
     });
 }
--- a/tests/test_site_wire.cpp
+++ b/tests/test_site_wire.cpp
@@ -379,19 +379,19 @@
 TEST_CASE_METHOD(StoreClientFixture, "storeClient_watch_reportsChangesAndCompaction")
 {
     putKey(*this->memory, "p/a", "1");
-    auto changes = this->run(this->store->watch("p/", 0, 1s));
+    auto changes = this->run(this->store->watch("p/", 0, 1s, nullptr));
     REQUIRE(isOk(changes));
     REQUIRE(valueOf(changes).items.size() == 1);
     const std::uint64_t seen = valueOf(changes).storeRevision;
-    auto nothing = this->run(this->store->watch("p/", seen, 100ms));
+    auto nothing = this->run(this->store->watch("p/", seen, 100ms, nullptr));
     REQUIRE(isOk(nothing));
     CHECK(valueOf(nothing).items.empty());
     removeKey(*this->memory, "p/a");
-    auto removed = this->run(this->store->watch("p/", seen, 1s));
+    auto removed = this->run(this->store->watch("p/", seen, 1s, nullptr));
     REQUIRE(isOk(removed));
     CHECK(valueOf(removed).items.at(0).deleted);
     this->memory->compactedTo = this->memory->revision;
-    auto gone = this->run(this->store->watch("p/", seen, 1s));
+    auto gone = this->run(this->store->watch("p/", seen, 1s, nullptr));
     REQUIRE(isOk(gone));
     CHECK(valueOf(gone).compacted);
 }
@@ -450,7 +450,7 @@
     const auto other = platform::makeStoreClient(this->http, {"127.0.0.1", listenPort(*valueOf(garbageServer))}, MetricsRegistry::create());
     CHECK_FALSE(isOk(this->run(other->get("k", KvFreshness::Linearizable))));
     CHECK_FALSE(isOk(this->run(other->range("k", "", KvFreshness::Stale))));
-    CHECK_FALSE(isOk(this->run(other->watch("k", 1, 100ms))));
+    CHECK_FALSE(isOk(this->run(other->watch("k", 1, 100ms, nullptr))));
     KvTransaction write;
     write.writes = {{"p/a", "1", 0}};
     const auto made = this->commit(write);
