Fix: A change stayed unknown when the store lost only the answer to a watch

Cause: while every other call of a host is answered it has no reason to doubt its watch. The stale reads found a missed change, applied it and left the watch as it was, so that the next change was late again; the host list is read once a minute, and the order to empty a storage host was not read at all beside its watch.

Change: a read that shows what the watch does not report within 300 ms replaces the watch; a registered host that is silent for longer than its entry can outlive it puts the watch of the host list in doubt, once a silence; a storage host has a stale read each 5 s.

--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -11,6 +11,7 @@
 #include "entry/caller_service_func.h"
 #include "entry/peer_link_func.h"
 #include "entry/proof_upkeep_func.h"
+#include "fleet/fleet_intervals_func.h"
 #include "job/job_peer_func.h"
 #include "job/job_runner_func.h"
 #include "quota/request_quotas_base.h"
@@ -193,6 +194,7 @@
 Result<Done> openPeerLink(EntryHost &host)
 {
     PeerLinkOptions options{host.settings.host, host.session, host.settings.domain, host.settings.peers};
+    options.leaseTtl = entryLeaseTtlFor(host.settings.drainLimit);
     options.memory = host.memory->account;
     options.onStatus = [&host](const HostStatus &status) {
         applyAnnouncedRevisions(host.jobs, status);
@@ -215,6 +217,11 @@
             pullNewerConfig(*host.fleet, version, peer);
         });
     };
+    options.onEntryOverdue = [&host](const HostId & /*silent*/, TimePoint overdueAt) {
+        asio::post(host.control, [&host, overdueAt] {
+            doubtHostList(*host.fleet, overdueAt);
+        });
+    };
     options.onQuotaRequest = [&host](const QuotaRequestMessage &request, const Endpoint &sender) {
         handleQuotaRequest(*host.quotas, request, sender);
     };
@@ -287,7 +294,7 @@
     options.drainLimit = host.settings.drainLimit;
     options.configLimit = host.settings.access.configLimit;
     options.targetHeartbeat = host.settings.targetHeartbeat;
-    options.leaseTtl = std::max(options.leaseTtl, options.drainLimit * 3 / 2);
+    options.leaseTtl = entryLeaseTtlFor(options.drainLimit);
     options.leaseRenewal = options.leaseTtl / 3;
     options.provesConfig = host.settings.access.revokesEverywhere;
     options.onLease = [&host](const HostLease &lease) {
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log_func.h"
 #include "peer/status_exchange_func.h"
 #include "policy/sender_clock_func.h"
+#include "policy/watch_trust_func.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -39,6 +40,8 @@
     DomainId domain; ///< Failure domain.
     bool registered{true}; ///< Whether its entry is in the key-value service.
     TimePoint lastSeen{}; ///< Last time at which it was registered or a status of it arrived.
+    TimePoint knownSince{}; ///< When it was first found to be registered.
+    TimePoint overdueAt{}; ///< When its entry was last reported to be overdue; TimePoint{} if it never was.
 };
 
 } // namespace
@@ -94,6 +97,25 @@
     }
 }
 
+/** Reports registered hosts that have been silent for longer than their entries can outlive them. */
+void reportOverdueEntries(PeerLink::Impl &link, TimePoint now)
+{
+    const LoadTracker &tracker = link.proxy->loadTracker;
+    for (auto &[host, peer] : link.peers) {
+        const auto heard = tracker.peers.find(host);
+        const TimePoint heardAt = heard != tracker.peers.end() ? std::max(peer.knownSince, heard->second.heardAt) : peer.knownSince;
+        // In a large fleet, a status of another failure domain may be due later than its host's lease.
+        const TimePoint overdueAt = entryOverdueAt(heardAt, std::max(link.options.leaseTtl, tracker.otherDomainExpiry));
+        if (!peer.registered || now < overdueAt || peer.overdueAt == overdueAt) {
+            continue;
+        }
+        peer.overdueAt = overdueAt;
+        if (link.options.onEntryOverdue) {
+            link.options.onEntryOverdue(host, overdueAt);
+        }
+    }
+}
+
 /** @return Interval of regular datagrams to @p hosts recipients. */
 milliseconds statusIntervalFor(std::size_t hosts)
 {
@@ -159,6 +181,7 @@
 {
     const TimePoint now = BootClock::now();
     removeExpiredPeers(*link, now);
+    reportOverdueEntries(*link, now);
     HostStatus status;
     status.host = link->options.host;
     status.domain = link->options.domain;
@@ -338,6 +361,7 @@
     }
     for (const PeerEntry &entry : link.impl->proxy->fleet->peers) {
         const auto [found, added] = link.impl->peers.try_emplace(entry.host);
+        found->second.knownSince = added ? BootClock::now() : found->second.knownSince;
         if (added || found->second.endpoint != entry.endpoint) {
             logEvent(EventKind::PeerChanged, entry.host.value, {{"state", "registered"}, {"domain", entry.domain.value}, {"address", entry.endpoint.address}});
         }
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -15,12 +15,15 @@
     SessionId session; ///< Identifier of this run of its process.
     DomainId domain; ///< Failure domain of this host.
     Endpoint listen; ///< Listen address: UDP for status datagrams, TCP for configuration pulls.
+    std::chrono::milliseconds leaseTtl{3000}; ///< Lifetime of a host's entry in the key-value service without a renewal.
     std::shared_ptr<MemoryAccount> memory{}; ///< Account of the bytes held for other hosts; may be null.
     std::function<void(const HostStatus &status)> onStatus; ///< Called for each status of another host that is newer than its last one.
     std::function<void(const HostStatus &status, std::chrono::milliseconds delay)> onProof; ///< Called before onStatus with the excess delay; may be empty.
     std::function<void(HostStatus &status)> completeStatus; ///< Adds fields that the link does not know, such as job revisions, to each status sent.
     /** Encodes a job that this host owns, without the results up to @c after; empty if it owns no such job. */
     std::function<std::optional<std::string>(const JobId &job, std::uint64_t after)> ownedJob;
+    /** Called once for each silence of a registered host whose entry must have lapsed by @c overdueAt if the host has ended; may be empty. */
+    std::function<void(const HostId &host, TimePoint overdueAt)> onEntryOverdue;
     std::function<void(Revision version, const Endpoint &peer)> onNewerConfig; ///< Called when a known host has a newer configuration than this one.
     std::function<void(const QuotaRequestMessage &request, const Endpoint &sender)> onQuotaRequest; ///< Called for each request for quota tokens.
     std::function<void(const QuotaGrantMessage &grant)> onQuotaGrant; ///< Called for each answer to a request for quota tokens.
--- a/src/entry/storage_host.cpp
+++ b/src/entry/storage_host.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds reportRetryDelay{300}; ///< Delay before a failed report is retried.
+constexpr std::chrono::milliseconds orderPollInterval{5000}; ///< Interval of cheap reads that detect an order which the watch has missed.
 constexpr std::chrono::milliseconds logFlushTimeout{200}; ///< Longest wait for buffered log lines to be written on exit.
 
 /** Reports that the host holds no data; retries until the key-value service has stored the report. */
@@ -46,7 +47,7 @@
     logEvent(EventKind::Start, {}, {{"version", "0.2"}, {"role", settings.role}, {"domain", ""}, {"memory_mb", 0}});
     asio::io_context loop{1};
     const auto store = settings.makeStore(loop.get_executor(), MetricsRegistry::create());
-    const auto mirror = KeyMirror::create(store, {.prefix = settings.retireKey}, hash64(settings.host.value));
+    const auto mirror = KeyMirror::create(store, {.prefix = settings.retireKey, .pollInterval = orderPollInterval}, hash64(settings.host.value));
     mirror->onUpdate = [&loop, store, settings](const KeyMirrorUpdate &update) {
         for (const KvItem &item : update.changed) {
             if (!item.deleted && item.key == settings.retireKey) {
@@ -59,6 +60,9 @@
     startLoop(loop.get_executor(), "watch of orders", [mirror] {
         return runKeyMirror(mirror);
     });
+    startLoop(loop.get_executor(), "reads of orders", [mirror] {
+        return pollKeyMirror(mirror);
+    });
     asio::signal_set signals(loop, SIGTERM, SIGINT);
     signals.async_wait([&loop](const boost::system::error_code & /*error*/, int /*signal*/) {
         loop.stop();
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -177,6 +177,11 @@
     }
 }
 
+void doubtHostList(FleetController &controller, TimePoint overdueAt)
+{
+    doubtWatch(*controller.impl->hosts, WatchDoubt::EntryOverdue, overdueAt);
+}
+
 void writeQuarantineEntry(FleetController &controller, const QuarantineEntry &entry)
 {
     startTask(controller.impl->executor, "write of a quarantine", storeQuarantineEntry(controller.impl, entry));
--- a/src/fleet/fleet_controller_func.h
+++ b/src/fleet/fleet_controller_func.h
@@ -76,6 +76,9 @@
  */
 void proveConfig(FleetController &controller, const std::function<void(std::optional<ConfigProof>)> &done);
 
+/** Replaces the watch of the host list unless it was sent since @p overdueAt, when the entry of a silent host must have lapsed. */
+void doubtHostList(FleetController &controller, TimePoint overdueAt);
+
 /** Ends the lease of the host's entry, so that other hosts take over its jobs, and then calls @p done. */
 void removeHostEntry(FleetController &controller, const std::function<void()> &done);
 
--- a/src/fleet/fleet_intervals.cpp
+++ b/src/fleet/fleet_intervals.cpp
@@ -12,7 +12,9 @@
 /** The interval between watch calls for the host list grows by this for each host, to batch its changes when all hosts start at once. */
 constexpr std::chrono::milliseconds hostWatchIntervalPerHost{10};
 constexpr std::chrono::milliseconds maxHostWatchInterval{2000}; ///< The other hosts learn of a restarted host within this time; its lease lasts longer.
-constexpr std::chrono::milliseconds hostPollIntervalUnused{60000}; ///< Without workspaces nothing depends on a change of the list that the watch missed.
+/** Without workspaces nothing depends on the list being current to the second; a watch whose answer was lost is noticed by other facts (policy/watch_trust). */
+constexpr std::chrono::milliseconds hostPollIntervalUnused{60000};
+constexpr std::chrono::milliseconds minEntryLeaseTtl{3000};
 constexpr std::chrono::milliseconds storeRetryMax{1000}; ///< Maximum delay between failed calls of a mirror in a small fleet.
 
 constexpr std::size_t largeFleetHosts = 16; ///< From this number of other hosts on, store calls of every host are spared where the others can help.
@@ -35,6 +37,11 @@
     return hosts <= largeFleetHosts ? hostWatchIntervalPerHost * static_cast<int>(hosts) : maxHostWatchInterval;
 }
 
+std::chrono::milliseconds entryLeaseTtlFor(std::chrono::milliseconds drainLimit)
+{
+    return std::max(minEntryLeaseTtl, drainLimit * 3 / 2);
+}
+
 std::chrono::milliseconds hostPollIntervalFor(bool hasWorkspaces)
 {
     return hasWorkspaces ? maxHostWatchInterval : hostPollIntervalUnused;
--- a/src/fleet/fleet_intervals_func.h
+++ b/src/fleet/fleet_intervals_func.h
@@ -36,6 +36,9 @@
  * interval. */
 [[nodiscard]] bool watchesQuarantine(std::size_t hosts);
 
+/** @return Lifetime of a host's entry without a renewal. It outlives a missed renewal, which a large fleet makes more rarely. */
+[[nodiscard]] std::chrono::milliseconds entryLeaseTtlFor(std::chrono::milliseconds drainLimit);
+
 /** @return Interval of the cheap reads of the host list that detect missed changes. Shares of request quotas depend on the list being current. */
 [[nodiscard]] std::chrono::milliseconds hostPollIntervalFor(bool hasWorkspaces);
 
--- a/src/policy/watch_trust_func.h
+++ b/src/policy/watch_trust_func.h
@@ -3,6 +3,7 @@
 
 #include "policy/watch_trust_type.h"
 
+#include <chrono>
 #include <string_view>
 
 namespace skylark {
@@ -24,6 +25,16 @@
  * @param sentAt When the watch was sent.
  * @param doubtedAt When the fact came about: a watch that was sent later reports the change at once, or was not lost.
  */
-[[nodiscard]] bool mustReplaceWatch(TimePoint sentAt, TimePoint doubtedAt);
+[[nodiscard]] bool mustReplaceWatch(WatchDoubt doubt, TimePoint sentAt, TimePoint doubtedAt, TimePoint now);
+
+/** @return How long a watch may take to report what a read has shown; a slow service answers the read first. */
+[[nodiscard]] std::chrono::milliseconds reportGrace(WatchDoubt doubt);
+
+/**
+ * @param heardAt When a host was last heard from, and so lived.
+ * @param leaseTtl Lifetime of its entry without a renewal.
+ * @return When its entry must have lapsed if it has ended since.
+ */
+[[nodiscard]] TimePoint entryOverdueAt(TimePoint heardAt, std::chrono::milliseconds leaseTtl);
 
 } // namespace skylark
--- a/src/policy/watch_trust_type.h
+++ b/src/policy/watch_trust_type.h
@@ -10,6 +10,8 @@
 /** Why the answer to a watch may have been lost. On a connection on which one answer is lost, nothing more arrives until the call's own time limit. */
 enum class WatchDoubt : std::uint8_t {
     ServiceReturned, ///< The service answers this host again, after a call that it did not serve.
+    ChangeRead, ///< A read has shown a change that the watch has not reported.
+    EntryOverdue, ///< An entry must have lapsed by now, because its owner is silent, and the watch has not reported that.
 };
 
 /** Calls of this host that the service did not serve: they were refused as not available, got no answer, or their connection was reset. */
--- a/src/store/key_mirror.cpp
+++ b/src/store/key_mirror.cpp
@@ -101,8 +101,15 @@
     co_return Done{};
 }
 
-/** Makes one stale read and applies what it shows. */
-asio::awaitable<void> pollOnce(std::shared_ptr<KeyMirror> mirror)
+/** Gives the watch time to report what a read has shown at @p readAt, and replaces it if it does not. */
+asio::awaitable<void> doubtAfterRead(std::shared_ptr<KeyMirror> mirror, TimePoint readAt)
+{
+    co_await sleepFor(reportGrace(WatchDoubt::ChangeRead));
+    doubtWatch(*mirror, WatchDoubt::ChangeRead, readAt);
+}
+
+/** Makes one stale read and applies what it shows. @return Whether it has shown a change that the mirror lacked. */
+asio::awaitable<bool> pollOnce(std::shared_ptr<KeyMirror> mirror)
 {
     const TimePoint sentAt = BootClock::now();
     const auto page = co_await readAllKeys(mirror->store, mirror->options.prefix, KvFreshness::Stale);
@@ -110,13 +117,15 @@
         mirror->onPoll(isOk(page) ? nullptr : &errorOf(page), sentAt);
     }
     if (!isOk(page) || !mirror->synced) {
-        co_return;
+        co_return false;
     }
     const KeyMirrorUpdate newer = applyNewerItems(*mirror, valueOf(page));
     notifyUpdate(mirror, newer);
-    if (hasMissedRemoval(*mirror, valueOf(page))) {
+    const bool removalMissed = hasMissedRemoval(*mirror, valueOf(page));
+    if (removalMissed) {
         co_await refreshKeyMirror(mirror);
     }
+    co_return removalMissed || !newer.changed.empty();
 }
 
 /**
@@ -250,7 +259,10 @@
         if (mirror->stopped || !mirror->synced) {
             continue;
         }
-        co_await pollOnce(mirror);
+        const bool changeMissed = co_await pollOnce(mirror);
+        if (changeMissed) {
+            co_await doubtAfterRead(mirror, BootClock::now());
+        }
     }
 }
 
@@ -258,7 +270,7 @@
 {
     const TimePoint now = BootClock::now();
     const bool waits = mirror.watchSentAt != TimePoint{} && mirror.watch->cancel;
-    if (!waits || !mustReplaceWatch(mirror.watchSentAt, doubtedAt)) {
+    if (!waits || !mustReplaceWatch(doubt, mirror.watchSentAt, doubtedAt, now)) {
         return;
     }
     if (mirror.onWatchReplaced) {
--- a/src/store/key_mirror_func.h
+++ b/src/store/key_mirror_func.h
@@ -85,7 +85,10 @@
 /** Replaces the contents of the mirror by a linearizable read of the whole prefix. @return The error of the read. */
 boost::asio::awaitable<Result<Done>> refreshKeyMirror(std::shared_ptr<KeyMirror> mirror);
 
-/** Makes a stale read of the prefix at the interval of the options, and a linearizable read if a removal was missed, until the mirror is stopped. */
+/**
+ * Makes a stale read of the prefix at the interval of the options, and a linearizable read if a removal was missed, until the mirror is stopped. A watch that
+ * has not reported what was read is replaced.
+ */
 boost::asio::awaitable<void> pollKeyMirror(std::shared_ptr<KeyMirror> mirror);
 
 } // namespace skylark
--- a/tests/test_lost_answers.cpp
+++ b/tests/test_lost_answers.cpp
@@ -1,5 +1,7 @@
 /** @file test_lost_answers.cpp Answers of the key-value service to watches that are lost, and how soon a host follows the service again. */
+#include "entry/peer_link_func.h"
 #include "fleet/host_entry_func.h"
+#include "support/entry_fixture.h"
 #include "support/fleet_fixture.h"
 
 using namespace skylark;
@@ -70,6 +72,31 @@
     }
 };
 
+/** A host whose list has another one, which never sends its status. */
+struct SilentHostFixture : EntryFixture {
+    EntryTestHost host{*this, "front-1", false};
+    std::unique_ptr<PeerLink> link;
+    std::vector<TimePoint> overdue; ///< When entries were reported to be overdue.
+
+    SilentHostFixture()
+    {
+        PeerLinkOptions options{HostId{"front-1"}, SessionId{"session-front-1"}, DomainId{"north"}, {"127.0.0.1", freePort()}};
+        options.leaseTtl = 200ms;
+        options.onStatus = [](const HostStatus & /*status*/) {
+        };
+        options.completeStatus = [](HostStatus & /*status*/) {
+        };
+        options.onEntryOverdue = [this](const HostId & /*host*/, TimePoint /*overdueAt*/) {
+            this->overdue.push_back(BootClock::now());
+        };
+        this->host.publish({SessionId{"session-front-2"}});
+        auto created = PeerLink::create(this->host.proxy, std::move(options));
+        REQUIRE(isOk(created));
+        this->link = std::move(valueOf(created));
+        updatePeers(*this->link);
+    }
+};
+
 } // namespace
 
 // Guards against a host that sends requests to a draining target, because the answer to its watch was lost while the store served it nothing (review/7).
@@ -112,14 +139,87 @@
         drainLimit));
 }
 
+// Guards against a watch that is never replaced because no call was sent in a silence shorter than the interval of the calls; only a read shows the change.
+TEST_CASE_METHOD(LostAnswersFixture, "targets_onlyTheWatchAnswerIsLost_aReadThatShowsTheChangeReplacesTheWatch")
+{
+    this->store->faults.lostWatchAnswers.insert("servers/");
+    this->putTarget("i-1", "draining");
+    this->runFor(500ms);
+    REQUIRE(this->hasTarget("i-1", false));
+    this->freezeStaleReads(); // They show the change from now on, and nothing later.
+    CHECK(this->runUntil(
+        [this] {
+            return this->hasTarget("i-1", true);
+        },
+        drainLimit));
+    this->runFor(500ms);
+    this->checkFollowsAtOnce();
+}
+
+TEST_CASE_METHOD(LostAnswersFixture, "targets_onlyTheAnswerWithARemovalIsLost_aReadWithoutTheTargetReplacesTheWatch")
+{
+    this->store->faults.lostWatchAnswers.insert("servers/");
+    removeKey(*this->store, "servers/i-1");
+    this->runFor(500ms);
+    REQUIRE(this->hasTarget("i-1", false));
+    this->freezeStaleReads();
+    CHECK(this->runUntil(
+        [this] {
+            return !this->hasTarget("i-1", false);
+        },
+        drainLimit));
+    this->runFor(500ms);
+    this->checkFollowsAtOnce();
+}
+
+// Guards against a lost host that stays listed: no call of this host has failed, and the list of hosts is read once a minute only.
+TEST_CASE_METHOD(LostAnswersFixture, "hosts_onlyTheWatchAnswerIsLost_silenceOfTheHostReplacesTheWatch")
+{
+    this->store->faults.lostWatchAnswers.insert("hosts/");
+    removeKey(*this->store, hostEntryKey(HostId{"front-2"}));
+    this->runFor(500ms);
+    REQUIRE(this->peers() == 2);
+    doubtHostList(*this->controller, BootClock::now());
+    CHECK(this->runUntil(
+        [this] {
+            return this->peers() == 1;
+        },
+        300ms));
+}
+
 // Guards against calls that are paid for without a reason: each fact costs one call a watch, and refusals by the rate limit none.
 TEST_CASE_METHOD(LostAnswersFixture, "watches_nothingIsLost_areNotReplaced")
 {
     const unsigned before = this->store->counts.watches;
     this->runFor(1500ms);
+    doubtHostList(*this->controller, BootClock::now() - 10s);
+    this->runFor(200ms);
     CHECK(this->store->counts.watches == before);
     this->beSilent(400ms, [] {
     });
     this->runFor(1500ms);
     CHECK(this->store->counts.watches <= before + 8); // Four watches, and at most as many that were sent again in the silence.
 }
+
+// Guards against a lost host that nobody doubts: its status ends, and the list of hosts is not followed.
+TEST_CASE_METHOD(SilentHostFixture, "peerLink_registeredHostIsSilent_itsEntryIsReportedOnceAsOverdue")
+{
+    const TimePoint since = BootClock::now();
+    const auto allowed = std::max<std::chrono::milliseconds>(200ms, this->host.proxy->loadTracker.otherDomainExpiry);
+    REQUIRE(this->runUntil(
+        [this] {
+            return !this->overdue.empty();
+        },
+        5s));
+    CHECK(this->overdue.front() - since >= allowed);
+    this->runFor(1500ms);
+    CHECK(this->overdue.size() == 1);
+}
+
+TEST_CASE_METHOD(SilentHostFixture, "peerLink_hostIsNoLongerRegistered_isNotReported")
+{
+    this->host.publish({});
+    updatePeers(*this->link);
+    this->runFor(3500ms);
+    CHECK(this->overdue.empty());
+}
--- a/tests/test_watch_trust.cpp
+++ b/tests/test_watch_trust.cpp
@@ -44,7 +44,30 @@
 TEST_CASE_METHOD(WatchTrustFixture, "mustReplaceWatch_serviceReturned_concernsWatchesThatWereSentBefore")
 {
     const TimePoint returned = this->start + 2s;
-    CHECK(mustReplaceWatch(this->start, returned));
-    CHECK_FALSE(mustReplaceWatch(returned, returned));
-    CHECK_FALSE(mustReplaceWatch(returned + 1ms, returned));
+    CHECK(mustReplaceWatch(WatchDoubt::ServiceReturned, this->start, returned, returned));
+    CHECK_FALSE(mustReplaceWatch(WatchDoubt::ServiceReturned, returned, returned, returned));
+    CHECK_FALSE(mustReplaceWatch(WatchDoubt::ServiceReturned, returned + 1ms, returned, returned + 1ms));
+}
+
+// Guards against calls that are paid for because a read was a little quicker than the watch.
+TEST_CASE_METHOD(WatchTrustFixture, "mustReplaceWatch_changeWasRead_givesTheWatchTimeToReportIt")
+{
+    const TimePoint readAt = this->start + 2s;
+    CHECK_FALSE(mustReplaceWatch(WatchDoubt::ChangeRead, this->start, readAt, readAt + reportGrace(WatchDoubt::ChangeRead) - 1ms));
+    CHECK(mustReplaceWatch(WatchDoubt::ChangeRead, this->start, readAt, readAt + reportGrace(WatchDoubt::ChangeRead)));
+    CHECK_FALSE(mustReplaceWatch(WatchDoubt::ChangeRead, readAt, readAt, readAt + reportGrace(WatchDoubt::ChangeRead)));
+}
+
+// The last renewal of a host follows its last status at most by the margin, so that an entry that is still listed then was not reported to be gone.
+TEST_CASE_METHOD(WatchTrustFixture, "entryOverdueAt_hostFellSilent_isLaterThanItsLease")
+{
+    CHECK(entryOverdueAt(this->start, 3s) > this->start + 3s);
+    CHECK(entryOverdueAt(this->start, 3s) <= this->start + 4s);
+    CHECK(entryOverdueAt(this->start, 6s) - entryOverdueAt(this->start, 3s) == 3s);
+}
+
+TEST_CASE("watchDoubtName_allDoubts_differ", "[watch]")
+{
+    CHECK(watchDoubtName(WatchDoubt::ServiceReturned) != watchDoubtName(WatchDoubt::ChangeRead));
+    CHECK(watchDoubtName(WatchDoubt::ChangeRead) != watchDoubtName(WatchDoubt::EntryOverdue));
 }
