Fix: One exception made a host mute or deaf to the status of others

Callers would see a host that the others take for lost although it serves, so that its jobs are claimed and run twice, or one that places requests on targets which others have filled.

Cause: the timer of the status datagrams is set again at the end of its callback, and the socket reads the next datagram there. An exception before that point was logged by the event loop, and the chain had ended.

Change: both report the exception and go on, the status 250 ms later.

Result: the two new cases of test_task_failure fail before (there the exception reaches the loop of the test) and pass.

--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -2,6 +2,7 @@
 #include "entry/peer_link_func.h"
 
 #include "core/event_log_func.h"
+#include "core/task_func.h"
 #include "peer/status_exchange_func.h"
 #include "policy/sender_clock_func.h"
 #include "policy/watch_trust_func.h"
@@ -24,6 +25,7 @@
 constexpr milliseconds otherDomainIntervalPerPeer{12}; ///< The same for recipients in other failure domains; bytes between failure domains cost more.
 constexpr std::size_t maxEarlyRecipients = 64; ///< Up to this many hosts of the own failure domain learn of each placement at once.
 constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
+constexpr milliseconds statusRetryDelay{250}; ///< Delay of the next datagram after one that an exception has kept from being sent.
 constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
 constexpr milliseconds reportInterval{1000}; ///< Interval of datagrams with evidence and limits that have not changed.
 constexpr milliseconds newsTime{1000}; ///< A change is repeated in every regular datagram for this time, because some get lost.
@@ -206,8 +208,15 @@
     link->timer.expires_after(delay);
     link->timer.async_wait([weak = std::weak_ptr<PeerLink::Impl>(link)](const boost::system::error_code &error) {
         const auto strong = weak.lock();
-        if (!error && strong) {
+        if (error || !strong) {
+            return;
+        }
+        const bool sent = tryRun("status of this host", [&strong] {
             sendOwnStatus(strong);
+        });
+        if (!sent) {
+            strong->earlyStatusScheduled = false;
+            scheduleStatus(strong, statusRetryDelay);
         }
     });
 }
--- a/src/peer/status_exchange.cpp
+++ b/src/peer/status_exchange.cpp
@@ -1,6 +1,7 @@
 /** @file status_exchange.cpp UDP socket for the datagrams between hosts. */
 #include "peer/status_exchange_func.h"
 
+#include "core/task_func.h"
 #include "peer/status_codec_func.h"
 
 #include <array>
@@ -70,7 +71,9 @@
             return;
         }
         if (!error) {
-            handleDatagram(*impl, size);
+            tryRun("datagram of a host", [&impl, size] {
+                handleDatagram(*impl, size);
+            });
         }
         if (impl->socket.is_open()) {
             receiveNext(impl);
--- a/tests/test_task_failure.cpp
+++ b/tests/test_task_failure.cpp
@@ -1,5 +1,7 @@
 /** @file test_task_failure.cpp What the owner of a task does after an exception has ended it. */
 #include "core/task_func.h"
+#include "entry/peer_link_func.h"
+#include "peer/status_exchange_func.h"
 #include "store/key_mirror_func.h"
 #include "support/jobs_fixture.h"
 
@@ -156,3 +158,69 @@
     CHECK_FALSE(handled.contains("t/b"));
     mirror->stopped = true;
 }
+
+namespace {
+
+/** A host that sends its status to a socket of the test. */
+struct StatusFailureFixture : EntryFixture {
+    EntryTestHost host{*this, "front-1", false};
+    unsigned received{0}; ///< Statuses that the handler has taken.
+    Failing handlerFailure{0}; ///< Failures of the handler.
+    std::unique_ptr<StatusExchange> socket;
+    std::unique_ptr<PeerLink> link;
+
+    StatusFailureFixture()
+    {
+        StatusHandlers handlers;
+        handlers.onStatus = [this](const HostStatus & /*status*/) {
+            this->handlerFailure.call();
+            ++this->received;
+        };
+        auto opened = StatusExchange::create(this->loop.get_executor(), {"127.0.0.1", 0}, std::move(handlers));
+        REQUIRE(isOk(opened));
+        this->socket = std::move(valueOf(opened));
+    }
+
+    /** Starts to send the status; the first @p failures statuses cannot be made. */
+    void start(unsigned failures)
+    {
+        PeerLinkOptions options{HostId{"front-1"}, SessionId{"session-front-1"}, DomainId{"north"}, {"127.0.0.1", freePort()}};
+        options.onStatus = [](const HostStatus & /*status*/) {
+        };
+        options.completeStatus = [failing = Failing(failures)](HostStatus & /*status*/) {
+            failing.call();
+        };
+        auto snapshot = std::make_shared<FleetSnapshot>(*this->host.proxy->fleet);
+        snapshot->peers = {{HostId{"front-2"}, SessionId{"session-front-2"}, DomainId{"north"}, {"127.0.0.1", listenPort(*this->socket)}}};
+        applyFleet(*this->host.proxy, std::move(snapshot));
+        auto created = PeerLink::create(this->host.proxy, std::move(options));
+        REQUIRE(isOk(created));
+        this->link = std::move(valueOf(created));
+        updatePeers(*this->link);
+    }
+};
+
+} // namespace
+
+// Guards against a host that is taken for lost by all others, because one status could not be made.
+TEST_CASE_METHOD(StatusFailureFixture, "statusOfAHost_endsWithAnException_isSentAgain")
+{
+    this->start(1);
+    CHECK(this->runUntil(
+        [this] {
+            return this->received > 1;
+        },
+        2s));
+}
+
+// Guards against a host that hears of no other host any more, because it could not handle one datagram.
+TEST_CASE_METHOD(StatusFailureFixture, "datagramOfAHost_handlerThrows_laterOnesAreReceived")
+{
+    this->handlerFailure = Failing(1);
+    this->start(0);
+    CHECK(this->runUntil(
+        [this] {
+            return this->received > 1;
+        },
+        2s));
+}
