Fix: Items with long headers took more memory than they were charged for

What callers saw: nothing measured; a host could take jobs beyond its memory for them. Cause: the account of the items of unfinished jobs counted their bodies only, and headers of up to 65,533 bytes each are kept too. Evidence: itemsWithLongHeaders_fillTheMemoryForJobs_... fails with the old sum (the host takes a further job beside an item with 1 MiB of headers) and passes with the new one.

--- a/src/entry/caller_memory.cpp
+++ b/src/entry/caller_memory.cpp
@@ -41,13 +41,23 @@
     return route != nullptr && route->kind == CallKind::Batch ? submissionCopies : forwardedCopies;
 }
 
+/** @return The bytes that an item takes. */
+std::uint64_t bytesOf(const JobItem &item)
+{
+    std::uint64_t bytes = sizeof(JobItem) + item.body.size();
+    for (const HttpHeader &header : item.headers) {
+        bytes += sizeof(HttpHeader) + header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
 /** Charges the items of unfinished jobs. @return Their bytes. */
 std::uint64_t updateJobBytes(CallerMemory &memory)
 {
     std::uint64_t bytes = 0;
     for (const auto &[id, known] : memory.jobs->jobs) {
         for (const JobItem &item : known.items) {
-            bytes += sizeof(JobItem) + item.body.size();
+            bytes += bytesOf(item);
         }
     }
     setJobBytes(*memory.account, bytes);
--- a/tests/test_long_headers.cpp
+++ b/tests/test_long_headers.cpp
@@ -1,4 +1,5 @@
 /** @file test_long_headers.cpp Header fields that are longer than the 65,533 bytes which the container of the HTTP library holds. */
+#include "entry/caller_memory_func.h"
 #include "support/byte_target.h"
 #include "support/jobs_fixture.h"
 #include "support/raw_caller.h"
@@ -183,3 +184,17 @@
     CHECK(longJob.status == 400);
     CHECK(this->first.arrivals + this->second.arrivals == 0);
 }
+
+// Guards against jobs that take more memory than they are charged for: their items have few bytes in the body and many in the headers.
+TEST_CASE_METHOD(LongHeaderFixture, "itemsWithLongHeaders_fillTheMemoryForJobs_noFurtherJobIsTaken")
+{
+    ClientLimits limits;
+    limits.memoryMegabytes = 1;
+    const auto memory = CallerMemory::create(this->loop.get_executor(), limits, 0, this->a->proxy, this->a->jobs);
+    REQUIRE(hasRoomForJob(*memory, 1000));
+    KnownJob &known = this->a->jobs->jobs[JobId{"j1"}];
+    JobItem item;
+    item.headers.push_back({"X-Mark", std::string(std::size_t{1} << 20U, 'x')});
+    known.items.push_back(item);
+    CHECK_FALSE(hasRoomForJob(*memory, 1000));
+}
