--- a/src/batch/batch_internal_func.h
+++ b/src/batch/batch_internal_func.h
@@ -10,6 +10,20 @@
 
 namespace skylark {
 
+// Acquisition of work (acquisition.cpp).
+
+/** Data of one iteration of the execution loop. */
+struct Iteration {
+    std::shared_ptr<const ControlSnapshot> snapshot; ///< Control snapshot used throughout the iteration.
+    std::vector<const TargetView *> targets; ///< Targets that accept batch streams.
+    std::vector<JobWork *> jobs; ///< Active jobs, the most urgent first.
+    std::map<std::pair<WorkspaceId, ModelId>, bool> wants; ///< Cached results of wantsGroup().
+    std::vector<std::shared_ptr<HeldGroup>> groups; ///< Held groups in the order of jobs.
+};
+
+/** Starts a claim or a scan if one is due. Only one runs at a time, which bounds the load on the key-value service. */
+void acquireWork(const BatchStatePtr &state, Iteration &iteration);
+
 // Common (batch_service.cpp).
 
 /** @return The current control snapshot. */
--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -80,6 +80,8 @@
 /** Starts the writer thread; lines logged before are discarded. @param host Value of the field "host" in every line. */
 void openEventLog(std::string_view host);
 
+inline constexpr std::chrono::milliseconds logFlushTimeout{200}; ///< Wait of a process that exits for its buffered lines to be written.
+
 /** Writes the buffered lines, waiting at most @p wait for the reader of standard output, and stops the writer thread. */
 void closeEventLog(std::chrono::milliseconds wait);
 
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -1,5 +1,5 @@
 /** @file entry_host.cpp Assembles an entry host: control thread, traffic thread, servers, status datagrams and graceful shutdown. */
-#include "entry/entry_host_func.h"
+#include "entry/entry_host_base.h"
 
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
@@ -7,22 +7,13 @@
 #include "core/hash_func.h"
 #include "core/table/error_table.h"
 #include "core/task_func.h"
-#include "entry/caller_memory_func.h"
 #include "entry/caller_service_func.h"
-#include "entry/peer_link_func.h"
-#include "entry/proof_upkeep_func.h"
 #include "fleet/fleet_intervals_func.h"
 #include "job/job_peer_func.h"
-#include "job/job_runner_func.h"
-#include "quota/request_quotas_base.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <sys/stat.h>
 #include <thread>
 
 namespace skylark {
@@ -32,36 +23,8 @@
 
 namespace {
 
-constexpr milliseconds loadBalancerDelay{2500}; ///< Time for the load balancer to take the host out of rotation: two failed readiness probes, one a second.
-constexpr milliseconds stopMargin{1200}; ///< The shutdown stops waiting for work this long before the platform kills the process.
-constexpr milliseconds stopPollInterval{50}; ///< Interval of the checks for remaining work during shutdown.
-constexpr milliseconds logFlushTimeout{200}; ///< Longest wait for buffered log lines to be written on exit.
-constexpr milliseconds settingsPollInterval{2000}; ///< Interval of the checks of the settings file's modification time.
 constexpr std::size_t reservedDescriptors = 700; ///< File descriptors kept for files and for connections to targets and other hosts.
 
-/** Components of the host. Both threads refer to it until the process exits. */
-struct EntryHost {
-    EntrySettings settings; ///< Belongs to the traffic thread once the host runs.
-    EntryAdapters adapters; ///< Adapters of the platform.
-    asio::io_context control{1}; ///< Event loop of the control thread.
-    asio::io_context traffic{1}; ///< Event loop of the traffic thread.
-    std::shared_ptr<MetricsRegistry> metrics; ///< Shared by both threads.
-    std::shared_ptr<CallerMemory> memory; ///< Bytes held for callers. Traffic thread.
-    SessionId session; ///< Random identifier of this run of the process.
-    std::unique_ptr<FleetController> fleet; ///< Control thread.
-    std::shared_ptr<Proxy> proxy; ///< Traffic thread.
-    std::shared_ptr<JobRegistry> jobs; ///< Traffic thread.
-    std::unique_ptr<JobRunner> runner; ///< Traffic thread.
-    std::unique_ptr<PeerLink> peers; ///< Traffic thread.
-    ProofUpkeep proof; ///< Traffic thread.
-    std::shared_ptr<RequestQuotas> quotas; ///< Traffic thread.
-    std::unique_ptr<HttpServer> callerServer; ///< Traffic thread.
-    std::unique_ptr<HttpServer> readinessServer; ///< Traffic thread.
-    std::unique_ptr<HttpServer> metricsServer; ///< Traffic thread.
-    bool wasReady{false}; ///< Last logged readiness.
-    std::int64_t settingsModifiedAt{0}; ///< Modification time of the settings file at the last read, in Unix nanoseconds; 0 when it could not be read.
-};
-
 /** @return Interval of the stale reads of all job records. It grows with the number of hosts; urgent changes are announced by status datagrams. */
 milliseconds jobCheckIntervalFor(std::size_t hosts)
 {
@@ -71,28 +34,6 @@
     return std::clamp(perHost * static_cast<int>(hosts), least, most);
 }
 
-/** @return Modification time of a file in Unix nanoseconds; 0 when it cannot be read. */
-std::int64_t modificationTime(const std::string &path)
-{
-    struct stat info {
-    };
-    return ::stat(path.c_str(), &info) == 0 ? static_cast<std::int64_t>(info.st_mtim.tv_sec) * 1000000000 + info.st_mtim.tv_nsec : 0;
-}
-
-/** Logs the readiness if it has changed since the last call. */
-void logReadiness(EntryHost &host)
-{
-    const bool ready = isReady(*host.proxy);
-    if (ready == host.wasReady) {
-        return;
-    }
-    host.wasReady = ready;
-    const auto &fleet = *host.proxy->fleet;
-    logEvent(EventKind::Ready,
-             {},
-             {{"ready", ready}, {"config", fleet.config ? fleet.config->version.value : 0}, {"targets", fleet.targets ? fleet.targets->size() : 0}});
-}
-
 /** Applies a snapshot of the control thread to the components of the traffic thread. */
 void applySnapshot(EntryHost &host, const SnapshotPtr &snapshot)
 {
@@ -317,122 +258,6 @@
         FleetController::create(host.control.get_executor(), store, host.adapters.fleet, options, host.metrics, std::move(publish), std::move(onQuarantine));
 }
 
-/** Reloads the settings file. Only the stop limit is applied; an invalid file leaves the current settings in force. */
-void reload(EntryHost &host)
-{
-    host.settingsModifiedAt = modificationTime(host.adapters.settingsPath);
-    auto settings = host.adapters.readSettings();
-    if (!isOk(settings)) {
-        logEvent(EventKind::Settings, {}, {{"detail", errorOf(settings).detail}});
-        return;
-    }
-    const bool changed = valueOf(settings).stopLimit != host.settings.stopLimit;
-    host.settings.stopLimit = valueOf(settings).stopLimit;
-    logEvent(EventKind::Reload, {}, {{"changed", changed ? "stop_limit" : "nothing"}});
-}
-
-/** Reloads the settings when the modification time of their file changes. */
-asio::awaitable<void> watchSettings(EntryHost &host)
-{
-    for (;;) {
-        co_await sleepFor(settingsPollInterval);
-        if (modificationTime(host.adapters.settingsPath) != host.settingsModifiedAt) {
-            reload(host);
-        }
-    }
-}
-
-/** Exits without destructors: suspended coroutines of both threads refer to one another and have no safe order of destruction. */
-[[noreturn]] void exitProcess(int code)
-{
-    closeEventLog(logFlushTimeout);
-    std::_Exit(code);
-}
-
-/** Gives up the jobs of the host and sets @p released; calls to the store may take longer than a stop. */
-asio::awaitable<void> releaseAllJobs(EntryHost &host, bool &released)
-{
-    co_await releaseJobs(*host.runner);
-    released = true;
-}
-
-/**
- * Shuts down gracefully: reports not ready, gives up jobs, waits for running requests and stored results, removes the host's entry and exits. New requests are
- * accepted until the load balancer has had time to notice. The wait ends stopMargin before the stop limit.
- */
-asio::awaitable<void> stopHost(EntryHost &host)
-{
-    const TimePoint stopStartedAt = BootClock::now();
-    updateSenders(*host.proxy);
-    logEvent(EventKind::Stop, {}, {{"active", activeRequests(*host.callerServer)}});
-    logReadiness(host);
-    announceClose(*host.callerServer);
-    scheduleEarlyStatus(*host.peers);
-    bool released = false; // Lives as long as the process: this function does not return.
-    startTask(host.traffic.get_executor(), "release of jobs", releaseAllJobs(host, released), [&released] {
-        released = true;
-    });
-    const TimePoint waitUntil = stopStartedAt + host.settings.stopLimit - stopMargin;
-    bool closed = false;
-    for (;;) {
-        co_await sleepFor(stopPollInterval);
-        const TimePoint now = BootClock::now();
-        if (!closed && now - stopStartedAt >= loadBalancerDelay) {
-            // Keep-alive connections are closed too: a request that arrives on one near the stop limit would be cut off.
-            closed = true;
-            stopAccepting(*host.callerServer);
-            closeIdleConnections(*host.callerServer);
-        }
-        const bool idle = released && openConnections(*host.callerServer) == 0 && activeItems(*host.runner) == 0;
-        if (now >= waitUntil || (idle && closed)) {
-            break;
-        }
-    }
-    stopGranting(*host.quotas); // The other hosts take over as soon as the entry is gone.
-    bool entryRemoved = false;
-    asio::post(host.control, [&host, &entryRemoved] {
-        removeHostEntry(*host.fleet, [&host, &entryRemoved] {
-            asio::post(host.traffic, [&entryRemoved] {
-                entryRemoved = true;
-            });
-        });
-    });
-    for (unsigned round = 0; !entryRemoved && round < 10; ++round) {
-        co_await sleepFor(stopPollInterval);
-    }
-    const auto waited = std::chrono::duration_cast<milliseconds>(BootClock::now() - stopStartedAt);
-    const std::size_t unfinished = activeRequests(*host.callerServer);
-    answerUnfinished(*host.callerServer);
-    logEvent(EventKind::Stopped, {}, {{"active", unfinished}, {"waited_ms", waited.count()}});
-    exitProcess(EXIT_SUCCESS);
-}
-
-/** Starts the shutdown; one that an exception ends leaves the process at once. */
-void startStop(EntryHost &host)
-{
-    host.proxy->stopping = true;
-    startTask(host.traffic.get_executor(), "planned stop", stopHost(host), [&host] {
-        answerUnfinished(*host.callerServer);
-        exitProcess(EXIT_FAILURE);
-    });
-}
-
-/** Reloads the settings on SIGHUP and shuts the host down on SIGTERM or SIGINT. */
-asio::awaitable<void> handleSignals(EntryHost &host)
-{
-    asio::signal_set signals(host.traffic, SIGTERM, SIGINT, SIGHUP);
-    for (;;) {
-        const int signal = co_await signals.async_wait(asio::use_awaitable);
-        if (signal == SIGHUP) {
-            tryRun("reload", [&host] {
-                reload(host);
-            });
-        } else if (!host.proxy->stopping) {
-            startStop(host);
-        }
-    }
-}
-
 /** Logs why the host cannot start. @return Exit code. */
 int logStartFailure(const Error &error)
 {
@@ -443,6 +268,19 @@
 
 } // namespace
 
+void logReadiness(EntryHost &host)
+{
+    const bool ready = isReady(*host.proxy);
+    if (ready == host.wasReady) {
+        return;
+    }
+    host.wasReady = ready;
+    const auto &fleet = *host.proxy->fleet;
+    logEvent(EventKind::Ready,
+             {},
+             {{"ready", ready}, {"config", fleet.config ? fleet.config->version.value : 0}, {"targets", fleet.targets ? fleet.targets->size() : 0}});
+}
+
 int runEntryHost(EntrySettings settings, EntryAdapters adapters)
 {
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -1,14 +1,10 @@
 /** @file peer_link.cpp Status datagrams and configuration pulls between entry hosts. */
-#include "entry/peer_link_func.h"
+#include "entry/peer_link_base.h"
 
 #include "core/event_log_func.h"
 #include "core/task_func.h"
-#include "peer/status_exchange_func.h"
-#include "policy/sender_clock_func.h"
-#include "policy/watch_trust_func.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cctype>
 #include <charconv>
@@ -20,116 +16,25 @@
 
 namespace {
 
-constexpr milliseconds minStatusInterval{100}; ///< Shortest interval of regular datagrams; short compared with the time of an online request at a target.
 constexpr milliseconds statusIntervalPerPeer{8}; ///< Interval added for each recipient, so that the bytes that a host sends per second stay bounded.
-constexpr milliseconds otherDomainIntervalPerPeer{12}; ///< The same for recipients in other failure domains; bytes between failure domains cost more.
 constexpr std::size_t maxEarlyRecipients = 64; ///< Up to this many hosts of the own failure domain learn of each placement at once.
-constexpr std::size_t smallFleetPeers = 16; ///< Up to this many peers, all get every datagram; beyond, other failure domains get them less often.
 constexpr milliseconds statusRetryDelay{250}; ///< Delay of the next datagram after one that an exception has kept from being sent.
-constexpr milliseconds transitTime{50}; ///< Transmission of a datagram, and the time until its receiver is scheduled.
 constexpr milliseconds reportInterval{1000}; ///< Interval of datagrams with evidence and limits that have not changed.
 constexpr milliseconds newsTime{1000}; ///< A change is repeated in every regular datagram for this time, because some get lost.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
-constexpr milliseconds peerRemovalDelay{5000}; ///< A peer that has been neither registered nor heard from for this long is removed.
 
 constexpr std::string_view peerJobPath = "/peer/job/"; ///< Followed by the job's identifier, a slash, and the number of results that the reader has.
 constexpr milliseconds jobConnectTimeout{200}; ///< Covers several round trips between failure domains; the store is asked when the owner does not answer.
 constexpr milliseconds jobAnswerTimeout{400}; ///< Covers the transfer of the results.
 
-/** Another host that gets status datagrams. */
-struct Peer {
-    Endpoint endpoint; ///< Address for status datagrams and configuration pulls.
-    DomainId domain; ///< Failure domain.
-    bool registered{true}; ///< Whether its entry is in the key-value service.
-    TimePoint lastSeen{}; ///< Last time at which it was registered or a status of it arrived.
-    TimePoint knownSince{}; ///< When it was first found to be registered.
-    TimePoint overdueAt{}; ///< When its entry was last reported to be overdue; TimePoint{} if it never was.
-};
-
-} // namespace
-
-struct PeerLink::Impl {
-    std::shared_ptr<Proxy> proxy; ///< Fleet snapshot and requests in flight.
-    PeerLinkOptions options;
-    std::unique_ptr<StatusExchange> exchange; ///< UDP socket for status datagrams.
-    std::unique_ptr<HttpServer> server; ///< Serves the configuration document to other hosts.
-    std::map<HostId, Peer> peers; ///< Recipients of the status.
-    asio::steady_timer timer; ///< Expires when the next datagram is due.
-    bool earlyStatusScheduled{false}; ///< Whether an early datagram is scheduled.
-    TimePoint newsAt{}; ///< Time of the last change that had to be announced to all hosts.
-    TimePoint reportedAt{}; ///< Time of the last datagram with evidence and limits.
-    bool allDomainsDue{false}; ///< Whether the next datagram goes to all hosts, whatever the interval of other failure domains.
-    std::map<HostId, SenderClock> clocks; ///< Clocks of the other hosts.
-    TimePoint otherDomainsSentAt{}; ///< Time of the last datagram to other failure domains.
-    std::uint64_t incarnation{0}; ///< Start time of the process in Unix milliseconds; orders the runs of this host.
-    std::uint64_t sequence{0}; ///< Number of the last datagram; orders the datagrams of one run.
-};
-
-namespace {
-
-using LinkPtr = std::shared_ptr<PeerLink::Impl>;
-
 void scheduleStatus(const LinkPtr &link, milliseconds delay);
 
-/** Removes peers that have been neither registered nor heard from for peerRemovalDelay, and their load counts. */
-void removeExpiredPeers(PeerLink::Impl &link, TimePoint now)
-{
-    for (auto &[host, peer] : link.peers) {
-        const auto heard = link.proxy->loadTracker.peers.find(host);
-        peer.lastSeen = peer.registered ? now : heard != link.proxy->loadTracker.peers.end() ? std::max(peer.lastSeen, heard->second.heardAt) : peer.lastSeen;
-    }
-    std::erase_if(link.peers, [now](const auto &entry) {
-        const bool gone = now - entry.second.lastSeen > peerRemovalDelay;
-        if (gone) {
-            logEvent(EventKind::PeerChanged,
-                     entry.first.value,
-                     {{"state", "gone"}, {"domain", entry.second.domain.value}, {"address", entry.second.endpoint.address}});
-        }
-        return gone;
-    });
-    std::vector<HostId> unknown;
-    for (const auto &[host, peer] : link.proxy->loadTracker.peers) {
-        if (!link.peers.contains(host) && now - peer.heardAt > peerRemovalDelay) {
-            unknown.push_back(host);
-        }
-    }
-    for (const HostId &host : unknown) {
-        dropPeer(link.proxy->loadTracker, host);
-        link.clocks.erase(host);
-    }
-}
-
-/** Reports registered hosts that have been silent for longer than their entries can outlive them. */
-void reportOverdueEntries(PeerLink::Impl &link, TimePoint now)
-{
-    const LoadTracker &tracker = link.proxy->loadTracker;
-    for (auto &[host, peer] : link.peers) {
-        const auto heard = tracker.peers.find(host);
-        const TimePoint heardAt = heard != tracker.peers.end() ? std::max(peer.knownSince, heard->second.heardAt) : peer.knownSince;
-        // In a large fleet, a status of another failure domain may be due later than its host's lease.
-        const TimePoint overdueAt = entryOverdueAt(heardAt, std::max(link.options.leaseTtl, tracker.otherDomainExpiry));
-        if (!peer.registered || now < overdueAt || peer.overdueAt == overdueAt) {
-            continue;
-        }
-        peer.overdueAt = overdueAt;
-        if (link.options.onEntryOverdue) {
-            link.options.onEntryOverdue(host, overdueAt);
-        }
-    }
-}
-
 /** @return Interval of regular datagrams to @p hosts recipients. */
 milliseconds statusIntervalFor(std::size_t hosts)
 {
     return std::max(minStatusInterval, statusIntervalPerPeer * static_cast<int>(hosts));
 }
 
-/** @return Interval of datagrams to other failure domains. */
-milliseconds otherDomainIntervalFor(std::size_t peers)
-{
-    return peers <= smallFleetPeers ? minStatusInterval : otherDomainIntervalPerPeer * static_cast<int>(peers);
-}
-
 /** @return Number of peers in the failure domain of this host. */
 std::size_t countOwnDomainPeers(const PeerLink::Impl &link)
 {
@@ -151,16 +56,6 @@
     return endpoints;
 }
 
-/** Tells the load tracker how often other failure domains send their status, and when it expires. */
-void setStatusIntervals(PeerLink::Impl &link)
-{
-    constexpr int intervalsToExpiry = 3; // Two datagrams in a row may be lost.
-    LoadTracker &tracker = link.proxy->loadTracker;
-    const milliseconds interval = otherDomainIntervalFor(link.peers.size());
-    tracker.otherDomainInterval = interval + transitTime;
-    tracker.otherDomainExpiry = std::max(tracker.peerExpiry, intervalsToExpiry * interval);
-}
-
 /**
  * Adds evidence and limits to a status: to one that goes to other failure domains in a large fleet, and otherwise at an interval that is short after a change.
  * They would more than double the bytes of every datagram.
@@ -363,24 +258,6 @@
     co_return std::move(valueOf(answer).body);
 }
 
-void updatePeers(PeerLink &link)
-{
-    for (auto &[host, peer] : link.impl->peers) {
-        peer.registered = false;
-    }
-    for (const PeerEntry &entry : link.impl->proxy->fleet->peers) {
-        const auto [found, added] = link.impl->peers.try_emplace(entry.host);
-        found->second.knownSince = added ? BootClock::now() : found->second.knownSince;
-        if (added || found->second.endpoint != entry.endpoint) {
-            logEvent(EventKind::PeerChanged, entry.host.value, {{"state", "registered"}, {"domain", entry.domain.value}, {"address", entry.endpoint.address}});
-        }
-        found->second.endpoint = entry.endpoint;
-        found->second.domain = entry.domain;
-        found->second.registered = true;
-    }
-    setStatusIntervals(*link.impl);
-}
-
 void sendQuotaRequest(PeerLink &link, const QuotaRequestMessage &request, const Endpoint &holder)
 {
     sendQuotaRequest(*link.impl->exchange, request, holder);
--- a/src/entry/storage_host.cpp
+++ b/src/entry/storage_host.cpp
@@ -21,7 +21,6 @@
 
 constexpr std::chrono::milliseconds reportRetryDelay{300}; ///< Delay before a failed report is retried.
 constexpr std::chrono::milliseconds orderPollInterval{5000}; ///< Interval of cheap reads that detect an order which the watch has missed.
-constexpr std::chrono::milliseconds logFlushTimeout{200}; ///< Longest wait for buffered log lines to be written on exit.
 
 /** Reports that the host holds no data; retries until the key-value service has stored the report. */
 asio::awaitable<void> reportRetired(std::shared_ptr<const KvStore> store, StorageSettings settings)
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -2,15 +2,13 @@
 #include "http/http_request_reader_func.h"
 
 #include "core/table/error_table.h"
-#include "http/http_parser_base.h"
+#include "http/http_receiving_base.h"
 #include "http/socket_read_func.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
-#include <cerrno>
-#include <sys/socket.h>
 #include <variant>
 
 namespace skylark {
@@ -27,7 +25,6 @@
 constexpr std::size_t readBytes = 4096; ///< Maximum size in bytes of a read outside the HTTP parser.
 /** Time limit for reading the rest of a rejected request: closing a connection with unread data resets it, and the caller loses the response. */
 constexpr milliseconds lingerTime{500};
-constexpr milliseconds lateReadTime{500}; ///< Time limit for reading the rest of a request that has arrived in part by its time limit.
 
 /** Closes the sending side, then reads and discards what the caller still sends, for at most lingerTime. */
 asio::awaitable<void> drainInput(std::shared_ptr<HttpServerConnection> connection)
@@ -54,8 +51,6 @@
     co_await drainInput(connection);
 }
 
-using RequestParser = HttpParser<true, http::string_body>;
-
 /** @return The request that @p parser has read, whose body is moved out of it. */
 HttpRequest takeRequest(RequestParser &parser)
 {
@@ -67,28 +62,6 @@
     return request;
 }
 
-/** A request that is being received. */
-struct Receiving {
-    std::shared_ptr<HttpServerConnection> connection;
-    std::shared_ptr<HttpServer::Impl> server;
-    std::uint32_t maxHeader; ///< Limits at the begin of the request.
-    std::size_t maxBody;
-    RequestParser parser{};
-    std::uint64_t framing{0}; ///< Bytes of the head, of chunk extensions and of trailers.
-    unsigned copies{1}; ///< Copies of the body that exist while the request is handled.
-    std::optional<std::uint64_t> announced{}; ///< Length of the body if the head names it.
-    TimePoint bodySince{}; ///< When the body began; later by the times in which the server did not read.
-    TimePoint lastByteAt{}; ///< Likewise, of the last byte.
-    TimePoint bodyUntil{}; ///< End of HttpServerOptions::bodyTimeout.
-    bool late{false}; ///< Whether bytes were read after that, for which bodyUntil was moved.
-};
-
-/** Why a request was not received; without an error the connection was lost. */
-struct ReceiveFailure {
-    std::optional<Error> error{};
-    std::optional<ClientLimit> limit{};
-};
-
 asio::awaitable<beast::error_code> readHead(Receiving &receiving)
 {
     const auto [error, bytes] = co_await http::async_read_header(receiving.connection->stream, receiving.connection->buffer, receiving.parser, awaitTuple);
@@ -117,128 +90,6 @@
     }
 };
 
-milliseconds timeSince(TimePoint then)
-{
-    return std::chrono::duration_cast<milliseconds>(BootClock::now() - then);
-}
-
-ReceiveFailure limitFailure(ClientLimit limit, ErrorCode code, std::string detail)
-{
-    return {makeError(code, std::move(detail)), limit};
-}
-
-ReceiveFailure memoryFailure(const Receiving &receiving)
-{
-    const bool closed = receiving.connection->hold->closed;
-    return limitFailure(closed ? ClientLimit::MemoryClosed : ClientLimit::MemoryWait, ErrorCode::NotReady, "no memory for the request");
-}
-
-/** Reserves what the request and the next @p more bytes of its body need. @return Whether they may be read. */
-asio::awaitable<bool> makeRoom(Receiving &receiving, std::uint64_t more)
-{
-    const auto connection = receiving.connection;
-    const std::uint64_t received = receiving.parser.get().body().size() + more;
-    const bool proved = receiving.parser.is_done() || received > bodyProofBytes;
-    const std::uint64_t body = proved ? bodyReservation(received, receiving.announced, receiving.maxBody) * receiving.copies : received;
-    const std::uint64_t wanted = std::max(connection->requestBytes, receiving.framing + body);
-    const TimePoint began = BootClock::now();
-    const bool reserved = co_await reserveMemory(connection->hold, totalBytes(wanted, 0), receiving.server->options.memoryWait);
-    if (reserved) {
-        connection->requestBytes = wanted;
-    }
-    const auto paused = BootClock::now() - began;
-    connection->hold->progressAt += paused;
-    receiving.bodySince += paused;
-    receiving.lastByteAt += paused;
-    receiving.bodyUntil += paused;
-    co_return reserved;
-}
-
-/** Parses what has been received. */
-beast::error_code parseInput(Receiving &receiving)
-{
-    beast::flat_buffer &buffer = receiving.connection->buffer;
-    std::string &body = receiving.parser.get().body();
-    if (!receiving.announced && body.size() + buffer.size() > smallHoldBytes && body.capacity() < receiving.maxBody) {
-        // Pages that are not written take no memory; growing would copy the body and hold it twice.
-        body.reserve(receiving.maxBody);
-    }
-    beast::error_code error;
-    if (buffer.size() > 0 && !receiving.parser.is_done()) {
-        buffer.consume(receiving.parser.put(buffer.data(), error));
-    }
-    if (buffer.size() == 0) {
-        buffer.shrink_to_fit();
-    }
-    const beast::error_code needMore = http::error::need_more;
-    return error == needMore ? beast::error_code() : error;
-}
-
-/** @return The number of bytes to read at once; not far beyond the body, since the bytes of a next request would be held until this one is handled. */
-std::size_t nextReadBytes(const Receiving &receiving)
-{
-    constexpr std::size_t announcedRead = std::size_t{64} << 10U;
-    constexpr std::size_t shortRead = std::size_t{16} << 10U;
-    const auto left = receiving.parser.content_length_remaining();
-    const std::size_t most = left && receiving.parser.get().body().size() >= bodyProofBytes ? announcedRead : shortRead;
-    return left ? static_cast<std::size_t>(std::clamp<std::uint64_t>(*left, 1, most)) : most;
-}
-
-/** @return Why the body is not waited for any longer; nothing while it is. */
-std::optional<ReceiveFailure> findSlowness(const Receiving &receiving, const BodyProgress &progress)
-{
-    const HttpServerOptions &options = receiving.server->options;
-    if (receiving.connection->hold->closed) {
-        return memoryFailure(receiving);
-    }
-    const BodyVerdict verdict = judgeBody(options.bodyLimits, progress);
-    if (verdict == BodyVerdict::Stalled) {
-        return limitFailure(ClientLimit::BodyStalled, ErrorCode::HeaderTimeout, "request body made no progress");
-    }
-    if (verdict == BodyVerdict::TooSlow) {
-        return limitFailure(ClientLimit::BodyTooSlow, ErrorCode::HeaderTimeout, "request body was too slow");
-    }
-    if (BootClock::now() >= receiving.bodyUntil) {
-        return ReceiveFailure{makeError(ErrorCode::HeaderTimeout, "request did not arrive in time"), {}};
-    }
-    return std::nullopt;
-}
-
-/** Receives the next bytes of a body into the buffer. What has arrived is read whatever the time is: the process may have been late itself. */
-asio::awaitable<std::optional<ReceiveFailure>> receiveBytes(Receiving &receiving)
-{
-    HttpServerConnection &connection = *receiving.connection;
-    for (;;) {
-        const std::size_t size = nextReadBytes(receiving);
-        const auto space = connection.buffer.prepare(size);
-        const auto got = ::recv(connection.stream.socket().native_handle(), space.data(), size, MSG_DONTWAIT);
-        if (got > 0) {
-            connection.buffer.commit(static_cast<std::size_t>(got));
-            recordMoved(*connection.hold, static_cast<std::uint64_t>(got));
-            receiving.lastByteAt = BootClock::now();
-            if (receiving.lastByteAt >= receiving.bodyUntil && !receiving.late) {
-                receiving.late = true;
-                receiving.bodyUntil = receiving.lastByteAt + lateReadTime;
-            }
-            co_return std::nullopt;
-        }
-        if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
-            co_return ReceiveFailure{};
-        }
-        if (connection.buffer.size() == 0) {
-            connection.buffer.shrink_to_fit();
-        }
-        const BodyProgress progress{timeSince(receiving.bodySince), timeSince(receiving.lastByteAt), receiving.parser.get().body().size()};
-        if (auto failure = findSlowness(receiving, progress)) {
-            co_return failure;
-        }
-        const auto left = std::chrono::ceil<milliseconds>(receiving.bodyUntil - BootClock::now());
-        const auto wait = std::min(left, nextBodyVerdict(receiving.server->options.bodyLimits, progress));
-        const auto deadline = ReadDeadline::create(connection.stream, std::max(milliseconds(1), wait));
-        co_await connection.stream.socket().async_wait(tcp::socket::wait_read, awaitTuple);
-    }
-}
-
 /** @return How long @p connection may wait for the first bytes of a request. */
 milliseconds idleLimit(const HttpServer::Impl &server, const HttpServerConnection &connection)
 {
@@ -272,81 +123,6 @@
     }
 }
 
-/** @return The error with which a request is rejected whose read ended with @p error, or nothing if there was none. */
-std::optional<Error> findReadError(std::size_t maxBody, const beast::error_code &error)
-{
-    if (error == beast::error::timeout) {
-        return makeError(ErrorCode::HeaderTimeout, "request did not arrive in time");
-    }
-    if (error == http::error::header_limit) {
-        return makeError(ErrorCode::HeaderTooLarge, "request head exceeds the size limit");
-    }
-    if (error == http::error::body_limit) {
-        return makeError(ErrorCode::PayloadTooLarge, "body limit is " + std::to_string(maxBody) + " bytes");
-    }
-    if (error) {
-        return makeError(ErrorCode::InvalidRequest, error.message());
-    }
-    return std::nullopt;
-}
-
-/** @return Size on the wire of the fields that @p parser has read. */
-std::uint64_t fieldBytes(const RequestParser &parser)
-{
-    constexpr std::uint64_t separators = 4; // Colon, space and line end.
-    std::uint64_t bytes = 0;
-    for (const auto &field : parser.get()) {
-        bytes += field.name_string().size() + field.value().size() + separators;
-    }
-    for (const HttpHeader &field : parser.longFields) {
-        bytes += field.name.size() + field.value.size() + separators;
-    }
-    return bytes;
-}
-
-/** Reads the body whose head has been read. Memory for it is reserved before each read. */
-asio::awaitable<std::optional<ReceiveFailure>> receiveBody(Receiving &receiving)
-{
-    auto countExtensions = [&receiving](std::uint64_t /*size*/, boost::beast::string_view extensions, beast::error_code &error) {
-        receiving.framing += extensions.size();
-        if (receiving.framing > receiving.maxHeader) {
-            error = http::error::header_limit;
-        }
-    };
-    receiving.parser.on_chunk_header(countExtensions);
-    receiving.parser.eager(true);
-    const std::uint64_t headFields = fieldBytes(receiving.parser);
-    const ReceiveFailure tooLarge =
-        limitFailure(ClientLimit::FramingTooLarge, ErrorCode::HeaderTooLarge, "head, chunk extensions and trailers exceed the size limit");
-    for (;;) {
-        const beast::error_code error = parseInput(receiving);
-        if (error == http::error::header_limit) {
-            co_return tooLarge;
-        }
-        if (error) {
-            co_return ReceiveFailure{findReadError(receiving.maxBody, error), {}};
-        }
-        if (receiving.parser.is_done()) {
-            break;
-        }
-        if (receiving.framing + receiving.connection->buffer.size() > receiving.maxHeader) {
-            co_return tooLarge; // A line of the chunked coding, or trailers, that have not ended.
-        }
-        const bool room = co_await makeRoom(receiving, nextReadBytes(receiving));
-        if (!room) {
-            co_return memoryFailure(receiving);
-        }
-        auto failure = co_await receiveBytes(receiving);
-        if (failure) {
-            co_return failure;
-        }
-    }
-    if (receiving.framing + fieldBytes(receiving.parser) - headFields > receiving.maxHeader) {
-        co_return tooLarge;
-    }
-    co_return std::nullopt;
-}
-
 /** Reads the head of a request, of which some bytes are there. */
 asio::awaitable<std::optional<ReceiveFailure>> receiveHead(Receiving &receiving)
 {
@@ -362,7 +138,7 @@
             co_return memoryFailure(receiving);
         }
     }
-    const beast::error_code error = co_await readWithin(connection.stream, receiving.server->options.headTimeout, lateReadTime, [&receiving] {
+    const beast::error_code error = co_await readWithin(connection.stream, receiving.server->options.headTimeout, lateRequestTime, [&receiving] {
         return readHead(receiving);
     });
     if (connection.hold->closed) {
@@ -392,25 +168,6 @@
     co_return !error;
 }
 
-/** Prepares the reading of the body: how much memory its request will take, and its time limits. */
-void beginBody(Receiving &receiving)
-{
-    const HttpServerOptions &options = receiving.server->options;
-    if (const auto length = receiving.parser.content_length()) {
-        receiving.announced = *length;
-    }
-    if (options.bodyCopies && !receiving.parser.is_done()) {
-        HttpRequest head;
-        head.method = std::string(receiving.parser.get().method_string());
-        head.target = std::string(receiving.parser.get().target());
-        head.headers.push_back({"Host", std::string(receiving.parser.get()[http::field::host])});
-        receiving.copies = options.bodyCopies(head);
-    }
-    receiving.bodySince = BootClock::now();
-    receiving.lastByteAt = receiving.bodySince;
-    receiving.bodyUntil = receiving.bodySince + options.bodyTimeout;
-}
-
 /** Receives one request, of which some bytes are there. @return The request, or why there is none; its bytes are freed by then. */
 asio::awaitable<std::variant<HttpRequest, ReceiveFailure>> receiveRequest(std::shared_ptr<HttpServerConnection> connection,
                                                                           std::shared_ptr<HttpServer::Impl> server)
@@ -425,7 +182,6 @@
     if (!connected) {
         co_return ReceiveFailure{};
     }
-    beginBody(receiving);
     failure = co_await receiveBody(receiving);
     if (failure) {
         if (!failure->error) {
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -109,6 +109,9 @@
 /** Makes an item whose run was ended by an exception pending again, if this host still has to run it. */
 void resetFailedRun(ItemRun &run);
 
+/** Fails expired items of owned jobs, and schedules the loading of jobs and the storing of results and checkpoints. */
+void scheduleStoreCalls(const RunnerPtr &runner);
+
 /** Brings the owned jobs in line with the record of @p job: adds or drops the job, and drops items that have a result. */
 void reconcileOwnedJob(JobRunner::Impl &runner, const JobId &job);
 
