--- a/src/core/id_type.h
+++ b/src/core/id_type.h
@@ -42,6 +42,8 @@
 using HostId = StrongId<struct HostIdTag>; ///< Entry host.
 using DomainId = StrongId<struct DomainIdTag>; ///< Failure domain.
 using TargetId = StrongId<struct TargetIdTag>; ///< Replica of a model engine or of a plain service.
+using ServiceId = StrongId<struct ServiceIdTag>; ///< A group of interchangeable targets.
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>; ///< Version of a service's software, not of a model's weights.
 using WorkspaceId = StrongId<struct WorkspaceIdTag>;
 using SessionId = StrongId<struct SessionIdTag>; ///< One run of a host process; changes at each start.
 using JobId = StrongId<struct JobIdTag>; ///< Batch job.
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -140,6 +140,7 @@
              {{"state", state},
               {"source", source},
               {"service", target.service.value},
+              {"version", target.version.value},
               {"domain", target.domain.value},
               {"address", target.endpoint.address + ":" + std::to_string(target.endpoint.port)}});
 }
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -16,8 +16,6 @@
 
 namespace skylark {
 
-using ServiceId = StrongId<struct ServiceIdTag>; ///< A group of interchangeable targets.
-
 /** How the requests of a route are handled and whether they may be repeated. */
 enum class CallKind : std::uint8_t {
     Safe, ///< Idempotent; a request may run more than once.
@@ -95,6 +93,7 @@
     ServiceId service; ///< Service that the target belongs to.
     Endpoint endpoint; ///< Address for requests.
     DomainId domain; ///< Failure domain of the target.
+    SoftwareVersion version; ///< Version of the target's software.
     unsigned slots{1}; ///< Requests that the target runs concurrently.
     bool leaving{false}; ///< Whether the entry says that the target is shutting down and accepts no new requests.
     std::optional<UnixTime> born{}; ///< Start of the target, which tells two lifetimes under one identifier apart; empty when the entry does not say.
