Fix: Streams went on at another software version than the one that began them

Cause: the version of a target and the attempt that a caller takes up were not read, so that the rest of a stream was placed like a new request. Class of fault: state that belongs to an answer (here the version that began it) is not carried to the place where the answer is continued.

A host that takes a stream up finds the version from its own record, from the two keepers of the record (chosen by hashing, two datagrams a stream whatever the number of hosts), from records that hosts store while several versions serve, or from the registry of versions if only one has served; it reads the registry after the caller has come back, and hosts list a version there before they begin a stream at it. Otherwise the request is refused with 503: nothing is guessed. An answer whose version has left is broken off at once. The decisions are pure functions in src/policy/stream_origin.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -28,12 +28,14 @@
     ConfigRefused, ///< A configuration document was rejected.
     ConfigProof, ///< The configuration became proved to be the newest, or its proof became too old for requests with keys.
     TargetChanged, ///< A target was added, is leaving or was removed.
+    VersionChanged, ///< A software version of a service was listed in the registry, or removed from it.
     TargetRefused, ///< A target entry was rejected.
     TargetEntryMissing, ///< The entry of a target is gone from the service.
     PeerChanged, ///< Another host was added or removed.
     Placed, ///< A request was sent to a target.
     AttemptFailed, ///< An attempt to run a request on a target failed.
     Resumed, ///< A broken stream was continued on another target.
+    TakenUp, ///< A caller takes up a stream that an earlier attempt began.
     UnsolicitedBytes, ///< A target sent bytes that belong to no request.
     LimitChanged, ///< A target named another rate limit, or none any more.
     PartQuarantined, ///< Requests with a prompt part, or one request whenever it comes again, are rejected, because they crash targets.
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -8,6 +8,7 @@
 #include "core/table/error_table.h"
 #include "core/task_func.h"
 #include "entry/caller_service_func.h"
+#include "entry/origin_link_func.h"
 #include "fleet/fleet_intervals_func.h"
 #include "job/job_peer_func.h"
 
@@ -203,6 +204,22 @@
     return Done{};
 }
 
+/** Connects the proxy with the other hosts' and the key-value service's records of the versions that began streams. */
+void openOrigins(EntryHost &host)
+{
+    host.origins = std::make_shared<OriginUpkeep>(OriginUpkeep{host.proxy, host.jobs->store, host.session});
+    host.proxy->originSources.announce = [link = host.peers->impl, upkeep = host.origins](std::uint64_t stream, const ServiceVersion &origin) {
+        sendOriginRecord(*link, stream, origin);
+        noteBegunStream(*upkeep, stream, origin);
+    };
+    host.proxy->originSources.askHosts = [link = host.peers->impl](std::uint64_t stream) {
+        return askOrigin(link, stream);
+    };
+    host.proxy->originSources.readStore = [store = host.jobs->store] {
+        return readStoredOrigins(store);
+    };
+}
+
 /** Sets up the proof of the configuration; calls to the service are made on the control thread. */
 void openProofUpkeep(EntryHost &host)
 {
@@ -319,6 +336,7 @@
             return logStartFailure(errorOf(opened));
         }
     }
+    openOrigins(host);
     host.runner = JobRunner::create(host.proxy, host.jobs, host.settings.host, host.settings.cancelLimit);
     startJobRegistry(host.jobs);
     startTask(executor, "signals", handleSignals(host));
@@ -328,6 +346,9 @@
     startLoop(executor, "proof of the configuration", [&host] {
         return maintainProof(host.proof);
     });
+    startLoop(executor, "records of streams", [&host] {
+        return maintainStreamRecords(host.origins);
+    });
     startLoop(executor, "memory of jobs", [&host] {
         return watchJobBytes(host.memory);
     });
--- a/src/entry/entry_host_base.h
+++ b/src/entry/entry_host_base.h
@@ -3,6 +3,7 @@
 
 #include "entry/caller_memory_func.h"
 #include "entry/entry_host_func.h"
+#include "entry/origin_upkeep_func.h"
 #include "entry/peer_link_func.h"
 #include "entry/proof_upkeep_func.h"
 #include "job/job_runner_func.h"
@@ -26,6 +27,7 @@
     std::shared_ptr<JobRegistry> jobs; ///< Traffic thread.
     std::unique_ptr<JobRunner> runner; ///< Traffic thread.
     std::unique_ptr<PeerLink> peers; ///< Traffic thread.
+    std::shared_ptr<OriginUpkeep> origins; ///< Traffic thread.
     ProofUpkeep proof; ///< Traffic thread.
     std::shared_ptr<RequestQuotas> quotas; ///< Traffic thread.
     std::unique_ptr<HttpServer> callerServer; ///< Traffic thread.
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -3,6 +3,7 @@
 
 #include "core/event_log_func.h"
 #include "core/task_func.h"
+#include "entry/origin_link_func.h"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -209,6 +210,7 @@
             strong->options.onQuotaGrant(grant);
         }
     };
+    addOriginHandlers(weak, handlers);
     auto exchange = StatusExchange::create(executor, impl->options.listen, std::move(handlers));
     if (!isOk(exchange)) {
         return errorOf(exchange);
--- a/src/entry/peer_link_base.h
+++ b/src/entry/peer_link_base.h
@@ -24,6 +24,14 @@
     TimePoint overdueAt{}; ///< When its entry was last reported to be overdue; TimePoint{} if it never was.
 };
 
+/** A question for the origin of a stream that waits for an answer. */
+struct OriginQuestion {
+    std::uint64_t stream{0}; ///< Key of the stream.
+    std::map<HostId, Endpoint> silent; ///< Keepers that have not answered.
+    boost::asio::steady_timer answered; ///< Cancelled when no further answer is waited for.
+    std::optional<ServiceVersion> origin{}; ///< Answer of a keeper that has the record.
+};
+
 struct PeerLink::Impl {
     std::shared_ptr<Proxy> proxy; ///< Fleet snapshot and requests in flight.
     PeerLinkOptions options;
@@ -39,6 +47,7 @@
     TimePoint otherDomainsSentAt{}; ///< Time of the last datagram to other failure domains.
     std::uint64_t incarnation{0}; ///< Start time of the process in Unix milliseconds; orders the runs of this host.
     std::uint64_t sequence{0}; ///< Number of the last datagram; orders the datagrams of one run.
+    std::vector<std::shared_ptr<OriginQuestion>> questions; ///< Questions that wait for an answer.
 };
 
 using LinkPtr = std::shared_ptr<PeerLink::Impl>;
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -11,6 +11,7 @@
 #include "fleet/fleet_targets_func.h"
 #include "fleet/host_entry_func.h"
 #include "fleet/host_entry_upkeep_func.h"
+#include "fleet/version_upkeep_func.h"
 
 namespace skylark {
 
@@ -143,8 +144,7 @@
                                                          std::function<void(SnapshotPtr)> publish,
                                                          std::function<void(const QuarantineEntry &)> onQuarantine)
 {
-    auto impl = std::make_shared<Impl>();
-    impl->executor = executor;
+    auto impl = std::make_shared<Impl>(executor);
     impl->store = std::move(store);
     impl->wire = std::move(wire);
     impl->options = std::move(options);
@@ -162,6 +162,9 @@
     startLoop(executor, "upkeep of the host's entry", [impl] {
         return maintainHostEntry(impl);
     });
+    startLoop(executor, "registry of versions", [impl] {
+        return maintainVersions(impl);
+    });
     auto controller = std::make_unique<FleetController>();
     controller->impl = std::move(impl);
     return controller;
@@ -171,6 +174,7 @@
 {
     if (this->impl) {
         this->impl->leaving = true;
+        this->impl->versionTimer.cancel();
         for (const auto &mirror : {this->impl->config, this->impl->targets, this->impl->hosts, this->impl->quarantine}) {
             mirror->stopped = true;
         }
--- a/src/fleet/fleet_controller_base.h
+++ b/src/fleet/fleet_controller_base.h
@@ -2,16 +2,24 @@
 #pragma once
 
 #include "fleet/fleet_controller_func.h"
+#include "fleet/version_registry_func.h"
 #include "policy/store_outage_func.h"
 #include "policy/watch_trust_func.h"
 #include "store/key_mirror_func.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
 
 namespace skylark {
 
 struct FleetController::Impl {
+    explicit Impl(boost::asio::any_io_executor control)
+        : executor(std::move(control))
+        , versionTimer(this->executor)
+    {
+    }
+
     boost::asio::any_io_executor executor; ///< Executor of the control thread.
     std::shared_ptr<const KvStore> store; ///< Key-value service.
     FleetWire wire; ///< Decoders of stored documents.
@@ -33,6 +41,8 @@
     bool reachable{true}; ///< Whether the last call to the service succeeded.
     ServiceTrust trust; ///< Calls that the service did not serve.
     StoreContact contact; ///< Answers of the service, to all calls of the controller.
+    VersionRegistry versions; ///< Software versions that have served.
+    boost::asio::steady_timer versionTimer; ///< Expires when the registry of versions is looked at again.
     std::uint64_t lease{0}; ///< Lease of the host's entry; 0 for none.
     HostLease entryProof; ///< Proof that the host's entry is alive.
     bool leaving{false}; ///< Whether the host's entry is being removed.
--- a/src/fleet/fleet_targets.cpp
+++ b/src/fleet/fleet_targets.cpp
@@ -4,6 +4,7 @@
 #include "core/async_sleep_func.h"
 #include "core/event_log_func.h"
 #include "core/task_func.h"
+#include "fleet/version_upkeep_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -155,6 +156,7 @@
     }
     if (changed) {
         publishTargets(*impl);
+        checkVersions(*impl);
     }
 }
 
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -5,12 +5,14 @@
 #include "core/id_type.h"
 #include "fleet/workspace_type.h"
 #include "http/http_type.h"
+#include "policy/stream_origin_type.h"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -107,6 +109,12 @@
     return left.service == right.service && left.endpoint == right.endpoint && left.born == right.born;
 }
 
+/** @return The service of @p target and the version of its software. */
+[[nodiscard]] inline ServiceVersion versionOf(const TargetEntry &target)
+{
+    return {target.service, target.version};
+}
+
 /** Targets by identifier; immutable once published. */
 using TargetMap = std::map<TargetId, TargetEntry>;
 
@@ -123,6 +131,7 @@
     std::shared_ptr<const RoutingConfig> config; ///< Configuration in force; null until one was read.
     std::shared_ptr<const std::string> configDocument; ///< Document from which @c config was decoded, for peers that cannot reach the service.
     std::shared_ptr<const TargetMap> targets; ///< Null until the list was read for the first time.
+    std::shared_ptr<const std::set<ServiceVersion>> listedVersions; ///< Versions in the registry; null until it was read for the first time.
     std::vector<PeerEntry> peers; ///< Other hosts with an entry in the service.
     bool peersKnown{false}; ///< Whether the hosts' entries have been read.
     bool storeReachable{false}; ///< Whether the last call to the service succeeded; false also after one failed call among answered ones.
--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -25,6 +25,7 @@
     MetricInfo{"skylark_token_interval_seconds", "Time between two pieces of an online answer."},
     MetricInfo{"skylark_retries_total", "Further attempts of online requests by the error that caused them."},
     MetricInfo{"skylark_resumes_total", "Broken online streams that were continued on another target."},
+    MetricInfo{"skylark_taken_up_streams_total", "Streams that callers took up, by how the version that began them is known."},
     MetricInfo{"skylark_yields_total", "Batch slots that online requests asked for."},
     MetricInfo{"skylark_forwards_total", "Online requests sent to a host of another failure domain."},
     MetricInfo{"skylark_queue_wait_seconds", "Time that online requests waited in the queue of their model."},
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -118,12 +118,28 @@
   retryAfterMs @4 :UInt32;  # Time until the holder has a further token; 0 if it has one now, or may not grant any.
 }
 
+# Service and software version at which a stream began: a record for its keeper, or the answer to an OriginQuestion.
+struct StreamOrigin {
+  from @0 :Text;
+  stream @1 :UInt64;  # Key of the stream.
+  service @2 :Text;  # Empty in the answer of a host that has no record.
+  version @3 :Text;
+}
+
+struct OriginQuestion {
+  from @0 :Text;
+  stream @1 :UInt64;
+}
+
 struct Datagram {
   union {
     status @0 :HostStatus;
     yield @1 :YieldRequest;
     quotaRequest @2 :QuotaRequest;
     quotaGrant @3 :QuotaGrant;
+    originRecord @4 :StreamOrigin;
+    originQuestion @5 :OriginQuestion;
+    originAnswer @6 :StreamOrigin;
   }
 }
 
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -293,6 +293,19 @@
     return status;
 }
 
+OriginMessage readOrigin(wire::StreamOrigin::Reader in)
+{
+    return {HostId{textOf(in.getFrom())}, in.getStream(), {ServiceId{textOf(in.getService())}, SoftwareVersion{textOf(in.getVersion())}}};
+}
+
+void writeOrigin(wire::StreamOrigin::Builder out, const OriginMessage &message)
+{
+    out.setFrom(message.from.value);
+    out.setStream(message.stream);
+    out.setService(message.origin.service.value);
+    out.setVersion(message.origin.version.value);
+}
+
 Result<Datagram> readDatagram(wire::Datagram::Reader in, TimePoint now)
 {
     if (in.isStatus()) {
@@ -319,6 +332,19 @@
                                           grant.getTokens(),
                                           std::chrono::milliseconds(grant.getRetryAfterMs())});
     }
+    if (in.isOriginRecord()) {
+        OriginMessage record = readOrigin(in.getOriginRecord());
+        if (record.origin.service.empty()) {
+            return makeError(ErrorCode::ProtocolError, "record of a stream has no service");
+        }
+        return Datagram(OriginRecordMessage{std::move(record)});
+    }
+    if (in.isOriginQuestion()) {
+        return Datagram(OriginQuestionMessage{HostId{textOf(in.getOriginQuestion().getFrom())}, in.getOriginQuestion().getStream()});
+    }
+    if (in.isOriginAnswer()) {
+        return Datagram(OriginAnswerMessage{readOrigin(in.getOriginAnswer())});
+    }
     return makeError(ErrorCode::ProtocolError, "unknown kind of datagram");
 }
 
@@ -369,6 +395,29 @@
     return pack(builder);
 }
 
+std::string encodeOriginRecord(const OriginMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    writeOrigin(builder.initRoot<wire::Datagram>().initOriginRecord(), message);
+    return pack(builder);
+}
+
+std::string encodeOriginQuestion(const OriginQuestionMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    auto out = builder.initRoot<wire::Datagram>().initOriginQuestion();
+    out.setFrom(message.from.value);
+    out.setStream(message.stream);
+    return pack(builder);
+}
+
+std::string encodeOriginAnswer(const OriginMessage &message)
+{
+    capnp::MallocMessageBuilder builder;
+    writeOrigin(builder.initRoot<wire::Datagram>().initOriginAnswer(), message);
+    return pack(builder);
+}
+
 Result<Datagram> decodeDatagram(std::string_view bytes, TimePoint now)
 {
     capnp::ReaderOptions options;
--- a/src/peer/status_exchange.cpp
+++ b/src/peer/status_exchange.cpp
@@ -61,6 +61,12 @@
         impl.handlers.onQuotaRequest(std::move(*request), {impl.sender.address().to_string(), impl.sender.port()});
     } else if (auto *grant = std::get_if<QuotaGrantMessage>(&valueOf(datagram)); grant != nullptr && impl.handlers.onQuotaGrant) {
         impl.handlers.onQuotaGrant(std::move(*grant));
+    } else if (auto *record = std::get_if<OriginRecordMessage>(&valueOf(datagram)); record != nullptr && impl.handlers.onOriginRecord) {
+        impl.handlers.onOriginRecord(std::move(record->record));
+    } else if (auto *question = std::get_if<OriginQuestionMessage>(&valueOf(datagram)); question != nullptr && impl.handlers.onOriginQuestion) {
+        impl.handlers.onOriginQuestion(std::move(*question), {impl.sender.address().to_string(), impl.sender.port()});
+    } else if (auto *answer = std::get_if<OriginAnswerMessage>(&valueOf(datagram)); answer != nullptr && impl.handlers.onOriginAnswer) {
+        impl.handlers.onOriginAnswer(std::move(answer->answer));
     }
 }
 
@@ -162,6 +168,21 @@
     sendDatagram(*exchange.impl, encodeQuotaGrant(message), peer);
 }
 
+void sendOriginRecord(StatusExchange &exchange, const OriginMessage &message, const Endpoint &peer)
+{
+    sendDatagram(*exchange.impl, encodeOriginRecord(message), peer);
+}
+
+void sendOriginQuestion(StatusExchange &exchange, const OriginQuestionMessage &message, const Endpoint &peer)
+{
+    sendDatagram(*exchange.impl, encodeOriginQuestion(message), peer);
+}
+
+void sendOriginAnswer(StatusExchange &exchange, const OriginMessage &message, const Endpoint &peer)
+{
+    sendDatagram(*exchange.impl, encodeOriginAnswer(message), peer);
+}
+
 StatusCounts statusCounts(const StatusExchange &exchange)
 {
     return exchange.impl->counts;
--- a/src/peer/status_exchange_func.h
+++ b/src/peer/status_exchange_func.h
@@ -17,6 +17,9 @@
     std::function<void(YieldMessage)> onYield; ///< Receives a request to release slots of a target.
     std::function<void(QuotaRequestMessage, Endpoint sender)> onQuotaRequest; ///< Receives a request for quota tokens, and the address to answer to.
     std::function<void(QuotaGrantMessage)> onQuotaGrant; ///< Receives the answer to a request for quota tokens.
+    std::function<void(OriginMessage)> onOriginRecord; ///< Receives the record of a stream's origin.
+    std::function<void(OriginQuestionMessage, Endpoint sender)> onOriginQuestion; ///< Receives a question for a stream's origin, and the address to answer to.
+    std::function<void(OriginMessage)> onOriginAnswer; ///< Receives the answer to a question for a stream's origin.
 };
 
 /** Counters of one exchange. Bytes count the payload of datagrams. */
@@ -50,6 +53,15 @@
 /** Answers a request for tokens. Errors are ignored. */
 void sendQuotaGrant(StatusExchange &exchange, const QuotaGrantMessage &message, const Endpoint &peer);
 
+/** Sends the record of a stream's origin to its keeper. Errors are ignored. */
+void sendOriginRecord(StatusExchange &exchange, const OriginMessage &message, const Endpoint &peer);
+
+/** Asks the keeper of a stream's record. Errors are ignored. */
+void sendOriginQuestion(StatusExchange &exchange, const OriginQuestionMessage &message, const Endpoint &peer);
+
+/** Answers a question for the origin of a stream. Errors are ignored. */
+void sendOriginAnswer(StatusExchange &exchange, const OriginMessage &message, const Endpoint &peer);
+
 [[nodiscard]] StatusCounts statusCounts(const StatusExchange &exchange);
 
 /** @return The port that the socket is bound to, which the system chose if port 0 was requested. */
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -5,6 +5,7 @@
 #include "fleet/fleet_type.h"
 #include "policy/crash_quarantine_type.h"
 #include "policy/rate_limit_type.h"
+#include "policy/stream_origin_type.h"
 
 #include <optional>
 #include <vector>
@@ -60,6 +61,19 @@
     std::chrono::milliseconds retryAfter{0}; ///< Time until the sender has a further token; 0 if it has one now, or may not grant any.
 };
 
+/** Service and software version at which a stream began: a record for its keeper, or the answer to a question. */
+struct OriginMessage {
+    HostId from; ///< Sender.
+    std::uint64_t stream{0}; ///< Key of the stream.
+    ServiceVersion origin; ///< Without a service in the answer of a host that has no record.
+};
+
+/** Question to the keeper of a stream's record. */
+struct OriginQuestionMessage {
+    HostId from; ///< Sender.
+    std::uint64_t stream{0}; ///< Key of the stream.
+};
+
 /** Request to the batch owner of a target to release slots for online work. */
 struct YieldMessage {
     HostId from; ///< Sender.
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -111,6 +111,7 @@
     Proxy &proxy = *forwarding.proxy;
     const TimePoint begun = BootClock::now();
     forwarding.target = target.id;
+    forwarding.targetVersion = versionOf(target);
     Attempt attempt;
     {
         const InFlightGuard inFlight(loadTrackerOf(forwarding.proxy), target.id, false);
@@ -143,6 +144,16 @@
     co_return attempt;
 }
 
+/** Ends a request that nothing can continue. @param last Most recent attempt; unused when there was none. */
+asio::awaitable<void> endContinuation(Forwarding &forwarding, const Attempt &last, std::string_view reason)
+{
+    if (forwarding.started || forwarding.runs > 0) {
+        co_await failRequest(forwarding, last);
+    } else {
+        co_await refuseContinuation(forwarding, reason);
+    }
+}
+
 /** Sends the request to one target after another until the caller has a final answer or has closed its connection. */
 asio::awaitable<void> runAttempts(Forwarding &forwarding)
 {
@@ -164,11 +175,15 @@
             co_await refuseQuarantined(forwarding, last, *quarantined);
             co_return;
         }
-        auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
+        auto candidates = candidatesFor(forwarding);
         const BalanceLimits limits = limitsOf(forwarding, candidates);
         weighKeptPrompt(forwarding, limits.serviceTime, candidates);
         const BalanceChoice choice = balanceRequest(candidates, limits, nextRandom(proxy.random));
         const bool unplaced = choice.target.empty();
+        if (unplaced && isVersionGone(forwarding)) {
+            co_await endContinuation(forwarding, last, "version_gone");
+            co_return;
+        }
         if (unplaced && !attempted) {
             co_await refuseUnplaced(forwarding, candidates, choice, limits);
             recordOutcome(forwarding, 503, "refused");
@@ -233,6 +248,11 @@
             abortForGoneCaller(strong);
         }
     });
+    const std::string_view refusal = co_await resolveOrigin(*forwarding);
+    if (!refusal.empty()) {
+        co_await refuseContinuation(*forwarding, refusal);
+        co_return;
+    }
     co_await runAttempts(*forwarding);
 }
 
--- a/src/proxy/forward_answer.cpp
+++ b/src/proxy/forward_answer.cpp
@@ -125,6 +125,12 @@
     recordOutcome(forwarding, 503, "refused");
 }
 
+asio::awaitable<void> refuseContinuation(Forwarding &forwarding, std::string_view reason)
+{
+    co_await refuse(forwarding, reason, noTargetRetryDelay, {});
+    recordOutcome(forwarding, 503, "refused");
+}
+
 asio::awaitable<Attempt> sendWholeAnswer(Forwarding &forwarding, HttpResponse answer)
 {
     forwarding.started = true;
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -135,6 +135,7 @@
     if (!forwarding.started) {
         forwarding.started = true;
         forwarding.firstAt = BootClock::now();
+        beginStream(forwarding);
         const auto head = co_await startStream(forwarding.responder, exchange.status, endToEndHeaders(exchange.headers));
         if (!isOk(head)) {
             co_return head;
--- a/src/proxy/forward_silence.cpp
+++ b/src/proxy/forward_silence.cpp
@@ -24,7 +24,7 @@
 BalanceChoice chooseElsewhere(const Forwarding &forwarding)
 {
     Proxy &proxy = *forwarding.proxy;
-    auto candidates = candidatesOf(proxy, forwarding.service, forwarding.tried, forwarding.domain);
+    auto candidates = candidatesFor(forwarding);
     std::erase_if(candidates, [&forwarding](const BalanceCandidate &candidate) {
         return candidate.id == forwarding.target || candidate.silent || candidate.suspect;
     });
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -22,6 +22,8 @@
     TimePoint deadline{}; ///< When the caller must have the final answer.
     TimePoint lateUntil{}; ///< End of the time for reading what had arrived by the deadline; TimePoint{} before it begins.
     TargetId target; ///< Target of the current or most recent attempt.
+    ServiceVersion targetVersion; ///< Version of that target when the attempt began.
+    std::optional<ServiceVersion> origin; ///< Version that began the stream; empty before its first event, and for requests that cannot be continued.
     std::vector<TargetId> tried; ///< Targets that are no candidates because an attempt on them failed; reduced or cleared while the request waits for a target.
     std::vector<TargetId> ranOn; ///< Targets on which it may have run without a complete answer.
     bool leftSilentTarget{false}; ///< Whether a run was given up because its target was silent.
@@ -136,6 +138,24 @@
  */
 std::optional<std::chrono::milliseconds> recordPromptRead(const Forwarding &forwarding, std::chrono::nanoseconds firstAnswer);
 
+/** @return The targets that accept new requests and may answer this one: for the rest of a stream, those of the version that began it. */
+[[nodiscard]] std::vector<BalanceCandidate> candidatesFor(const Forwarding &forwarding);
+
+/** @return Whether only targets of other versions than the one that began the stream accept requests. */
+[[nodiscard]] bool isVersionGone(const Forwarding &forwarding);
+
+/** Records the version that begins or continues the stream, before the first event of this answer is sent to the caller. */
+void beginStream(Forwarding &forwarding);
+
+/**
+ * Finds the version that began the stream, if the caller takes one up.
+ * @return Why the request must be refused because the version is unknown or no longer serves the route; empty if it may go on.
+ */
+boost::asio::awaitable<std::string_view> resolveOrigin(Forwarding &forwarding);
+
+/** Answers 503 to a request that takes up a stream and has run on no target. @param reason Why nothing can continue the stream. */
+boost::asio::awaitable<void> refuseContinuation(Forwarding &forwarding, std::string_view reason);
+
 /** Sends the request to @p target and relays its answer to the caller. */
 boost::asio::awaitable<Attempt> attemptOn(Forwarding &forwarding, TargetEntry target);
 
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet_controller_func.h"
 #include "fleet/leaving_targets_base.h"
 #include "fleet/load_tracker_base.h"
+#include "fleet/stored_origins_func.h"
 #include "http/http_client_func.h"
 #include "http/http_server_func.h"
 #include "metrics/metrics_func.h"
@@ -14,6 +15,7 @@
 #include "policy/silence_func.h"
 #include "policy/wait_bound_type.h"
 #include "proxy/call_type.h"
+#include "proxy/origin_table_base.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
@@ -42,6 +44,13 @@
     SlotNeeded, ///< An online request needs a slot that a batch item or another request holds, or batch items took free slots.
 };
 
+/** What other hosts and the key-value service know of the versions that began streams. Empty functions know nothing. */
+struct OriginSources {
+    std::function<void(std::uint64_t stream, const ServiceVersion &origin)> announce; ///< Sends a record to its keepers.
+    std::function<boost::asio::awaitable<std::optional<ServiceVersion>>(std::uint64_t stream)> askHosts; ///< Asks the keepers of a stream's record.
+    std::function<boost::asio::awaitable<Result<StoredOrigins>>()> readStore; ///< Reads what the key-value service holds.
+};
+
 /** State of the proxy; owned by the traffic thread. */
 struct Proxy {
     boost::asio::any_io_executor executor; ///< Executor of the traffic thread.
@@ -56,6 +65,8 @@
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
     std::map<ServiceId, KeptPrompts> keptPrompts; ///< Prompt parts that targets probably hold; only of services with a route that has session affinity.
     std::map<ServiceId, ServiceLoad> serviceLoads; ///< Only of services whose requests have a bounded wait or session affinity.
+    OriginTable origins; ///< Records of the versions that began streams.
+    OriginSources originSources; ///< Where else they are known.
     std::function<void()> onUrgentNews; ///< Schedules an early announcement to the hosts of all failure domains; may be empty.
     std::function<void(const QuarantineChange &change)> onQuarantine; ///< Stores a change that this host decided; may be empty.
     std::function<void(LoadChange change)> onLoadChange; ///< Schedules an early announcement of this host's requests in flight.
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -20,6 +20,8 @@
     std::vector<std::shared_ptr<standin::Replica>> replicas;
     std::shared_ptr<RoutingConfig> config{std::make_shared<RoutingConfig>()}; ///< Configuration that publish() gives to a host.
     std::shared_ptr<TargetMap> targets{std::make_shared<TargetMap>()}; ///< Targets that publish() gives to a host.
+    std::set<ServiceVersion> servedVersions; ///< Versions of all targets that were published; stands for the registry in the store.
+    OriginTable keptOrigins; ///< Records that hosts have sent to keepers.
 
     EntryFixture()
     {
@@ -115,6 +117,17 @@
                 yieldToOnline(*this->runner);
             }
         };
+        this->proxy->originSources.announce = [this](std::uint64_t stream, const ServiceVersion &origin) {
+            recordOrigin(this->fixture.keptOrigins, stream, origin, BootClock::now());
+        };
+        this->proxy->originSources.askHosts = [this](std::uint64_t stream) -> boost::asio::awaitable<std::optional<ServiceVersion>> {
+            co_return recordedOrigin(this->fixture.keptOrigins, stream, BootClock::now());
+        };
+        this->proxy->originSources.readStore = [this]() -> boost::asio::awaitable<Result<StoredOrigins>> {
+            StoredOrigins stored;
+            stored.versions.assign(this->fixture.servedVersions.begin(), this->fixture.servedVersions.end());
+            co_return stored;
+        };
         this->jobs = JobRegistry::create(
             executor, standin::storeInterface(this->fixture.store), this->proxy->metrics, SessionId{"session-" + name}, this->proxy->wire.decodeSubmission);
         this->publish({SessionId{"session-" + name}});
@@ -144,6 +157,9 @@
         indexWorkspaces(*config);
         snapshot->config = std::move(config);
         snapshot->targets = std::make_shared<const TargetMap>(*this->fixture.targets);
+        for (const auto &[id, entry] : *this->fixture.targets) {
+            this->fixture.servedVersions.insert(versionOf(entry));
+        }
         snapshot->storeReachable = true;
         snapshot->storeAway = this->storeAway;
         snapshot->peersKnown = true;
--- a/tests/test_stream_version.cpp
+++ b/tests/test_stream_version.cpp
@@ -31,6 +31,7 @@
         for (const auto &[id, version] : {std::pair("i-1", "v1"), std::pair("i-2", "v1"), std::pair("i-3", "v2"), std::pair("i-4", "v2")}) {
             this->targets->at(TargetId{id}).version.value = version;
         }
+        this->servedVersions.clear();
         this->publishAll();
     }
 
@@ -139,6 +140,7 @@
     for (auto &[id, entry] : *this->targets) {
         entry.version.value = "v1";
     }
+    this->servedVersions.clear();
     this->publishAll();
     this->setPlans({}, {});
     CHECK(this->b->send(takeUp("again", "s1", 3)).status == 200);
