Fix: Texts of batch items held events of two software versions

What callers saw: completed results whose text begins at one version and ends at another, without a mark. Cause: an item whose target broke off was resumed at any target of its service by Last-Event-Id, at this host or, from its checkpoint, at the next owner.

Change: an item keeps the service and version that produced its text, also in its checkpoint, and goes on only there, by the functions that forwarded streams use. If that version has left, or has had no slot for 2 s while others had, the item begins anew with an empty output; nobody has read it yet. Checkpoints of earlier releases, which name no version, are not continued. Hosts of earlier releases cannot read the new checkpoints: in a fleet of both, such a host does not take over the items of a job until it is replaced.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -52,6 +52,7 @@
     JobEnded, ///< A caller cancelled a job.
     JobRead, ///< A caller read the results of a job.
     ItemStarted, ///< An item was sent to a target.
+    ItemRestarted, ///< The output of an item was discarded, because no target of its software version takes the item.
     ItemYielded, ///< An item was preempted to free its slot for online requests.
     ItemFailed, ///< An attempt to run an item failed.
     ItemFinished, ///< The result of an item is available.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -63,6 +63,7 @@
     EventInfo{EventKind::JobEnded, "job", "job_ended", "listed total"},
     EventInfo{EventKind::JobRead, "job", "job_read", "after results listed total revision followed_age_ms status"},
     EventInfo{EventKind::ItemStarted, "batch", "item_started", "job target after online batch slack_ms record_age_ms"},
+    EventInfo{EventKind::ItemRestarted, "batch", "item_restarted", "job version events waited_ms"},
     EventInfo{EventKind::ItemYielded, "batch", "item_yielded", "job target events online"},
     EventInfo{EventKind::ItemFailed, "batch", "item_failed", "job target error detail failures events phase prompt_parts"},
     EventInfo{EventKind::ItemFinished, "batch", "item_finished", "job state events took_ms"},
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -29,9 +29,9 @@
     return makeError(ErrorCode::Cancelled, run.yielded ? "yielded" : "cancelled", RunState::Maybe);
 }
 
-/** Reads the events of an answer into the item. @return Done when the output is complete, otherwise StreamBroken, Cancelled, or the error of
- * splitEvents() or of the connection. */
-asio::awaitable<Result<Done>> readOutput(Proxy &proxy, ItemRun &run, const PromptParts &prompt, HttpExchange &exchange)
+/** Reads the events of an answer into the item. @param version Version of the target. @return Done when the output is complete, otherwise StreamBroken,
+ * Cancelled, or the error of splitEvents() or of the connection. */
+asio::awaitable<Result<Done>> readOutput(Proxy &proxy, ItemRun &run, const PromptParts &prompt, ServiceVersion version, HttpExchange &exchange)
 {
     run.splitter.partial.clear();
     TimePoint progressAt = BootClock::now(); // Only events are progress: a stalled target may still send a byte now and then.
@@ -59,6 +59,7 @@
             run.text += run.events > 0 ? "\n" : "";
             run.text += event.data;
             ++run.events;
+            run.origin = version;
             run.targetEnds = 0;
             recordEvents(proxy, prompt, run.progress, 1);
             progressAt = BootClock::now();
@@ -139,7 +140,7 @@
     }
     run->progress.answerBegun = true;
     run->reading = &exchange;
-    auto outcome = co_await readOutput(proxy, *run, call.prompt, exchange);
+    auto outcome = co_await readOutput(proxy, *run, call.prompt, versionOf(target), exchange);
     run->reading = nullptr;
     run->unsolicitedBytes = exchange.unsolicitedBytes;
     co_return outcome;
@@ -193,6 +194,15 @@
     }
 }
 
+void discardOutput(ItemRun &run)
+{
+    run.splitter = {};
+    run.text.clear();
+    run.events = 0;
+    run.origin.reset();
+    run.versionMissedAt = {};
+}
+
 void resetFailedRun(ItemRun &run)
 {
     run.abort.reset();
--- a/src/job/job_ownership.cpp
+++ b/src/job/job_ownership.cpp
@@ -38,10 +38,14 @@
             continue;
         }
         ItemRun &run = *found->second;
+        run.failures = checkpoint.failures;
+        if (!checkpoint.origin) {
+            continue; // No version is known that could continue the text.
+        }
         run.splitter.lastId = checkpoint.lastEventId;
         run.events = checkpoint.events;
-        run.failures = checkpoint.failures;
         run.text = checkpoint.text;
+        run.origin = checkpoint.origin;
     }
 }
 
@@ -51,7 +55,7 @@
     ItemCheckpoints checkpoints;
     for (const auto &[index, run] : owned.runs) {
         if (run->phase != ItemPhase::Finished && (run->events > 0 || run->failures > 0)) {
-            checkpoints[index] = {run->splitter.lastId, run->events, run->failures, run->text};
+            checkpoints[index] = {run->splitter.lastId, run->events, run->failures, run->text, run->origin};
         }
     }
     return checkpoints;
--- a/src/job/job_record.cpp
+++ b/src/job/job_record.cpp
@@ -123,14 +123,17 @@
         if (bytes > maxBytes) {
             break;
         }
-        items.push_back(boost::json::array{index, checkpoint.lastEventId, checkpoint.events, checkpoint.failures, checkpoint.text});
+        const ServiceVersion origin = checkpoint.origin.value_or(ServiceVersion());
+        items.push_back(boost::json::array{
+            index, checkpoint.lastEventId, checkpoint.events, checkpoint.failures, checkpoint.text, origin.service.value, origin.version.value});
     }
     return boost::json::serialize(items);
 }
 
 Result<ItemCheckpoints> decodeCheckpoints(std::string_view value)
 {
-    constexpr std::size_t fields = 5;
+    constexpr std::size_t fields = 7;
+    constexpr std::size_t fieldsWithoutOrigin = 5; // As written by earlier releases.
     boost::system::error_code error;
     const auto parsed = boost::json::parse(boost::json::string_view(value.data(), value.size()), error);
     if (error || !parsed.is_array()) {
@@ -139,8 +142,9 @@
     ItemCheckpoints checkpoints;
     for (const auto &entry : parsed.get_array()) {
         const auto *item = entry.if_array();
-        if (item == nullptr || item->size() != fields || !(*item)[4].is_string()) {
-            return invalidRecord("checkpoint is not an array of five fields that ends with the text");
+        const bool hasOrigin = item != nullptr && item->size() == fields && (*item)[5].is_string() && (*item)[6].is_string();
+        if (item == nullptr || (!hasOrigin && item->size() != fieldsWithoutOrigin) || !(*item)[4].is_string()) {
+            return invalidRecord("checkpoint is not an array of five fields with the text, or of seven with the version");
         }
         const auto index = numberIn<std::uint32_t>((*item)[0]);
         const auto lastEventId = numberIn<std::uint64_t>((*item)[1]);
@@ -150,6 +154,9 @@
             return invalidRecord("checkpoint has a field that is not a number");
         }
         checkpoints[*index] = {*lastEventId, *events, *failures, std::string((*item)[4].get_string())};
+        if (hasOrigin && !(*item)[5].get_string().empty()) {
+            checkpoints[*index].origin = ServiceVersion{std::string((*item)[5].get_string()), std::string((*item)[6].get_string())};
+        }
     }
     return checkpoints;
 }
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -6,6 +6,7 @@
 #include "fleet/route_match_func.h"
 #include "job/job_record_func.h"
 #include "job/job_runner_base.h"
+#include "policy/stream_origin_func.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -90,13 +91,19 @@
     return pending;
 }
 
-/** @return The best offer of a target of the item's service that the item does not avoid; null if there is none. */
+/** @return Whether the item may run at the target of @p offer, be it one that it avoids. */
+bool isUsable(const SlotOffer &offer, const PendingItem &item, const ItemRun &run)
+{
+    return offer.slots.items > 0 && offer.target->service == item.service && mayContinueAt(run.origin, versionOf(*offer.target));
+}
+
+/** @return The best offer of a target that the item may use and does not avoid; null if there is none. */
 SlotOffer *chooseOffer(std::vector<SlotOffer> &offers, const PendingItem &item, const ItemRun &run)
 {
     SlotOffer *best = nullptr;
     for (SlotOffer &offer : offers) {
         const bool avoided = std::find(run.avoided.begin(), run.avoided.end(), offer.target->id) != run.avoided.end();
-        if (offer.slots.items == 0 || avoided || offer.target->service != item.service) {
+        if (avoided || !isUsable(offer, item, run)) {
             continue;
         }
         if (best == nullptr || isBetterOffer(offer.slots, best->slots)) {
@@ -106,14 +113,48 @@
     return best;
 }
 
-/** @return Whether a target of @p service has slots left. */
-bool hasOffer(const std::vector<SlotOffer> &offers, const ServiceId &service)
+/** @return Whether a target that the item may use has slots left. */
+bool hasOffer(const std::vector<SlotOffer> &offers, const PendingItem &item, const ItemRun &run)
+{
+    return std::any_of(offers.begin(), offers.end(), [&](const SlotOffer &offer) {
+        return isUsable(offer, item, run);
+    });
+}
+
+/** @return Whether a target of the item's service has slots left. */
+bool hasOfferOfService(const std::vector<SlotOffer> &offers, const ServiceId &service)
 {
     return std::any_of(offers.begin(), offers.end(), [&service](const SlotOffer &offer) {
         return offer.slots.items > 0 && offer.target->service == service;
     });
 }
 
+/** @return Service and version of each target that takes items. */
+std::vector<ServiceVersion> acceptingVersions(const Proxy &proxy)
+{
+    std::vector<ServiceVersion> versions;
+    for (const auto &[id, entry] : *proxy.fleet->targets) {
+        if (!isLeaving(proxy.leavingTargets, entry)) {
+            versions.push_back(versionOf(entry));
+        }
+    }
+    return versions;
+}
+
+/** Makes an item whose version has no slots for it wait, or begin anew. @param accepting Versions of all targets that take items. */
+void awaitVersion(const JobRunner::Impl &runner, const PendingItem &item, ItemRun &run, const std::vector<ServiceVersion> &accepting, TimePoint now)
+{
+    run.versionMissedAt = run.versionMissedAt == TimePoint{} ? now : run.versionMissedAt;
+    const auto missed = std::chrono::duration_cast<milliseconds>(now - run.versionMissedAt);
+    if (!beginsAnew(*run.origin, accepting, missed)) {
+        return;
+    }
+    logEvent(EventKind::ItemRestarted,
+             runner.registry->jobs.at(item.job).record.items[item.index].id,
+             {{"job", item.job.value}, {"version", run.origin->version.value}, {"events", run.events}, {"waited_ms", missed.count()}});
+    discardOutput(run);
+}
+
 /** Starts @p item on @p target. */
 void startItem(const RunnerPtr &runner, const PendingItem &item, const std::shared_ptr<ItemRun> &run, const TargetEntry &target, TimePoint now)
 {
@@ -175,17 +216,21 @@
     }
     const bool hasNewService = updateWaitingSince(*runner, waitedBefore, now);
     std::vector<SlotOffer> offers = findSlotOffers(*runner, pending, now);
+    const std::vector<ServiceVersion> accepting = acceptingVersions(*runner->proxy);
     bool started = false;
     for (const PendingItem &item : pending) {
         const auto run = runner->owned.at(item.job).runs.at(item.index);
         SlotOffer *offer = chooseOffer(offers, item, *run);
         if (offer == nullptr) {
             // Where only avoided targets have slots, the item may use them again from the next round on.
-            if (hasOffer(offers, item.service)) {
+            if (hasOffer(offers, item, *run)) {
                 run->avoided.clear();
+            } else if (run->origin && hasOfferOfService(offers, item.service)) {
+                awaitVersion(*runner, item, *run, accepting, now);
             }
             continue;
         }
+        run->versionMissedAt = {};
         if (!mayStartItem(*runner, trials, item, now)) {
             continue;
         }
--- a/src/job/job_runner_base.h
+++ b/src/job/job_runner_base.h
@@ -24,6 +24,8 @@
     EventSplitter splitter; ///< Splits the answers into events; continues over all runs.
     std::string text; ///< Data of all events received, separated by line feeds.
     std::uint64_t events{0}; ///< Number of events in the text.
+    std::optional<ServiceVersion> origin; ///< Version that produced the text; empty as long as there is none.
+    TimePoint versionMissedAt{}; ///< Since when only targets of other versions have had slots for the item; TimePoint{} if one of its version had.
     unsigned failures{0}; ///< Number of runs that the target itself reported as failed.
     unsigned targetEnds{0}; ///< Number of runs in a row under which the target ended before the first event; they only delay the next one.
     unsigned exceptions{0}; ///< Number of runs that an exception in this host ended; they only delay the next one, too.
@@ -106,6 +108,9 @@
  */
 void spawnLater(const RunnerPtr &runner, std::string_view name, std::function<boost::asio::awaitable<void>()> task, std::function<void()> onFailure);
 
+/** Discards what an item has produced, so that it begins anew. */
+void discardOutput(ItemRun &run);
+
 /** Makes an item whose run was ended by an exception pending again, if this host still has to run it. */
 void resetFailedRun(ItemRun &run);
 
--- a/src/job/job_type.h
+++ b/src/job/job_type.h
@@ -4,9 +4,11 @@
 #include "core/clock_func.h"
 #include "core/id_type.h"
 #include "http/http_type.h"
+#include "policy/stream_origin_type.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,6 +86,7 @@
     std::uint64_t events{0}; ///< Number of events in the text.
     unsigned failures{0}; ///< Number of runs that the target itself reported as failed.
     std::string text; ///< Data of these events, separated by line feeds.
+    std::optional<ServiceVersion> origin{}; ///< Version that produced the text; empty when there is none, or an earlier release wrote the checkpoint.
 };
 
 /** Checkpoints of a job by the index of the item. */
--- a/src/policy/stream_origin.cpp
+++ b/src/policy/stream_origin.cpp
@@ -7,6 +7,12 @@
 
 namespace skylark {
 
+namespace {
+
+constexpr std::chrono::milliseconds maxVersionWait{2000}; ///< An item takes about a second from the beginning.
+
+} // namespace
+
 OriginDecision findOrigin(const OriginEvidence &evidence, const std::vector<ServiceId> &services)
 {
     if (evidence.recorded) {
@@ -56,6 +62,11 @@
     return accepting.empty() ? ContinuationOutlook::NoTarget : ContinuationOutlook::VersionGone;
 }
 
+bool beginsAnew(const ServiceVersion &origin, const std::vector<ServiceVersion> &accepting, std::chrono::milliseconds missed)
+{
+    return outlookOf(origin, accepting) == ContinuationOutlook::VersionGone || missed >= maxVersionWait;
+}
+
 std::vector<HostId> recordKeepers(std::uint64_t stream, std::vector<RecordKeeper> hosts)
 {
     const std::string subject = hexText(stream);
--- a/src/policy/stream_origin_func.h
+++ b/src/policy/stream_origin_func.h
@@ -3,6 +3,7 @@
 
 #include "policy/stream_origin_type.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string_view>
 
@@ -26,6 +27,13 @@
 /** @param accepting Service and version of each target that takes requests. */
 [[nodiscard]] ContinuationOutlook outlookOf(const ServiceVersion &origin, const std::vector<ServiceVersion> &accepting);
 
+/**
+ * @param accepting Service and version of each target that takes items.
+ * @param missed Time for which only targets of other versions have had slots for the item.
+ * @return Whether an item discards its output and begins anew. Nobody has read it yet, so that this costs only the time of its targets.
+ */
+[[nodiscard]] bool beginsAnew(const ServiceVersion &origin, const std::vector<ServiceVersion> &accepting, std::chrono::milliseconds missed);
+
 /**
  * Chooses the hosts that keep the record of a stream: the first by rendezvous hashing, and the first in another failure domain if
  * there is one. With a list that lacks one of the hosts, at least one of the two is the same.
--- a/tests/test_stream_origin.cpp
+++ b/tests/test_stream_origin.cpp
@@ -88,6 +88,9 @@
     CHECK(outlookOf(v1, {v2, v1}) == ContinuationOutlook::Possible);
     CHECK(outlookOf(v1, {v2}) == ContinuationOutlook::VersionGone);
     CHECK(outlookOf(v1, {}) == ContinuationOutlook::NoTarget);
+    CHECK(beginsAnew(v1, {v2}, 0ms));
+    CHECK_FALSE(beginsAnew(v1, {v1, v2}, 500ms));
+    CHECK(beginsAnew(v1, {v1, v2}, 10s));
 }
 
 // Guards against a record that no asked host has, because one host is missing from a list.
