--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -98,6 +98,7 @@
     std::unique_ptr<HttpServer> server; ///< Serves callers.
     Endpoint endpoint; ///< Address of the server.
     bool storeAway{false}; ///< What publish() says of the key-value service.
+    std::shared_ptr<TargetMap> ownTargets; ///< Targets as this host reaches them, where that differs from the fixture's; null otherwise.
     std::shared_ptr<RequestQuotas> quotas; ///< Request quotas; null when the host has none.
 
     EntryTestHost(EntryFixture &owner, const std::string &name, bool runsItems = true, std::shared_ptr<RequestQuotas> requestQuotas = nullptr)
@@ -156,7 +157,7 @@
         auto config = std::make_shared<RoutingConfig>(*this->fixture.config);
         indexWorkspaces(*config);
         snapshot->config = std::move(config);
-        snapshot->targets = std::make_shared<const TargetMap>(*this->fixture.targets);
+        snapshot->targets = std::make_shared<const TargetMap>(this->ownTargets ? *this->ownTargets : *this->fixture.targets);
         for (const auto &[id, entry] : *this->fixture.targets) {
             this->fixture.servedVersions.insert(versionOf(entry));
         }
