Fix: Callers of a host that had lost its links to all targets were not served

Cause: a failure of the host's own network was attributed to the targets, one by one; the host kept trying them, and was ready because it had a configuration and a list. Class of fault: what a host has is checked in place of what it can do.

Change (docs/design/lost-links.md): with trouble at two targets or more, a host opens connections to four targets at the same time; if none opens its links are lost, until half of four open again. It announces that in its status, relays requests over the port between hosts to hosts that have links, is not ready as long as there are any, and starts no batch items. To the code a relay is an attempt on a target, so that deadline, cancellation, proof of the answer and streaming are the same; a relayed request is not relayed again. Decisions are pure functions in src/policy/link_state.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -31,10 +31,13 @@
     VersionChanged, ///< A software version of a service was listed in the registry, or removed from it.
     TargetRefused, ///< A target entry was rejected.
     TargetEntryMissing, ///< The entry of a target is gone from the service.
+    LinksChanged, ///< The links of this host to the targets were lost or restored.
     PeerChanged, ///< Another host was added or removed.
     Placed, ///< A request was sent to a target.
     AttemptFailed, ///< An attempt to run a request on a target failed.
     Resumed, ///< A broken stream was continued on another target.
+    Relayed, ///< A request was relayed to another host, because this one has lost its links to the targets.
+    RelayFailed, ///< A host to which a request was relayed gave no complete answer.
     TakenUp, ///< A caller takes up a stream that an earlier attempt began.
     UnsolicitedBytes, ///< A target sent bytes that belong to no request.
     LimitChanged, ///< A target named another rate limit, or none any more.
--- a/src/entry/caller_service.cpp
+++ b/src/entry/caller_service.cpp
@@ -6,6 +6,7 @@
 #include "fleet/workspace_func.h"
 #include "job/job_answer_func.h"
 #include "policy/config_proof_func.h"
+#include "proxy/relay_path.h"
 
 #include <memory>
 
@@ -124,7 +125,9 @@
         co_await sendFailure(*service->proxy, responder, 404, "no_route", {});
         co_return;
     }
-    if (!config->workspaces) {
+    if (config->workspaces && call.relayed) {
+        call.workspace = service->proxy->wire.readWorkspace(call.accessHeaders);
+    } else if (!config->workspaces) {
         call.headers.insert(call.headers.end(), call.accessHeaders.begin(), call.accessHeaders.end());
     } else if (!route->isPublic) {
         const KeyCheck check = checkKey(*service, *config, call.apiKey);
@@ -139,7 +142,8 @@
     if (route->kind == CallKind::Batch) {
         co_await submitJob(service, responder, std::move(call), *route);
     } else {
-        const QuotaVerdict verdict = co_await admitRequest(service->quotas, call.workspace, call.id);
+        // The host that relays a request has taken a token for it.
+        const QuotaVerdict verdict = call.relayed ? QuotaVerdict() : co_await admitRequest(service->quotas, call.workspace, call.id);
         if (verdict.status != 0) {
             addCounter(*service->proxy->metrics, "skylark_refusals_total", {{"route", route->name}, {"reason", verdict.reason}});
             co_await sendFailure(*service->proxy, responder, verdict.status, verdict.reason, verdict.retryAfter);
@@ -197,7 +201,8 @@
     }
 }
 
-asio::awaitable<void> handle(ServicePtr service, HttpRequest request, HttpResponder &responder)
+/** @param relayed Whether another host has relayed the request; it then is none that submits or reads a job. */
+asio::awaitable<void> handle(ServicePtr service, HttpRequest request, HttpResponder &responder, bool relayed)
 {
     auto call = service->proxy->wire.decode(std::move(request));
     if (!isOk(call)) {
@@ -210,6 +215,7 @@
         co_return;
     }
     if (auto *proxied = std::get_if<ProxyCall>(&valueOf(call))) {
+        proxied->relayed = relayed;
         co_await handleProxy(service, responder, std::move(*proxied));
     } else {
         co_await handleJobCall(service, responder, std::move(valueOf(call)));
@@ -221,7 +227,15 @@
 HttpHandler makeCallerHandler(CallerService service)
 {
     return [shared = std::make_shared<const CallerService>(std::move(service))](HttpRequest request, HttpResponder &responder) {
-        return handle(shared, std::move(request), responder);
+        return handle(shared, std::move(request), responder, false);
+    };
+}
+
+HttpHandler makeRelayHandler(CallerService service)
+{
+    return [shared = std::make_shared<const CallerService>(std::move(service))](HttpRequest request, HttpResponder &responder) {
+        request.target.erase(0, peerRelayPath.size());
+        return handle(shared, std::move(request), responder, true);
     };
 }
 
--- a/src/entry/caller_service_func.h
+++ b/src/entry/caller_service_func.h
@@ -23,4 +23,7 @@
 /** @return The request handler of the HTTP server for callers. */
 [[nodiscard]] HttpHandler makeCallerHandler(CallerService service);
 
+/** @return The handler of requests that other hosts relay, which have checked the callers. */
+[[nodiscard]] HttpHandler makeRelayHandler(CallerService service);
+
 } // namespace skylark
--- a/src/entry/entry_host.cpp
+++ b/src/entry/entry_host.cpp
@@ -66,7 +66,7 @@
 HttpResponse answerReadiness(const EntryHost &host, const HttpRequest &request)
 {
     HttpResponse response;
-    response.status = !host.adapters.isReadinessProbe(request.target) ? 404 : isReady(*host.proxy) ? 200 : 503;
+    response.status = !host.adapters.isReadinessProbe(request.target) ? 404 : acceptsCallers(*host.proxy) ? 200 : 503;
     return response;
 }
 
@@ -87,6 +87,15 @@
     return response;
 }
 
+CallerService makeCallerService(EntryHost &host)
+{
+    CallerService service{host.proxy, host.jobs, host.settings.domain, host.proof.state, host.quotas};
+    service.mayTakeJob = [memory = host.memory](std::size_t bytes) {
+        return hasRoomForJob(*memory, bytes);
+    };
+    return service;
+}
+
 Result<Done> openServers(EntryHost &host)
 {
     HttpServerOptions options;
@@ -96,10 +105,7 @@
         addCounter(*host.metrics, "skylark_unserved_requests_total", {{"cause", errorInfo(cause).name}});
     };
     applyCallerMemory(host.memory, options);
-    CallerService service{host.proxy, host.jobs, host.settings.domain, host.proof.state, host.quotas};
-    service.mayTakeJob = [memory = host.memory](std::size_t bytes) {
-        return hasRoomForJob(*memory, bytes);
-    };
+    CallerService service = makeCallerService(host);
     auto callers = HttpServer::create(host.traffic.get_executor(), options, makeCallerHandler(std::move(service)));
     if (!isOk(callers)) {
         return errorOf(callers);
@@ -154,6 +160,7 @@
     options.ownedJob = [&host](const JobId &job, std::uint64_t after) {
         return encodeOwnedJob(*host.jobs, job, after);
     };
+    options.onRelayed = makeRelayHandler(makeCallerService(host));
     options.onNewerConfig = [&host](Revision version, const Endpoint &peer) {
         asio::post(host.control, [&host, version, peer] {
             pullNewerConfig(*host.fleet, version, peer);
@@ -184,8 +191,12 @@
     host.jobs->readFromHost = [link = host.peers->impl](HostId peer, JobId job, std::uint64_t after) {
         return readJobAtPeer(link, std::move(peer), std::move(job), after);
     };
+    host.proxy->relayPeers = [link = host.peers->impl] {
+        return listRelayPeers(*link);
+    };
     host.proxy->onUrgentNews = [&host] {
         scheduleStatusToAll(*host.peers);
+        logReadiness(host);
     };
     host.jobs->onJobEnded = [&host] {
         scheduleStatusToAll(*host.peers);
@@ -287,7 +298,7 @@
 
 void logReadiness(EntryHost &host)
 {
-    const bool ready = isReady(*host.proxy);
+    const bool ready = acceptsCallers(*host.proxy);
     if (ready == host.wasReady) {
         return;
     }
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -4,6 +4,7 @@
 #include "core/event_log_func.h"
 #include "core/task_func.h"
 #include "entry/origin_link_func.h"
+#include "proxy/relay_path.h"
 
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +25,7 @@
 constexpr milliseconds newsTime{1000}; ///< A change is repeated in every regular datagram for this time, because some get lost.
 constexpr milliseconds earlyStatusDelay{4}; ///< Delay of an early datagram, so that changes in this time share it; about one step of a target.
 
+constexpr std::uint32_t maxRelayedHeadBytes = 131072; ///< The limit of callers' request heads, and the headers that hosts add.
 constexpr std::string_view peerJobPath = "/peer/job/"; ///< Followed by the job's identifier, a slash, and the number of results that the reader has.
 constexpr milliseconds jobConnectTimeout{200}; ///< Covers several round trips between failure domains; the store is asked when the owner does not answer.
 constexpr milliseconds jobAnswerTimeout{400}; ///< Covers the transfer of the results.
@@ -88,6 +90,7 @@
     status.sequence = ++link->sequence;
     status.leaving = link->proxy->stopping;
     status.ready = isReady(*link->proxy);
+    status.linksLost = link->proxy->links.lost;
     status.configRevision = link->proxy->fleet->config ? link->proxy->fleet->config->version : Revision{};
     addOwnLoad(link->proxy->loadTracker, status);
     const bool toOtherDomains =
@@ -219,8 +222,13 @@
     HttpServerOptions serverOptions;
     serverOptions.listen = impl->options.listen;
     serverOptions.memory = impl->options.memory;
+    serverOptions.maxHeader = maxRelayedHeadBytes;
     auto server = HttpServer::create(executor, serverOptions, [weak](HttpRequest request, HttpResponder &responder) -> asio::awaitable<void> {
         const auto strong = weak.lock();
+        if (strong && strong->options.onRelayed && request.target.starts_with(peerRelayPath)) {
+            co_await strong->options.onRelayed(std::move(request), responder);
+            co_return;
+        }
         HttpResponse response = strong ? answerPeer(*strong, request) : HttpResponse{.status = 503, .headers = {}, .body = {}};
         co_await sendResponse(responder, std::move(response));
     });
--- a/src/entry/peer_link_func.h
+++ b/src/entry/peer_link_func.h
@@ -24,6 +24,7 @@
     std::function<std::optional<std::string>(const JobId &job, std::uint64_t after)> ownedJob;
     /** Called once for each silence of a registered host whose entry must have lapsed by @c overdueAt if the host has ended; may be empty. */
     std::function<void(const HostId &host, TimePoint overdueAt)> onEntryOverdue;
+    HttpHandler onRelayed; ///< Runs requests that other hosts relay.
     std::function<void(Revision version, const Endpoint &peer)> onNewerConfig; ///< Called when a known host has a newer configuration than this one.
     std::function<void(const QuotaRequestMessage &request, const Endpoint &sender)> onQuotaRequest; ///< Called for each request for quota tokens.
     std::function<void(const QuotaGrantMessage &grant)> onQuotaGrant; ///< Called for each answer to a request for quota tokens.
@@ -42,6 +43,9 @@
 /** Asks @p host for a job that it owns. @return Its document, NotFound when the host is unknown or does not own the job, or the error of the connection. */
 boost::asio::awaitable<Result<std::string>> readJobAtPeer(std::shared_ptr<PeerLink::Impl> link, HostId host, JobId job, std::uint64_t after);
 
+/** @return The other registered hosts, with what their status says of their links. */
+[[nodiscard]] std::vector<RelayPeer> listRelayPeers(const PeerLink::Impl &link);
+
 /** Updates the recipients of the status from the hosts in the proxy's fleet snapshot. */
 void updatePeers(PeerLink &link);
 
--- a/src/entry/peer_list.cpp
+++ b/src/entry/peer_list.cpp
@@ -55,6 +55,19 @@
     }
 }
 
+std::vector<RelayPeer> listRelayPeers(const PeerLink::Impl &link)
+{
+    const LoadTracker &tracker = link.proxy->loadTracker;
+    const TimePoint now = BootClock::now();
+    std::vector<RelayPeer> peers;
+    for (const auto &[host, peer] : link.peers) {
+        const auto heard = tracker.peers.find(host);
+        const bool linked = heard != tracker.peers.end() && isCurrent(tracker, heard->second, now) && heard->second.linked && !heard->second.leaving;
+        peers.push_back({{host, peer.domain == link.options.domain, linked}, peer.endpoint});
+    }
+    return peers;
+}
+
 void reportOverdueEntries(PeerLink::Impl &link, TimePoint now)
 {
     const LoadTracker &tracker = link.proxy->loadTracker;
--- a/src/fleet/load_tracker.cpp
+++ b/src/fleet/load_tracker.cpp
@@ -82,6 +82,7 @@
     peer.sequence = status.sequence;
     peer.heardAt = now;
     peer.leaving = status.leaving;
+    peer.linked = status.ready && !status.linksLost;
     peer.configVersion = status.configRevision;
     peer.batchWaiting = status.batchWaiting;
     peer.waitingByService = {status.batchWaitingByService.begin(), status.batchWaitingByService.end()};
--- a/src/fleet/load_tracker_base.h
+++ b/src/fleet/load_tracker_base.h
@@ -25,6 +25,7 @@
     std::uint64_t sequence{0}; ///< Sequence number of the datagram within the incarnation.
     TimePoint heardAt{}; ///< When the datagram arrived.
     bool leaving{false}; ///< Whether the host has begun a planned shutdown.
+    bool linked{false}; ///< Whether the host can serve requests: it is ready and reaches targets.
     Revision configVersion; ///< Configuration in force at the host.
     unsigned batchWaiting{0}; ///< Batch items of the host that wait for a slot.
     std::map<ServiceId, unsigned> waitingByService; ///< The same by service; empty if the host does not say.
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -156,6 +156,12 @@
     co_return connection;
 }
 
+asio::awaitable<bool> httpCanConnect(std::shared_ptr<HttpClient> client, Endpoint endpoint, std::chrono::milliseconds timeout)
+{
+    const auto opened = co_await openConnection(*client, std::move(endpoint), timeout);
+    co_return isOk(opened);
+}
+
 void httpCloseIdle(HttpClient &client, const Endpoint &endpoint, TimePoint openedBefore)
 {
     const auto found = client.idle.find(endpoint);
--- a/src/http/http_client_func.h
+++ b/src/http/http_client_func.h
@@ -122,6 +122,9 @@
 boost::asio::awaitable<Result<HttpResponse>> httpCallExpectContinue(
     std::shared_ptr<HttpClient> client, Endpoint endpoint, HttpRequest request, HttpTimeouts timeouts, std::function<Result<Done>()> precheck);
 
+/** @return Whether a connection to @p endpoint can be opened; it is closed at once. */
+boost::asio::awaitable<bool> httpCanConnect(std::shared_ptr<HttpClient> client, Endpoint endpoint, std::chrono::milliseconds timeout);
+
 /** Closes idle connections to @p endpoint that were opened before @p openedBefore. */
 void httpCloseIdle(HttpClient &client, const Endpoint &endpoint, TimePoint openedBefore);
 
--- a/src/job/job_item_run.cpp
+++ b/src/job/job_item_run.cpp
@@ -258,6 +258,10 @@
         co_return;
     }
     const Error &error = errorOf(outcome);
+    if (error.code == ErrorCode::ConnectFailed || error.code == ErrorCode::ConnectTimeout) {
+        recordUnreachable(*runner->proxy, target.id);
+        watchLinks(runner->proxy);
+    }
     recordFailedRun(*runner->proxy, target.id, prompt, run->progress, error);
     handleFailedRun(*runner, job, owned->second, *run, target, error);
     logEvent(EventKind::ItemFailed,
--- a/src/job/job_runner.cpp
+++ b/src/job/job_runner.cpp
@@ -204,7 +204,7 @@
 {
     LoadTracker &tracker = runner->proxy->loadTracker;
     const std::map<ServiceId, unsigned> waitedBefore = std::exchange(tracker.ownWaiting, {});
-    if (!runner->startsItems || !runner->proxy->fleet->targets || runner->owned.empty()) {
+    if (!runner->startsItems || runner->proxy->links.lost || !runner->proxy->fleet->targets || runner->owned.empty()) {
         runner->waitingSince.clear();
         return;
     }
--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -26,6 +26,8 @@
     MetricInfo{"skylark_retries_total", "Further attempts of online requests by the error that caused them."},
     MetricInfo{"skylark_resumes_total", "Broken online streams that were continued on another target."},
     MetricInfo{"skylark_taken_up_streams_total", "Streams that callers took up, by how the version that began them is known."},
+    MetricInfo{"skylark_relayed_requests_total", "Requests relayed to another host because this one had lost its links to the targets, by route."},
+    MetricInfo{"skylark_link_tests_total", "Tests of the links to the targets, by the number of connections that opened."},
     MetricInfo{"skylark_yields_total", "Batch slots that online requests asked for."},
     MetricInfo{"skylark_forwards_total", "Online requests sent to a host of another failure domain."},
     MetricInfo{"skylark_queue_wait_seconds", "Time that online requests waited in the queue of their model."},
--- a/src/peer/peer.capnp
+++ b/src/peer/peer.capnp
@@ -92,6 +92,7 @@
   limits @19 :List(TargetLimit);
   configProven @20 :Bool;  # Whether configProofAgeMs is set.
   configProofAgeMs @21 :UInt32;  # Age of the sender's proof that its configuration is the newest.
+  linksLost @23 :Bool;  # Whether the sender reaches no target.
   batchWaitingByService @22 :List(NamedCount);  # Parts of batchWaiting. Empty in datagrams of versions that do not tell services apart.
 }
 
--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -237,6 +237,7 @@
     out.setSentAtMs(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()));
     out.setLeaving(status.leaving);
     out.setReady(status.ready);
+    out.setLinksLost(status.linksLost);
     out.setConfigRevision(status.configRevision.value);
     out.setJobsCursor(status.jobsCursor);
     out.setBatchWaiting(status.batchWaiting);
@@ -272,6 +273,7 @@
     status.sentAt = std::chrono::milliseconds(static_cast<std::int64_t>(in.getSentAtMs()));
     status.leaving = in.getLeaving();
     status.ready = in.getReady();
+    status.linksLost = in.getLinksLost();
     status.configRevision.value = in.getConfigRevision();
     status.jobsCursor = in.getJobsCursor();
     status.batchWaiting = in.getBatchWaiting();
--- a/src/peer/status_type.h
+++ b/src/peer/status_type.h
@@ -28,7 +28,7 @@
     std::uint64_t incarnation{0}; ///< Start time of the process in Unix milliseconds.
     std::uint64_t sequence{0}; ///< Number of the datagram within this incarnation.
     bool leaving{false}; ///< The host is in a planned stop.
-    bool ready{false}; ///< The host accepts requests from callers.
+    bool ready{false}; ///< The host has what it needs to serve requests.
     Revision configRevision; ///< Revision of the configuration in force.
     std::uint64_t jobsCursor{0}; ///< Number of the host's last job change; peers pull the job records after the number that they have seen.
     std::vector<TargetStatus> targets; ///< Targets whose batch owner the host is.
@@ -42,6 +42,7 @@
     std::vector<LimitObservation> limits; ///< Rate limits that targets named to the host.
     std::optional<TimePoint> configProvenAt; ///< When the sender's configuration was proved to be the newest, on the local clock; empty without a proof.
     QuarantineReport quarantine; ///< Crashes of targets that the host saw, and quarantined prompt parts.
+    bool linksLost{false}; ///< The host reaches no target.
 };
 
 /** Request for tokens of a workspace's request quota, sent to a host that holds a part of the quota. */
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -34,6 +34,7 @@
     std::string apiKey; ///< Key of the caller; empty when there is none or more than one. Must not be logged.
     std::chrono::milliseconds waited{0}; ///< Time that the request has waited before it was forwarded; counts against its deadline.
     bool accepted{false}; ///< Whether it is the submission of a job that was accepted before. Its items are not validated again.
+    bool relayed{false}; ///< Whether another host, which has checked the caller, has relayed the request. It is not relayed again.
     WorkspaceId workspace; ///< Workspace of the caller's API key; empty before the key was checked, and where none is needed.
 };
 
@@ -63,9 +64,10 @@
 
 /** Parameters that the host adds to a request when it sends it to a target. */
 struct TargetRequestParams {
-    TargetId expectedTarget; ///< Target instance that the request is meant for; any other instance at the address must reject it.
+    TargetId expectedTarget; ///< Target instance that the request is meant for; any other one at the address must reject it. Empty for a relay to a host.
     std::chrono::milliseconds budget{0}; ///< Time after which the answer is no longer needed.
     std::uint64_t lastEventId{0}; ///< Event after which a stream is to continue; 0 to begin with the first event.
+    RequestId resumes{}; ///< Attempt that began the stream, for a host that continues it; empty where the caller's headers name it or none did.
 };
 
 /** What the status and headers of a target's answer say. */
@@ -83,6 +85,9 @@
     std::function<Result<CallerCall>(HttpRequest request)> decode; ///< Decodes a caller's request; InvalidRequest when it is malformed.
     std::function<HttpRequest(const ProxyCall &call, const TargetRequestParams &params)> encode; ///< Builds the request that is sent to a target.
     std::function<void(HttpHeaders &headers)> removeAccessHeaders; ///< Removes headers with an API key or a workspace, which only the host may set.
+    std::function<WorkspaceId(const HttpHeaders &headers)> readWorkspace; ///< Reads the workspace that a host has named in a request that it relays.
+    std::function<void(HttpHeaders &headers)>
+        removeTargetState; ///< Removes what a target says of itself in an answer, which concerns only hosts that send to it.
     std::function<PromptParts(const HttpHeaders &headers)> readPromptParts; ///< Reads the parts of the prompt; malformed ones are left out.
     std::function<AnswerHead(int status, const HttpHeaders &headers)> readAnswerHead; ///< Parses the status and headers of a target's answer.
     std::function<Result<JobSubmission>(const ProxyCall &call)>
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -144,7 +144,7 @@
     co_return attempt;
 }
 
-/** Ends a request that nothing can continue. @param last Most recent attempt; unused when there was none. */
+/** Ends a request that nothing can run or continue. @param last Most recent attempt; unused when there was none. */
 asio::awaitable<void> endContinuation(Forwarding &forwarding, const Attempt &last, std::string_view reason)
 {
     if (forwarding.started || forwarding.runs > 0) {
@@ -154,6 +154,18 @@
     }
 }
 
+/** Finds the version that began the stream, if it has begun elsewhere. @return Why the request must end; empty if it may go on. */
+asio::awaitable<std::string_view> findBeginning(Forwarding &forwarding)
+{
+    if (forwarding.origin) {
+        co_return std::string_view();
+    }
+    if (forwarding.started && forwarding.call.resumes.empty()) {
+        forwarding.call.resumes = forwarding.call.id; // Another host has run it until now.
+    }
+    co_return co_await resolveOrigin(forwarding);
+}
+
 /** Sends the request to one target after another until the caller has a final answer or has closed its connection. */
 asio::awaitable<void> runAttempts(Forwarding &forwarding)
 {
@@ -165,6 +177,25 @@
             co_await failRequest(forwarding, last);
             co_return;
         }
+        watchLinks(forwarding.proxy);
+        if (const auto relay = chooseRelay(forwarding)) {
+            last = co_await relayTo(forwarding, *relay);
+            if (last.end == AttemptEnd::Answered) {
+                co_return;
+            }
+            if (last.end == AttemptEnd::NotRun) {
+                co_await sleepFor(placementRetryDelay(forwarding));
+            }
+            continue;
+        }
+        std::string_view obstacle = "links_lost";
+        if (!isStranded(forwarding)) {
+            obstacle = co_await findBeginning(forwarding);
+        }
+        if (!obstacle.empty()) {
+            co_await endContinuation(forwarding, last, obstacle);
+            co_return;
+        }
         const auto quarantined = quarantineLeft(proxy.quarantine, forwarding.call.prompt, BootClock::now());
         if (quarantined && forwarding.started) {
             // A sound run elsewhere may end the quarantine before the deadline.
@@ -248,11 +279,6 @@
             abortForGoneCaller(strong);
         }
     });
-    const std::string_view refusal = co_await resolveOrigin(*forwarding);
-    if (!refusal.empty()) {
-        co_await refuseContinuation(*forwarding, refusal);
-        co_return;
-    }
     co_await runAttempts(*forwarding);
 }
 
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -107,12 +107,22 @@
     return {end, std::move(error), {}};
 }
 
+/** @return The headers of the answer to the caller. A host that has relayed the request gets none of its target's state, which it could not attribute. */
+HttpHeaders answerHeaders(const Forwarding &forwarding, const HttpExchange &exchange)
+{
+    HttpHeaders headers = endToEndHeaders(exchange.headers);
+    if (forwarding.call.relayed) {
+        forwarding.proxy->wire.removeTargetState(headers);
+    }
+    return headers;
+}
+
 /** Reads a complete answer and sends it to the caller, unless its status is 500 or above. */
 asio::awaitable<Attempt> relayWholeAnswer(Forwarding &forwarding, HttpExchange &exchange)
 {
     HttpResponse answer;
     answer.status = exchange.status;
-    answer.headers = endToEndHeaders(exchange.headers);
+    answer.headers = answerHeaders(forwarding, exchange);
     auto body = co_await readBody(forwarding, exchange, maxAnswerBytes);
     if (!isOk(body)) {
         co_return failedAttempt(forwarding, errorOf(body));
@@ -136,7 +146,7 @@
         forwarding.started = true;
         forwarding.firstAt = BootClock::now();
         beginStream(forwarding);
-        const auto head = co_await startStream(forwarding.responder, exchange.status, endToEndHeaders(exchange.headers));
+        const auto head = co_await startStream(forwarding.responder, exchange.status, answerHeaders(forwarding, exchange));
         if (!isOk(head)) {
             co_return head;
         }
@@ -267,12 +277,26 @@
 
 asio::awaitable<Attempt> attemptOn(Forwarding &forwarding, TargetEntry target)
 {
-    Proxy &proxy = *forwarding.proxy;
     const TargetRequestParams params{target.id, std::max(milliseconds(1), timeLeft(forwarding)), forwarding.splitter.lastId};
-    HttpRequest request = proxy.wire.encode(forwarding.call, params);
+    HttpRequest request = forwarding.proxy->wire.encode(forwarding.call, params);
+    forwarding.relaying = false;
+    Attempt attempt = co_await exchangeWith(forwarding, target, std::move(request));
+    const bool isUnreachable = attempt.error.code == ErrorCode::ConnectFailed || attempt.error.code == ErrorCode::ConnectTimeout;
+    if (attempt.end == AttemptEnd::NotRun && isUnreachable) {
+        recordUnreachable(*forwarding.proxy, target.id);
+    } else if (attempt.end == AttemptEnd::Answered) {
+        recordReached(*forwarding.proxy, target.id);
+    }
+    co_return attempt;
+}
+
+asio::awaitable<Attempt> exchangeWith(Forwarding &forwarding, TargetEntry target, HttpRequest request)
+{
+    Proxy &proxy = *forwarding.proxy;
+    const milliseconds budget = std::max(milliseconds(1), timeLeft(forwarding));
     const TimePoint sentAt = BootClock::now();
     forwarding.progressAt = sentAt;
-    const HttpTimeouts timeouts{std::min(targetConnectTimeout, params.budget), params.budget, params.budget, params.budget};
+    const HttpTimeouts timeouts{std::min(targetConnectTimeout, budget), budget, budget, budget};
     const ConnectionUse use = isRepeatable(*forwarding.route) ? ConnectionUse::Pooled : ConnectionUse::Fresh;
     forwarding.abort = std::make_shared<HttpAbortHandle>();
     forwarding.progress = {};
--- a/src/proxy/forward_silence.cpp
+++ b/src/proxy/forward_silence.cpp
@@ -48,6 +48,12 @@
     }
     const SilenceInput input = silenceInput(forwarding);
     const milliseconds silence = elapsedSince(forwarding.progressAt);
+    if (forwarding.relaying) {
+        return false; // The host that runs it decides.
+    }
+    if (input.mayMove && silence >= doubtfulSilence && chooseRelay(forwarding)) {
+        return true;
+    }
     if (!input.mayMove || silence < silenceLimit(input)) {
         return false;
     }
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -23,6 +23,7 @@
     TimePoint lateUntil{}; ///< End of the time for reading what had arrived by the deadline; TimePoint{} before it begins.
     TargetId target; ///< Target of the current or most recent attempt.
     ServiceVersion targetVersion; ///< Version of that target when the attempt began.
+    bool relaying{false}; ///< Whether the current or most recent attempt was relayed to another host.
     std::optional<ServiceVersion> origin; ///< Version that began the stream; empty before its first event, and for requests that cannot be continued.
     std::vector<TargetId> tried; ///< Targets that are no candidates because an attempt on them failed; reduced or cleared while the request waits for a target.
     std::vector<TargetId> ranOn; ///< Targets on which it may have run without a complete answer.
@@ -138,6 +139,18 @@
  */
 std::optional<std::chrono::milliseconds> recordPromptRead(const Forwarding &forwarding, std::chrono::nanoseconds firstAnswer);
 
+/** @return The host that gets the request because this one has lost its links, in the form of a target; empty if it is not to be relayed. */
+[[nodiscard]] std::optional<TargetEntry> chooseRelay(const Forwarding &forwarding);
+
+/** @return Whether the request was relayed to this host, which has lost its links too. */
+[[nodiscard]] bool isStranded(const Forwarding &forwarding);
+
+/** Relays the request to the host @p relay and its answer to the caller. The whole answer of a host is final. */
+boost::asio::awaitable<Attempt> relayTo(Forwarding &forwarding, TargetEntry relay);
+
+/** Sends @p request to @p target and relays its answer to the caller. */
+boost::asio::awaitable<Attempt> exchangeWith(Forwarding &forwarding, TargetEntry target, HttpRequest request);
+
 /** @return The targets that accept new requests and may answer this one: for the rest of a stream, those of the version that began it. */
 [[nodiscard]] std::vector<BalanceCandidate> candidatesFor(const Forwarding &forwarding);
 
--- a/src/proxy/proxy_base.h
+++ b/src/proxy/proxy_base.h
@@ -10,11 +10,13 @@
 #include "metrics/metrics_func.h"
 #include "policy/crash_quarantine_func.h"
 #include "policy/kept_prompt_func.h"
+#include "policy/link_state_type.h"
 #include "policy/load_balance_func.h"
 #include "policy/rate_limit_func.h"
 #include "policy/silence_func.h"
 #include "policy/wait_bound_type.h"
 #include "proxy/call_type.h"
+#include "proxy/link_watch_base.h"
 #include "proxy/origin_table_base.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -51,6 +53,12 @@
     std::function<boost::asio::awaitable<Result<StoredOrigins>>()> readStore; ///< Reads what the key-value service holds.
 };
 
+/** Another host that can run requests for this one. */
+struct RelayPeer {
+    RelayCandidate candidate;
+    Endpoint endpoint; ///< Address for relayed requests.
+};
+
 /** State of the proxy; owned by the traffic thread. */
 struct Proxy {
     boost::asio::any_io_executor executor; ///< Executor of the traffic thread.
@@ -65,6 +73,8 @@
     CrashQuarantine quarantine; ///< Prompt parts that crash targets.
     std::map<ServiceId, KeptPrompts> keptPrompts; ///< Prompt parts that targets probably hold; only of services with a route that has session affinity.
     std::map<ServiceId, ServiceLoad> serviceLoads; ///< Only of services whose requests have a bounded wait or session affinity.
+    LinkWatch links; ///< Whether this host reaches the targets.
+    std::function<std::vector<RelayPeer>()> relayPeers; ///< Lists the other hosts; may be empty.
     OriginTable origins; ///< Records of the versions that began streams.
     OriginSources originSources; ///< Where else they are known.
     std::function<void()> onUrgentNews; ///< Schedules an early announcement to the hosts of all failure domains; may be empty.
@@ -158,6 +168,9 @@
 /** @return Whether the host can serve callers: it has a configuration and a list of targets, and is not shutting down. */
 [[nodiscard]] bool isReady(const Proxy &proxy);
 
+/** @return Whether this host is to get new callers: it is ready, and has links to the targets unless no other host has them either. */
+[[nodiscard]] bool acceptsCallers(const Proxy &proxy);
+
 /** @return @p headers without the hop-by-hop headers, which apply to one connection only. */
 [[nodiscard]] HttpHeaders endToEndHeaders(const HttpHeaders &headers);
 
--- a/src/proxy/stream_continuation.cpp
+++ b/src/proxy/stream_continuation.cpp
@@ -113,6 +113,9 @@
     if (!isResumableStream(*forwarding.route)) {
         return;
     }
+    if (forwarding.relaying) {
+        return; // The host that runs it records its version.
+    }
     forwarding.origin = forwarding.targetVersion;
     const auto key = recordKeyOf(forwarding.call);
     if (!key) {
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -22,6 +22,7 @@
     std::shared_ptr<TargetMap> targets{std::make_shared<TargetMap>()}; ///< Targets that publish() gives to a host.
     std::set<ServiceVersion> servedVersions; ///< Versions of all targets that were published; stands for the registry in the store.
     OriginTable keptOrigins; ///< Records that hosts have sent to keepers.
+    std::vector<struct EntryTestHost *> hosts; ///< Hosts that relay requests to one another.
 
     EntryFixture()
     {
@@ -97,6 +98,7 @@
     std::shared_ptr<ConfigProofState> proof{std::make_shared<ConfigProofState>()}; ///< No proofs are kept unless a test changes its limits.
     std::unique_ptr<HttpServer> server; ///< Serves callers.
     Endpoint endpoint; ///< Address of the server.
+    std::unique_ptr<HttpServer> relayServer; ///< Serves requests that other hosts relay.
     bool storeAway{false}; ///< What publish() says of the key-value service.
     std::shared_ptr<TargetMap> ownTargets; ///< Targets as this host reaches them, where that differs from the fixture's; null otherwise.
     std::shared_ptr<RequestQuotas> quotas; ///< Request quotas; null when the host has none.
@@ -142,12 +144,34 @@
         REQUIRE(isOk(created));
         this->server = std::move(valueOf(created));
         this->endpoint = {"127.0.0.1", listenPort(*this->server)};
+        auto relay = HttpServer::create(executor, options, makeRelayHandler({this->proxy, this->jobs, DomainId{"north"}, this->proof, this->quotas}));
+        REQUIRE(isOk(relay));
+        this->relayServer = std::move(valueOf(relay));
+        this->fixture.hosts.push_back(this);
+        this->proxy->relayPeers = [this] {
+            return this->listRelayPeers();
+        };
     }
     EntryTestHost(const EntryTestHost &) = delete;
     EntryTestHost &operator=(const EntryTestHost &) = delete;
     ~EntryTestHost()
     {
         this->jobs->mirror->stopped = true;
+        this->proxy->relayPeers = {};
+        std::erase(this->fixture.hosts, this);
+    }
+
+    /** @return The other hosts of the fixture. */
+    [[nodiscard]] std::vector<RelayPeer> listRelayPeers() const
+    {
+        std::vector<RelayPeer> peers;
+        for (const EntryTestHost *host : this->fixture.hosts) {
+            if (host != this) {
+                const bool linked = isReady(*host->proxy) && !host->proxy->links.lost;
+                peers.push_back({{HostId{host->jobs->session.value}, true, linked}, {"127.0.0.1", listenPort(*host->relayServer)}});
+            }
+        }
+        return peers;
     }
 
     /** Gives the host the fixture's configuration and targets. @param registered Sessions of the hosts that have an entry in the service. */
--- a/tests/test_lost_links.cpp
+++ b/tests/test_lost_links.cpp
@@ -76,3 +76,104 @@
     this->sendDuringContactTime(this->a);
     CHECK(this->countServed(this->a, path, 20) == 20);
 }
+
+// Guards against requests that go round among hosts which have all lost their links, or wait until their deadline there.
+TEST_CASE_METHOD(LinkFixture, "request_allHostsHaveLostTheirLinks_isRefusedAtOnceAndRelayedNowhere")
+{
+    this->cut(this->a, false);
+    this->cut(this->b, false);
+    this->sendDuringContactTime(this->a);
+    this->sendDuringContactTime(this->b);
+    const TimePoint begun = BootClock::now();
+    CHECK(this->statusOf(this->a, "/lookup/x") == 503);
+    CHECK(BootClock::now() - begun < 500ms);
+    CHECK(acceptsCallers(*this->a.proxy));
+}
+
+// Guards against a host that is used as one without links after they are back, and against new callers at it before.
+TEST_CASE_METHOD(LinkFixture, "host_linksAreBack_servesItsCallersItselfAgain")
+{
+    CHECK(acceptsCallers(*this->a.proxy));
+    this->cut(this->a, false);
+    this->sendDuringContactTime(this->a);
+    CHECK_FALSE(acceptsCallers(*this->a.proxy));
+    CHECK(acceptsCallers(*this->b.proxy));
+    this->a.ownTargets.reset();
+    this->a.publish({SessionId{"session-front-1"}, SessionId{"session-front-2"}});
+    REQUIRE(this->runUntil(
+        [this] {
+            return acceptsCallers(*this->a.proxy);
+        },
+        1s));
+    this->b.server.reset();
+    this->b.relayServer.reset();
+    this->b.proxy->relayPeers = {};
+    std::erase(this->hosts, &this->b);
+    CHECK(this->countServed(this->a, "/lookup/x", 10) == 10);
+}
+
+// Guards against a relayed request that must not be repeated and runs twice, or has other bytes.
+TEST_CASE_METHOD(LinkFixture, "unsafeRequest_isRelayed_runsOnceAsItWasSent")
+{
+    this->cut(this->a, false);
+    this->sendDuringContactTime(this->a);
+    HttpRequest request = EntryTestHost::request("order-1", "/order/x?y=1");
+    request.headers.push_back({"X-Mark", "m"});
+    CHECK(this->a.send(std::move(request)).status == 200);
+    REQUIRE(this->runsOf("order-1") == 1);
+    for (const auto &replica : this->replicas) {
+        for (const auto &run : replica->runs) {
+            if (run->id == "order-1") {
+                CHECK(run->target == "/order/x?y=1");
+                CHECK(run->body == "body of order-1");
+                CHECK(headerValue(run->headers, "X-Mark") == "m");
+                CHECK(headerValue(run->headers, "Resumes").empty());
+            }
+        }
+    }
+}
+
+// Guards against a relay that hides from a host which targets are leaving, or gives it a rate limit that it cannot attribute.
+TEST_CASE_METHOD(LinkFixture, "answer_isRelayed_hasNoStateOfItsTarget")
+{
+    for (Replica *replica : this->targetsInOrder) {
+        replica->leaving = true;
+    }
+    this->cut(this->a, false);
+    this->sendDuringContactTime(this->a);
+    for (Replica *replica : this->targetsInOrder) {
+        replica->leaving = false;
+    }
+    const HttpResponse answer = this->a.send(EntryTestHost::request("q1", "/lookup/x"));
+    CHECK(headerValue(answer.headers, platform::headerServerLeaving).empty());
+}
+
+// Guards against a relayed stream that goes on at another version after the links are back.
+TEST_CASE_METHOD(LinkFixture, "stream_relayedAndBrokenOff_goesOnAtTheVersionThatBeganIt")
+{
+    this->servedVersions.clear();
+    for (const auto &[id, version] : {std::pair("i-1", "v1"), std::pair("i-2", "v1"), std::pair("i-3", "v2"), std::pair("i-4", "v2")}) {
+        this->targets->at(TargetId{id}).version.value = version;
+    }
+    this->b.publish({SessionId{"session-front-1"}});
+    this->cut(this->a, false);
+    this->sendDuringContactTime(this->a);
+    this->routeNamed("chat").maxAttempts = 1;
+    this->b.publish({SessionId{"session-front-1"}});
+    std::map<std::string, std::vector<std::string>> runs;
+    for (Replica *replica : this->targetsInOrder) {
+        const std::string version = this->targets->at(TargetId{replica->id}).version.value;
+        replica->plan = [&runs, version](const HttpRequest &request, unsigned /*number*/) {
+            auto &done = runs[std::string(headerValue(request.headers, platform::headerRequestId))];
+            done.push_back(version);
+            return done.size() == 1 ? ReplicaPlan{.breakAfter = 4} : ReplicaPlan{};
+        };
+    }
+    for (unsigned i = 0; i < 8; ++i) {
+        const std::string id = "s" + std::to_string(i);
+        const auto answer = this->call(this->a.endpoint, EntryTestHost::request(id, "/chat/x"));
+        CHECK(isOk(answer));
+        REQUIRE_FALSE(runs[id].empty());
+        CHECK(std::set<std::string>(runs[id].begin(), runs[id].end()).size() == 1);
+    }
+}
