Change: Large fleets write the records of streams less often

Change: 12 ms a host, 0.25 to 2 s, so that all hosts together write 83 a second at 76 hosts. Fewer streams of such a fleet survive the loss of all hosts at once; keepers cover the loss of some.

--- a/src/entry/origin_upkeep.cpp
+++ b/src/entry/origin_upkeep.cpp
@@ -60,9 +60,9 @@
 
 milliseconds originWriteIntervalFor(std::size_t hosts)
 {
-    constexpr milliseconds perHost{4};
+    constexpr milliseconds perHost{12};
     constexpr milliseconds least{250}; // A third of the duration of a usual stream.
-    constexpr milliseconds most{1000};
+    constexpr milliseconds most{2000};
     return std::clamp(perHost * static_cast<int>(hosts), least, most);
 }
 
