Fix: A request waited until its deadline for a target whose answer had the status 000

What callers saw: no answer of status 000 was passed on, but on a connection that stayed open the request ended with 504 only at its deadline, where another target could have answered. Cause: each status below 200 was taken for that of an interim response, after which the client waits for the next one. Statuses below 100 now end the exchange as a protocol error.

Evidence: answer_statusThatIsNone_isNoAnswerAndEndsTheWait (000 and 099) failed before the change and passes after it. A 200 without a length whose connection is reset while the upload is being written was not passed on before either: forward_targetAnswersInPartAndResetsDuringTheUpload_isNotTakenAsTheAnswer guards that and needed no change.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -21,6 +21,7 @@
 
 constexpr auto awaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readChunkBytes = 16384;
+constexpr int firstStatus = 100; ///< A response with a lower one, such as 000, is none.
 constexpr int firstFinalStatus = 200; ///< Responses with a lower status are interim ones.
 constexpr unsigned maxInterimResponses = 8; ///< Bounds what a peer can make a request read before its response.
 constexpr std::chrono::milliseconds lateReadTime{100}; ///< Time limit for reading bytes that have arrived by the time limit of a read.
@@ -207,6 +208,10 @@
         if (!isOk(head) || exchange.status >= firstFinalStatus) {
             co_return head;
         }
+        if (exchange.status < firstStatus) {
+            exchange.connection.reset();
+            co_return makeError(ErrorCode::ProtocolError, "response with the status " + std::to_string(exchange.status), RunState::Maybe);
+        }
         exchange.status = 0;
         exchange.headers.clear();
         beginResponse(*exchange.connection);
--- a/tests/test_answer_bytes.cpp
+++ b/tests/test_answer_bytes.cpp
@@ -137,6 +137,22 @@
     CHECK(isSoundAnswer(this->get("q1", "/order/x"), "q1"));
 }
 
+// Guards against a status of 000 that is passed on, or for which a request waits until its deadline as for an interim response.
+TEST_CASE_METHOD(AnswerBytesFixture, "answer_statusThatIsNone_isNoAnswerAndEndsTheWait")
+{
+    const int status = GENERATE(0, 99);
+    this->target.answer = [status](const std::string &id, unsigned /*number*/) {
+        const std::string digits = std::to_string(status);
+        const std::string head = "HTTP/1.1 " + std::string(3 - digits.size(), '0') + digits + " Text\r\n";
+        return ByteAnswer{.bytes = head + ByteTarget::idLine(id) + ByteTarget::signatureLine(id) + "Content-Length: 4\r\n\r\nnone"};
+    };
+    const TimePoint begun = BootClock::now();
+    const HttpResponse answer = this->host.send(EntryTestHost::request("q1", "/order/x", 3s));
+    CHECK(answer.status == 502);
+    CHECK(headerValue(answer.headers, platform::headerSignature).empty());
+    CHECK(BootClock::now() - begun < 1s);
+}
+
 // Guards against further use of a connection on which a target has sent more than one response to a request.
 TEST_CASE_METHOD(AnswerBytesFixture, "answer_moreThanOneResponse_endsTheConnectionAndCountsAgainstTheTarget")
 {
--- a/tests/test_forward_changes.cpp
+++ b/tests/test_forward_changes.cpp
@@ -162,3 +162,28 @@
     CHECK(answer.body == wholeText("q1", 10));
     CHECK(target.answered == 1);
 }
+
+// Guards against a part of an answer that is passed on as complete because its target resets the connection while it is still being sent the request.
+TEST_CASE_METHOD(ChangeFixture, "forward_targetAnswersInPartAndResetsDuringTheUpload_isNotTakenAsTheAnswer")
+{
+    ResettingTarget target(this->loop);
+    target.answer = "HTTP/1.1 200 OK\r\nX-Skylarkstage-Request-Id: q1\r\nX-Skylarkstage-Server-Signature: x\r\n\r\npart of the body";
+    this->setPlans({.stream = false}, {.stream = false});
+    this->targets->at(TargetId{"i-1"}).endpoint = {"127.0.0.1", target.acceptor.local_endpoint().port()};
+    this->host.proxy->loadTracker.own[TargetId{"i-2"}].online = 5; // The request goes to the other target first.
+    this->host.publish({});
+    HttpRequest request = EntryTestHost::request("q1", "/lookup/x");
+    request.body.assign(std::size_t{4} << 20U, 'x');
+    SECTION("may be repeated")
+    {
+        const HttpResponse answer = this->host.send(std::move(request));
+        CHECK(answer.status == 200);
+        CHECK(answer.body == wholeText("q1", 10));
+    }
+    SECTION("may not be repeated")
+    {
+        request.target = "/order/x";
+        CHECK(this->host.send(std::move(request)).status == 502);
+    }
+    CHECK(target.answered == 1);
+}
