Codechange: Datagrams of one message have a codec file of their own

Moved without a change: the encoders of questions, answers and requests, and what they share with the status. test_peer is run with the whole suite.

--- a/src/peer/status_codec.cpp
+++ b/src/peer/status_codec.cpp
@@ -2,6 +2,7 @@
 #include "peer/status_codec_func.h"
 
 #include "peer.capnp.h"
+#include "peer/datagram_pack_func.h"
 
 #include <algorithm>
 #include <capnp/message.h>
@@ -17,14 +18,6 @@
 /** Maximum size of an unpacked message in 8-byte words (512 KiB). Zeros can expand a thousandfold, so the datagram size does not limit it. */
 constexpr std::uint64_t maxMessageWords = 65536;
 
-std::string pack(capnp::MessageBuilder &message)
-{
-    kj::VectorOutputStream out;
-    capnp::writePackedMessage(out, message);
-    const auto bytes = out.getArray();
-    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
-}
-
 std::string textOf(capnp::Text::Reader text)
 {
     return {text.cStr(), text.size()};
@@ -68,11 +61,6 @@
     return model;
 }
 
-std::uint32_t millisecondsOnWire(std::chrono::milliseconds time)
-{
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 std::uint32_t ageMs(TimePoint since, TimePoint now)
 {
     return millisecondsOnWire(std::chrono::duration_cast<std::chrono::milliseconds>(now - since));
@@ -300,14 +288,6 @@
     return {HostId{textOf(in.getFrom())}, in.getStream(), {ServiceId{textOf(in.getService())}, SoftwareVersion{textOf(in.getVersion())}}};
 }
 
-void writeOrigin(wire::StreamOrigin::Builder out, const OriginMessage &message)
-{
-    out.setFrom(message.from.value);
-    out.setStream(message.stream);
-    out.setService(message.origin.service.value);
-    out.setVersion(message.origin.version.value);
-}
-
 Result<Datagram> readDatagram(wire::Datagram::Reader in, TimePoint now)
 {
     if (in.isStatus()) {
@@ -364,62 +344,6 @@
     return bytes;
 }
 
-std::string encodeYield(const YieldMessage &message)
-{
-    capnp::MallocMessageBuilder builder;
-    auto out = builder.initRoot<wire::Datagram>().initYield();
-    out.setFrom(message.from.value);
-    out.setTarget(message.target.value);
-    out.setSlots(message.slots);
-    return pack(builder);
-}
-
-std::string encodeQuotaRequest(const QuotaRequestMessage &message)
-{
-    capnp::MallocMessageBuilder builder;
-    auto out = builder.initRoot<wire::Datagram>().initQuotaRequest();
-    out.setFrom(message.from.value);
-    out.setWorkspace(message.workspace.value);
-    out.setNumber(message.number);
-    out.setTokens(message.tokens);
-    return pack(builder);
-}
-
-std::string encodeQuotaGrant(const QuotaGrantMessage &message)
-{
-    capnp::MallocMessageBuilder builder;
-    auto out = builder.initRoot<wire::Datagram>().initQuotaGrant();
-    out.setFrom(message.from.value);
-    out.setWorkspace(message.workspace.value);
-    out.setNumber(message.number);
-    out.setTokens(message.tokens);
-    out.setRetryAfterMs(millisecondsOnWire(message.retryAfter));
-    return pack(builder);
-}
-
-std::string encodeOriginRecord(const OriginMessage &message)
-{
-    capnp::MallocMessageBuilder builder;
-    writeOrigin(builder.initRoot<wire::Datagram>().initOriginRecord(), message);
-    return pack(builder);
-}
-
-std::string encodeOriginQuestion(const OriginQuestionMessage &message)
-{
-    capnp::MallocMessageBuilder builder;
-    auto out = builder.initRoot<wire::Datagram>().initOriginQuestion();
-    out.setFrom(message.from.value);
-    out.setStream(message.stream);
-    return pack(builder);
-}
-
-std::string encodeOriginAnswer(const OriginMessage &message)
-{
-    capnp::MallocMessageBuilder builder;
-    writeOrigin(builder.initRoot<wire::Datagram>().initOriginAnswer(), message);
-    return pack(builder);
-}
-
 Result<Datagram> decodeDatagram(std::string_view bytes, TimePoint now)
 {
     capnp::ReaderOptions options;
