Codechange: Names and comments of resumed streams use the usual terms

Read as a newcomer would: a caller that comes back for the rest of a stream resumes it (event caller_resumed, counter skylark_caller_resumes_total), and a relayed request at a host without links is called that. No change of logic; test_event_log and test_stream_version pass.

--- a/src/core/event_log_func.h
+++ b/src/core/event_log_func.h
@@ -38,7 +38,7 @@
     Resumed, ///< A broken stream was continued on another target.
     Relayed, ///< A request was relayed to another host, because this one has lost its links to the targets.
     RelayFailed, ///< A host to which a request was relayed gave no complete answer.
-    TakenUp, ///< A caller takes up a stream that an earlier attempt began.
+    CallerResumed, ///< A caller resumes a stream that an earlier attempt began.
     UnsolicitedBytes, ///< A target sent bytes that belong to no request.
     LimitChanged, ///< A target named another rate limit, or none any more.
     PartQuarantined, ///< Requests with a prompt part, or one request whenever it comes again, are rejected, because they crash targets.
--- a/src/core/table/event_table.h
+++ b/src/core/table/event_table.h
@@ -45,7 +45,7 @@
     EventInfo{EventKind::Resumed, "route", "resumed", "after"},
     EventInfo{EventKind::Relayed, "route", "relayed", "route host left_ms"},
     EventInfo{EventKind::RelayFailed, "route", "relay_failed", "host error run detail events"},
-    EventInfo{EventKind::TakenUp, "route", "taken_up", "route resumes after origin service version took_ms"},
+    EventInfo{EventKind::CallerResumed, "route", "caller_resumed", "route resumes after origin service version took_ms"},
     EventInfo{EventKind::UnsolicitedBytes, "targets", "unsolicited_bytes", "target"},
     EventInfo{EventKind::LimitChanged, "targets", "limit_changed", "source limited per_second sent"},
     EventInfo{EventKind::PartQuarantined, "route", "part_quarantined", "kind source crashes requests round lasts_ms"},
--- a/src/fleet/version_registry.cpp
+++ b/src/fleet/version_registry.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds versionRetention{30000}; ///< A caller waits no longer for a stream, so that none of the version is taken up any more.
+constexpr std::chrono::milliseconds versionRetention{30000}; ///< A caller waits no longer for a stream, so that none of the version is resumed any more.
 
 } // namespace
 
--- a/src/metrics/table/metric_table.h
+++ b/src/metrics/table/metric_table.h
@@ -25,7 +25,7 @@
     MetricInfo{"skylark_token_interval_seconds", "Time between two pieces of an online answer."},
     MetricInfo{"skylark_retries_total", "Further attempts of online requests by the error that caused them."},
     MetricInfo{"skylark_resumes_total", "Broken online streams that were continued on another target."},
-    MetricInfo{"skylark_taken_up_streams_total", "Streams that callers took up, by how the version that began them is known."},
+    MetricInfo{"skylark_caller_resumes_total", "Streams that callers resumed, by how the version that began them is known."},
     MetricInfo{"skylark_relayed_requests_total", "Requests relayed to another host because this one had lost its links to the targets, by route."},
     MetricInfo{"skylark_link_tests_total", "Tests of the links to the targets, by the number of connections that opened."},
     MetricInfo{"skylark_yields_total", "Batch slots that online requests asked for."},
--- a/src/policy/stream_origin_func.h
+++ b/src/policy/stream_origin_func.h
@@ -10,7 +10,7 @@
 namespace skylark {
 
 /**
- * Finds the origin of a stream that a caller takes up. Nothing is guessed: it stays unknown unless it was recorded or only one version can have begun it.
+ * Finds the origin of a stream that a caller resumes. Nothing is guessed: it stays unknown unless it was recorded or only one version can have begun it.
  * @param services Services of the route, any of which may have begun the stream.
  */
 [[nodiscard]] OriginDecision findOrigin(const OriginEvidence &evidence, const std::vector<ServiceId> &services);
--- a/src/policy/stream_origin_type.h
+++ b/src/policy/stream_origin_type.h
@@ -18,7 +18,7 @@
     auto operator<=>(const ServiceVersion &) const = default;
 };
 
-/** What is known of the origin of a stream that a caller takes up. */
+/** What is known of the origin of a stream that a caller resumes. */
 struct OriginEvidence {
     std::optional<ServiceVersion> recorded; ///< Record that a host made when the stream began; empty if none was found.
     /** Versions of all services at which any stream may have begun, read after the caller has asked; empty if they could not be read. */
--- a/src/proxy/call_type.h
+++ b/src/proxy/call_type.h
@@ -29,7 +29,7 @@
     std::string body; ///< Complete body.
     std::optional<std::chrono::milliseconds> callerTimeout; ///< How long the caller waits for the answer; empty when the request does not say.
     std::uint64_t lastEventId{0}; ///< Last event that the caller received; 0 for none.
-    RequestId resumes; ///< Attempt that brought the caller the first event of the stream that this request takes up; empty for none.
+    RequestId resumes; ///< Attempt that brought the caller the first event of the stream that this request resumes; empty for none.
     PromptParts prompt; ///< Parts of the prompt; empty for a request that names none.
     std::string apiKey; ///< Key of the caller; empty when there is none or more than one. Must not be logged.
     std::chrono::milliseconds waited{0}; ///< Time that the request has waited before it was forwarded; counts against its deadline.
--- a/src/proxy/forward.cpp
+++ b/src/proxy/forward.cpp
@@ -189,7 +189,7 @@
             continue;
         }
         std::string_view obstacle = "links_lost";
-        if (!isStranded(forwarding)) {
+        if (!isRelayedWithoutLinks(forwarding)) {
             obstacle = co_await findBeginning(forwarding);
         }
         if (!obstacle.empty()) {
--- a/src/proxy/forwarding_base.h
+++ b/src/proxy/forwarding_base.h
@@ -143,7 +143,7 @@
 [[nodiscard]] std::optional<TargetEntry> chooseRelay(const Forwarding &forwarding);
 
 /** @return Whether the request was relayed to this host, which has lost its links too. */
-[[nodiscard]] bool isStranded(const Forwarding &forwarding);
+[[nodiscard]] bool isRelayedWithoutLinks(const Forwarding &forwarding);
 
 /** Relays the request to the host @p relay and its answer to the caller. The whole answer of a host is final. */
 boost::asio::awaitable<Attempt> relayTo(Forwarding &forwarding, TargetEntry relay);
@@ -161,12 +161,12 @@
 void beginStream(Forwarding &forwarding);
 
 /**
- * Finds the version that began the stream, if the caller takes one up.
+ * Finds the version that began the stream, if the caller resumes one.
  * @return Why the request must be refused because the version is unknown or no longer serves the route; empty if it may go on.
  */
 boost::asio::awaitable<std::string_view> resolveOrigin(Forwarding &forwarding);
 
-/** Answers 503 to a request that takes up a stream and has run on no target. @param reason Why nothing can continue the stream. */
+/** Answers 503 to a request that resumes a stream and has run on no target. @param reason Why nothing can continue the stream. */
 boost::asio::awaitable<void> refuseContinuation(Forwarding &forwarding, std::string_view reason);
 
 /** Sends the request to @p target and relays its answer to the caller. */
--- a/src/proxy/relay.cpp
+++ b/src/proxy/relay.cpp
@@ -59,7 +59,7 @@
     return relay;
 }
 
-bool isStranded(const Forwarding &forwarding)
+bool isRelayedWithoutLinks(const Forwarding &forwarding)
 {
     return forwarding.call.relayed && forwarding.proxy->links.lost;
 }
--- a/src/proxy/stream_continuation.cpp
+++ b/src/proxy/stream_continuation.cpp
@@ -18,15 +18,15 @@
 }
 
 /** @return Whether the caller already has the beginning of the stream. */
-bool isTakenUp(const ProxyCall &call)
+bool isResumedByCaller(const ProxyCall &call)
 {
     return call.lastEventId > 0 || !call.resumes.empty();
 }
 
-/** @return Key under which the origin of the stream is recorded; empty for a stream that was taken up without naming the attempt that began it. */
+/** @return Key under which the origin of the stream is recorded; empty for a stream that was resumed without naming the attempt that began it. */
 std::optional<std::uint64_t> recordKeyOf(const ProxyCall &call)
 {
-    if (!isTakenUp(call)) {
+    if (!isResumedByCaller(call)) {
         return streamKey(call.id);
     }
     return call.resumes.empty() ? std::nullopt : std::optional(streamKey(call.resumes));
@@ -53,7 +53,7 @@
     }
 }
 
-/** Collects what is known of the origin of a stream that the caller takes up. */
+/** Collects what is known of the origin of a stream that the caller resumes. */
 asio::awaitable<OriginEvidence> collectEvidence(Forwarding &forwarding)
 {
     Proxy &proxy = *forwarding.proxy;
@@ -129,7 +129,7 @@
 
 asio::awaitable<std::string_view> resolveOrigin(Forwarding &forwarding)
 {
-    if (!isResumableStream(*forwarding.route) || !isTakenUp(forwarding.call)) {
+    if (!isResumableStream(*forwarding.route) || !isResumedByCaller(forwarding.call)) {
         co_return std::string_view();
     }
     const OriginEvidence evidence = co_await collectEvidence(forwarding);
@@ -138,8 +138,8 @@
         services.push_back(entry.service);
     }
     const OriginDecision decision = findOrigin(evidence, services);
-    addCounter(*forwarding.proxy->metrics, "skylark_taken_up_streams_total", {{"origin", originReasonName(decision.reason)}});
-    logEvent(EventKind::TakenUp,
+    addCounter(*forwarding.proxy->metrics, "skylark_caller_resumes_total", {{"origin", originReasonName(decision.reason)}});
+    logEvent(EventKind::CallerResumed,
              forwarding.call.id.value,
              {{"route", forwarding.route->name},
               {"resumes", forwarding.call.resumes.value},
--- a/tests/test_stream_version.cpp
+++ b/tests/test_stream_version.cpp
@@ -58,7 +58,7 @@
         this->publishAll();
     }
 
-    /** @return A request that takes up the stream of attempt @p begunAs after event @p after. */
+    /** @return A request that resumes the stream of attempt @p begunAs after event @p after. */
     static HttpRequest takeUp(const std::string &id, const std::string &begunAs, unsigned after)
     {
         HttpRequest request = EntryTestHost::request(id, "/chat/x");
@@ -98,8 +98,8 @@
     CHECK(whole == streams);
 }
 
-// Guards against a stream that a caller takes up at another host and that goes on at another software version.
-TEST_CASE_METHOD(VersionFixture, "takenUpStream_beganAtAnotherHost_goesOnAtTheVersionThatBeganIt")
+// Guards against a stream that a caller resumes at another host and that goes on at another software version.
+TEST_CASE_METHOD(VersionFixture, "callerResumedStream_beganAtAnotherHost_goesOnAtTheVersionThatBeganIt")
 {
     this->routeNamed("chat").maxAttempts = 1;
     this->publishAll();
@@ -119,7 +119,7 @@
 }
 
 // Guards against a stream that goes on at a guessed software version, as after the loss of all hosts.
-TEST_CASE_METHOD(VersionFixture, "takenUpStream_noHostKnowsIt_isRefusedWhileSeveralVersionsHaveServed")
+TEST_CASE_METHOD(VersionFixture, "callerResumedStream_noHostKnowsIt_isRefusedWhileSeveralVersionsHaveServed")
 {
     this->setPlans({}, {});
     SECTION("both versions serve")
@@ -135,7 +135,7 @@
 }
 
 // Guards against a fleet of one software version that refuses the streams that a restarted host does not know.
-TEST_CASE_METHOD(VersionFixture, "takenUpStream_noHostKnowsIt_goesOnWhereOneVersionServes")
+TEST_CASE_METHOD(VersionFixture, "callerResumedStream_noHostKnowsIt_goesOnWhereOneVersionServes")
 {
     for (auto &[id, entry] : *this->targets) {
         entry.version.value = "v1";
