Test: A case of relayed answers checked nothing, and one did not reach the direct continuation

Found in the last read of the change. answer_isRelayed_hasNoStateOfItsTarget switched the targets' notices off before its request, so that it passed without the guard; now the target names both, and two checks fail with the removal taken out. stream_relayed_... has a variant in which the links return in mid-stream; it fails with findBeginning() always empty (9 checks). No change of the product.

--- a/tests/test_lost_links.cpp
+++ b/tests/test_lost_links.cpp
@@ -137,19 +137,22 @@
 // Guards against a relay that hides from a host which targets are leaving, or gives it a rate limit that it cannot attribute.
 TEST_CASE_METHOD(LinkFixture, "answer_isRelayed_hasNoStateOfItsTarget")
 {
-    for (Replica *replica : this->targetsInOrder) {
-        replica->leaving = true;
-    }
     this->cut(this->a, false);
     this->sendDuringContactTime(this->a);
     for (Replica *replica : this->targetsInOrder) {
-        replica->leaving = false;
+        replica->leaving = true;
+        replica->plan = [](const HttpRequest & /*request*/, unsigned /*number*/) {
+            return ReplicaPlan{.stream = false, .headers = {{std::string(platform::headerServerLimit), "50"}, {"X-Mark", "m"}}};
+        };
     }
     const HttpResponse answer = this->a.send(EntryTestHost::request("q1", "/lookup/x"));
+    CHECK(answer.status == 200);
+    CHECK(headerValue(answer.headers, "X-Mark") == "m");
     CHECK(headerValue(answer.headers, platform::headerServerLeaving).empty());
+    CHECK(headerValue(answer.headers, platform::headerServerLimit).empty());
 }
 
-// Guards against a relayed stream that goes on at another version after the links are back.
+// Guards against a relayed stream that goes on at another version, at another host or directly because the links are back.
 TEST_CASE_METHOD(LinkFixture, "stream_relayedAndBrokenOff_goesOnAtTheVersionThatBeganIt")
 {
     this->servedVersions.clear();
@@ -161,17 +164,25 @@
     this->sendDuringContactTime(this->a);
     this->routeNamed("chat").maxAttempts = 1;
     this->b.publish({SessionId{"session-front-1"}});
+    this->routeNamed("chat").maxAttempts = 2;
+    const bool linksReturn = GENERATE(false, true);
     std::map<std::string, std::vector<std::string>> runs;
     for (Replica *replica : this->targetsInOrder) {
         const std::string version = this->targets->at(TargetId{replica->id}).version.value;
-        replica->plan = [&runs, version](const HttpRequest &request, unsigned /*number*/) {
+        replica->plan = [this, &runs, version, linksReturn](const HttpRequest &request, unsigned /*number*/) {
             auto &done = runs[std::string(headerValue(request.headers, platform::headerRequestId))];
             done.push_back(version);
+            if (linksReturn) {
+                this->a.ownTargets.reset();
+                this->a.publish({SessionId{"session-front-1"}, SessionId{"session-front-2"}});
+                this->a.proxy->links.lost = false;
+            }
             return done.size() == 1 ? ReplicaPlan{.breakAfter = 4} : ReplicaPlan{};
         };
     }
     for (unsigned i = 0; i < 8; ++i) {
         const std::string id = "s" + std::to_string(i);
+        this->a.proxy->links.lost = true;
         const auto answer = this->call(this->a.endpoint, EntryTestHost::request(id, "/chat/x"));
         CHECK(isOk(answer));
         REQUIRE_FALSE(runs[id].empty());
